--- /dev/null
+++ b/src/adapters/httpModelEngine.ts
@@ -0,0 +1,160 @@
+import { createParser } from "eventsource-parser";
+import { Agent, request } from "undici";
+import { createDisposable, Disposable } from "../base/disposable.js";
+import {
+    EngineCacheEvent,
+    EngineCommandResult,
+    EngineEvent,
+    EngineEventKind,
+    EngineFinish,
+    EngineReport,
+    EngineRequestState,
+    EngineUsage,
+    ModelEngine,
+} from "../ports/modelEngine.js";
+
+/** One server-sent event of a generation, in the published completion form with a token sequence. */
+interface CompletionEvent {
+    readonly sequence?: number;
+    readonly choices?: readonly { readonly text: string; readonly finish_reason?: EngineFinish | null }[];
+    readonly usage?: {
+        readonly prompt_tokens: number;
+        readonly cached_tokens: number;
+        readonly completion_tokens: number;
+    };
+}
+
+const connectTimeoutMs = 2_000;
+const answerTimeoutMs = 5_000;
+const doneMarker = "[DONE]";
+
+/** A model engine reached over HTTP. */
+export interface HttpModelEngine extends ModelEngine, Disposable {}
+
+/**
+ * Creates the adapter for an engine that serves completions as server-sent events.
+ *
+ * @param baseUrl root of the engine, without a slash at the end
+ *
+ * @example
+ * const engine = createHttpModelEngine("http://127.0.0.1:9000");
+ */
+export function createHttpModelEngine(baseUrl: string): HttpModelEngine {
+    // Each stream holds a connection, so the number of connections has no bound of its own: the scheduler bounds it.
+    const agent = new Agent({ connect: { timeout: connectTimeoutMs }, headersTimeout: 0, bodyTimeout: 0 });
+
+    async function call<Answer>(method: "GET" | "POST" | "DELETE", path: string, body?: unknown): Promise<Answer> {
+        const response = await request(`${baseUrl}${path}`, {
+            dispatcher: agent,
+            method,
+            headers: { "content-type": "application/json" },
+            body: body === undefined ? undefined : JSON.stringify(body),
+            headersTimeout: answerTimeoutMs,
+            bodyTimeout: answerTimeoutMs,
+        });
+        const text = await response.body.text();
+        if (response.statusCode >= 300) {
+            throw new Error(`engine answered ${response.statusCode} to ${method} ${path}: ${text.slice(0, 200)}`);
+        }
+        return (text.length === 0 ? undefined : JSON.parse(text)) as Answer;
+    }
+
+    function openStream(
+        method: "GET" | "POST",
+        path: string,
+        body: unknown,
+        listen: (event: EngineEvent) => void,
+    ): Disposable {
+        const controller = new AbortController();
+        let ended = false;
+
+        function emit(event: EngineEvent) {
+            if (!ended) {
+                ended = event.kind !== EngineEventKind.Token;
+                listen(event);
+            }
+        }
+
+        async function run() {
+            const response = await request(`${baseUrl}${path}`, {
+                dispatcher: agent,
+                method,
+                headers: { "content-type": "application/json" },
+                body: body === undefined ? undefined : JSON.stringify(body),
+                signal: controller.signal,
+            });
+            if (response.statusCode !== 200) {
+                const message = (await response.body.text()).slice(0, 200);
+                emit({ kind: EngineEventKind.Refused, status: response.statusCode, message });
+                return;
+            }
+            const parser = createParser({ onEvent: event => emitCompletion(event.data, emit) });
+            const utf8 = new TextDecoder();
+            for await (const bytes of response.body) {
+                parser.feed(utf8.decode(bytes as Uint8Array, { stream: true }));
+            }
+            emit({ kind: EngineEventKind.Broken, message: "the stream ended without a final event" });
+        }
+
+        run().catch((error: unknown) => emit({ kind: EngineEventKind.Broken, message: String(error) }));
+        return createDisposable(() => {
+            ended = true;
+            controller.abort();
+        });
+    }
+
+    return {
+        generate: (generation, listen) =>
+            openStream("POST", "/v1/completions", {
+                request_id: generation.id,
+                model: generation.model,
+                adapter: generation.adapter,
+                priority: generation.priority,
+                max_tokens: generation.maxOutputTokens,
+                prompt: generation.prompt,
+                time_limit_ms: Math.round(generation.timeLimitMs),
+                stream: true,
+            }, listen),
+        resume: (id, fromSequence, listen) =>
+            openStream("GET", `/v1/requests/${encodeURIComponent(id)}/stream?from=${fromSequence}`, undefined, listen),
+        cancel: id => call("DELETE", `/v1/requests/${encodeURIComponent(id)}`),
+        list: () => call<readonly EngineRequestState[]>("GET", "/v1/requests"),
+        report: () => call<EngineReport>("GET", "/v1/load"),
+        command: command => call<EngineCommandResult>("POST", "/v1/commands", command),
+        readCacheEvents: from => call<readonly EngineCacheEvent[]>("GET", `/v1/cache/events?from=${from}`),
+        exportState: id => call("POST", "/v1/exports", { request_id: id }),
+        importState: (exportId, tokens) => call("POST", "/v1/imports", { exportId, tokens }),
+        listExports: () => call("GET", "/v1/exports"),
+        releaseExport: exportId => call("DELETE", `/v1/exports/${encodeURIComponent(exportId)}`),
+        dispose: () => void agent.destroy(),
+    };
+}
+
+function emitCompletion(data: string, emit: (event: EngineEvent) => void): void {
+    if (data === doneMarker) {
+        return;
+    }
+    const event = JSON.parse(data) as CompletionEvent;
+    const choice = event.choices?.[0];
+    if (!choice || event.sequence === undefined) {
+        return;
+    }
+    if (choice.finish_reason) {
+        emit({
+            kind: EngineEventKind.End,
+            finish: choice.finish_reason,
+            tokens: event.sequence,
+            usage: readUsage(event),
+        });
+        return;
+    }
+    emit({ kind: EngineEventKind.Token, sequence: event.sequence, text: choice.text });
+}
+
+function readUsage(event: CompletionEvent): EngineUsage {
+    return {
+        promptTokens: event.usage?.prompt_tokens ?? 0,
+        cachedTokens: event.usage?.cached_tokens ?? 0,
+        outputTokens: event.usage?.completion_tokens ?? 0,
+    };
+}
--- /dev/null
+++ b/src/adapters/httpPlainService.ts
@@ -0,0 +1,62 @@
+import { Agent, request } from "undici";
+import { Disposable } from "../base/disposable.js";
+import { PlainService, ServiceResultKind } from "../ports/plainService.js";
+
+const connectTimeoutMs = 2_000;
+
+/** Errors of `undici` and of the operating system that mean that no connection was made. */
+const notSentCodes = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
+
+/**
+ * Creates the adapter for a plain HTTP service.
+ *
+ * Every call uses a new connection: on a reused one, a reset cannot be told apart from a call that was received.
+ *
+ * @param baseUrl root of the service, without a slash at the end
+ *
+ * @example
+ * const service = createHttpPlainService("http://127.0.0.1:9100");
+ */
+export function createHttpPlainService(baseUrl: string): PlainService & Disposable {
+    const agent = new Agent({ connect: { timeout: connectTimeoutMs }, pipelining: 0 });
+    return {
+        async call(call) {
+            const signal = AbortSignal.timeout(Math.max(1, Math.round(call.timeLimitMs)));
+            try {
+                const response = await request(`${baseUrl}${call.path}`, {
+                    dispatcher: agent,
+                    method: call.method as "GET",
+                    headers: { ...call.headers, "x-request-id": call.id },
+                    body: call.body.length === 0 ? undefined : call.body,
+                    signal,
+                });
+                const body = new Uint8Array(await response.body.arrayBuffer());
+                return {
+                    kind: ServiceResultKind.Answered,
+                    status: response.statusCode,
+                    headers: selectHeaders(response.headers),
+                    body,
+                };
+            }
+            catch (error) {
+                const code = (error as { code?: string }).code ?? "";
+                const kind = notSentCodes.has(code) ? ServiceResultKind.NotSent : ServiceResultKind.Unknown;
+                return { kind, message: String(error) };
+            }
+        },
+        dispose: () => void agent.destroy(),
+    };
+}
+
+/** Headers of the transport, which describe one connection and are not passed on. */
+const transportHeaders = new Set(["connection", "keep-alive", "transfer-encoding", "content-length", "upgrade"]);
+
+function selectHeaders(headers: Record<string, string | string[] | undefined>): Record<string, string> {
+    const selected: Record<string, string> = {};
+    for (const [name, value] of Object.entries(headers)) {
+        if (value !== undefined && !transportHeaders.has(name)) {
+            selected[name] = Array.isArray(value) ? value.join(", ") : value;
+        }
+    }
+    return selected;
+}
--- /dev/null
+++ b/src/base/systemRandomSource.ts
@@ -0,0 +1,12 @@
+import { randomBytes } from "node:crypto";
+import { createSeededRandomSource, RandomSource } from "./randomSource.js";
+
+/**
+ * Creates a random source with a seed from the operating system.
+ *
+ * @example
+ * const random = createSystemRandomSource();
+ */
+export function createSystemRandomSource(): RandomSource {
+    return createSeededRandomSource(randomBytes(4).readInt32BE());
+}
--- /dev/null
+++ b/src/cli/devCommand.ts
@@ -0,0 +1,145 @@
+import * as http from "node:http";
+import * as net from "node:net";
+import { CommandModule } from "yargs";
+import { z } from "zod";
+import { createHttpHostList } from "../adapters/httpHostList.js";
+import { createHttpModelEngine } from "../adapters/httpModelEngine.js";
+import { createHttpPlainService } from "../adapters/httpPlainService.js";
+import { computeDigest } from "../base/ids.js";
+import { createEventLog } from "../base/log.js";
+import { createSystemRandomSource } from "../base/systemRandomSource.js";
+import { createSystemTimerService } from "../base/systemTimerService.js";
+import { TimerService } from "../base/timerService.js";
+import { ConfigurationObjects } from "../config/objects.js";
+import { configurationSchema } from "../config/schema.js";
+import { startEmulatedEngine } from "../emulator/engine/engineServer.js";
+import { startEmulatedHostList } from "../emulator/hostListServer.js";
+import { startEmulatedService } from "../emulator/serviceServer.js";
+import { createFixedConfigurationSource } from "../entry/configurationSource.js";
+import { createEntry } from "../entry/entry.js";
+import { HostState } from "../ports/hostList.js";
+import { chooseLeastConnections } from "../routing/baselinePolicies.js";
+import { createFirstComeScheduler } from "../scheduling/firstComeScheduler.js";
+import { createModelRunner, defaultModelRunnerSettings } from "../sidecar/modelRunner.js";
+import { createServiceRunner } from "../sidecar/serviceRunner.js";
+import { createSidecar, Sidecar, SidecarParts } from "../sidecar/sidecar.js";
+import { entryDefaults, linkDefaults, sidecarDefaults } from "./defaults.js";
+import { closeServer, listen } from "./listen.js";
+import { logUnhandledErrors, waitForStopSignal } from "./process.js";
+import { applyLogSetting, logOption, parseSettings, portSchema } from "./settings.js";
+
+const settingsSchema = z.object({
+    port: portSchema,
+    engines: z.number().int().min(1).max(16),
+    key: z.string().min(1),
+    log: z.string(),
+});
+
+const place = "local";
+const linkKey = "dev";
+const engineSpeed = { memoryTokens: 400_000, prefillTokensPerSecond: 40_000, decodeTokensPerSecond: 60, maxBatch: 32 };
+const closeTimeoutMs = 2_000;
+const loopback = "127.0.0.1";
+
+/** Configuration of `dev`: one model with emulated engines, one plain service, one caller who is also an operator. */
+function buildDevObjects(engines: number, key: string): ConfigurationObjects {
+    const endpoints: Record<string, unknown> = {
+        "booking-1": { host: "booking-1", place, service: "bookings", checksFencing: false },
+    };
+    for (let index = 1; index <= engines; index++) {
+        endpoints[`engine-${index}`] = { host: `engine-${index}`, place, model: "demo", checksFencing: true };
+    }
+    return configurationSchema.parse({
+        models: { demo: { version: "demo-v1" } },
+        versions: { "demo-v1": { model: "demo", weights: "demo-v1" } },
+        ranks: {
+            urgent: { urgency: 0, timeLimitMs: 30_000 },
+            normal: { urgency: 1, timeLimitMs: 300_000 },
+            bulk: { urgency: 2, timeLimitMs: 3_600_000 },
+        },
+        kinds: { question: { rank: "normal" } },
+        callers: { developer: { keyDigests: [computeDigest(key)], defaultKind: "question", operator: true } },
+        services: { bookings: { rank: "urgent", repeatable: false, timeLimitMs: 10_000 } },
+        endpoints,
+    });
+}
+
+async function startSidecar(endpoint: string, parts: Omit<SidecarParts, "log" | "createScheduler">) {
+    const settings = { ...linkDefaults, ...sidecarDefaults, endpoint, place, linkKey };
+    const log = createEventLog("sidecar");
+    const sidecar = createSidecar(settings, { ...parts, log, createScheduler: createFirstComeScheduler });
+    const server = net.createServer(socket => sidecar.accept(socket));
+    const port = await listen(server, 0, loopback);
+    return { sidecar, host: { name: endpoint, place, address: loopback, port, state: HostState.Live } };
+}
+
+async function startEndpoints(engines: number, timers: TimerService) {
+    const started: Awaited<ReturnType<typeof startSidecar>>[] = [];
+    for (let index = 1; index <= engines; index++) {
+        const emulated = await startEmulatedEngine(
+            { ...engineSpeed, port: 0, model: "demo", version: "demo-v1", checksFencing: true },
+            timers,
+        );
+        const engine = createHttpModelEngine(emulated.url);
+        const runner = createModelRunner(engine, timers, () => 0, defaultModelRunnerSettings);
+        started.push(await startSidecar(`engine-${index}`, { timers, runner, readReport: () => engine.report() }));
+    }
+    const service = await startEmulatedService({ port: 0, delayMs: 5 }, timers);
+    const runner = createServiceRunner(createHttpPlainService(service.url), timers);
+    started.push(await startSidecar("booking-1", { timers, runner }));
+    return started;
+}
+
+async function registerHosts(hostsUrl: string, hosts: readonly { readonly name: string }[]) {
+    for (const host of hosts) {
+        await fetch(`${hostsUrl}/hosts/${host.name}`, { method: "PUT", body: JSON.stringify(host) });
+    }
+}
+
+async function drainAll(sidecars: readonly Sidecar[]) {
+    await Promise.all(sidecars.map(sidecar => sidecar.drain()));
+    sidecars.forEach(sidecar => sidecar.dispose());
+}
+
+/** `jujubelane dev` */
+export const devCommand: CommandModule = {
+    command: "dev",
+    describe: "run the whole path on loopback in one process with emulated endpoints",
+    builder: yargs =>
+        yargs.options({
+            port: { type: "number", default: 8080, describe: "port for callers; 0 takes a free one" },
+            engines: { type: "number", default: 2, describe: "number of emulated engines" },
+            key: { type: "string", default: "dev-key", describe: "API key of the one caller" },
+            log: { ...logOption, default: "" },
+        }),
+    handler: async argv => {
+        const settings = parseSettings(settingsSchema, argv);
+        applyLogSetting(settings.log);
+        const log = createEventLog("entry");
+        logUnhandledErrors(log);
+        const timers = createSystemTimerService();
+        const hosts = await startEmulatedHostList({ port: 0, lagMs: 0 }, timers);
+        const endpoints = await startEndpoints(settings.engines, timers);
+        await registerHosts(hosts.url, endpoints.map(endpoint => endpoint.host));
+        const entry = createEntry({ ...linkDefaults, ...entryDefaults, name: "dev", place, linkKey }, {
+            timers,
+            random: createSystemRandomSource(),
+            log,
+            hostList: createHttpHostList(hosts.url),
+            configuration: createFixedConfigurationSource(buildDevObjects(settings.engines, settings.key)),
+            policy: chooseLeastConnections,
+            selectAperture: all => all,
+            connect: host => net.connect(host.port, host.address),
+            createOperatorRoute: () => () => Promise.resolve(false),
+        });
+        const server = http.createServer(entry.handler);
+        const port = await listen(server, settings.port, loopback);
+        process.stdout.write(`listening on http://${loopback}:${port}\n`);
+        await waitForStopSignal();
+        await entry.drain();
+        await closeServer(server, closeTimeoutMs);
+        entry.dispose();
+        await drainAll(endpoints.map(endpoint => endpoint.sidecar));
+        process.exit(0);
+    },
+};
--- /dev/null
+++ b/src/cli/emulateCommand.ts
@@ -0,0 +1,87 @@
+import { CommandModule } from "yargs";
+import { z } from "zod";
+import { createSystemTimerService } from "../base/systemTimerService.js";
+import { startEmulatedEngine } from "../emulator/engine/engineServer.js";
+import { startEmulatedHostList } from "../emulator/hostListServer.js";
+import { RunningServer } from "../emulator/httpServer.js";
+import { startEmulatedService } from "../emulator/serviceServer.js";
+import { waitForStopSignal } from "./process.js";
+import { parseSettings, portSchema } from "./settings.js";
+
+async function serve(server: RunningServer): Promise<void> {
+    process.stdout.write(`listening on ${server.url}\n`);
+    await waitForStopSignal();
+    await server.close();
+    process.exit(0);
+}
+
+const portOption = { type: "number", default: 0, describe: "port on loopback; 0 takes a free one" } as const;
+
+const engineSchema = z.object({
+    port: portSchema,
+    model: z.string().min(1),
+    modelVersion: z.string().min(1),
+    checksFencing: z.boolean(),
+    memoryTokens: z.number().int().positive(),
+    prefillTokensPerSecond: z.number().positive(),
+    decodeTokensPerSecond: z.number().positive(),
+    maxBatch: z.number().int().positive(),
+});
+
+const emulateEngine: CommandModule = {
+    command: "engine",
+    describe: "run an emulated model engine",
+    builder: yargs =>
+        yargs.options({
+            port: portOption,
+            model: { type: "string", demandOption: true },
+            "model-version": { type: "string", demandOption: true, describe: "version that is loaded at the start" },
+            "checks-fencing": { type: "boolean", default: true, describe: "refuse commands with an old fencing token" },
+            "memory-tokens": { type: "number", default: 400_000 },
+            "prefill-tokens-per-second": { type: "number", default: 20_000 },
+            "decode-tokens-per-second": { type: "number", default: 40, describe: "output rate of one sequence" },
+            "max-batch": { type: "number", default: 64 },
+        }),
+    handler: async argv => {
+        const settings = parseSettings(engineSchema, argv);
+        await serve(
+            await startEmulatedEngine({ ...settings, version: settings.modelVersion }, createSystemTimerService()),
+        );
+    },
+};
+
+const emulateService: CommandModule = {
+    command: "service",
+    describe: "run an emulated plain service that counts what it ran",
+    builder: yargs =>
+        yargs.options({
+            port: portOption,
+            "delay-ms": { type: "number", default: 5, describe: "time that a call takes" },
+        }),
+    handler: async argv => {
+        const settings = parseSettings(z.object({ port: portSchema, delayMs: z.number().min(0) }), argv);
+        await serve(await startEmulatedService(settings, createSystemTimerService()));
+    },
+};
+
+const emulateHosts: CommandModule = {
+    command: "hosts",
+    describe: "run an emulated host list",
+    builder: yargs =>
+        yargs.options({
+            port: portOption,
+            "lag-ms": { type: "number", default: 0, describe: "time until a change shows in the list" },
+        }),
+    handler: async argv => {
+        const settings = parseSettings(z.object({ port: portSchema, lagMs: z.number().min(0) }), argv);
+        await serve(await startEmulatedHostList(settings, createSystemTimerService()));
+    },
+};
+
+/** `jujubelane emulate` */
+export const emulateCommand: CommandModule = {
+    command: "emulate",
+    describe: "run one of the emulators of outside systems",
+    builder: yargs => yargs.command(emulateEngine).command(emulateService).command(emulateHosts).demandCommand(1),
+    handler: () => undefined,
+};
--- /dev/null
+++ b/src/cli/entryCommand.ts
@@ -0,0 +1,83 @@
+import * as http from "node:http";
+import * as net from "node:net";
+import { CommandModule } from "yargs";
+import { z } from "zod";
+import { createHttpHostList } from "../adapters/httpHostList.js";
+import { createEventLog } from "../base/log.js";
+import { LogEvent } from "../base/logEvents.js";
+import { createSystemRandomSource } from "../base/systemRandomSource.js";
+import { createSystemTimerService } from "../base/systemTimerService.js";
+import { createFixedConfigurationSource } from "../entry/configurationSource.js";
+import { createEntry } from "../entry/entry.js";
+import { chooseLeastConnections } from "../routing/baselinePolicies.js";
+import { readConfigurationFiles } from "./configurationFiles.js";
+import { entryDefaults, linkDefaults } from "./defaults.js";
+import { closeServer, listen } from "./listen.js";
+import { logUnhandledErrors, waitForStopSignal } from "./process.js";
+import { applyLogSetting, durationSchema, logOption, parseSettings, portSchema, urlSchema } from "./settings.js";
+
+const settingsSchema = z.object({
+    name: z.string().min(1),
+    place: z.string().min(1),
+    address: z.ipv4().or(z.ipv6()),
+    port: portSchema,
+    hosts: urlSchema,
+    config: z.array(z.string()).min(1, "expected at least one configuration file"),
+    linkKey: z.string(),
+    heartbeatIntervalMs: durationSchema,
+    maxBodyBytes: z.number().int().positive(),
+    maxRequests: z.number().int().positive(),
+    drainDelayMs: z.number().min(0),
+    log: z.string(),
+});
+
+const closeTimeoutMs = 2_000;
+
+/** `jujubelane entry` */
+export const entryCommand: CommandModule = {
+    command: "entry",
+    describe: "run an entry: callers' HTTP, admission, routing and stream relay",
+    builder: yargs =>
+        yargs.options({
+            name: { type: "string", default: "entry", describe: "name of this entry in logs and status" },
+            place: { type: "string", demandOption: true, describe: "place of this host" },
+            address: { type: "string", default: "127.0.0.1", describe: "IP address to listen on" },
+            port: { type: "number", default: 8080, describe: "port for callers; 0 takes a free one" },
+            hosts: { type: "string", demandOption: true, describe: "root URL of the platform's host list" },
+            config: { type: "string", array: true, default: [], describe: "configuration files" },
+            "link-key": { type: "string", default: "", describe: "shared key of links between entries and sidecars" },
+            "heartbeat-interval-ms": { type: "number", default: linkDefaults.heartbeatIntervalMs },
+            "max-body-bytes": { type: "number", default: entryDefaults.maxBodyBytes },
+            "max-requests": { type: "number", default: entryDefaults.maxRequests },
+            "drain-delay-ms": { type: "number", default: entryDefaults.drainDelayMs },
+            log: logOption,
+        }),
+    handler: async argv => {
+        const settings = parseSettings(settingsSchema, argv);
+        applyLogSetting(settings.log);
+        const log = createEventLog("entry");
+        logUnhandledErrors(log);
+        const configuration = createFixedConfigurationSource(await readConfigurationFiles(settings.config));
+        const entry = createEntry({ ...linkDefaults, ...entryDefaults, ...settings }, {
+            timers: createSystemTimerService(),
+            random: createSystemRandomSource(),
+            log,
+            hostList: createHttpHostList(settings.hosts),
+            configuration,
+            policy: chooseLeastConnections,
+            selectAperture: endpoints => endpoints,
+            connect: host => net.connect(host.port, host.address),
+            createOperatorRoute: () => () => Promise.resolve(false),
+        });
+        const server = http.createServer(entry.handler);
+        const port = await listen(server, settings.port, settings.address);
+        log(LogEvent.ProcessStarted, { role: "entry", name: settings.name, port });
+        process.stdout.write(`listening on http://${settings.address}:${port}\n`);
+        const signal = await waitForStopSignal();
+        await entry.drain();
+        await closeServer(server, closeTimeoutMs);
+        entry.dispose();
+        log(LogEvent.ProcessStopped, { role: "entry", name: settings.name, signal });
+        process.exit(0);
+    },
+};
--- /dev/null
+++ b/src/cli/process.ts
@@ -0,0 +1,30 @@
+import { EventLog } from "../base/log.js";
+import { LogEvent } from "../base/logEvents.js";
+
+/**
+ * Resolves with the name of the first signal that asks the process to stop. A second one ends the process at once.
+ */
+export function waitForStopSignal(): Promise<string> {
+    return new Promise(resolve => {
+        let received = false;
+        for (const signal of ["SIGTERM", "SIGINT"] as const) {
+            process.on(signal, () => {
+                if (received) {
+                    process.exit(1);
+                }
+                received = true;
+                resolve(signal);
+            });
+        }
+    });
+}
+
+/** Logs errors that nothing handled, so that one bad message cannot end the process. */
+export function logUnhandledErrors(log: EventLog): void {
+    process.on("unhandledRejection", error => log(LogEvent.TaskFailed, { task: "promise", error: describe(error) }));
+    process.on("uncaughtException", error => log(LogEvent.TaskFailed, { task: "event", error: describe(error) }));
+}
+
+function describe(error: unknown): string {
+    return error instanceof Error ? error.stack ?? error.message : String(error);
+}
--- /dev/null
+++ b/src/cli/sidecarCommand.ts
@@ -0,0 +1,85 @@
+import * as net from "node:net";
+import { CommandModule } from "yargs";
+import { z } from "zod";
+import { createHttpModelEngine } from "../adapters/httpModelEngine.js";
+import { createHttpPlainService } from "../adapters/httpPlainService.js";
+import { createEventLog } from "../base/log.js";
+import { LogEvent } from "../base/logEvents.js";
+import { createSystemTimerService } from "../base/systemTimerService.js";
+import { createFirstComeScheduler } from "../scheduling/firstComeScheduler.js";
+import { createModelRunner, defaultModelRunnerSettings } from "../sidecar/modelRunner.js";
+import { createServiceRunner } from "../sidecar/serviceRunner.js";
+import { createSidecar, Sidecar, SidecarSettings } from "../sidecar/sidecar.js";
+import { linkDefaults, sidecarDefaults } from "./defaults.js";
+import { listen } from "./listen.js";
+import { logUnhandledErrors, waitForStopSignal } from "./process.js";
+import { applyLogSetting, durationSchema, logOption, parseSettings, portSchema, urlSchema } from "./settings.js";
+
+const settingsSchema = z.object({
+    endpoint: z.string().min(1),
+    place: z.string().min(1),
+    address: z.ipv4().or(z.ipv6()),
+    port: portSchema,
+    engine: urlSchema.optional(),
+    service: urlSchema.optional(),
+    linkKey: z.string(),
+    heartbeatIntervalMs: durationSchema,
+    maxQueuedRequests: z.number().int().positive(),
+    maxQueuedBytes: z.number().int().positive(),
+    log: z.string(),
+}).refine(settings => (settings.engine === undefined) !== (settings.service === undefined), {
+    message: "expected exactly one of --engine and --service",
+    path: ["engine"],
+});
+
+type ParsedSettings = z.infer<typeof settingsSchema>;
+
+/** `jujubelane sidecar` */
+export const sidecarCommand: CommandModule = {
+    command: "sidecar",
+    describe: "run the sidecar of one endpoint: queue, reservations and commands",
+    builder: yargs =>
+        yargs.options({
+            endpoint: { type: "string", demandOption: true, describe: "name of the endpoint in the configuration" },
+            place: { type: "string", demandOption: true, describe: "place of this host" },
+            address: { type: "string", default: "127.0.0.1", describe: "IP address to listen on for links" },
+            port: { type: "number", default: 7000, describe: "port for links; 0 takes a free one" },
+            engine: { type: "string", describe: "root URL of the model engine beside this process" },
+            service: { type: "string", describe: "root URL of the plain service beside this process" },
+            "link-key": { type: "string", default: "", describe: "shared key of links between entries and sidecars" },
+            "heartbeat-interval-ms": { type: "number", default: linkDefaults.heartbeatIntervalMs },
+            "max-queued-requests": { type: "number", default: sidecarDefaults.maxQueuedRequests },
+            "max-queued-bytes": { type: "number", default: sidecarDefaults.maxQueuedBytes },
+            log: logOption,
+        }),
+    handler: async argv => {
+        const settings = parseSettings(settingsSchema, argv);
+        applyLogSetting(settings.log);
+        const log = createEventLog("sidecar");
+        logUnhandledErrors(log);
+        const sidecar = buildSidecar({ ...linkDefaults, ...sidecarDefaults, ...settings }, settings);
+        const server = net.createServer(socket => sidecar.accept(socket));
+        const port = await listen(server, settings.port, settings.address);
+        log(LogEvent.ProcessStarted, { role: "sidecar", name: settings.endpoint, port });
+        process.stdout.write(`listening on ${settings.address}:${port}\n`);
+        const signal = await waitForStopSignal();
+        await sidecar.drain();
+        server.close();
+        sidecar.dispose();
+        log(LogEvent.ProcessStopped, { role: "sidecar", name: settings.endpoint, signal });
+        process.exit(0);
+    },
+};
+
+function buildSidecar(settings: SidecarSettings, parsed: Pick<ParsedSettings, "engine" | "service">): Sidecar {
+    const timers = createSystemTimerService();
+    const log = createEventLog("sidecar");
+    const createScheduler = createFirstComeScheduler;
+    if (parsed.service !== undefined) {
+        const runner = createServiceRunner(createHttpPlainService(parsed.service), timers);
+        return createSidecar(settings, { timers, log, runner, createScheduler });
+    }
+    const engine = createHttpModelEngine(parsed.engine!);
+    const runner = createModelRunner(engine, timers, () => 0, defaultModelRunnerSettings);
+    return createSidecar(settings, { timers, log, runner, createScheduler, readReport: () => engine.report() });
+}
--- /dev/null
+++ b/src/config/objects.ts
@@ -0,0 +1,125 @@
+/** Types of the named objects of a configuration. The value is the key of the section in a configuration file. */
+export enum ObjectType {
+    Model = "models",
+    Version = "versions",
+    Adapter = "adapters",
+    Rank = "ranks",
+    Kind = "kinds",
+    Caller = "callers",
+    Endpoint = "endpoints",
+    Service = "services",
+}
+
+/** What a request of a kind costs its caller. */
+export enum CostBasis {
+    /** Each request counts its weight. */
+    Request = "request",
+    /** Each token of the prompt and the output counts the weight. */
+    Token = "token",
+}
+
+/** A model that callers name. */
+export interface ModelObject {
+    /** Version in force. */
+    readonly version: string;
+    readonly maxOutputTokens: number;
+    readonly bytesPerToken: number;
+    /** Largest share of the model's endpoints that may load weights at a time, from 0 to 1. */
+    readonly loadingShare: number;
+}
+
+/** A version of a model. */
+export interface VersionObject {
+    readonly model: string;
+    readonly weights: string;
+}
+
+/** An adapter that can be applied to a model. */
+export interface AdapterObject {
+    readonly model: string;
+    readonly weights: string;
+}
+
+/** A rank of work. */
+export interface RankObject {
+    /** Lower numbers are more urgent. */
+    readonly urgency: number;
+    /** Guaranteed share of each endpoint's service, from 0 to 1. */
+    readonly share: number;
+    /** Time limit of requests that name none, in milliseconds. */
+    readonly timeLimitMs: number;
+}
+
+/** A kind of request, with its default rank and its cost. */
+export interface KindObject {
+    readonly rank: string;
+    readonly costBasis: CostBasis;
+    readonly costWeight: number;
+}
+
+/** A caller or an operator. */
+export interface CallerObject {
+    /** SHA-256 digests of the caller's keys, in lower-case hexadecimal. */
+    readonly keyDigests: readonly string[];
+    readonly ranks: readonly string[];
+    readonly defaultKind: string;
+    /** Weight of the caller in fair queueing. */
+    readonly weight: number;
+    readonly operator: boolean;
+}
+
+/** A model engine or an instance of a plain service, with its sidecar beside it. */
+export interface EndpointObject {
+    readonly host: string;
+    readonly place: string;
+    readonly model?: string;
+    readonly service?: string;
+    readonly adapters: readonly string[];
+    readonly role: string;
+    /** Whether the endpoint refuses commands that carry an old fencing token. */
+    readonly checksFencing: boolean;
+    readonly memoryTokens: number;
+    readonly maxRunning: number;
+}
+
+/** A plain service. */
+export interface ServiceObject {
+    readonly rank: string;
+    /** Whether calls may be repeated. */
+    readonly repeatable: boolean;
+    readonly timeLimitMs: number;
+}
+
+/** All named objects, by type and name. */
+export interface ConfigurationObjects {
+    readonly models: Readonly<Record<string, ModelObject>>;
+    readonly versions: Readonly<Record<string, VersionObject>>;
+    readonly adapters: Readonly<Record<string, AdapterObject>>;
+    readonly ranks: Readonly<Record<string, RankObject>>;
+    readonly kinds: Readonly<Record<string, KindObject>>;
+    readonly callers: Readonly<Record<string, CallerObject>>;
+    readonly endpoints: Readonly<Record<string, EndpointObject>>;
+    readonly services: Readonly<Record<string, ServiceObject>>;
+}
+
+/** A configuration in force. */
+export interface Configuration {
+    /** Offset of the last accepted change set; -1 before the first. It only grows. */
+    readonly generation: number;
+    readonly digest: string;
+    readonly objects: ConfigurationObjects;
+}
+
+/** Returns a configuration without objects. */
+export function makeEmptyObjects(): ConfigurationObjects {
+    return {
+        models: {},
+        versions: {},
+        adapters: {},
+        ranks: {},
+        kinds: {},
+        callers: {},
+        endpoints: {},
+        services: {},
+    };
+}
--- /dev/null
+++ b/src/emulator/httpServer.ts
@@ -0,0 +1,61 @@
+import * as http from "node:http";
+import { AddressInfo } from "node:net";
+
+/** A running HTTP server of a stand-in. */
+export interface RunningServer {
+    readonly port: number;
+    readonly url: string;
+    close(): Promise<void>;
+}
+
+/**
+ * Starts an HTTP server on loopback. Port 0 takes a free one.
+ *
+ * @example
+ * const server = await startHttpServer(0, (request, response) => response.end("ok"));
+ */
+export async function startHttpServer(
+    port: number,
+    handle: (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>,
+): Promise<RunningServer> {
+    const server = http.createServer((request, response) => {
+        handle(request, response).catch((error: unknown) => {
+            if (!response.headersSent) {
+                sendJson(response, 500, { error: String(error) });
+            }
+            else {
+                response.destroy();
+            }
+        });
+    });
+    await new Promise<void>((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(port, "127.0.0.1", resolve);
+    });
+    const address = server.address() as AddressInfo;
+    return {
+        port: address.port,
+        url: `http://127.0.0.1:${address.port}`,
+        close: () =>
+            new Promise(resolve => {
+                server.close(() => resolve());
+                server.closeAllConnections();
+            }),
+    };
+}
+
+/** Reads a whole request body. */
+export async function readBody(request: http.IncomingMessage): Promise<Buffer> {
+    const parts: Buffer[] = [];
+    for await (const part of request) {
+        parts.push(part as Buffer);
+    }
+    return Buffer.concat(parts);
+}
+
+/** Sends a JSON answer. */
+export function sendJson(response: http.ServerResponse, status: number, value: unknown): void {
+    const body = JSON.stringify(value ?? null);
+    response.writeHead(status, { "content-type": "application/json", "content-length": Buffer.byteLength(body) });
+    response.end(body);
+}
--- /dev/null
+++ b/src/entry/admission.ts
@@ -0,0 +1,63 @@
+import * as http from "node:http";
+import { buildRequestError, ErrorCode, RequestError } from "../base/requestError.js";
+import { makeFailure, makeSuccess, Result } from "../base/result.js";
+import { Verdict } from "../base/verdict.js";
+import { Configuration } from "../config/objects.js";
+import { AuthenticatedCaller } from "./callerIndex.js";
+import { HeaderName } from "./httpAnswer.js";
+
+/** Rank, kind and time limit of a request. */
+export interface RequestTerms {
+    readonly rank: string;
+    readonly kind: string;
+    readonly limitMs: number;
+}
+
+/** Largest time limit that a caller may ask for, in milliseconds. */
+const maxLimitMs = 24 * 60 * 60 * 1000;
+
+function refuse(code: ErrorCode, message: string) {
+    return makeFailure(buildRequestError(code, message, Verdict.NotRun));
+}
+
+function getHeader(headers: http.IncomingHttpHeaders, name: HeaderName): string | undefined {
+    const value = headers[name];
+    return Array.isArray(value) ? value[0] : value;
+}
+
+/**
+ * Reads rank, kind and time limit from a request's headers, with the caller's defaults for what they leave out.
+ *
+ * @example
+ * const terms = readTerms(request.headers, caller, configuration);
+ */
+export function readTerms(
+    headers: http.IncomingHttpHeaders,
+    caller: AuthenticatedCaller,
+    configuration: Configuration,
+    defaults: { readonly rank?: string; readonly limitMs?: number } = {},
+): Result<RequestTerms, RequestError> {
+    const { kinds, ranks } = configuration.objects;
+    const kind = getHeader(headers, HeaderName.Kind) ?? caller.object.defaultKind;
+    const kindObject = kinds[kind];
+    if (!kindObject) {
+        return refuse(ErrorCode.BadRequest, `unknown kind "${kind}"; configured: ${Object.keys(kinds).join(", ")}`);
+    }
+    const rank = getHeader(headers, HeaderName.Rank) ?? defaults.rank ?? kindObject.rank;
+    const rankObject = ranks[rank];
+    if (!rankObject) {
+        return refuse(ErrorCode.UnknownRank, `unknown rank "${rank}"; configured: ${Object.keys(ranks).join(", ")}`);
+    }
+    if (caller.object.ranks.length > 0 && !caller.object.ranks.includes(rank)) {
+        return refuse(ErrorCode.Forbidden, `caller "${caller.name}" may not use rank "${rank}"`);
+    }
+    const limitText = getHeader(headers, HeaderName.TimeLimit);
+    const limitMs = limitText === undefined ? defaults.limitMs ?? rankObject.timeLimitMs : Number(limitText);
+    if (!Number.isInteger(limitMs) || limitMs <= 0 || limitMs > maxLimitMs) {
+        return refuse(
+            ErrorCode.BadRequest,
+            `${HeaderName.TimeLimit}: expected an integer from 1 to ${maxLimitMs}, found "${limitText}"`,
+        );
+    }
+    return makeSuccess({ rank, kind, limitMs });
+}
--- /dev/null
+++ b/src/entry/callerServer.ts
@@ -0,0 +1,134 @@
+import * as http from "node:http";
+import { buildRequestError, ErrorCode } from "../base/requestError.js";
+import { Verdict } from "../base/verdict.js";
+import { Configuration } from "../config/objects.js";
+import { AuthenticatedCaller, buildCallerIndex, CallerIndex } from "./callerIndex.js";
+import { CompletionForm } from "./completionFormat.js";
+import { sendError, sendText } from "./httpAnswer.js";
+import { handleCompletion, RouteContext } from "./modelRoute.js";
+import { handleServiceCall, parseServiceTarget } from "./serviceRoute.js";
+
+/** Serves one authenticated operator request. Returns whether it had a route for it. */
+export type OperatorRoute = (request: http.IncomingMessage, response: http.ServerResponse) => Promise<boolean>;
+
+/** What the HTTP server of an entry needs. */
+export interface CallerServerContext extends RouteContext {
+    getConfiguration(): Configuration | undefined;
+    isHealthy(): boolean;
+    renderMetrics(): string;
+    readonly operatorRoute: OperatorRoute;
+    reportFailure(error: unknown): void;
+}
+
+const operatorPrefix = "/operator/";
+
+/**
+ * Creates the request handler of an entry's HTTP server. A failure of a handler becomes an error answer and never ends
+ * the process.
+ *
+ * @example
+ * http.createServer(createCallerHandler(context)).listen(8080);
+ */
+export function createCallerHandler(context: CallerServerContext): http.RequestListener {
+    let indexed: { readonly configuration: Configuration; readonly index: CallerIndex } | undefined;
+
+    function findCaller(configuration: Configuration, authorization: string | undefined) {
+        if (indexed?.configuration !== configuration) {
+            indexed = { configuration, index: buildCallerIndex(configuration) };
+        }
+        return indexed.index.find(authorization);
+    }
+
+    async function handleAuthenticated(
+        request: http.IncomingMessage,
+        response: http.ServerResponse,
+        caller: AuthenticatedCaller,
+        configuration: Configuration,
+    ): Promise<void> {
+        const url = request.url ?? "/";
+        const path = url.split("?", 1)[0]!;
+        const route = `${request.method} ${path}`;
+        const target = parseServiceTarget(url);
+        if (path.startsWith(operatorPrefix)) {
+            await handleOperator(request, response, caller);
+        }
+        else if (route === "POST /v1/chat/completions") {
+            await handleCompletion(CompletionForm.Chat, request, response, caller, configuration, context);
+        }
+        else if (route === "POST /v1/completions") {
+            await handleCompletion(CompletionForm.Text, request, response, caller, configuration, context);
+        }
+        else if (route === "GET /v1/models") {
+            sendText(response, 200, "application/json", formatModels(configuration));
+        }
+        else if (target) {
+            await handleServiceCall(target, request, response, caller, configuration, context);
+        }
+        else {
+            sendError(response, buildRequestError(ErrorCode.NotFound, `no route for ${route}`, Verdict.NotRun));
+        }
+    }
+
+    async function handleOperator(
+        request: http.IncomingMessage,
+        response: http.ServerResponse,
+        caller: AuthenticatedCaller,
+    ): Promise<void> {
+        if (!caller.object.operator) {
+            const message = `caller "${caller.name}" is not an operator`;
+            sendError(response, buildRequestError(ErrorCode.Forbidden, message, Verdict.NotRun));
+        }
+        else if (!await context.operatorRoute(request, response)) {
+            const message = `no route for ${request.method} ${request.url}`;
+            sendError(response, buildRequestError(ErrorCode.NotFound, message, Verdict.NotRun));
+        }
+    }
+
+    async function handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        const path = request.url?.split("?", 1)[0];
+        if (path === "/health") {
+            const isHealthy = context.isHealthy();
+            sendText(response, isHealthy ? 200 : 503, "text/plain", isHealthy ? "ok\n" : "draining\n");
+            return;
+        }
+        if (path === "/metrics") {
+            sendText(response, 200, "text/plain; version=0.0.4", context.renderMetrics());
+            return;
+        }
+        const configuration = context.getConfiguration();
+        if (!configuration) {
+            const message = "the entry has no configuration yet";
+            sendError(response, buildRequestError(ErrorCode.NoEndpoint, message, Verdict.NotRun));
+            return;
+        }
+        const caller = findCaller(configuration, request.headers.authorization);
+        if (!caller) {
+            const message = "the API key is missing or unknown";
+            sendError(response, buildRequestError(ErrorCode.Unauthorized, message, Verdict.NotRun));
+            return;
+        }
+        await handleAuthenticated(request, response, caller, configuration);
+    }
+
+    return (request, response) => {
+        handle(request, response).catch((error: unknown) => {
+            context.reportFailure(error);
+            if (response.headersSent) {
+                response.destroy();
+            }
+            else {
+                sendError(response, buildRequestError(ErrorCode.Internal, "internal error", Verdict.MayHaveRun));
+            }
+        });
+    };
+}
+
+function formatModels(configuration: Configuration): string {
+    const data = Object.keys(configuration.objects.models).map(id => ({
+        id,
+        object: "model",
+        created: 0,
+        owned_by: "jujubelane",
+    }));
+    return JSON.stringify({ object: "list", data });
+}
--- /dev/null
+++ b/src/entry/endpointLink.ts
@@ -0,0 +1,416 @@
+import * as net from "node:net";
+import { createDisposableStore, Disposable } from "../base/disposable.js";
+import { EventLog } from "../base/log.js";
+import { LogEvent } from "../base/logEvents.js";
+import { RandomSource } from "../base/randomSource.js";
+import { buildRequestError, ErrorCode } from "../base/requestError.js";
+import { TimerService } from "../base/timerService.js";
+import { Verdict } from "../base/verdict.js";
+import { createLinkConnection, LinkConnection } from "../link/connection.js";
+import { LinkRole, makeNonce, signHandshake, verifyHandshake } from "../link/handshake.js";
+import {
+    ChunkMessage,
+    ConfigurationMessage,
+    CrashReportMessage,
+    DispatchMessage,
+    EndMessage,
+    EntryMessage,
+    LinkMessage,
+    LinkMessageType,
+    linkProtocolVersion,
+    SidecarMessage,
+    WelcomeMessage,
+} from "../link/messages.js";
+import { LoadReport } from "../routing/loadReport.js";
+import { AttemptEventKind, AttemptListener } from "./attempt.js";
+
+/** Settings of the entry's end of links. */
+export interface EndpointLinkSettings {
+    readonly entry: string;
+    readonly incarnation: string;
+    readonly place: string;
+    readonly linkKey: string;
+    readonly heartbeatIntervalMs: number;
+    readonly maxFrameBytes: number;
+    /** Time that requests wait for a lost link to come back, in milliseconds. */
+    readonly resumeGraceMs: number;
+}
+
+/** State of a link. */
+export enum LinkState {
+    Connecting = "connecting",
+    Open = "open",
+    Closed = "closed",
+}
+
+/** What a link reports apart from attempts. */
+export interface EndpointLinkListener {
+    handleOpened(link: EndpointLink): void;
+    handleConfiguration(message: ConfigurationMessage): void;
+    handleCrashReport(link: EndpointLink, message: CrashReportMessage): void;
+}
+
+/** The entry's link to the sidecar of one endpoint. */
+export interface EndpointLink extends Disposable {
+    /** Name of the endpoint that the configuration gives. */
+    readonly endpoint: string;
+    getState(): LinkState;
+    isLeaving(): boolean;
+    /** Generation of the configuration in force at the sidecar; -1 for none. */
+    getGeneration(): number;
+    getLoad(): LoadReport | undefined;
+    getLoadAgeMs(): number;
+    /** Half of the shortest round trip seen, in milliseconds. */
+    getLatencyMs(): number;
+    getOutstanding(): { readonly requests: number; readonly prefillTokens: number };
+    getTraffic(): { readonly sentBytes: number; readonly receivedBytes: number };
+    dispatch(dispatch: Omit<DispatchMessage, "type" | "incarnation">, listener: AttemptListener): void;
+    /** Asks the sidecar to stop an attempt; the attempt then fails with the sidecar's verdict. */
+    cancel(request: string): void;
+    send(message: EntryMessage): void;
+}
+
+interface Attempt {
+    readonly request: string;
+    readonly listener: AttemptListener;
+    readonly promptTokens: number;
+    nextSequence: number;
+    cancelled: boolean;
+    lostTimer: Disposable | undefined;
+}
+
+const reconnectDelayMs = 50;
+const maxReconnectDelayMs = 2_000;
+const missedHeartbeatLimit = 3;
+const connectTimeoutMs = 2_000;
+
+/**
+ * Creates the link to one endpoint and keeps it open until disposed.
+ *
+ * @param connect opens a socket to the sidecar
+ *
+ * @example
+ * const link = createEndpointLink("engine-1", () => net.connect(7001, "127.0.0.1"), settings, timers, random, log, listener);
+ */
+export function createEndpointLink(
+    endpoint: string,
+    connect: () => net.Socket,
+    settings: EndpointLinkSettings,
+    timers: TimerService,
+    random: RandomSource,
+    log: EventLog,
+    listener: EndpointLinkListener,
+): EndpointLink {
+    const store = createDisposableStore();
+    const attempts = new Map<string, Attempt>();
+    let state = LinkState.Connecting;
+    let connection: LinkConnection | undefined;
+    let sidecarIncarnation = "";
+    let leaving = false;
+    let generation = -1;
+    let load: LoadReport | undefined;
+    let loadTimeMs = 0;
+    let latencyMs = 0;
+    let lastSentMs = 0;
+    let lastReceivedMs = 0;
+    let failures = 0;
+    let pendingPrefillTokens = 0;
+    let sentBytes = 0;
+    let receivedBytes = 0;
+
+    function send(message: EntryMessage) {
+        if (state === LinkState.Open) {
+            lastSentMs = timers.now();
+            connection?.send(message);
+        }
+    }
+
+    function recordLoad(report: LoadReport) {
+        load = report;
+        loadTimeMs = timers.now();
+        pendingPrefillTokens = 0;
+    }
+
+    function finish(attempt: Attempt) {
+        attempt.lostTimer?.dispose();
+        attempts.delete(attempt.request);
+    }
+
+    function fail(attempt: Attempt, code: ErrorCode, message: string, verdict: Verdict, details = {}) {
+        finish(attempt);
+        attempt.listener({ kind: AttemptEventKind.Failed, error: buildRequestError(code, message, verdict, details) });
+    }
+
+    function handleChunk(attempt: Attempt, message: ChunkMessage) {
+        if (message.sequence > attempt.nextSequence) {
+            send({ type: LinkMessageType.Resume, request: attempt.request, fromSequence: attempt.nextSequence });
+            return;
+        }
+        const items = message.items.slice(attempt.nextSequence - message.sequence);
+        if (items.length > 0) {
+            attempt.nextSequence += items.length;
+            attempt.listener({ kind: AttemptEventKind.Items, items });
+        }
+    }
+
+    function handleEnd(attempt: Attempt, message: EndMessage) {
+        if (message.load) {
+            recordLoad(message.load);
+        }
+        if (message.tokens !== attempt.nextSequence) {
+            send({ type: LinkMessageType.Resume, request: attempt.request, fromSequence: attempt.nextSequence });
+            return;
+        }
+        send({ type: LinkMessageType.Acknowledge, request: attempt.request, sequence: message.tokens });
+        if (message.code) {
+            fail(attempt, message.code, message.message ?? "the endpoint failed", message.verdict);
+            return;
+        }
+        finish(attempt);
+        attempt.listener({ kind: AttemptEventKind.Completed, finish: message.finish, usage: message.usage });
+    }
+
+    function handleAttemptMessage(message: SidecarMessage) {
+        const attempt = "request" in message ? attempts.get(message.request) : undefined;
+        if (!attempt) {
+            return;
+        }
+        switch (message.type) {
+            case LinkMessageType.Rejected:
+                fail(attempt, message.code, message.message, Verdict.NotRun, {
+                    retryAfterMs: message.retryAfterMs,
+                    largestPromptTokens: message.largestPromptTokens,
+                });
+                return;
+            case LinkMessageType.Chunk:
+                handleChunk(attempt, message);
+                return;
+            case LinkMessageType.ServiceAnswer: {
+                const { status, headers, body, replayed } = message;
+                attempt.listener({ kind: AttemptEventKind.ServiceAnswer, status, headers, body, replayed });
+                return;
+            }
+            case LinkMessageType.End:
+                handleEnd(attempt, message);
+                return;
+            case LinkMessageType.CancelResult:
+                if (message.verdict === Verdict.NotRun) {
+                    fail(attempt, ErrorCode.Cancelled, "cancelled before it ran", Verdict.NotRun);
+                }
+                return;
+            case LinkMessageType.ResumeState:
+                if (!message.known) {
+                    fail(attempt, ErrorCode.EndpointFailed, "the sidecar lost the request", Verdict.MayHaveRun);
+                }
+                return;
+            default:
+                return;
+        }
+    }
+
+    function handleMessage(message: SidecarMessage) {
+        switch (message.type) {
+            case LinkMessageType.Heartbeat:
+                generation = message.generation;
+                if (message.load) {
+                    recordLoad(message.load);
+                }
+                return;
+            case LinkMessageType.Leaving:
+                leaving = true;
+                log(LogEvent.EndpointLeaving, { endpoint });
+                return;
+            case LinkMessageType.Configuration:
+                listener.handleConfiguration(message);
+                return;
+            case LinkMessageType.CrashReport:
+                listener.handleCrashReport(link, message);
+                return;
+            default:
+                handleAttemptMessage(message);
+        }
+    }
+
+    function handleOpen(welcome: WelcomeMessage, opened: LinkConnection) {
+        connection = opened;
+        state = LinkState.Open;
+        failures = 0;
+        sidecarIncarnation = welcome.incarnation;
+        leaving = welcome.leaving;
+        generation = welcome.generation;
+        log(LogEvent.LinkOpened, { endpoint, incarnation: welcome.incarnation });
+        for (const attempt of [...attempts.values()]) {
+            attempt.lostTimer?.dispose();
+            attempt.lostTimer = undefined;
+            send({ type: LinkMessageType.Resume, request: attempt.request, fromSequence: attempt.nextSequence });
+            if (attempt.cancelled) {
+                send({ type: LinkMessageType.Cancel, request: attempt.request });
+            }
+        }
+        listener.handleOpened(link);
+    }
+
+    function handleLost(closed: LinkConnection, reason: string) {
+        if (connection === closed) {
+            const traffic = closed.getTraffic();
+            sentBytes += traffic.sentBytes;
+            receivedBytes += traffic.receivedBytes;
+            connection = undefined;
+            log(LogEvent.LinkClosed, { endpoint, reason });
+            for (const attempt of attempts.values()) {
+                attempt.lostTimer = timers.schedule(
+                    settings.resumeGraceMs,
+                    () =>
+                        fail(
+                            attempt,
+                            ErrorCode.EndpointFailed,
+                            "the link to the endpoint was lost",
+                            Verdict.MayHaveRun,
+                        ),
+                );
+            }
+        }
+        if (state !== LinkState.Closed) {
+            state = LinkState.Connecting;
+            const delayMs = Math.min(maxReconnectDelayMs, reconnectDelayMs * 2 ** failures) * (0.5 + random());
+            failures++;
+            store.register(timers.schedule(delayMs, open));
+        }
+    }
+
+    function open() {
+        if (state === LinkState.Closed) {
+            return;
+        }
+        const startedMs = timers.now();
+        const nonce = makeNonce();
+        let sidecarNonce: Uint8Array | undefined;
+        let isOpen = false;
+        const socket = connect();
+        const opening = createLinkConnection(socket, settings.maxFrameBytes, {
+            handleMessages(messages) {
+                lastReceivedMs = timers.now();
+                for (const message of messages as readonly SidecarMessage[]) {
+                    if (isOpen) {
+                        handleMessage(message);
+                    }
+                    else {
+                        handleHandshake(message);
+                    }
+                }
+            },
+            handleClosed(reason) {
+                timeout.dispose();
+                handleLost(opening, reason);
+            },
+            handleFrameError: error =>
+                log(LogEvent.LinkRefused, { endpoint, code: error.kind, message: error.message }),
+        });
+        const timeout = timers.schedule(connectTimeoutMs, () => {
+            if (!isOpen) {
+                opening.dispose();
+            }
+        });
+
+        function refuse(message: string) {
+            log(LogEvent.LinkRefused, { endpoint, message });
+            opening.dispose();
+        }
+
+        function handleHandshake(message: LinkMessage) {
+            if (message.type === LinkMessageType.Challenge && message.version === linkProtocolVersion) {
+                sidecarNonce = message.nonce;
+                const { entry, incarnation, place } = settings;
+                const proof = signHandshake(settings.linkKey, LinkRole.Entry, message.nonce, nonce);
+                const version = linkProtocolVersion;
+                opening.send({ type: LinkMessageType.Hello, version, entry, incarnation, place, nonce, proof });
+                return;
+            }
+            if (message.type !== LinkMessageType.Welcome || !sidecarNonce) {
+                refuse(message.type === LinkMessageType.Refusal ? message.message : "unexpected handshake message");
+                return;
+            }
+            if (!verifyHandshake(settings.linkKey, LinkRole.Sidecar, sidecarNonce, nonce, message.proof)) {
+                refuse("the sidecar's link key is wrong");
+                return;
+            }
+            if (message.endpoint !== endpoint) {
+                refuse(`the sidecar serves endpoint ${message.endpoint}`);
+                return;
+            }
+            isOpen = true;
+            // Connecting and the handshake take two round trips.
+            latencyMs = (timers.now() - startedMs) / 4;
+            handleOpen(message, opening);
+        }
+    }
+
+    const link: EndpointLink = {
+        endpoint,
+        getState: () => state,
+        isLeaving: () => leaving,
+        getGeneration: () => generation,
+        getLoad: () => load,
+        getLoadAgeMs: () => timers.now() - loadTimeMs,
+        getLatencyMs: () => latencyMs,
+        getOutstanding: () => ({ requests: attempts.size, prefillTokens: pendingPrefillTokens }),
+        getTraffic() {
+            const traffic = connection?.getTraffic() ?? { sentBytes: 0, receivedBytes: 0 };
+            return {
+                sentBytes: sentBytes + traffic.sentBytes,
+                receivedBytes: receivedBytes + traffic.receivedBytes,
+            };
+        },
+        dispatch(dispatch, attemptListener) {
+            const promptTokens = dispatch.model?.promptTokens ?? 0;
+            const attempt: Attempt = {
+                request: dispatch.request,
+                listener: attemptListener,
+                promptTokens,
+                nextSequence: 0,
+                cancelled: false,
+                lostTimer: undefined,
+            };
+            if (state !== LinkState.Open) {
+                const error = buildRequestError(ErrorCode.NoEndpoint, "the link is not open", Verdict.NotRun);
+                attemptListener({ kind: AttemptEventKind.Failed, error });
+                return;
+            }
+            attempts.set(dispatch.request, attempt);
+            pendingPrefillTokens += promptTokens;
+            send({ type: LinkMessageType.Dispatch, incarnation: sidecarIncarnation, ...dispatch });
+        },
+        cancel(request) {
+            const attempt = attempts.get(request);
+            if (attempt) {
+                attempt.cancelled = true;
+                send({ type: LinkMessageType.Cancel, request });
+            }
+        },
+        send,
+        dispose() {
+            state = LinkState.Closed;
+            store.dispose();
+            connection?.dispose();
+            for (const attempt of [...attempts.values()]) {
+                fail(attempt, ErrorCode.EndpointFailed, "the link was closed", Verdict.MayHaveRun);
+            }
+        },
+    };
+
+    store.register(timers.subscribe(settings.heartbeatIntervalMs, () => {
+        if (state !== LinkState.Open) {
+            return;
+        }
+        const nowMs = timers.now();
+        if (nowMs - lastReceivedMs > missedHeartbeatLimit * settings.heartbeatIntervalMs) {
+            // The connection is unresponsive although it is open; a new one may work.
+            connection?.dispose();
+        }
+        else if (nowMs - lastSentMs >= settings.heartbeatIntervalMs) {
+            send({ type: LinkMessageType.Heartbeat, generation: -1 });
+        }
+    }));
+    open();
+    return link;
+}
--- /dev/null
+++ b/src/entry/entry.ts
@@ -0,0 +1,226 @@
+import * as http from "node:http";
+import * as net from "node:net";
+import { createDisposableStore, Disposable } from "../base/disposable.js";
+import { makeId } from "../base/ids.js";
+import { EventLog } from "../base/log.js";
+import { LogEvent } from "../base/logEvents.js";
+import { createMetrics, Metrics } from "../base/metrics.js";
+import { RandomSource } from "../base/randomSource.js";
+import { buildRequestError, ErrorCode } from "../base/requestError.js";
+import { TimerService, waitFor } from "../base/timerService.js";
+import { Verdict } from "../base/verdict.js";
+import { Configuration } from "../config/objects.js";
+import { LinkMessageType } from "../link/messages.js";
+import { HostList, HostRecord } from "../ports/hostList.js";
+import { createRetryBudget, defaultRetryBudgetSettings } from "../retries/retryBudget.js";
+import { RoutingPolicy } from "../routing/routing.js";
+import { AttemptEventKind } from "./attempt.js";
+import { createCallerHandler, OperatorRoute } from "./callerServer.js";
+import { ConfigurationSource } from "./configurationSource.js";
+import { EndpointLink } from "./endpointLink.js";
+import { ApertureFunction, createLinkDirectory, LinkDirectory } from "./linkDirectory.js";
+import { RequestListener, RequestPlan, RequestTask, startRequest } from "./requestTask.js";
+
+/** Settings of an entry. */
+export interface EntrySettings {
+    readonly name: string;
+    readonly place: string;
+    readonly linkKey: string;
+    readonly heartbeatIntervalMs: number;
+    readonly maxFrameBytes: number;
+    readonly resumeGraceMs: number;
+    readonly maxBodyBytes: number;
+    readonly maxUnsentBytes: number;
+    readonly maxRequests: number;
+    /** Time for which a draining entry still accepts requests after its health check fails, in milliseconds. */
+    readonly drainDelayMs: number;
+}
+
+/** What an entry is built from. */
+export interface EntryParts {
+    readonly timers: TimerService;
+    readonly random: RandomSource;
+    readonly log: EventLog;
+    readonly hostList: HostList;
+    readonly configuration: ConfigurationSource;
+    readonly policy: RoutingPolicy;
+    readonly selectAperture: ApertureFunction;
+    readonly connect: (host: HostRecord) => net.Socket;
+    /** Builds the operators' routes from the parts that they report on. */
+    readonly createOperatorRoute: (state: EntryState) => OperatorRoute;
+}
+
+/** What operators' routes can read of an entry. */
+export interface EntryState {
+    readonly name: string;
+    readonly place: string;
+    readonly directory: LinkDirectory;
+    readonly metrics: Metrics;
+    getConfiguration(): Configuration | undefined;
+    countRequests(): number;
+}
+
+/** An entry: callers' HTTP on one side, links to sidecars on the other. */
+export interface Entry extends Disposable {
+    readonly handler: http.RequestListener;
+    readonly state: EntryState;
+    /** Fails the health check, waits for the balancer, then for every request in progress. */
+    drain(): Promise<void>;
+}
+
+const overloadRetryAfterMs = 1_000;
+
+/**
+ * Creates an entry from its ports.
+ *
+ * @example
+ * const entry = createEntry(settings, parts);
+ * http.createServer(entry.handler).listen(8080);
+ */
+export function createEntry(settings: EntrySettings, parts: EntryParts): Entry {
+    const { timers, log, configuration } = parts;
+    const store = createDisposableStore();
+    const metrics = createMetrics();
+    const retryBudget = createRetryBudget(defaultRetryBudgetSettings);
+    const requests = new Set<RequestTask>();
+    let draining = false;
+    let decision = 0;
+    let handleIdle: (() => void) | undefined;
+
+    function sendConfiguration(link: EndpointLink) {
+        const current = configuration.getCurrent();
+        if (!current) {
+            link.send({ type: LinkMessageType.ConfigurationRequest });
+        }
+        else if (link.getGeneration() < current.generation) {
+            link.send({ type: LinkMessageType.Configuration, foldedOffset: current.generation, ...current });
+        }
+    }
+
+    const directory = createLinkDirectory({ ...settings, entry: settings.name, incarnation: makeId() }, {
+        timers,
+        random: parts.random,
+        log,
+        hostList: parts.hostList,
+        selectAperture: parts.selectAperture,
+        connect: parts.connect,
+        listener: {
+            handleOpened: sendConfiguration,
+            handleConfiguration: message => configuration.offer(message),
+            handleCrashReport: () => undefined,
+        },
+    });
+
+    function observe(plan: RequestPlan, listener: RequestListener, startedMs: number): RequestListener {
+        let isFirst = true;
+        return event => {
+            if (event.kind === AttemptEventKind.Items && isFirst) {
+                isFirst = false;
+                const elapsedMs = timers.now() - startedMs;
+                const help = "Time from admission to the first token.";
+                metrics.recordDuration("jujubelane_first_token_seconds", help, elapsedMs, { rank: plan.rank });
+            }
+            listener(event);
+            if (event.kind === AttemptEventKind.Completed || event.kind === AttemptEventKind.Failed) {
+                const result = event.kind === AttemptEventKind.Failed ? event.error.code : "completed";
+                metrics.count("jujubelane_requests_total", "Requests by rank and result.", { rank: plan.rank, result });
+            }
+        };
+    }
+
+    function refuse(plan: RequestPlan, listener: RequestListener): RequestTask {
+        log(LogEvent.RequestRefused, { request: plan.id, caller: plan.caller, code: ErrorCode.Overloaded });
+        const message = "the entry has too many requests in progress";
+        const details = { retryAfterMs: overloadRetryAfterMs };
+        const error = buildRequestError(ErrorCode.Overloaded, message, Verdict.NotRun, details);
+        listener({ kind: AttemptEventKind.Failed, error });
+        return { cancel: () => undefined };
+    }
+
+    function start(plan: RequestPlan, listener: RequestListener): RequestTask {
+        const observed = observe(plan, listener, timers.now());
+        if (requests.size >= settings.maxRequests) {
+            return refuse(plan, observed);
+        }
+        log(LogEvent.RequestAdmitted, {
+            request: plan.id,
+            caller: plan.caller,
+            rank: plan.rank,
+            kind: plan.kind,
+            promptTokens: plan.model?.promptTokens,
+            limitMs: plan.limitMs,
+        });
+        const task: RequestTask = startRequest(plan, {
+            timers,
+            random: parts.random,
+            log,
+            directory,
+            policy: parts.policy,
+            place: settings.place,
+            retryBudget,
+            countDecision: () => decision++,
+        }, event => {
+            if (event.kind === AttemptEventKind.Completed || event.kind === AttemptEventKind.Failed) {
+                // The request may end before startRequest returns.
+                setImmediate(() => release(task));
+            }
+            observed(event);
+        });
+        requests.add(task);
+        return task;
+    }
+
+    function release(task: RequestTask) {
+        requests.delete(task);
+        if (requests.size === 0) {
+            handleIdle?.();
+        }
+    }
+
+    const state: EntryState = {
+        name: settings.name,
+        place: settings.place,
+        directory,
+        metrics,
+        getConfiguration: () => configuration.getCurrent(),
+        countRequests: () => requests.size,
+    };
+    metrics.registerGauge("jujubelane_requests_in_progress", "Requests in progress.", () => requests.size);
+    metrics.registerGauge(
+        "jujubelane_configuration_generation",
+        "Generation of the configuration in force.",
+        () => configuration.getCurrent()?.generation ?? -1,
+    );
+
+    store.register(directory);
+    store.register(configuration.subscribe(current => {
+        directory.update(current);
+        directory.list().forEach(sendConfiguration);
+    }));
+
+    return {
+        state,
+        handler: createCallerHandler({
+            maxBodyBytes: settings.maxBodyBytes,
+            maxUnsentBytes: settings.maxUnsentBytes,
+            wallNow: () => timers.wallNow(),
+            start,
+            getConfiguration: () => configuration.getCurrent(),
+            isHealthy: () => !draining && configuration.getCurrent() !== undefined,
+            renderMetrics: () => metrics.render(),
+            operatorRoute: parts.createOperatorRoute(state),
+            reportFailure: error => log(LogEvent.TaskFailed, { task: "caller request", error: String(error) }),
+        }),
+        async drain() {
+            draining = true;
+            log(LogEvent.ProcessDraining, { requests: requests.size });
+            await waitFor(timers, settings.drainDelayMs);
+            if (requests.size > 0) {
+                await new Promise<void>(resolve => {
+                    handleIdle = resolve;
+                });
+            }
+        },
+        dispose: () => store.dispose(),
+    };
+}
--- /dev/null
+++ b/src/entry/httpAnswer.ts
@@ -0,0 +1,71 @@
+import * as http from "node:http";
+import { buildRequestError, ErrorCode, getHttpStatus, RequestError } from "../base/requestError.js";
+import { makeFailure, makeSuccess, Result } from "../base/result.js";
+import { Verdict } from "../base/verdict.js";
+import { formatError } from "./completionFormat.js";
+
+/** Headers of jujubelane. */
+export enum HeaderName {
+    RequestId = "jujubelane-request-id",
+    Verdict = "jujubelane-verdict",
+    Rank = "jujubelane-rank",
+    Kind = "jujubelane-kind",
+    TimeLimit = "jujubelane-time-limit-ms",
+    Ticket = "jujubelane-ticket",
+    Split = "jujubelane-split",
+    Replayed = "jujubelane-replayed",
+    IdempotencyKey = "idempotency-key",
+}
+
+const millisecondsPerSecond = 1000;
+
+/** Sends an error in the published JSON form. */
+export function sendError(response: http.ServerResponse, error: RequestError): void {
+    const body = JSON.stringify(formatError(error));
+    response.setHeader("content-type", "application/json");
+    response.setHeader("content-length", Buffer.byteLength(body));
+    response.setHeader(HeaderName.Verdict, error.verdict);
+    if (error.retryAfterMs !== undefined) {
+        response.setHeader("retry-after", Math.max(1, Math.ceil(error.retryAfterMs / millisecondsPerSecond)));
+    }
+    if (error.ticket !== undefined) {
+        response.setHeader(HeaderName.Ticket, error.ticket);
+    }
+    response.writeHead(getHttpStatus(error.code));
+    response.end(body);
+}
+
+/** Sends a JSON answer. */
+export function sendText(response: http.ServerResponse, status: number, contentType: string, body: string): void {
+    response.writeHead(status, { "content-type": contentType, "content-length": Buffer.byteLength(body) });
+    response.end(body);
+}
+
+/**
+ * Reads a request body of at most `maxBytes`. A longer body is refused as soon as its length is known.
+ */
+export async function readBoundedBody(
+    request: http.IncomingMessage,
+    maxBytes: number,
+): Promise<Result<Buffer, RequestError>> {
+    const tooLarge = makeFailure(buildRequestError(
+        ErrorCode.BodyTooLarge,
+        `the body exceeds the limit of ${maxBytes} bytes`,
+        Verdict.NotRun,
+    ));
+    if (Number(request.headers["content-length"] ?? 0) > maxBytes) {
+        request.resume();
+        return tooLarge;
+    }
+    const parts: Buffer[] = [];
+    let length = 0;
+    for await (const part of request) {
+        length += (part as Buffer).length;
+        if (length > maxBytes) {
+            request.resume();
+            return tooLarge;
+        }
+        parts.push(part as Buffer);
+    }
+    return makeSuccess(Buffer.concat(parts));
+}
--- /dev/null
+++ b/src/entry/linkDirectory.ts
@@ -0,0 +1,156 @@
+import * as net from "node:net";
+import { createDisposableStore, Disposable } from "../base/disposable.js";
+import { EventLog } from "../base/log.js";
+import { LogEvent } from "../base/logEvents.js";
+import { RandomSource } from "../base/randomSource.js";
+import { TimerService } from "../base/timerService.js";
+import { Configuration, EndpointObject } from "../config/objects.js";
+import { HostList, HostRecord, HostState } from "../ports/hostList.js";
+import { EndpointView } from "../routing/routing.js";
+import {
+    createEndpointLink,
+    EndpointLink,
+    EndpointLinkListener,
+    EndpointLinkSettings,
+    LinkState,
+} from "./endpointLink.js";
+
+/** Chooses the endpoints that this entry links to, of all endpoints that the configuration names. */
+export type ApertureFunction = (
+    endpoints: readonly (readonly [string, EndpointObject])[],
+) => readonly (readonly [string, EndpointObject])[];
+
+/** What a directory is built from. */
+export interface LinkDirectoryParts {
+    readonly timers: TimerService;
+    readonly random: RandomSource;
+    readonly log: EventLog;
+    readonly hostList: HostList;
+    readonly selectAperture: ApertureFunction;
+    /** Opens a socket to a sidecar. */
+    readonly connect: (host: HostRecord) => net.Socket;
+    readonly listener: EndpointLinkListener;
+}
+
+/** The entry's links, kept in step with the configuration and the host list. */
+export interface LinkDirectory extends Disposable {
+    update(configuration: Configuration): void;
+    get(endpoint: string): EndpointLink | undefined;
+    list(): readonly EndpointLink[];
+    /** Views of the endpoints that serve a model or a service. */
+    listViews(target: { readonly model?: string; readonly service?: string }): readonly EndpointView[];
+}
+
+interface DirectoryEntry {
+    readonly link: EndpointLink;
+    readonly address: string;
+    object: EndpointObject;
+}
+
+const hostListIntervalMs = 1_000;
+const noPrefixes: ReadonlySet<string> = new Set();
+
+/**
+ * Creates the directory of an entry's links.
+ *
+ * @example
+ * const directory = createLinkDirectory(settings, parts);
+ * directory.update(configuration);
+ */
+export function createLinkDirectory(settings: EndpointLinkSettings, parts: LinkDirectoryParts): LinkDirectory {
+    const store = createDisposableStore();
+    const entries = new Map<string, DirectoryEntry>();
+    let hosts = new Map<string, HostRecord>();
+    let configuration: Configuration | undefined;
+
+    function openLink(name: string, object: EndpointObject, host: HostRecord) {
+        const link = createEndpointLink(
+            name,
+            () => parts.connect(host),
+            settings,
+            parts.timers,
+            parts.random,
+            parts.log,
+            parts.listener,
+        );
+        entries.set(name, { link, address: `${host.address}:${host.port}`, object });
+    }
+
+    function closeLink(name: string) {
+        const entry = entries.get(name);
+        entries.delete(name);
+        entry?.link.dispose();
+    }
+
+    function reconcile() {
+        const wanted = new Map(parts.selectAperture(Object.entries(configuration?.objects.endpoints ?? {})));
+        for (const [name, entry] of entries) {
+            const host = hosts.get(wanted.get(name)?.host ?? "");
+            const moved = host && `${host.address}:${host.port}` !== entry.address;
+            // A host that is missing from the list is not believed dead while its link answers or holds requests.
+            const isIdle = entry.link.getState() !== LinkState.Open && entry.link.getOutstanding().requests === 0;
+            if (!wanted.has(name) || (isIdle && (moved || !host))) {
+                closeLink(name);
+            }
+        }
+        for (const [name, object] of wanted) {
+            const host = hosts.get(object.host);
+            const entry = entries.get(name);
+            if (entry) {
+                entry.object = object;
+            }
+            else if (host) {
+                openLink(name, object, host);
+            }
+        }
+    }
+
+    async function refreshHosts() {
+        try {
+            hosts = new Map((await parts.hostList.read()).map(host => [host.name, host]));
+            reconcile();
+        }
+        catch (error) {
+            parts.log(LogEvent.TaskFailed, { task: "host list", error: String(error) });
+        }
+    }
+
+    function makeView(name: string, entry: DirectoryEntry): EndpointView {
+        const { link, object } = entry;
+        const outstanding = link.getOutstanding();
+        const isListedLeaving = hosts.get(object.host)?.state === HostState.Leaving;
+        return {
+            name,
+            place: object.place,
+            available: link.getState() === LinkState.Open && !link.isLeaving() && !isListedLeaving,
+            load: link.getLoad(),
+            loadAgeMs: link.getLoadAgeMs(),
+            outstandingRequests: outstanding.requests,
+            outstandingPrefillTokens: outstanding.prefillTokens,
+            latencyMs: link.getLatencyMs(),
+            warmPrefixes: noPrefixes,
+        };
+    }
+
+    void refreshHosts();
+    store.register(parts.timers.subscribe(hostListIntervalMs, () => void refreshHosts()));
+
+    return {
+        update(next) {
+            configuration = next;
+            reconcile();
+        },
+        get: endpoint => entries.get(endpoint)?.link,
+        list: () => [...entries.values()].map(entry => entry.link),
+        listViews: target =>
+            [...entries]
+                .filter(([, { object }]) => object.model === target.model && object.service === target.service)
+                .map(([name, entry]) => makeView(name, entry)),
+        dispose() {
+            store.dispose();
+            for (const name of [...entries.keys()]) {
+                closeLink(name);
+            }
+        },
+    };
+}
--- /dev/null
+++ b/src/entry/requestTask.ts
@@ -0,0 +1,255 @@
+import { Disposable } from "../base/disposable.js";
+import { EventLog } from "../base/log.js";
+import { LogEvent } from "../base/logEvents.js";
+import { RandomSource } from "../base/randomSource.js";
+import { buildRequestError, ErrorCode, RequestError } from "../base/requestError.js";
+import { TimerService } from "../base/timerService.js";
+import { mergeVerdicts, Verdict } from "../base/verdict.js";
+import { ModelWork, ServiceWork } from "../link/messages.js";
+import { RetryBudget } from "../retries/retryBudget.js";
+import { decideRetry, RetryDecision } from "../retries/retryPolicy.js";
+import { RoutingPolicy } from "../routing/routing.js";
+import { AttemptEvent, AttemptEventKind } from "./attempt.js";
+import { EndpointLink } from "./endpointLink.js";
+import { LinkDirectory } from "./linkDirectory.js";
+
+/** A request as admitted by the entry. */
+export interface RequestPlan {
+    readonly id: string;
+    readonly caller: string;
+    readonly rank: string;
+    readonly kind: string;
+    readonly limitMs: number;
+    readonly waitedMs: number;
+    readonly fingerprint: string;
+    readonly model?: ModelWork;
+    readonly service?: ServiceWork;
+    /** Whether parts of the answer reach the caller before the end. */
+    readonly streamed: boolean;
+}
+
+/** Receives the events of a request; `Completed` or `Failed` comes exactly once and last. */
+export type RequestListener = (event: AttemptEvent) => void;
+
+/** A request in progress. */
+export interface RequestTask {
+    /** The caller has gone: stops the request wherever it is. */
+    cancel(): void;
+}
+
+/** What requests share at one entry. */
+export interface RequestContext {
+    readonly timers: TimerService;
+    readonly random: RandomSource;
+    readonly log: EventLog;
+    readonly directory: LinkDirectory;
+    readonly policy: RoutingPolicy;
+    readonly place: string;
+    readonly retryBudget: RetryBudget;
+    /** Counts decisions, for policies that take turns. */
+    countDecision(): number;
+}
+
+/** Time that the entry waits for a sidecar's verdict after the limit, in milliseconds. */
+const verdictWaitMs = 400;
+/** Delay before a request without any available endpoint looks again, in milliseconds. */
+const noEndpointDelayMs = 50;
+/** Time that a request waits for an endpoint to appear, in milliseconds; a link takes this long to come back. */
+const noEndpointPatienceMs = 1_000;
+
+/**
+ * Starts a request: chooses an endpoint, dispatches, and follows failed attempts by others as the retry policy allows.
+ * The request ends within its time limit plus the wait for a verdict.
+ *
+ * @example
+ * const task = startRequest(plan, context, event => sink(event));
+ */
+export function startRequest(plan: RequestPlan, context: RequestContext, listener: RequestListener): RequestTask {
+    const { timers, log } = context;
+    const startedMs = timers.now();
+    const deadlineMs = startedMs + plan.limitMs;
+    const excluded = new Set<string>();
+    const verdicts: Verdict[] = [];
+    let attempts = 0;
+    let delivered = false;
+    let ended = false;
+    let stopCode: ErrorCode | undefined;
+    let current: { readonly link: EndpointLink; readonly id: string } | undefined;
+    let timer: Disposable | undefined;
+    let retryTimer: Disposable | undefined;
+    let bufferedItems: string[] = [];
+    let bufferedAnswer: AttemptEvent | undefined;
+
+    function end(event: AttemptEvent) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        timer?.dispose();
+        retryTimer?.dispose();
+        log(LogEvent.RequestEnded, {
+            request: plan.id,
+            caller: plan.caller,
+            rank: plan.rank,
+            attempts,
+            elapsedMs: timers.now() - startedMs,
+            result: event.kind,
+            code: event.kind === AttemptEventKind.Failed ? event.error.code : undefined,
+            verdict: event.kind === AttemptEventKind.Failed ? event.error.verdict : Verdict.Ran,
+        });
+        listener(event);
+    }
+
+    function fail(error: RequestError) {
+        const verdict = mergeVerdicts([...verdicts, error.verdict]);
+        end({ kind: AttemptEventKind.Failed, error: { ...error, verdict } });
+    }
+
+    function stop(code: ErrorCode, message: string) {
+        if (ended || stopCode) {
+            return;
+        }
+        stopCode = code;
+        retryTimer?.dispose();
+        if (!current) {
+            fail(buildRequestError(code, message, Verdict.NotRun));
+            return;
+        }
+        current.link.cancel(current.id);
+        timer?.dispose();
+        timer = timers.schedule(verdictWaitMs, () => fail(buildRequestError(code, message, Verdict.MayHaveRun)));
+    }
+
+    function deliver(items: readonly string[]) {
+        if (plan.streamed) {
+            delivered = true;
+            listener({ kind: AttemptEventKind.Items, items });
+        }
+        else {
+            bufferedItems.push(...items);
+        }
+    }
+
+    function complete(event: AttemptEvent) {
+        verdicts.push(Verdict.Ran);
+        if (bufferedItems.length > 0) {
+            listener({ kind: AttemptEventKind.Items, items: bufferedItems });
+        }
+        if (bufferedAnswer) {
+            listener(bufferedAnswer);
+        }
+        end(event);
+    }
+
+    function handleFailure(endpoint: string, error: RequestError) {
+        current = undefined;
+        verdicts.push(error.verdict);
+        bufferedItems = [];
+        bufferedAnswer = undefined;
+        if (stopCode) {
+            fail({ ...error, code: stopCode });
+            return;
+        }
+        excluded.add(endpoint);
+        const decision = decideRetry({
+            code: error.code,
+            verdict: error.verdict,
+            repeatable: plan.service?.repeatable ?? true,
+            delivered,
+            remainingMs: deadlineMs - timers.now(),
+            attempts,
+        });
+        const isAllowed = decision === RetryDecision.Reroute
+            || (decision === RetryDecision.Retry && context.retryBudget.acquire());
+        if (!isAllowed) {
+            fail(error);
+            return;
+        }
+        log(LogEvent.RequestRetried, {
+            request: plan.id,
+            endpoint,
+            code: error.code,
+            verdict: error.verdict,
+            decision,
+        });
+        attempt(error);
+    }
+
+    function handleEvent(endpoint: string, event: AttemptEvent) {
+        if (ended) {
+            return;
+        }
+        switch (event.kind) {
+            case AttemptEventKind.Items:
+                return deliver(event.items);
+            case AttemptEventKind.ServiceAnswer:
+                bufferedAnswer = event;
+                return;
+            case AttemptEventKind.Completed:
+                return complete(event);
+            case AttemptEventKind.Failed:
+                return handleFailure(endpoint, event.error);
+        }
+    }
+
+    function waitForEndpoint(lastError: RequestError | undefined) {
+        if (lastError || timers.now() - startedMs >= noEndpointPatienceMs) {
+            fail(lastError ?? buildRequestError(ErrorCode.NoEndpoint, "no endpoint is available", Verdict.NotRun));
+            return;
+        }
+        retryTimer = timers.schedule(noEndpointDelayMs, () => attempt(undefined));
+    }
+
+    function attempt(lastError: RequestError | undefined) {
+        const candidates = context.directory.listViews({ model: plan.model?.model, service: plan.service?.service });
+        const remainingMs = deadlineMs - timers.now();
+        const choice = context.policy(
+            {
+                id: plan.id,
+                caller: plan.caller,
+                rank: plan.rank,
+                promptTokens: plan.model?.promptTokens ?? 0,
+                maxOutputTokens: plan.model?.maxOutputTokens ?? 0,
+                prefixDigest: plan.model?.prefixDigest ?? "",
+                remainingMs,
+                excluded,
+                affinityKey: plan.service?.idempotencyKey,
+            },
+            candidates,
+            { place: context.place, random: context.random, decision: context.countDecision() },
+        );
+        const link = choice && context.directory.get(choice.endpoint);
+        if (!choice || !link) {
+            waitForEndpoint(lastError);
+            return;
+        }
+        attempts++;
+        const id = `${plan.id}.${attempts}`;
+        log(LogEvent.EndpointChosen, {
+            request: plan.id,
+            attempt: attempts,
+            endpoint: choice.endpoint,
+            reason: choice.reason,
+            predictedMs: choice.predictedMs,
+            candidates: candidates.length,
+        });
+        current = { link, id };
+        link.dispatch({
+            request: id,
+            caller: plan.caller,
+            rank: plan.rank,
+            kind: plan.kind,
+            remainingMs,
+            waitedMs: plan.waitedMs + (timers.now() - startedMs),
+            fingerprint: plan.fingerprint,
+            attempt: attempts,
+            model: plan.model,
+            service: plan.service,
+        }, event => handleEvent(choice.endpoint, event));
+    }
+
+    timer = timers.schedule(plan.limitMs, () => stop(ErrorCode.TimedOut, "the time limit passed"));
+    context.retryBudget.recordRequest();
+    attempt(undefined);
+    return { cancel: () => stop(ErrorCode.Cancelled, "the caller closed its connection") };
+}
--- /dev/null
+++ b/src/entry/serviceRoute.ts
@@ -0,0 +1,124 @@
+import * as http from "node:http";
+import { computeDigest, makeId } from "../base/ids.js";
+import { buildRequestError, ErrorCode } from "../base/requestError.js";
+import { ResultKind } from "../base/result.js";
+import { Verdict } from "../base/verdict.js";
+import { Configuration } from "../config/objects.js";
+import { readTerms } from "./admission.js";
+import { AttemptEventKind } from "./attempt.js";
+import { AuthenticatedCaller } from "./callerIndex.js";
+import { HeaderName, readBoundedBody, sendError } from "./httpAnswer.js";
+import { RouteContext } from "./modelRoute.js";
+import { RequestListener } from "./requestTask.js";
+
+/** Methods that HTTP defines as safe: they change nothing and may always be repeated. */
+const safeMethods = new Set(["GET", "HEAD", "OPTIONS"]);
+
+/** Request headers that reach a service. Credentials and headers of one connection do not. */
+const forwardedHeaders = ["content-type", "accept", "accept-language", "if-match", "if-none-match"];
+
+const servicePathPattern = /^\/v1\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
+
+/** Parts of the target of a service call. */
+export interface ServiceTarget {
+    readonly service: string;
+    /** Path and query below the service's root. */
+    readonly path: string;
+}
+
+/**
+ * Parses `/v1/services/NAME/...`.
+ *
+ * @example
+ * parseServiceTarget("/v1/services/bookings/crews?day=1"); // { service: "bookings", path: "/crews?day=1" }
+ */
+export function parseServiceTarget(url: string): ServiceTarget | undefined {
+    const match = servicePathPattern.exec(url);
+    return match?.[1] === undefined
+        ? undefined
+        : { service: decodeURIComponent(match[1]), path: `${match[2] ?? "/"}${match[3] ?? ""}` };
+}
+
+/** Serves `/v1/services/NAME/...` with any method and body. */
+export async function handleServiceCall(
+    target: ServiceTarget,
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    caller: AuthenticatedCaller,
+    configuration: Configuration,
+    context: RouteContext,
+): Promise<void> {
+    const service = configuration.objects.services[target.service];
+    if (!service) {
+        const names = Object.keys(configuration.objects.services).join(", ");
+        const message = `unknown service "${target.service}"; configured: ${names}`;
+        return sendError(response, buildRequestError(ErrorCode.UnknownService, message, Verdict.NotRun));
+    }
+    const defaults = { rank: service.rank, limitMs: service.timeLimitMs };
+    const terms = readTerms(request.headers, caller, configuration, defaults);
+    if (terms.kind === ResultKind.Failure) {
+        return sendError(response, terms.error);
+    }
+    const body = await readBoundedBody(request, context.maxBodyBytes);
+    if (body.kind === ResultKind.Failure) {
+        return sendError(response, body.error);
+    }
+    const id = makeId();
+    const method = request.method ?? "GET";
+    response.setHeader(HeaderName.RequestId, id);
+    const idempotencyKey = request.headers[HeaderName.IdempotencyKey];
+    const task = context.start({
+        id,
+        caller: caller.name,
+        ...terms.value,
+        waitedMs: 0,
+        fingerprint: computeDigest(`${caller.name}\n${method} ${target.path}\n${computeDigest(body.value)}`),
+        streamed: false,
+        service: {
+            service: target.service,
+            method,
+            path: target.path,
+            headers: selectHeaders(request.headers),
+            body: body.value,
+            idempotencyKey: typeof idempotencyKey === "string" ? idempotencyKey : undefined,
+            repeatable: service.repeatable || safeMethods.has(method),
+        },
+    }, createServiceListener(response));
+    response.on("close", () => {
+        if (!response.writableFinished) {
+            task.cancel();
+        }
+    });
+}
+
+function selectHeaders(headers: http.IncomingHttpHeaders): Record<string, string> {
+    const selected: Record<string, string> = {};
+    for (const name of forwardedHeaders) {
+        const value = headers[name];
+        if (typeof value === "string") {
+            selected[name] = value;
+        }
+    }
+    return selected;
+}
+
+function createServiceListener(response: http.ServerResponse): RequestListener {
+    let answer: Extract<Parameters<RequestListener>[0], { kind: AttemptEventKind.ServiceAnswer }> | undefined;
+    return event => {
+        if (event.kind === AttemptEventKind.ServiceAnswer) {
+            answer = event;
+        }
+        else if (event.kind === AttemptEventKind.Failed) {
+            sendError(response, event.error);
+        }
+        else if (event.kind === AttemptEventKind.Completed && answer) {
+            response.writeHead(answer.status, {
+                ...answer.headers,
+                [HeaderName.Verdict]: Verdict.Ran,
+                ...(answer.replayed ? { [HeaderName.Replayed]: "true" } : {}),
+                "content-length": answer.body.length,
+            });
+            response.end(answer.body);
+        }
+    };
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,37 @@
+#!/usr/bin/env node
+import yargs from "yargs";
+import { devCommand } from "./cli/devCommand.js";
+import { emulateCommand } from "./cli/emulateCommand.js";
+import { entryCommand } from "./cli/entryCommand.js";
+import { SettingsError } from "./cli/settings.js";
+import { sidecarCommand } from "./cli/sidecarCommand.js";
+
+const usageExitCode = 2;
+
+// A single executable has the path of the binary in both of the first two arguments.
+const args = process.argv.slice(2);
+
+yargs(args)
+    .scriptName("jujubelane")
+    .env("JUJUBELANE")
+    .command(entryCommand)
+    .command(sidecarCommand)
+    .command(emulateCommand)
+    .command(devCommand)
+    .demandCommand(1, "expected a command")
+    .strict()
+    .help()
+    .version("0.1.0")
+    .fail((message, error) => {
+        const text = error instanceof SettingsError || message === null ? error.message : message;
+        process.stderr.write(`jujubelane: ${text}\n`);
+        if (!(error instanceof SettingsError) && message) {
+            process.stderr.write("run jujubelane --help for usage\n");
+        }
+        process.exit(usageExitCode);
+    })
+    .parseAsync()
+    .catch((error: unknown) => {
+        process.stderr.write(`jujubelane: ${error instanceof Error ? error.message : String(error)}\n`);
+        process.exit(1);
+    });
--- /dev/null
+++ b/src/ports/weightStore.ts
@@ -0,0 +1,16 @@
+/** Tag of a {@link WeightTicket}. */
+export enum WeightTicketKind {
+    Granted = "granted",
+    Refused = "refused",
+}
+
+/** Answer of the weight store to a request to read weights. */
+export type WeightTicket =
+    | { readonly kind: WeightTicketKind.Granted; readonly token: string }
+    | { readonly kind: WeightTicketKind.Refused; readonly retryAfterMs: number };
+
+/** The platform's rate-limited store of model weights. */
+export interface WeightStore {
+    /** Asks for permission to read the weights of a version or adapter. Throws when the store is not reached. */
+    request(weights: string): Promise<WeightTicket>;
+}
--- /dev/null
+++ b/src/routing/baselinePolicies.ts
@@ -0,0 +1,31 @@
+import { RouteChoice, RouteContext, RouteRequest, RoutingPolicy, selectAvailable } from "./routing.js";
+import { EndpointView } from "./routing.js";
+
+/** Takes the available endpoints in turn. */
+export const chooseRoundRobin: RoutingPolicy = (request, candidates, context) => {
+    const available = selectAvailable(request, candidates);
+    return makeChoice(available[context.decision % Math.max(1, available.length)], "round-robin");
+};
+
+/** Takes the endpoint with the fewest requests in progress, by this entry's own count. */
+export const chooseLeastConnections: RoutingPolicy = (
+    request: RouteRequest,
+    candidates: readonly EndpointView[],
+    context: RouteContext,
+) => {
+    const available = selectAvailable(request, candidates);
+    const offset = Math.floor(context.random() * Math.max(1, available.length));
+    let best: EndpointView | undefined;
+    // A random start breaks ties, so that equal endpoints share the work.
+    for (let index = 0; index < available.length; index++) {
+        const candidate = available[(index + offset) % available.length];
+        if (candidate && (!best || candidate.outstandingRequests < best.outstandingRequests)) {
+            best = candidate;
+        }
+    }
+    return makeChoice(best, "least-connections");
+};
+
+function makeChoice(endpoint: EndpointView | undefined, reason: string): RouteChoice | undefined {
+    return endpoint && { endpoint: endpoint.name, reason };
+}
--- /dev/null
+++ b/src/routing/loadReport.ts
@@ -0,0 +1,25 @@
+/** Load of one rank at a sidecar. */
+export interface RankLoad {
+    readonly rank: string;
+    readonly queued: number;
+    readonly queuedTokens: number;
+}
+
+/** Load of a sidecar, sent with heartbeats and answers. */
+export interface LoadReport {
+    readonly running: number;
+    readonly queued: number;
+    /** Prompt tokens not yet prefilled, queued and running. */
+    readonly pendingPrefillTokens: number;
+    readonly reservedTokens: number;
+    readonly memoryTokens: number;
+    readonly prefillTokensPerSecond: number;
+    readonly decodeTokensPerSecond: number;
+    readonly ranks: readonly RankLoad[];
+    /** Model version that the engine reports. */
+    readonly version: string | undefined;
+    /** Generation that the endpoint has reconciled with; -1 for none. */
+    readonly reconciledGeneration: number;
+    /** Whether prompts above the long-prompt threshold are accepted now. */
+    readonly acceptsLongPrompts: boolean;
+}
--- /dev/null
+++ b/src/sidecar/linkServer.ts
@@ -0,0 +1,200 @@
+import * as net from "node:net";
+import { Disposable, DisposableStore } from "../base/disposable.js";
+import { EventLog } from "../base/log.js";
+import { LogEvent } from "../base/logEvents.js";
+import { ErrorCode } from "../base/requestError.js";
+import { TimerService } from "../base/timerService.js";
+import { createLinkConnection, LinkConnection } from "../link/connection.js";
+import { LinkRole, makeNonce, signHandshake, verifyHandshake } from "../link/handshake.js";
+import {
+    EntryMessage,
+    HelloMessage,
+    LinkMessage,
+    LinkMessageType,
+    linkProtocolVersion,
+    SidecarMessage,
+    WelcomeMessage,
+} from "../link/messages.js";
+
+/** Settings of the sidecar's end of links. */
+export interface LinkServerSettings {
+    readonly linkKey: string;
+    readonly heartbeatIntervalMs: number;
+    readonly maxFrameBytes: number;
+    /** Time after which the requests of an entry without a link are cancelled, in milliseconds. */
+    readonly sessionGraceMs: number;
+}
+
+/** Heartbeat intervals without a message after which a connection counts as unresponsive. */
+export const missedHeartbeatLimit = 3;
+
+/** What a link server reports. */
+export interface LinkServerListener {
+    makeWelcome(): Omit<WelcomeMessage, "type" | "proof">;
+    makeHeartbeat(): SidecarMessage;
+    handleMessage(session: string, message: EntryMessage): void;
+    handleOpened(session: string): void;
+    /** The entry has had no link for the whole grace period. */
+    handleLost(session: string): void;
+}
+
+/** The sidecar's end of its links: one session per entry process, whatever the number of its connections. */
+export interface LinkServer extends Disposable {
+    accept(socket: net.Socket): void;
+    send(session: string, message: SidecarMessage): void;
+    broadcast(message: SidecarMessage): void;
+    listSessions(): readonly string[];
+}
+
+interface Session {
+    readonly key: string;
+    connection: LinkConnection | undefined;
+    lastSentMs: number;
+    lastReceivedMs: number;
+    lostTimer: Disposable | undefined;
+}
+
+/**
+ * Creates the sidecar's end of its links.
+ *
+ * @example
+ * const links = createLinkServer(settings, timers, log, listener, store);
+ * net.createServer(socket => links.accept(socket)).listen(port);
+ */
+export function createLinkServer(
+    settings: LinkServerSettings,
+    timers: TimerService,
+    log: EventLog,
+    listener: LinkServerListener,
+    store: DisposableStore,
+): LinkServer {
+    const sessions = new Map<string, Session>();
+    const unopened = new Set<LinkConnection>();
+
+    function open(hello: HelloMessage, connection: LinkConnection): Session {
+        const key = `${hello.entry}/${hello.incarnation}`;
+        const session: Session = sessions.get(key)
+            ?? { key, connection: undefined, lastSentMs: 0, lastReceivedMs: 0, lostTimer: undefined };
+        sessions.set(key, session);
+        // An entry opens a second connection only after it gave up the first. Messages that the first still delivers
+        // late must not be handled.
+        session.connection?.dispose();
+        session.connection = connection;
+        session.lastReceivedMs = timers.now();
+        session.lostTimer?.dispose();
+        session.lostTimer = undefined;
+        log(LogEvent.LinkOpened, { entry: hello.entry, place: hello.place });
+        return session;
+    }
+
+    function handleClosed(session: Session, connection: LinkConnection, reason: string) {
+        if (session.connection !== connection) {
+            return;
+        }
+        session.connection = undefined;
+        log(LogEvent.LinkClosed, { session: session.key, reason });
+        session.lostTimer = timers.schedule(settings.sessionGraceMs, () => {
+            sessions.delete(session.key);
+            listener.handleLost(session.key);
+        });
+    }
+
+    function sendTo(session: Session, message: SidecarMessage) {
+        session.lastSentMs = timers.now();
+        session.connection?.send(message);
+    }
+
+    function accept(socket: net.Socket) {
+        const nonce = makeNonce();
+        let session: Session | undefined;
+
+        function refuse(code: ErrorCode, message: string) {
+            log(LogEvent.LinkRefused, { code, message, address: socket.remoteAddress });
+            connection.send({ type: LinkMessageType.Refusal, code, message });
+            setImmediate(() => connection.end());
+        }
+
+        function handleHello(message: LinkMessage) {
+            if (message.type !== LinkMessageType.Hello) {
+                refuse(ErrorCode.ProtocolViolation, "expected Hello as the first message");
+                return;
+            }
+            if (message.version !== linkProtocolVersion) {
+                refuse(ErrorCode.ProtocolViolation, `protocol version ${message.version} is not supported`);
+                return;
+            }
+            if (!verifyHandshake(settings.linkKey, LinkRole.Entry, nonce, message.nonce, message.proof)) {
+                refuse(ErrorCode.Unauthorized, "the link key is wrong");
+                return;
+            }
+            unopened.delete(connection);
+            session = open(message, connection);
+            const proof = signHandshake(settings.linkKey, LinkRole.Sidecar, nonce, message.nonce);
+            sendTo(session, { type: LinkMessageType.Welcome, proof, ...listener.makeWelcome() });
+            sendTo(session, listener.makeHeartbeat());
+            listener.handleOpened(session.key);
+        }
+
+        const connection: LinkConnection = createLinkConnection(socket, settings.maxFrameBytes, {
+            handleMessages(messages) {
+                for (const message of messages) {
+                    if (!session) {
+                        handleHello(message);
+                    }
+                    else if (session.connection === connection) {
+                        session.lastReceivedMs = timers.now();
+                        listener.handleMessage(session.key, message as EntryMessage);
+                    }
+                }
+            },
+            handleClosed(reason) {
+                unopened.delete(connection);
+                if (session) {
+                    handleClosed(session, connection, reason);
+                }
+            },
+            handleFrameError: error => log(LogEvent.LinkRefused, { code: error.kind, message: error.message }),
+        });
+        unopened.add(connection);
+        connection.send({ type: LinkMessageType.Challenge, version: linkProtocolVersion, nonce });
+    }
+
+    store.register(timers.subscribe(settings.heartbeatIntervalMs, () => {
+        const nowMs = timers.now();
+        for (const session of sessions.values()) {
+            if (!session.connection) {
+                continue;
+            }
+            if (nowMs - session.lastReceivedMs > missedHeartbeatLimit * settings.heartbeatIntervalMs) {
+                session.connection.dispose();
+                continue;
+            }
+            sendTo(session, listener.makeHeartbeat());
+        }
+    }));
+
+    return {
+        accept,
+        send(key, message) {
+            const session = sessions.get(key);
+            if (session) {
+                sendTo(session, message);
+            }
+        },
+        broadcast(message) {
+            for (const session of sessions.values()) {
+                sendTo(session, message);
+            }
+        },
+        listSessions: () => [...sessions.keys()],
+        dispose() {
+            for (const connection of unopened) {
+                connection.dispose();
+            }
+            for (const session of sessions.values()) {
+                session.lostTimer?.dispose();
+                session.connection?.dispose();
+            }
+        },
+    };
+}
--- /dev/null
+++ b/src/sidecar/sidecar.ts
@@ -0,0 +1,279 @@
+import * as net from "node:net";
+import { createDisposableStore, Disposable } from "../base/disposable.js";
+import { makeId } from "../base/ids.js";
+import { EventLog } from "../base/log.js";
+import { LogEvent } from "../base/logEvents.js";
+import { createMailbox, runTask } from "../base/mailbox.js";
+import { ErrorCode } from "../base/requestError.js";
+import { TimerService } from "../base/timerService.js";
+import { computeConfigurationDigest } from "../config/digest.js";
+import { Configuration, ConfigurationObjects } from "../config/objects.js";
+import {
+    ConfigurationMessage,
+    DispatchMessage,
+    EntryMessage,
+    LinkMessageType,
+    SidecarMessage,
+} from "../link/messages.js";
+import { EngineReport } from "../ports/modelEngine.js";
+import { LoadReport } from "../routing/loadReport.js";
+import { Scheduler, SchedulerPolicy } from "../scheduling/scheduler.js";
+import { createLinkServer, LinkServerSettings } from "./linkServer.js";
+import { buildSchedulerPolicy } from "./schedulerPolicy.js";
+import { Work, WorkRunner } from "./work.js";
+import { createWorkTable, DispatchRefusal } from "./workTable.js";
+
+/** Settings of a sidecar. */
+export interface SidecarSettings extends LinkServerSettings {
+    /** Name of the endpoint in the configuration. */
+    readonly endpoint: string;
+    readonly place: string;
+    readonly maxQueuedRequests: number;
+    readonly maxQueuedBytes: number;
+    /** Time that an ended request is kept for an entry that has not acknowledged its end, in milliseconds. */
+    readonly retainEndedMs: number;
+}
+
+/** What a sidecar is built from. */
+export interface SidecarParts {
+    readonly timers: TimerService;
+    readonly log: EventLog;
+    readonly runner: WorkRunner;
+    readonly createScheduler: (policy: SchedulerPolicy) => Scheduler;
+    /** Reads the engine's report; absent beside a plain service. */
+    readonly readReport?: () => Promise<EngineReport>;
+}
+
+/** A sidecar: the process beside one endpoint. */
+export interface Sidecar extends Disposable {
+    readonly incarnation: string;
+    accept(socket: net.Socket): void;
+    /** Refuses new work, finishes what it holds and resolves when nothing is left. */
+    drain(): Promise<void>;
+    getConfiguration(): Configuration | undefined;
+}
+
+/** Tag of a {@link SidecarEvent}. */
+enum SidecarEventKind {
+    Message = "message",
+    SessionLost = "session-lost",
+    Items = "items",
+    End = "end",
+    Tick = "tick",
+}
+
+/** A message to the sidecar's task. */
+type SidecarEvent =
+    | { readonly kind: SidecarEventKind.Message; readonly session: string; readonly message: EntryMessage }
+    | { readonly kind: SidecarEventKind.SessionLost; readonly session: string }
+    | { readonly kind: SidecarEventKind.Items; readonly work: Work; readonly items: readonly string[] }
+    | {
+        readonly kind: SidecarEventKind.End;
+        readonly work: Work;
+        readonly messages: readonly SidecarMessage[];
+        readonly outputTokens: number;
+    }
+    | { readonly kind: SidecarEventKind.Tick };
+
+const expiryIntervalMs = 50;
+const reportIntervalMs = 500;
+
+/**
+ * Creates a sidecar from its ports.
+ *
+ * @example
+ * const sidecar = createSidecar(settings, parts);
+ * net.createServer(socket => sidecar.accept(socket)).listen(settings.port, settings.host);
+ */
+export function createSidecar(settings: SidecarSettings, parts: SidecarParts): Sidecar {
+    const { timers, log } = parts;
+    const incarnation = makeId();
+    const store = createDisposableStore();
+    const mailbox = createMailbox<SidecarEvent>();
+    let configuration: Configuration | undefined;
+    let engineReport: EngineReport | undefined;
+    let leaving = false;
+    let handleDrained: (() => void) | undefined;
+    const scheduler = parts.createScheduler(buildSchedulerPolicy(settings, undefined, undefined));
+
+    function makeLoad(): LoadReport {
+        const report = scheduler.report();
+        return {
+            running: report.running,
+            queued: report.queued,
+            pendingPrefillTokens: report.pendingPrefillTokens,
+            reservedTokens: report.reservedTokens,
+            memoryTokens: engineReport?.memoryTokens ?? 0,
+            prefillTokensPerSecond: engineReport?.prefillTokensPerSecond ?? 0,
+            decodeTokensPerSecond: engineReport?.decodeTokensPerSecond ?? 0,
+            ranks: report.ranks,
+            version: engineReport?.version,
+            reconciledGeneration: configuration?.generation ?? -1,
+            acceptsLongPrompts: report.acceptsLongPrompts,
+        };
+    }
+
+    function makeHeartbeat(): SidecarMessage {
+        return { type: LinkMessageType.Heartbeat, generation: configuration?.generation ?? -1, load: makeLoad() };
+    }
+
+    const links = createLinkServer(settings, timers, log, {
+        makeWelcome: () => ({
+            endpoint: settings.endpoint,
+            incarnation,
+            place: settings.place,
+            leaving,
+            generation: configuration?.generation ?? -1,
+        }),
+        makeHeartbeat,
+        handleMessage: (session, message) => mailbox.post({ kind: SidecarEventKind.Message, session, message }),
+        handleOpened: () => undefined,
+        handleLost: session => mailbox.post({ kind: SidecarEventKind.SessionLost, session }),
+    }, store);
+
+    const table = createWorkTable({
+        timers,
+        log,
+        scheduler,
+        runner: parts.runner,
+        retainEndedMs: settings.retainEndedMs,
+        send: (session, message) => links.send(session, message),
+        makeLoad,
+        checkDispatch,
+        makeListener: work => ({
+            handleItems: items => mailbox.post({ kind: SidecarEventKind.Items, work, items }),
+            handleEnd: (messages, outputTokens) =>
+                mailbox.post({ kind: SidecarEventKind.End, work, messages, outputTokens }),
+        }),
+        handleSettled: checkDrained,
+    });
+
+    function checkDispatch(dispatch: DispatchMessage): DispatchRefusal | undefined {
+        if (dispatch.incarnation !== incarnation) {
+            return { code: ErrorCode.StaleIncarnation, message: "the dispatch names an earlier sidecar process" };
+        }
+        if (leaving) {
+            return { code: ErrorCode.Leaving, message: "the endpoint is leaving" };
+        }
+        if (!configuration) {
+            return { code: ErrorCode.NoEndpoint, message: "the sidecar has no configuration yet" };
+        }
+        return undefined;
+    }
+
+    function handleConfiguration(session: string, message: ConfigurationMessage) {
+        const objects = message.objects as ConfigurationObjects;
+        if (configuration && message.generation <= configuration.generation) {
+            return;
+        }
+        if (computeConfigurationDigest(objects) !== message.digest) {
+            log(LogEvent.LinkRefused, { session, message: "the configuration does not match its digest" });
+            return;
+        }
+        configuration = { generation: message.generation, digest: message.digest, objects };
+        updatePolicy();
+        links.broadcast(makeHeartbeat());
+    }
+
+    function updatePolicy() {
+        scheduler.update(buildSchedulerPolicy(settings, configuration, engineReport));
+        table.startWork();
+    }
+
+    function handleMessage(session: string, message: EntryMessage) {
+        switch (message.type) {
+            case LinkMessageType.Dispatch:
+                table.handleDispatch(session, message);
+                return;
+            case LinkMessageType.Cancel:
+                table.handleCancel(session, message.request);
+                return;
+            case LinkMessageType.Resume:
+                table.handleResume(session, message.request, message.fromSequence);
+                return;
+            case LinkMessageType.Acknowledge:
+                table.handleAcknowledge(message.request);
+                return;
+            case LinkMessageType.Configuration:
+                handleConfiguration(session, message);
+                return;
+            case LinkMessageType.ConfigurationRequest:
+                if (configuration) {
+                    links.send(session, {
+                        type: LinkMessageType.Configuration,
+                        foldedOffset: configuration.generation,
+                        ...configuration,
+                    });
+                }
+                return;
+            case LinkMessageType.Drain:
+                startDrain();
+                return;
+            default:
+                return;
+        }
+    }
+
+    function startDrain() {
+        if (!leaving) {
+            leaving = true;
+            log(LogEvent.EndpointLeaving, { endpoint: settings.endpoint });
+            links.broadcast({ type: LinkMessageType.Leaving });
+        }
+    }
+
+    function checkDrained() {
+        if (leaving && table.countActive() === 0) {
+            handleDrained?.();
+        }
+    }
+
+    function handleEvent(event: SidecarEvent) {
+        switch (event.kind) {
+            case SidecarEventKind.Message:
+                return handleMessage(event.session, event.message);
+            case SidecarEventKind.SessionLost:
+                return table.handleSessionLost(event.session);
+            case SidecarEventKind.Items:
+                return table.handleItems(event.work, event.items);
+            case SidecarEventKind.End:
+                return table.handleEnd(event.work, event.messages, event.outputTokens);
+            case SidecarEventKind.Tick:
+                table.expire();
+                table.startWork();
+                return;
+        }
+    }
+
+    async function readReport() {
+        try {
+            engineReport = await parts.readReport?.();
+            updatePolicy();
+        }
+        catch {
+            // The last report stays; the links' load reports show the same figures until the engine answers again.
+        }
+    }
+
+    store.register(runTask(mailbox, handleEvent, error => log(LogEvent.TaskFailed, { error: String(error) })));
+    store.register(timers.subscribe(expiryIntervalMs, () => mailbox.post({ kind: SidecarEventKind.Tick })));
+    if (parts.readReport) {
+        void readReport();
+        store.register(timers.subscribe(reportIntervalMs, () => void readReport()));
+    }
+    store.register(links);
+    store.register(table);
+
+    return {
+        incarnation,
+        accept: socket => links.accept(socket),
+        drain: () =>
+            new Promise(resolve => {
+                handleDrained = resolve;
+                startDrain();
+                checkDrained();
+            }),
+        getConfiguration: () => configuration,
+        dispose: () => store.dispose(),
+    };
+}
--- /dev/null
+++ b/src/sidecar/workTable.ts
@@ -0,0 +1,270 @@
+import { Disposable } from "../base/disposable.js";
+import { EventLog } from "../base/log.js";
+import { LogEvent } from "../base/logEvents.js";
+import { ErrorCode } from "../base/requestError.js";
+import { TimerService } from "../base/timerService.js";
+import { Verdict } from "../base/verdict.js";
+import { DispatchMessage, LinkMessageType, SidecarMessage } from "../link/messages.js";
+import { LoadReport } from "../routing/loadReport.js";
+import { AdmitDecision, AdmitKind, Scheduler, WorkItem } from "../scheduling/scheduler.js";
+import { createTombstones } from "./tombstones.js";
+import { Work, WorkListener, WorkRunner, WorkState } from "./work.js";
+
+/** Why a dispatch is not accepted. */
+export interface DispatchRefusal {
+    readonly code: ErrorCode;
+    readonly message: string;
+}
+
+/** What a work table is built from. */
+export interface WorkTableParts {
+    readonly timers: TimerService;
+    readonly log: EventLog;
+    readonly scheduler: Scheduler;
+    readonly runner: WorkRunner;
+    /** Time that an ended request is kept for an entry that has not acknowledged its end, in milliseconds. */
+    readonly retainEndedMs: number;
+    send(session: string, message: SidecarMessage): void;
+    makeLoad(): LoadReport;
+    /** Checks a dispatch before it is queued. */
+    checkDispatch(dispatch: DispatchMessage): DispatchRefusal | undefined;
+    /** Makes the listener of a request that starts; its events come back through the sidecar's mailbox. */
+    makeListener(work: Work): WorkListener;
+    /** Called when a request has left the table's queue or ended. */
+    handleSettled(): void;
+}
+
+/** The requests that one sidecar holds, from their dispatch to the acknowledgement of their end. */
+export interface WorkTable extends Disposable {
+    handleDispatch(session: string, dispatch: DispatchMessage): void;
+    handleCancel(session: string, request: string): void;
+    handleResume(session: string, request: string, fromSequence: number): void;
+    handleAcknowledge(request: string): void;
+    handleSessionLost(session: string): void;
+    handleItems(work: Work, items: readonly string[]): void;
+    handleEnd(work: Work, messages: readonly SidecarMessage[], outputTokens: number): void;
+    /** Starts what the scheduler allows. */
+    startWork(): void;
+    /** Refuses queued requests whose time limit cannot be met any more. */
+    expire(): void;
+    /** Requests that are queued or running. */
+    countActive(): number;
+}
+
+/**
+ * Creates the table of a sidecar's requests.
+ *
+ * @example
+ * const table = createWorkTable(parts);
+ * table.handleDispatch(session, dispatch);
+ */
+export function createWorkTable(parts: WorkTableParts): WorkTable {
+    const { timers, log, scheduler } = parts;
+    const send = (session: string, message: SidecarMessage) => parts.send(session, message);
+    const works = new Map<string, Work>();
+    const tombstones = createTombstones();
+
+    function refuse(session: string, request: string, refusal: Omit<RejectedFields, "type" | "request">) {
+        log(LogEvent.WorkRefused, { request, code: refusal.code, message: refusal.message });
+        send(session, { type: LinkMessageType.Rejected, request, ...refusal });
+    }
+
+    function checkDispatch(dispatch: DispatchMessage): DispatchRefusal | undefined {
+        if (tombstones.take(dispatch.request)) {
+            return { code: ErrorCode.Cancelled, message: "the request was cancelled before its dispatch arrived" };
+        }
+        return parts.checkDispatch(dispatch);
+    }
+
+    function handleDispatch(session: string, dispatch: DispatchMessage) {
+        if (works.has(dispatch.request)) {
+            return;
+        }
+        const refusal = checkDispatch(dispatch);
+        if (refusal) {
+            refuse(session, dispatch.request, refusal);
+            return;
+        }
+        const item = makeWorkItem(dispatch, timers.now());
+        const decision = scheduler.admit(item, timers.now());
+        if (decision.kind === AdmitKind.Refused) {
+            refuse(session, item.id, pickRefusal(decision));
+            return;
+        }
+        works.set(item.id, {
+            dispatch,
+            item,
+            session,
+            state: WorkState.Queued,
+            output: [],
+            final: [],
+            run: undefined,
+            forget: undefined,
+        });
+        const { rank, caller } = item;
+        log(LogEvent.WorkQueued, { request: item.id, rank, caller, position: decision.position });
+        for (const dropped of decision.dropped) {
+            refuseQueued(dropped, { code: ErrorCode.Overloaded, message: "dropped from a full queue" });
+        }
+        startWork();
+    }
+
+    function refuseQueued(item: WorkItem, refusal: DispatchRefusal) {
+        const work = works.get(item.id);
+        if (work) {
+            works.delete(item.id);
+            refuse(work.session, item.id, refusal);
+            parts.handleSettled();
+        }
+    }
+
+    function startWork() {
+        for (const item of scheduler.takeNext(timers.now())) {
+            const work = works.get(item.id);
+            if (!work) {
+                scheduler.complete(item.id, 0, timers.now());
+                continue;
+            }
+            work.state = WorkState.Running;
+            const waitedMs = timers.now() - item.arrivedMs;
+            log(LogEvent.WorkStarted, { request: item.id, rank: item.rank, caller: item.caller, waitedMs });
+            work.run = parts.runner(work, parts.makeListener(work));
+        }
+    }
+
+    function handleItems(work: Work, items: readonly string[]) {
+        if (work.state !== WorkState.Running) {
+            return;
+        }
+        if (work.output.length === 0) {
+            scheduler.markFirstToken(work.item.id, timers.now());
+        }
+        const sequence = work.output.length;
+        work.output.push(...items);
+        send(work.session, { type: LinkMessageType.Chunk, request: work.item.id, sequence, items });
+    }
+
+    function handleEnd(work: Work, messages: readonly SidecarMessage[], outputTokens: number) {
+        if (work.state === WorkState.Ended) {
+            return;
+        }
+        work.state = WorkState.Ended;
+        work.final.push(...messages);
+        scheduler.complete(work.item.id, outputTokens, timers.now());
+        log(LogEvent.WorkEnded, { request: work.item.id, outputTokens });
+        const load = parts.makeLoad();
+        for (const message of messages) {
+            send(work.session, message.type === LinkMessageType.End ? { ...message, load } : message);
+        }
+        work.forget = timers.schedule(parts.retainEndedMs, () => forget(work));
+        startWork();
+        parts.handleSettled();
+    }
+
+    function forget(work: Work) {
+        work.forget?.dispose();
+        works.delete(work.item.id);
+    }
+
+    function handleCancel(session: string, request: string) {
+        const work = works.get(request);
+        let verdict = Verdict.NotRun;
+        if (!work || work.state === WorkState.Queued) {
+            log(LogEvent.DispatchTombstoned, { request });
+            tombstones.add(request);
+            removeQueued(work);
+        }
+        else {
+            verdict = Verdict.MayHaveRun;
+            work.run?.cancel();
+        }
+        send(session, { type: LinkMessageType.CancelResult, request, verdict });
+    }
+
+    function removeQueued(work: Work | undefined) {
+        if (work) {
+            scheduler.remove(work.item.id);
+            works.delete(work.item.id);
+            parts.handleSettled();
+        }
+    }
+
+    function handleResume(session: string, request: string, fromSequence: number) {
+        const work = works.get(request);
+        send(session, { type: LinkMessageType.ResumeState, request, known: work !== undefined });
+        if (!work) {
+            return;
+        }
+        const items = work.output.slice(fromSequence);
+        if (items.length > 0) {
+            send(session, { type: LinkMessageType.Chunk, request, sequence: fromSequence, items });
+        }
+        for (const message of work.final) {
+            send(session, message);
+        }
+    }
+
+    function handleSessionLost(session: string) {
+        for (const work of [...works.values()].filter(candidate => candidate.session === session)) {
+            if (work.state === WorkState.Queued) {
+                removeQueued(work);
+            }
+            else if (work.state === WorkState.Running) {
+                work.run?.cancel();
+            }
+            else {
+                forget(work);
+            }
+        }
+    }
+
+    return {
+        handleDispatch,
+        handleCancel,
+        handleResume,
+        handleAcknowledge(request) {
+            const work = works.get(request);
+            if (work?.state === WorkState.Ended) {
+                forget(work);
+            }
+        },
+        handleSessionLost,
+        handleItems,
+        handleEnd,
+        startWork,
+        expire() {
+            for (const item of scheduler.expire(timers.now())) {
+                refuseQueued(item, { code: ErrorCode.TimedOut, message: "the time limit cannot be met in the queue" });
+            }
+        },
+        countActive: () => [...works.values()].filter(work => work.state !== WorkState.Ended).length,
+        dispose() {
+            for (const work of works.values()) {
+                work.forget?.dispose();
+            }
+        },
+    };
+}
+
+type RejectedFields = Extract<SidecarMessage, { type: LinkMessageType.Rejected }>;
+
+function makeWorkItem(dispatch: DispatchMessage, nowMs: number): WorkItem {
+    return {
+        id: dispatch.request,
+        rank: dispatch.rank,
+        caller: dispatch.caller,
+        kind: dispatch.kind,
+        promptTokens: dispatch.model?.promptTokens ?? 1,
+        cachedTokens: 0,
+        maxOutputTokens: dispatch.model?.maxOutputTokens ?? 0,
+        arrivedMs: nowMs - dispatch.waitedMs,
+        deadlineMs: nowMs + dispatch.remainingMs,
+        bodyBytes: dispatch.model?.prompt.length ?? dispatch.service?.body.length ?? 0,
+        fingerprint: dispatch.fingerprint,
+    };
+}
+
+function pickRefusal(decision: Extract<AdmitDecision, { kind: AdmitKind.Refused }>) {
+    const { code, message, retryAfterMs, largestPromptTokens } = decision;
+    return { code, message, retryAfterMs, largestPromptTokens };
+}
--- /dev/null
+++ b/test/path/processes.ts
@@ -0,0 +1,63 @@
+import { ChildProcess, spawn } from "node:child_process";
+import { createInterface } from "node:readline";
+import { fileURLToPath } from "node:url";
+
+const mainPath = fileURLToPath(new URL("../../src/main.js", import.meta.url));
+const startTimeoutMs = 20_000;
+
+/** Processes that run; they are ended with the test process, whatever happens to the test. */
+const running = new Set<ChildProcess>();
+process.on("exit", () => running.forEach(child => child.kill("SIGKILL")));
+
+/** A process of the system started by a test. */
+export interface StartedProcess {
+    /** What follows "listening on " on standard output. */
+    readonly address: string;
+    readonly child: ChildProcess;
+    readonly logLines: string[];
+    /** Asks the process to stop and returns its exit code. */
+    stop(): Promise<number | null>;
+    /** Ends the process without warning. */
+    kill(): Promise<void>;
+}
+
+/** Starts `jujubelane` with arguments and waits until it listens. */
+export async function startProcess(...args: readonly string[]): Promise<StartedProcess> {
+    const child = spawn(process.execPath, [mainPath, ...args], {
+        stdio: ["ignore", "pipe", "pipe"],
+        env: { ...process.env, DEBUG_COLORS: "no", DEBUG_HIDE_DATE: "yes" },
+    });
+    running.add(child);
+    child.once("exit", () => running.delete(child));
+    child.unref();
+    const logLines: string[] = [];
+    createInterface({ input: child.stderr }).on("line", line => logLines.push(line));
+    const exited = new Promise<number | null>(resolve => child.once("exit", code => resolve(code)));
+    const address = await new Promise<string>((resolve, reject) => {
+        const timer = setTimeout(() => reject(new Error(`${args[0]} did not start`)), startTimeoutMs);
+        createInterface({ input: child.stdout }).on("line", line => {
+            const match = /^listening on (\S+)$/.exec(line);
+            if (match?.[1] !== undefined) {
+                clearTimeout(timer);
+                resolve(match[1]);
+            }
+        });
+        void exited.then(code => {
+            clearTimeout(timer);
+            reject(new Error(`${args.join(" ")} exited with ${code}: ${logLines.join("\n")}`));
+        });
+    });
+    return {
+        address,
+        child,
+        logLines,
+        stop() {
+            child.kill("SIGTERM");
+            return exited;
+        },
+        async kill() {
+            child.kill("SIGKILL");
+            await exited;
+        },
+    };
+}
