Certify NotRun only for requests that a sidecar never started

Cause: found by reading. A cancel or resume for a request that had ended and been forgotten was answered NotRun, because the sidecar could not tell it from one that never arrived. A dispatch read after a pause of the process was handled although its entry had given it up.

Ruled out: keeping ended requests longer; no retention bounds the age of a late cancel.

Change: a bounded memory of started requests, compared by id time beyond its bound; ResumeState carries a verdict; a pause detector drops links whose buffered data may be stale; an unacknowledged dispatch gives up its connection after 1 s instead of waiting for three heartbeats.

Conclusion: the verdict no longer depends on retention.

--- a/src/base/logEvents.ts
+++ b/src/base/logEvents.ts
@@ -18,6 +18,8 @@
     LinkClosed = 5002,
     LinkRefused = 5003,
     EndpointLeaving = 5004,
+    LinkUnresponsive = 5005,
+    ProcessPaused = 5006,
     ProcessStarted = 9001,
     ProcessDraining = 9002,
     ProcessStopped = 9003,
--- a/src/entry/endpointLink.ts
+++ b/src/entry/endpointLink.ts
@@ -72,17 +72,23 @@
 
 interface Attempt {
     readonly request: string;
+    /** Incarnation of the sidecar that the dispatch names. */
+    readonly incarnation: string;
     readonly listener: AttemptListener;
     readonly promptTokens: number;
     nextSequence: number;
     cancelled: boolean;
     lostTimer: Disposable | undefined;
+    /** Runs until the sidecar's first message about the attempt. */
+    acknowledgeTimer: Disposable | undefined;
 }
 
 const reconnectDelayMs = 50;
 const maxReconnectDelayMs = 2_000;
 const missedHeartbeatLimit = 3;
 const connectTimeoutMs = 2_000;
+/** A sidecar acknowledges a dispatch at once; only a dead connection or a stopped process takes this long. */
+const acknowledgeTimeoutMs = 1_000;
 
 /**
  * Creates the link to one endpoint and keeps it open until disposed.
@@ -125,6 +131,17 @@
         }
     }
 
+    /** Gives up a connection on which a dispatch is not acknowledged: it may be open and yet deliver nothing. */
+    function watchAcknowledgement(attempt: Attempt) {
+        const used = connection;
+        attempt.acknowledgeTimer = timers.schedule(acknowledgeTimeoutMs, () => {
+            if (connection === used) {
+                log(LogEvent.LinkUnresponsive, { endpoint, request: attempt.request });
+                used?.dispose();
+            }
+        });
+    }
+
     function recordLoad(report: LoadReport) {
         load = report;
         loadTimeMs = timers.now();
@@ -133,6 +150,7 @@
 
     function finish(attempt: Attempt) {
         attempt.lostTimer?.dispose();
+        attempt.acknowledgeTimer?.dispose();
         attempts.delete(attempt.request);
     }
 
@@ -175,6 +193,7 @@
         if (!attempt) {
             return;
         }
+        attempt.acknowledgeTimer?.dispose();
         switch (message.type) {
             case LinkMessageType.Rejected:
                 fail(attempt, message.code, message.message, Verdict.NotRun, {
@@ -200,7 +219,10 @@
                 return;
             case LinkMessageType.ResumeState:
                 if (!message.known) {
-                    fail(attempt, ErrorCode.EndpointFailed, "the sidecar lost the request", Verdict.MayHaveRun);
+                    // Another incarnation cannot know what the one that got the dispatch did.
+                    const isSame = attempt.incarnation === sidecarIncarnation;
+                    const verdict = isSame ? message.verdict : Verdict.MayHaveRun;
+                    fail(attempt, ErrorCode.EndpointFailed, "the sidecar does not hold the request", verdict);
                 }
                 return;
             default:
@@ -365,11 +387,13 @@
             const promptTokens = dispatch.model?.promptTokens ?? 0;
             const attempt: Attempt = {
                 request: dispatch.request,
+                incarnation: sidecarIncarnation,
                 listener: attemptListener,
                 promptTokens,
                 nextSequence: 0,
                 cancelled: false,
                 lostTimer: undefined,
+                acknowledgeTimer: undefined,
             };
             if (state !== LinkState.Open) {
                 const error = buildRequestError(ErrorCode.NoEndpoint, "the link is not open", Verdict.NotRun);
@@ -379,6 +403,7 @@
             attempts.set(dispatch.request, attempt);
             pendingPrefillTokens += promptTokens;
             send({ type: LinkMessageType.Dispatch, incarnation: sidecarIncarnation, ...dispatch });
+            watchAcknowledgement(attempt);
         },
         cancel(request) {
             const attempt = attempts.get(request);
@@ -405,6 +430,7 @@
         const nowMs = timers.now();
         if (nowMs - lastReceivedMs > missedHeartbeatLimit * settings.heartbeatIntervalMs) {
             // The connection is unresponsive although it is open; a new one may work.
+            log(LogEvent.LinkUnresponsive, { endpoint });
             connection?.dispose();
         }
         else if (nowMs - lastSentMs >= settings.heartbeatIntervalMs) {
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -196,11 +196,15 @@
     readonly replayed: boolean;
 }
 
-/** Sidecar → entry: answer to a resume; `known: false` means that this incarnation does not hold the request. */
+/**
+ * Sidecar → entry: answer to a resume. `known: false` means that this incarnation does not hold the request; `verdict`
+ * then says whether the request may have run there.
+ */
 export interface ResumeStateMessage {
     readonly type: LinkMessageType.ResumeState;
     readonly request: string;
     readonly known: boolean;
+    readonly verdict: Verdict;
 }
 
 /** Sidecar → entry: no new work, what runs is finished. */
--- a/src/sidecar/linkServer.ts
+++ b/src/sidecar/linkServer.ts
@@ -15,6 +15,7 @@
     SidecarMessage,
     WelcomeMessage,
 } from "../link/messages.js";
+import { createPauseDetector } from "../membership/pauseDetector.js";
 
 /** Settings of the sidecar's end of links. */
 export interface LinkServerSettings {
@@ -28,6 +29,10 @@
 /** Heartbeat intervals without a message after which a connection counts as unresponsive. */
 export const missedHeartbeatLimit = 3;
 
+const pauseCheckIntervalMs = 250;
+/** Longer than any pause of the garbage collector, shorter than an entry's patience with a silent link. */
+const pauseThresholdMs = 2_000;
+
 /** What a link server reports. */
 export interface LinkServerListener {
     makeWelcome(): Omit<WelcomeMessage, "type" | "proof">;
@@ -70,6 +75,7 @@
 ): LinkServer {
     const sessions = new Map<string, Session>();
     const unopened = new Set<LinkConnection>();
+    const pauses = createPauseDetector(pauseThresholdMs, timers.now());
 
     function open(hello: HelloMessage, connection: LinkConnection): Session {
         const key = `${hello.entry}/${hello.incarnation}`;
@@ -137,6 +143,11 @@
 
         const connection: LinkConnection = createLinkConnection(socket, settings.maxFrameBytes, {
             handleMessages(messages) {
+                if (pauses.isSuspect(timers.now())) {
+                    // What arrives first after a pause may have waited in this host's buffers past its time limit.
+                    connection.dispose();
+                    return;
+                }
                 for (const message of messages) {
                     if (!session) {
                         handleHello(message);
@@ -159,6 +170,13 @@
         connection.send({ type: LinkMessageType.Challenge, version: linkProtocolVersion, nonce });
     }
 
+    store.register(timers.subscribe(pauseCheckIntervalMs, () => {
+        const pausedMs = pauses.observe(timers.now());
+        if (pausedMs > 0) {
+            log(LogEvent.ProcessPaused, { pausedMs });
+            sessions.forEach(session => session.connection?.dispose());
+        }
+    }));
     store.register(timers.subscribe(settings.heartbeatIntervalMs, () => {
         const nowMs = timers.now();
         for (const session of sessions.values()) {
--- a/src/sidecar/workTable.ts
+++ b/src/sidecar/workTable.ts
@@ -7,6 +7,7 @@
 import { DispatchMessage, LinkMessageType, SidecarMessage } from "../link/messages.js";
 import { LoadReport } from "../routing/loadReport.js";
 import { AdmitDecision, AdmitKind, Scheduler, WorkItem } from "../scheduling/scheduler.js";
+import { createStartedRequests } from "./startedRequests.js";
 import { createTombstones } from "./tombstones.js";
 import { Work, WorkListener, WorkRunner, WorkState } from "./work.js";
 
@@ -63,6 +64,7 @@
     const send = (session: string, message: SidecarMessage) => parts.send(session, message);
     const works = new Map<string, Work>();
     const tombstones = createTombstones();
+    const started = createStartedRequests();
 
     function refuse(session: string, request: string, refusal: Omit<RejectedFields, "type" | "request">) {
         log(LogEvent.WorkRefused, { request, code: refusal.code, message: refusal.message });
@@ -103,6 +105,7 @@
         });
         const { rank, caller } = item;
         log(LogEvent.WorkQueued, { request: item.id, rank, caller, position: decision.position });
+        send(session, { type: LinkMessageType.Queued, request: item.id, position: decision.position });
         for (const dropped of decision.dropped) {
             refuseQueued(dropped, { code: ErrorCode.Overloaded, message: "dropped from a full queue" });
         }
@@ -126,6 +129,7 @@
                 continue;
             }
             work.state = WorkState.Running;
+            started.record(item.id);
             const waitedMs = timers.now() - item.arrivedMs;
             log(LogEvent.WorkStarted, { request: item.id, rank: item.rank, caller: item.caller, waitedMs });
             work.run = parts.runner(work, parts.makeListener(work));
@@ -168,16 +172,14 @@
 
     function handleCancel(session: string, request: string) {
         const work = works.get(request);
-        let verdict = Verdict.NotRun;
-        if (!work || work.state === WorkState.Queued) {
+        let verdict = Verdict.MayHaveRun;
+        if (work?.state === WorkState.Queued || (!work && started.isNotStarted(request))) {
+            verdict = Verdict.NotRun;
             log(LogEvent.DispatchTombstoned, { request });
             tombstones.add(request);
             removeQueued(work);
         }
-        else {
-            verdict = Verdict.MayHaveRun;
-            work.run?.cancel();
-        }
+        work?.run?.cancel();
         send(session, { type: LinkMessageType.CancelResult, request, verdict });
     }
 
@@ -191,10 +193,17 @@
 
     function handleResume(session: string, request: string, fromSequence: number) {
         const work = works.get(request);
-        send(session, { type: LinkMessageType.ResumeState, request, known: work !== undefined });
         if (!work) {
+            const isNotStarted = started.isNotStarted(request);
+            if (isNotStarted) {
+                // The entry gave up the connection on which a dispatch of this request may still be under way.
+                tombstones.add(request);
+            }
+            const verdict = isNotStarted ? Verdict.NotRun : Verdict.MayHaveRun;
+            send(session, { type: LinkMessageType.ResumeState, request, known: false, verdict });
             return;
         }
+        send(session, { type: LinkMessageType.ResumeState, request, known: true, verdict: Verdict.MayHaveRun });
         const items = work.output.slice(fromSequence);
         if (items.length > 0) {
             send(session, { type: LinkMessageType.Chunk, request, sequence: fromSequence, items });
