--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -162,7 +162,7 @@
         }, event => {
             if (event.kind === AttemptEventKind.Completed || event.kind === AttemptEventKind.Failed) {
                 // The request may end before startRequest returns.
-                setImmediate(() => release(task));
+                queueMicrotask(() => release(task));
             }
             observed(event);
         });
--- /dev/null
+++ b/test/system/system.ts
@@ -0,0 +1,230 @@
+import * as http from "node:http";
+import * as net from "node:net";
+import { createHttpModelEngine } from "../../src/adapters/httpModelEngine.js";
+import { createHttpPlainService } from "../../src/adapters/httpPlainService.js";
+import { createDisposableStore, DisposableStore } from "../../src/base/disposable.js";
+import { computeDigest } from "../../src/base/ids.js";
+import { EventLog, LogFields } from "../../src/base/log.js";
+import { LogEvent } from "../../src/base/logEvents.js";
+import { createSeededRandomSource } from "../../src/base/randomSource.js";
+import { createSystemTimerService } from "../../src/base/systemTimerService.js";
+import { ConfigurationObjects } from "../../src/config/objects.js";
+import { configurationSchema } from "../../src/config/schema.js";
+import { EmulatedEngine, EmulatedEngineSettings, startEmulatedEngine } from "../../src/emulator/engine/engineServer.js";
+import { EmulatedService, startEmulatedService } from "../../src/emulator/serviceServer.js";
+import { createFixedConfigurationSource } from "../../src/entry/configurationSource.js";
+import { createEntry, Entry, EntrySettings } from "../../src/entry/entry.js";
+import { HostRecord, HostState } from "../../src/ports/hostList.js";
+import { chooseLeastConnections } from "../../src/routing/baselinePolicies.js";
+import { createFirstComeScheduler } from "../../src/scheduling/firstComeScheduler.js";
+import { createModelRunner, defaultModelRunnerSettings } from "../../src/sidecar/modelRunner.js";
+import { createServiceRunner } from "../../src/sidecar/serviceRunner.js";
+import { createSidecar, Sidecar } from "../../src/sidecar/sidecar.js";
+import { Relay, startRelay } from "./relay.js";
+
+/** One log line as the parts wrote it. */
+export interface RecordedEvent {
+    readonly event: LogEvent;
+    readonly fields: LogFields;
+}
+
+/** An endpoint with its sidecar, reached through a relay. */
+export interface TestEndpoint {
+    readonly name: string;
+    readonly relay: Relay;
+    readonly sidecar: Sidecar;
+    readonly engine: EmulatedEngine | undefined;
+    readonly service: EmulatedService | undefined;
+}
+
+/** A system in one process with real sockets on loopback. */
+export interface TestSystem {
+    readonly url: string;
+    readonly entry: Entry;
+    readonly endpoints: readonly TestEndpoint[];
+    readonly events: readonly RecordedEvent[];
+    send(path: string, body: unknown, headers?: Record<string, string>): Promise<Response>;
+    close(): Promise<void>;
+}
+
+/** Settings of a test system. */
+export interface TestSystemSettings {
+    readonly engines?: number;
+    readonly services?: number;
+    readonly engine?: Partial<EmulatedEngineSettings>;
+    readonly serviceDelayMs?: number;
+    readonly entry?: Partial<EntrySettings>;
+    readonly objects?: (objects: Record<string, Record<string, unknown>>) => void;
+    readonly heartbeatIntervalMs?: number;
+}
+
+/** API keys of the test configuration. */
+export const testKeys = { planner: "planner-key", clerk: "clerk-key", operator: "operator-key" } as const;
+export const testPlace = "larissa";
+const linkKey = "test-link-key";
+const timers = createSystemTimerService();
+
+const defaultEngine: EmulatedEngineSettings = {
+    port: 0,
+    model: "demo",
+    version: "demo-v1",
+    checksFencing: true,
+    memoryTokens: 100_000,
+    prefillTokensPerSecond: 100_000,
+    decodeTokensPerSecond: 200,
+    maxBatch: 32,
+};
+
+function buildObjects(settings: TestSystemSettings, names: readonly string[]): ConfigurationObjects {
+    const objects: Record<string, Record<string, unknown>> = {
+        models: { demo: { version: "demo-v1" } },
+        versions: { "demo-v1": { model: "demo", weights: "demo-v1" } },
+        ranks: {
+            urgent: { urgency: 0, timeLimitMs: 10_000 },
+            bulk: { urgency: 2, timeLimitMs: 60_000 },
+        },
+        kinds: { question: { rank: "urgent" } },
+        callers: {
+            planner: { keyDigests: [computeDigest(testKeys.planner)], defaultKind: "question" },
+            clerk: { keyDigests: [computeDigest(testKeys.clerk)], defaultKind: "question", ranks: ["urgent"] },
+            operator: { keyDigests: [computeDigest(testKeys.operator)], defaultKind: "question", operator: true },
+        },
+        services: {
+            bookings: { rank: "urgent", repeatable: false, timeLimitMs: 5_000 },
+            lookups: { rank: "urgent", repeatable: true, timeLimitMs: 5_000 },
+        },
+        endpoints: Object.fromEntries(names.map(name => [name, {
+            host: name,
+            place: testPlace,
+            checksFencing: true,
+            ...(name.startsWith("engine") ? { model: "demo" } : { service: "bookings" }),
+        }])),
+    };
+    settings.objects?.(objects);
+    return configurationSchema.parse(objects);
+}
+
+async function startEndpoint(
+    name: string,
+    settings: TestSystemSettings,
+    log: EventLog,
+    store: DisposableStore,
+): Promise<TestEndpoint> {
+    const isEngine = name.startsWith("engine");
+    const engine = isEngine ? await startEmulatedEngine({ ...defaultEngine, ...settings.engine }, timers) : undefined;
+    const service = isEngine
+        ? undefined
+        : await startEmulatedService({ port: 0, delayMs: settings.serviceDelayMs ?? 5 }, timers);
+    const engineClient = engine && createHttpModelEngine(engine.url);
+    const sidecar = createSidecar({
+        endpoint: name,
+        place: testPlace,
+        linkKey,
+        heartbeatIntervalMs: settings.heartbeatIntervalMs ?? 200,
+        maxFrameBytes: 1_000_000,
+        sessionGraceMs: 2_000,
+        maxQueuedRequests: 100,
+        maxQueuedBytes: 10_000_000,
+        retainEndedMs: 5_000,
+    }, {
+        timers,
+        log,
+        createScheduler: createFirstComeScheduler,
+        runner: engineClient
+            ? createModelRunner(engineClient, timers, () => 0, defaultModelRunnerSettings)
+            : createServiceRunner(createHttpPlainService(service!.url), timers),
+        readReport: engineClient && (() => engineClient.report()),
+    });
+    store.register(sidecar);
+    const server = net.createServer(socket => sidecar.accept(socket));
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    store.register({ dispose: () => server.close() });
+    const relay = await startRelay((server.address() as net.AddressInfo).port);
+    return { name, relay, sidecar, engine, service };
+}
+
+/** Starts a system. */
+export async function startSystem(settings: TestSystemSettings = {}): Promise<TestSystem> {
+    const events: RecordedEvent[] = [];
+    const log: EventLog = (event, fields = {}) => events.push({ event, fields });
+    const store = createDisposableStore();
+    const names = [
+        ...Array.from({ length: settings.engines ?? 1 }, (unused, index) => `engine-${index + 1}`),
+        ...Array.from({ length: settings.services ?? 0 }, (unused, index) => `booking-${index + 1}`),
+    ];
+    const endpoints = await Promise.all(names.map(name => startEndpoint(name, settings, log, store)));
+    const hosts: HostRecord[] = endpoints.map(endpoint => ({
+        name: endpoint.name,
+        place: testPlace,
+        address: "127.0.0.1",
+        port: endpoint.relay.port,
+        state: HostState.Live,
+    }));
+    const entry = createEntry({
+        name: "entry-1",
+        place: testPlace,
+        linkKey,
+        heartbeatIntervalMs: settings.heartbeatIntervalMs ?? 200,
+        maxFrameBytes: 1_000_000,
+        resumeGraceMs: 2_000,
+        maxBodyBytes: 500_000,
+        maxUnsentBytes: 1_000_000,
+        maxRequests: 1_000,
+        drainDelayMs: 50,
+        ...settings.entry,
+    }, {
+        timers,
+        random: createSeededRandomSource(1),
+        log,
+        hostList: { read: () => Promise.resolve(hosts) },
+        configuration: createFixedConfigurationSource(buildObjects(settings, names)),
+        policy: chooseLeastConnections,
+        selectAperture: all => all,
+        connect: host => net.connect(host.port, host.address),
+        createOperatorRoute: () => () => Promise.resolve(false),
+    });
+    store.register(entry);
+    const server = http.createServer(entry.handler);
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const url = `http://127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+    await waitUntil(() => entry.state.directory.list().filter(link => link.getLoad()).length === names.length);
+    return {
+        url,
+        entry,
+        endpoints,
+        events,
+        send: (path, body, headers = {}) =>
+            fetch(`${url}${path}`, {
+                method: "POST",
+                headers: {
+                    authorization: `Bearer ${testKeys.planner}`,
+                    "content-type": "application/json",
+                    ...headers,
+                },
+                body: typeof body === "string" ? body : JSON.stringify(body),
+            }),
+        async close() {
+            server.closeAllConnections();
+            server.close();
+            store.dispose();
+            for (const endpoint of endpoints) {
+                await endpoint.relay.close();
+                await endpoint.engine?.close();
+                await endpoint.service?.close();
+            }
+        },
+    };
+}
+
+const pollIntervalMs = 10;
+
+/** Waits until a condition holds; fails after `timeoutMs`. */
+export async function waitUntil(condition: () => boolean, timeoutMs = 10_000): Promise<void> {
+    const deadlineMs = timers.now() + timeoutMs;
+    while (!condition()) {
+        if (timers.now() > deadlineMs) {
+            throw new Error(`condition not met within ${timeoutMs} ms: ${condition.toString()}`);
+        }
+        await new Promise(resolve => setTimeout(resolve, pollIntervalMs));
+    }
+}
--- /dev/null
+++ b/test/system/timeLimit.test.ts
@@ -0,0 +1,93 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { startSystem, TestSystem } from "./system.js";
+
+const limitMs = 800;
+/** The requirement: no request passes its limit by more than one second. */
+const toleranceMs = 1_000;
+
+interface TimeLimitCase {
+    readonly name: string;
+    readonly stream: boolean;
+    /** Brings the fault about while the request is under way. */
+    readonly inject: (system: TestSystem) => void;
+    readonly delayMs: number;
+    readonly engine?: { readonly prefillTokensPerSecond?: number; readonly maxBatch?: number };
+}
+
+const cases: readonly TimeLimitCase[] = [
+    {
+        name: "engine slower than the limit",
+        stream: false,
+        inject: () => undefined,
+        delayMs: 0,
+        engine: { prefillTokensPerSecond: 1 },
+    },
+    {
+        name: "connection silent in mid-stream, new ones refused",
+        stream: true,
+        inject: system => {
+            system.endpoints[0]!.relay.silence();
+            system.endpoints[0]!.relay.cut();
+        },
+        delayMs: 300,
+    },
+    {
+        name: "connection silent in mid-stream",
+        stream: true,
+        inject: s => s.endpoints[0]!.relay.silence(),
+        delayMs: 300,
+    },
+    {
+        name: "connection silent before the dispatch",
+        stream: false,
+        inject: s => s.endpoints[0]!.relay.silence(),
+        delayMs: -1,
+    },
+    { name: "sidecar gone in mid-stream", stream: true, inject: s => s.endpoints[0]!.relay.cut(), delayMs: 300 },
+    {
+        name: "engine gone in mid-stream",
+        stream: true,
+        inject: s => void s.endpoints[0]!.engine!.close(),
+        delayMs: 300,
+    },
+    {
+        name: "engine gone before the dispatch",
+        stream: false,
+        inject: s => void s.endpoints[0]!.engine!.close(),
+        delayMs: -1,
+    },
+    { name: "engine's batch full", stream: false, inject: () => undefined, delayMs: 0, engine: { maxBatch: 0 } },
+];
+
+for (const { name, stream, inject, delayMs, engine } of cases) {
+    test(`a request ends within its limit: ${name}`, async () => {
+        const system = await startSystem({ engine });
+        try {
+            if (delayMs < 0) {
+                inject(system);
+            }
+            const startedMs = performance.now();
+            const pending = system.send("/v1/completions", {
+                model: "demo",
+                prompt: "word".repeat(50),
+                max_tokens: 2_000,
+                stream,
+            }, { "jujubelane-time-limit-ms": String(limitMs) });
+            if (delayMs >= 0) {
+                setTimeout(() => inject(system), delayMs);
+            }
+            const response = await pending;
+            const text = await response.text();
+            const elapsedMs = performance.now() - startedMs;
+            assert.ok(elapsedMs <= limitMs + toleranceMs, `ended after ${elapsedMs} ms`);
+            // 2,000 tokens take 10 s: whatever arrived is no whole answer and must not look like one.
+            assert.ok(!text.includes("[DONE]"), "a truncated answer was ended as a success");
+            assert.match(text, /"verdict":"(not-run|may-have-run)"/);
+            assert.equal(system.entry.state.countRequests(), 0);
+        }
+        finally {
+            await system.close();
+        }
+    });
+}
