Authenticate links and refuse what breaks their contract

Cause: links had a keyed handshake without tests and no TLS.

Ruled out: checking host names in certificates; hosts are replaced at any time and addressed by IP.

Conclusion: a wrong or missing credential is refused and logged.

--- a/src/base/logEvents.ts
+++ b/src/base/logEvents.ts
@@ -20,6 +20,7 @@
     EndpointLeaving = 5004,
     LinkUnresponsive = 5005,
     ProcessPaused = 5006,
+    LinkUnprotected = 5007,
     ProcessStarted = 9001,
     ProcessDraining = 9002,
     ProcessStopped = 9003,
--- a/src/cli/entryCommand.ts
+++ b/src/cli/entryCommand.ts
@@ -1,5 +1,4 @@
 import * as http from "node:http";
-import * as net from "node:net";
 import { CommandModule } from "yargs";
 import { z } from "zod";
 import { createHttpHostList } from "../adapters/httpHostList.js";
@@ -12,6 +11,7 @@
 import { chooseLeastConnections } from "../routing/baselinePolicies.js";
 import { readConfigurationFiles } from "./configurationFiles.js";
 import { entryDefaults, linkDefaults } from "./defaults.js";
+import { linkSecurityOptions, linkSecuritySchema, loadLinkTransport } from "./linkSecurity.js";
 import { closeServer, listen } from "./listen.js";
 import { logUnhandledErrors, waitForStopSignal } from "./process.js";
 import { applyLogSetting, durationSchema, logOption, parseSettings, portSchema, urlSchema } from "./settings.js";
@@ -23,7 +23,7 @@
     port: portSchema,
     hosts: urlSchema,
     config: z.array(z.string()).min(1, "expected at least one configuration file"),
-    linkKey: z.string(),
+    ...linkSecuritySchema,
     heartbeatIntervalMs: durationSchema,
     maxBodyBytes: z.number().int().positive(),
     maxRequests: z.number().int().positive(),
@@ -45,7 +45,7 @@
             port: { type: "number", default: 8080, describe: "port for callers; 0 takes a free one" },
             hosts: { type: "string", demandOption: true, describe: "root URL of the platform's host list" },
             config: { type: "string", array: true, default: [], describe: "configuration files" },
-            "link-key": { type: "string", default: "", describe: "shared key of links between entries and sidecars" },
+            ...linkSecurityOptions,
             "heartbeat-interval-ms": { type: "number", default: linkDefaults.heartbeatIntervalMs },
             "max-body-bytes": { type: "number", default: entryDefaults.maxBodyBytes },
             "max-requests": { type: "number", default: entryDefaults.maxRequests },
@@ -57,6 +57,7 @@
         applyLogSetting(settings.log);
         const log = createEventLog("entry");
         logUnhandledErrors(log);
+        const transport = await loadLinkTransport(settings, settings.address, log);
         const configuration = createFixedConfigurationSource(await readConfigurationFiles(settings.config));
         const entry = createEntry({ ...linkDefaults, ...entryDefaults, ...settings }, {
             timers: createSystemTimerService(),
@@ -66,7 +67,7 @@
             configuration,
             policy: chooseLeastConnections,
             selectAperture: endpoints => endpoints,
-            connect: host => net.connect(host.port, host.address),
+            connect: host => transport.connect(host.port, host.address),
             createOperatorRoute: () => () => Promise.resolve(false),
         });
         const server = http.createServer(entry.handler);
--- a/src/cli/sidecarCommand.ts
+++ b/src/cli/sidecarCommand.ts
@@ -1,4 +1,3 @@
-import * as net from "node:net";
 import { CommandModule } from "yargs";
 import { z } from "zod";
 import { createHttpModelEngine } from "../adapters/httpModelEngine.js";
@@ -11,6 +10,7 @@
 import { createServiceRunner } from "../sidecar/serviceRunner.js";
 import { createSidecar, Sidecar, SidecarSettings } from "../sidecar/sidecar.js";
 import { linkDefaults, sidecarDefaults } from "./defaults.js";
+import { linkSecurityOptions, linkSecuritySchema, loadLinkTransport } from "./linkSecurity.js";
 import { listen } from "./listen.js";
 import { logUnhandledErrors, waitForStopSignal } from "./process.js";
 import { applyLogSetting, durationSchema, logOption, parseSettings, portSchema, urlSchema } from "./settings.js";
@@ -22,7 +22,7 @@
     port: portSchema,
     engine: urlSchema.optional(),
     service: urlSchema.optional(),
-    linkKey: z.string(),
+    ...linkSecuritySchema,
     heartbeatIntervalMs: durationSchema,
     maxQueuedRequests: z.number().int().positive(),
     maxQueuedBytes: z.number().int().positive(),
@@ -46,7 +46,7 @@
             port: { type: "number", default: 7000, describe: "port for links; 0 takes a free one" },
             engine: { type: "string", describe: "root URL of the model engine beside this process" },
             service: { type: "string", describe: "root URL of the plain service beside this process" },
-            "link-key": { type: "string", default: "", describe: "shared key of links between entries and sidecars" },
+            ...linkSecurityOptions,
             "heartbeat-interval-ms": { type: "number", default: linkDefaults.heartbeatIntervalMs },
             "max-queued-requests": { type: "number", default: sidecarDefaults.maxQueuedRequests },
             "max-queued-bytes": { type: "number", default: sidecarDefaults.maxQueuedBytes },
@@ -58,7 +58,11 @@
         const log = createEventLog("sidecar");
         logUnhandledErrors(log);
         const sidecar = buildSidecar({ ...linkDefaults, ...sidecarDefaults, ...settings }, settings);
-        const server = net.createServer(socket => sidecar.accept(socket));
+        const transport = await loadLinkTransport(settings, settings.address, log);
+        const server = transport.createServer(
+            socket => sidecar.accept(socket),
+            error => log(LogEvent.LinkRefused, { message: error.message }),
+        );
         const port = await listen(server, settings.port, settings.address);
         log(LogEvent.ProcessStarted, { role: "sidecar", name: settings.endpoint, port });
         process.stdout.write(`listening on ${settings.address}:${port}\n`);
