--- a/test/system/linkContract.test.ts
+++ b/test/system/linkContract.test.ts
@@ -5,13 +5,7 @@
 import { ResultKind } from "../../src/base/result.js";
 import { createFrameDecoder, encodeFrame } from "../../src/link/frame.js";
 import { LinkRole, signHandshake } from "../../src/link/handshake.js";
-import {
-    ChallengeMessage,
-    LinkMessage,
-    LinkMessageType,
-    linkProtocolVersion,
-    RefusalMessage,
-} from "../../src/link/messages.js";
+import { ChallengeMessage, LinkMessage, LinkMessageType, linkProtocolVersion } from "../../src/link/messages.js";
 import { startSystem, TestSystem } from "./system.js";
 
 let system: TestSystem;
@@ -75,9 +69,7 @@
         test(name, async () => {
             const before = system.events.filter(event => event.event === LogEvent.LinkRefused).length;
             const received = await converse(answer);
-            const refusal = received.find(message => message.type === LinkMessageType.Refusal) as
-                | RefusalMessage
-                | undefined;
+            const refusal = received.find(message => message.type === LinkMessageType.Refusal);
             assert.equal(refusal?.code, code);
             assert.ok(!received.some(message => message.type === LinkMessageType.Welcome));
             const after = system.events.filter(event => event.event === LogEvent.LinkRefused).length;
