--- a/src/cli/emulateCommand.ts
+++ b/src/cli/emulateCommand.ts
@@ -4,9 +4,11 @@
 import { startEmulatedEngine } from "../emulator/engine/engineServer.js";
 import { startEmulatedHostList } from "../emulator/hostListServer.js";
 import { RunningServer } from "../emulator/httpServer.js";
+import { defaultLogModelSettings } from "../emulator/log/logModel.js";
+import { startEmulatedLog } from "../emulator/log/logServer.js";
 import { startEmulatedService } from "../emulator/serviceServer.js";
 import { waitForStopSignal } from "./process.js";
-import { parseSettings, portSchema } from "./settings.js";
+import { durationSchema, parseSettings, portSchema } from "./settings.js";
 
 async function serve(server: RunningServer): Promise<void> {
     process.stdout.write(`listening on ${server.url}\n`);
@@ -78,10 +80,38 @@
     },
 };
 
+const logSchema = z.object({
+    port: portSchema,
+    retentionMs: durationSchema,
+    maxRecords: z.number().int().positive(),
+    appendsPerSecond: z.number().positive(),
+});
+
+const emulateLog: CommandModule = {
+    command: "log",
+    describe: "run an emulated append-only log service",
+    builder: yargs =>
+        yargs.options({
+            port: portOption,
+            "retention-ms": { type: "number", default: defaultLogModelSettings.retentionMs },
+            "max-records": {
+                type: "number",
+                default: defaultLogModelSettings.maxRecords,
+                describe: "records that each stream keeps",
+            },
+            "appends-per-second": { type: "number", default: defaultLogModelSettings.appendsPerSecond },
+        }),
+    handler: async argv => {
+        const settings = parseSettings(logSchema, argv);
+        await serve(await startEmulatedLog(settings, createSystemTimerService()));
+    },
+};
+
 /** `jujubelane emulate` */
 export const emulateCommand: CommandModule = {
     command: "emulate",
     describe: "run one of the emulators of outside systems",
-    builder: yargs => yargs.command(emulateEngine).command(emulateService).command(emulateHosts).demandCommand(1),
+    builder: yargs =>
+        yargs.command(emulateEngine).command(emulateService).command(emulateHosts).command(emulateLog).demandCommand(1),
     handler: () => undefined,
 };
--- /dev/null
+++ b/src/emulator/log/logModel.ts
@@ -0,0 +1,181 @@
+import { TimerService, waitFor } from "../../base/timerService.js";
+import { LogPage } from "../../ports/logService.js";
+import { LogFaults, noLogFaults } from "./logFaults.js";
+import { createLogStreams, LogRetention } from "./logStreams.js";
+
+/** Settings of an emulated log service. */
+export interface LogModelSettings extends LogRetention {
+    /** Appends that the service takes per second, whatever the number of records in each. */
+    readonly appendsPerSecond: number;
+}
+
+/** Default settings of an emulated log service. */
+export const defaultLogModelSettings: LogModelSettings = {
+    retentionMs: 24 * 60 * 60 * 1000,
+    maxRecords: 1_000_000,
+    appendsPerSecond: 400,
+};
+
+/** Tag of a {@link LogReply}. */
+export enum LogReplyKind {
+    Answered = "answered",
+    Unavailable = "unavailable",
+    RateLimited = "rate-limited",
+    Refused = "refused",
+    /** No answer reaches the sender. */
+    Lost = "lost",
+}
+
+/** What becomes of a call to the emulated service. */
+export type LogReply<Answer> =
+    | { readonly kind: LogReplyKind.Answered; readonly answer: Answer }
+    | { readonly kind: Exclude<LogReplyKind, LogReplyKind.Answered>; readonly message: string };
+
+/** An emulated log service without a transport. */
+export interface LogModel {
+    /** Appends and answers with the offset of the first value. */
+    append(stream: string, values: readonly unknown[]): Promise<LogReply<number>>;
+    read(stream: string, fromOffset: number, limit: number, waitMs: number): Promise<LogReply<LogPage>>;
+    getFaults(): LogFaults;
+    updateFaults(faults: Partial<LogFaults>): void;
+    /** Drops all records. Offsets go on, or start again at 0 when `resetsOffsets` is set. */
+    empty(resetsOffsets: boolean): void;
+    /** Appends that the service took, refused ones not counted. */
+    countAppends(): number;
+}
+
+const streamPattern = /^[a-z0-9-]{1,64}$/;
+const maxReadRecords = 1_000;
+const millisecondsPerSecond = 1_000;
+
+/**
+ * Creates the model that the HTTP emulator and the in-memory service share.
+ *
+ * @example
+ * const model = createLogModel(defaultLogModelSettings, timers);
+ * model.updateFaults({ unavailable: true });
+ */
+export function createLogModel(settings: LogModelSettings, timers: TimerService): LogModel {
+    const streams = createLogStreams(settings, timers);
+    const waiting = new Set<() => void>();
+    let faults = noLogFaults;
+    let appends = 0;
+    let allowance = settings.appendsPerSecond;
+    let allowanceTimeMs = timers.now();
+
+    function acquireAppend(): boolean {
+        const nowMs = timers.now();
+        const earned = (nowMs - allowanceTimeMs) * settings.appendsPerSecond / millisecondsPerSecond;
+        allowance = Math.min(settings.appendsPerSecond, allowance + earned);
+        allowanceTimeMs = nowMs;
+        if (allowance < 1) {
+            return false;
+        }
+        allowance--;
+        return true;
+    }
+
+    function wakeReaders() {
+        for (const wake of [...waiting]) {
+            wake();
+        }
+    }
+
+    /** Takes one from a counter of faults. */
+    function takeFault(name: "lostAnswers" | "lostAppends" | "lateAppends" | "duplicatedAppends"): boolean {
+        const isPresent = faults[name] > 0;
+        if (isPresent) {
+            faults = { ...faults, [name]: faults[name] - 1 };
+        }
+        return isPresent;
+    }
+
+    function write(stream: string, values: readonly unknown[]): number {
+        appends++;
+        const offset = streams.append(stream, values);
+        if (takeFault("duplicatedAppends")) {
+            streams.append(stream, values);
+        }
+        wakeReaders();
+        return offset;
+    }
+
+    function checkCall(stream: string): Exclude<LogReply<never>, { kind: LogReplyKind.Answered }> | undefined {
+        if (faults.unresponsive) {
+            return { kind: LogReplyKind.Lost, message: "the service does not answer" };
+        }
+        if (faults.unavailable) {
+            return { kind: LogReplyKind.Unavailable, message: "the service is unavailable" };
+        }
+        if (!streamPattern.test(stream)) {
+            return { kind: LogReplyKind.Refused, message: `invalid stream name "${stream}"` };
+        }
+        return undefined;
+    }
+
+    function waitForAppend(waitMs: number): Promise<void> {
+        return new Promise(resolve => {
+            const timer = timers.schedule(waitMs, wake);
+            function wake() {
+                timer.dispose();
+                waiting.delete(wake);
+                resolve();
+            }
+            waiting.add(wake);
+        });
+    }
+
+    async function answer<Answer>(value: Answer): Promise<LogReply<Answer>> {
+        if (faults.answerDelayMs > 0) {
+            await waitFor(timers, faults.answerDelayMs);
+        }
+        return { kind: LogReplyKind.Answered, answer: value };
+    }
+
+    return {
+        async append(stream, values) {
+            const failure = checkCall(stream);
+            if (failure) {
+                return failure;
+            }
+            if (values.length === 0) {
+                return { kind: LogReplyKind.Refused, message: "expected at least one value" };
+            }
+            if (!acquireAppend()) {
+                return { kind: LogReplyKind.RateLimited, message: "too many appends" };
+            }
+            const lost = { kind: LogReplyKind.Lost, message: "the answer was lost" } as const;
+            if (takeFault("lostAppends")) {
+                return lost;
+            }
+            if (takeFault("lateAppends")) {
+                timers.schedule(faults.lateAppendMs, () => write(stream, values));
+                return lost;
+            }
+            const offset = write(stream, values);
+            return takeFault("lostAnswers") ? lost : answer(offset);
+        },
+        async read(stream, fromOffset, limit, waitMs) {
+            const endMs = timers.now() + waitMs;
+            for (;;) {
+                const failure = checkCall(stream);
+                if (failure) {
+                    return failure;
+                }
+                const page = streams.read(stream, fromOffset, Math.min(limit, maxReadRecords));
+                const remainingMs = endMs - timers.now();
+                if (page.records.length > 0 || remainingMs <= 0) {
+                    return answer(page);
+                }
+                await waitForAppend(remainingMs);
+            }
+        },
+        getFaults: () => faults,
+        updateFaults(changes) {
+            faults = { ...faults, ...changes };
+            wakeReaders();
+        },
+        empty: resetsOffsets => streams.empty(resetsOffsets),
+        countAppends: () => appends,
+    };
+}
--- /dev/null
+++ b/src/emulator/log/logStreams.ts
@@ -0,0 +1,75 @@
+import { TimerService } from "../../base/timerService.js";
+import { LogPage, LogRecord } from "../../ports/logService.js";
+
+/** Limits of the records that a log service keeps. */
+export interface LogRetention {
+    /** Age at which a record expires, in milliseconds. */
+    readonly retentionMs: number;
+    /** Records that each stream keeps. */
+    readonly maxRecords: number;
+}
+
+/** The streams of an emulated log service, without faults. */
+export interface LogStreams {
+    append(stream: string, values: readonly unknown[]): number;
+    read(stream: string, fromOffset: number, limit: number): LogPage;
+    /** Drops all records. Offsets go on, or start again at 0 when `resetsOffsets` is set. */
+    empty(resetsOffsets: boolean): void;
+}
+
+interface Stream {
+    readonly records: LogRecord[];
+    endOffset: number;
+}
+
+/**
+ * Creates empty streams.
+ *
+ * @example
+ * const streams = createLogStreams({ retentionMs: 3_600_000, maxRecords: 100_000 }, timers);
+ * streams.append("config", [{ id: "1" }]); // 0
+ */
+export function createLogStreams(retention: LogRetention, timers: TimerService): LogStreams {
+    const streams = new Map<string, Stream>();
+
+    function open(name: string): Stream {
+        let stream = streams.get(name);
+        if (!stream) {
+            stream = { records: [], endOffset: 0 };
+            streams.set(name, stream);
+        }
+        return stream;
+    }
+
+    function expire(stream: Stream) {
+        const oldestMs = timers.wallNow() - retention.retentionMs;
+        const firstByAge = stream.records.findIndex(record => record.timeMs >= oldestMs);
+        const expiredByAge = firstByAge < 0 ? stream.records.length : firstByAge;
+        stream.records.splice(0, Math.max(expiredByAge, stream.records.length - retention.maxRecords));
+    }
+
+    return {
+        append(name, values) {
+            const stream = open(name);
+            const first = stream.endOffset;
+            for (const value of values) {
+                stream.records.push({ offset: stream.endOffset++, timeMs: timers.wallNow(), value });
+            }
+            expire(stream);
+            return first;
+        },
+        read(name, fromOffset, limit) {
+            const stream = open(name);
+            expire(stream);
+            const firstOffset = stream.records[0]?.offset ?? stream.endOffset;
+            const start = Math.max(0, fromOffset - firstOffset);
+            return { records: stream.records.slice(start, start + limit), firstOffset, endOffset: stream.endOffset };
+        },
+        empty(resetsOffsets) {
+            for (const stream of streams.values()) {
+                stream.records.length = 0;
+                stream.endOffset = resetsOffsets ? 0 : stream.endOffset;
+            }
+        },
+    };
+}
