Complete the emulated engine and add the emulated weight store

The emulated engine had neither a prefix cache, nor commands that take time, nor faults, so that nothing between a sidecar and its engine could be tested. It now has a prefix cache of limited size with late and incomplete events, load reports with a lag, exports and imports that use memory until released, commands with a loading time and fencing tokens that are honoured or ignored by flag, ended streams that stay readable until released or a retention passes, and switches for crash, freeze, slowness, silent connections and a poisoned text under /emulator/.

Figures: the batch keeps its active sequences sorted instead of sorting all sequences at each step. Not checked: the engine does not verify weight tokens.

--- a/src/cli/emulateCommand.ts
+++ b/src/cli/emulateCommand.ts
@@ -1,10 +1,11 @@
 import { CommandModule } from "yargs";
 import { z } from "zod";
 import { createSystemTimerService } from "../base/systemTimerService.js";
-import { startEmulatedEngine } from "../emulator/engine/engineServer.js";
+import { emulatedEngineDefaults, startEmulatedEngine } from "../emulator/engine/engineServer.js";
 import { startEmulatedHostList } from "../emulator/hostListServer.js";
 import { RunningServer } from "../emulator/httpServer.js";
 import { startEmulatedService } from "../emulator/serviceServer.js";
+import { startEmulatedWeightStore } from "../emulator/weightStoreServer.js";
 import { waitForStopSignal } from "./process.js";
 import { parseSettings, portSchema } from "./settings.js";
 
@@ -26,8 +27,18 @@
     prefillTokensPerSecond: z.number().positive(),
     decodeTokensPerSecond: z.number().positive(),
     maxBatch: z.number().int().positive(),
+    cacheTokens: z.number().int().min(0),
+    reportLagMs: z.number().min(0),
+    cacheEventDelayMs: z.number().min(0),
+    cacheEventGapEvery: z.number().int().min(0),
+    loadingMs: z.number().min(0),
+    adapterLoadingMs: z.number().min(0),
+    retentionMs: z.number().min(0),
+    poison: z.string(),
 });
 
+const crashExitCode = 134;
+
 const emulateEngine: CommandModule = {
     command: "engine",
     describe: "run an emulated model engine",
@@ -41,11 +52,31 @@
             "prefill-tokens-per-second": { type: "number", default: 20_000 },
             "decode-tokens-per-second": { type: "number", default: 40, describe: "output rate of one sequence" },
             "max-batch": { type: "number", default: 64 },
+            "cache-tokens": { type: "number", default: emulatedEngineDefaults.cacheTokens },
+            "report-lag-ms": { type: "number", default: emulatedEngineDefaults.reportLagMs },
+            "cache-event-delay-ms": { type: "number", default: emulatedEngineDefaults.cacheEventDelayMs },
+            "cache-event-gap-every": {
+                type: "number",
+                default: emulatedEngineDefaults.cacheEventGapEvery,
+                describe: "every n-th cache event is lost; 0 loses none",
+            },
+            "loading-ms": { type: "number", default: emulatedEngineDefaults.loadingMs, describe: "of a version" },
+            "adapter-loading-ms": { type: "number", default: emulatedEngineDefaults.adapterLoadingMs },
+            "retention-ms": {
+                type: "number",
+                default: emulatedEngineDefaults.retentionMs,
+                describe: "time that an ended stream stays readable",
+            },
+            poison: { type: "string", default: "", describe: "text in a prompt that crashes the engine" },
         }),
     handler: async argv => {
         const settings = parseSettings(engineSchema, argv);
         await serve(
-            await startEmulatedEngine({ ...settings, version: settings.modelVersion }, createSystemTimerService()),
+            await startEmulatedEngine({
+                ...settings,
+                version: settings.modelVersion,
+                exitProcess: () => process.exit(crashExitCode),
+            }, createSystemTimerService()),
         );
     },
 };
@@ -78,10 +109,26 @@
     },
 };
 
+const emulateWeights: CommandModule = {
+    command: "weights",
+    describe: "run an emulated weight store with a rate limit",
+    builder: yargs =>
+        yargs.options({
+            port: portOption,
+            "grants-per-second": { type: "number", default: 2, describe: "permissions to read weights per second" },
+        }),
+    handler: async argv => {
+        const settings = parseSettings(z.object({ port: portSchema, grantsPerSecond: z.number().positive() }), argv);
+        await serve(await startEmulatedWeightStore(settings, createSystemTimerService()));
+    },
+};
+
 /** `jujubelane emulate` */
 export const emulateCommand: CommandModule = {
     command: "emulate",
     describe: "run one of the emulators of outside systems",
-    builder: yargs => yargs.command(emulateEngine).command(emulateService).command(emulateHosts).demandCommand(1),
+    builder: yargs =>
+        yargs.command(emulateEngine).command(emulateService).command(emulateHosts).command(emulateWeights)
+            .demandCommand(1),
     handler: () => undefined,
 };
--- /dev/null
+++ b/src/emulator/engine/engineCore.ts
@@ -0,0 +1,86 @@
+import * as http from "node:http";
+import { makeId } from "../../base/ids.js";
+import { EngineReport } from "../../ports/modelEngine.js";
+import { CacheEvents, CacheEventSettings, createCacheEvents } from "./cacheEvents.js";
+import { createEngineCommands, EngineCommands, EngineCommandSettings } from "./engineCommands.js";
+import { createEngineModel, EngineModel, EngineModelSettings } from "./engineModel.js";
+import { createEngineStreams, EngineStreams } from "./engineStreams.js";
+import { createPrefixCache } from "./prefixCache.js";
+
+/** Settings of one start of an emulated engine. */
+export interface EngineCoreSettings extends EngineModelSettings, EngineCommandSettings, CacheEventSettings {
+    /** Size of the prefix cache. */
+    readonly cacheTokens: number;
+    /** Age that the figures of a load report reach before they are read again, in milliseconds. */
+    readonly reportLagMs: number;
+}
+
+/** Everything that an emulated engine loses when it crashes. */
+export interface EngineCore {
+    readonly incarnation: string;
+    readonly model: EngineModel;
+    readonly commands: EngineCommands;
+    readonly cacheEvents: CacheEvents;
+    readonly streams: EngineStreams;
+    /** Runs the batch up to `nowMs`, slowed down by `slowdown` (1 is full speed). */
+    advance(nowMs: number, slowdown: number): void;
+    makeReport(nowMs: number): EngineReport;
+}
+
+/**
+ * Creates the state of one start of an emulated engine.
+ *
+ * @example
+ * const core = createEngineCore(settings, timers.now(), () => false);
+ */
+export function createEngineCore(
+    settings: EngineCoreSettings,
+    startMs: number,
+    isSilent: (response: http.ServerResponse) => boolean,
+): EngineCore {
+    const incarnation = makeId();
+    const cacheEvents = createCacheEvents(settings);
+    const cache = createPrefixCache(settings.cacheTokens);
+    let lastAdvanceMs = startMs;
+    const model = createEngineModel(settings, cache, changes => cacheEvents.append(changes, lastAdvanceMs));
+    const streams = createEngineStreams(model, isSilent);
+    const commands = createEngineCommands(settings);
+    let figures = readFigures(startMs);
+
+    function readFigures(nowMs: number) {
+        return { readMs: nowMs, usedTokens: model.getUsedTokens(), ...model.countRunning() };
+    }
+
+    return {
+        incarnation,
+        model,
+        commands,
+        cacheEvents,
+        streams,
+        advance(nowMs, slowdown) {
+            const elapsedMs = nowMs - lastAdvanceMs;
+            lastAdvanceMs = nowMs;
+            model.advance(nowMs, elapsedMs / slowdown).forEach(sequence => streams.publish(sequence));
+            if (nowMs - figures.readMs >= settings.reportLagMs) {
+                figures = readFigures(nowMs);
+            }
+        },
+        makeReport(nowMs) {
+            if (settings.reportLagMs === 0) {
+                figures = readFigures(nowMs);
+            }
+            const { usedTokens, running, waiting } = figures;
+            return {
+                model: settings.model,
+                ...commands.get(nowMs),
+                incarnation,
+                memoryTokens: settings.memoryTokens,
+                usedTokens,
+                running,
+                waiting,
+                prefillTokensPerSecond: settings.prefillTokensPerSecond,
+                decodeTokensPerSecond: settings.decodeTokensPerSecond,
+            };
+        },
+    };
+}
--- a/src/emulator/engine/engineModel.ts
+++ b/src/emulator/engine/engineModel.ts
@@ -1,4 +1,5 @@
 import { EngineFinish, EngineUsage } from "../../ports/modelEngine.js";
+import { PrefixCache, PrefixCacheChange } from "./prefixCache.js";
 import { computePromptHash, countTokens, makeOutputToken } from "./tokens.js";
 
 /** Speed and size of an emulated engine. */
@@ -8,12 +9,15 @@
     /** Output tokens per second of one sequence. */
     readonly decodeTokensPerSecond: number;
     readonly maxBatch: number;
+    /** Time that an ended generation stays readable unless it is released, in milliseconds. */
+    readonly retentionMs: number;
 }
 
 /** A generation as submitted. */
 export interface Generation {
     readonly id: string;
     readonly prompt: string;
+    /** Lower numbers run first. */
     readonly priority: number;
     readonly maxOutputTokens: number;
     readonly deadlineMs: number;
@@ -24,75 +28,107 @@
     readonly generation: Generation;
     readonly order: number;
     readonly promptTokens: number;
-    readonly cachedTokens: number;
     readonly promptHash: number;
     readonly output: string[];
+    cachedTokens: number;
     prefilledTokens: number;
     decodeCredit: number;
     admitted: boolean;
     finish: EngineFinish | undefined;
+    endedMs: number;
 }
 
 /** The continuous batching of an emulated engine: pure state, advanced by elapsed time. */
 export interface EngineModel {
     submit(generation: Generation): Sequence;
-    cancel(id: string): boolean;
+    cancel(id: string, nowMs: number): void;
     get(id: string): Sequence | undefined;
+    /** Generations that run, wait, or have ended and are still readable. */
     list(): readonly Sequence[];
+    countRunning(): { readonly running: number; readonly waiting: number };
     /** Forgets an ended generation. */
     release(id: string): void;
     /** Runs the batch for `elapsedMs` and reports sequences that produced tokens or ended. */
     advance(nowMs: number, elapsedMs: number): readonly Sequence[];
+    /** Keeps attention state apart from any generation until it is released. Returns false if it does not fit. */
+    addExport(exportId: string, tokens: number): boolean;
+    listExports(): readonly { readonly exportId: string; readonly tokens: number }[];
+    releaseExport(exportId: string): void;
+    /** Memory of admitted generations and of exports; ended generations keep their text only. */
     getUsedTokens(): number;
     getUsage(sequence: Sequence): EngineUsage;
 }
 
 const millisecondsPerSecond = 1000;
 
+/** Returns the memory that a generation reserves, in tokens. */
+export function computeMemory(generation: Pick<Generation, "maxOutputTokens">, promptTokens: number): number {
+    return promptTokens + generation.maxOutputTokens;
+}
+
 /**
  * Creates the batch of an emulated engine. Prefill capacity is spent in order of priority, then of arrival; decoding
  * advances every prefilled sequence together.
  *
+ * @param recordCache receives changes of the prefix cache
+ *
  * @example
- * const model = createEngineModel({ memoryTokens: 400_000, prefillTokensPerSecond: 20_000, decodeTokensPerSecond: 40, maxBatch: 64 });
+ * const model = createEngineModel(settings, createPrefixCache(100_000), changes => events.append(changes, timers.now()));
  */
-export function createEngineModel(settings: EngineModelSettings): EngineModel {
+export function createEngineModel(
+    settings: EngineModelSettings,
+    cache: PrefixCache,
+    recordCache: (changes: readonly PrefixCacheChange[]) => void,
+): EngineModel {
     const sequences = new Map<string, Sequence>();
+    const ended = new Set<Sequence>();
+    const exports = new Map<string, number>();
+    // Sorted by priority, then arrival; sequences that ended are removed at the next step.
+    let active: Sequence[] = [];
     let nextOrder = 0;
     let usedTokens = 0;
 
     function getMemory(sequence: Sequence) {
-        return sequence.promptTokens + sequence.generation.maxOutputTokens;
+        return computeMemory(sequence.generation, sequence.promptTokens);
     }
 
-    function finish(sequence: Sequence, reason: EngineFinish) {
+    function finish(sequence: Sequence, reason: EngineFinish, nowMs: number) {
         if (sequence.finish === undefined) {
             sequence.finish = reason;
+            sequence.endedMs = nowMs;
+            ended.add(sequence);
             if (sequence.admitted) {
                 usedTokens -= getMemory(sequence);
             }
         }
     }
 
-    function listActive(): Sequence[] {
-        return [...sequences.values()]
-            .filter(sequence => sequence.finish === undefined)
-            .sort((left, right) => left.generation.priority - right.generation.priority || left.order - right.order);
+    function enqueue(sequence: Sequence) {
+        const { priority } = sequence.generation;
+        let index = active.length;
+        while (index > 0 && active[index - 1]!.generation.priority > priority) {
+            index--;
+        }
+        active.splice(index, 0, sequence);
     }
 
-    function admitWaiting(active: readonly Sequence[]) {
-        let batch = active.filter(sequence => sequence.admitted).length;
+    function admitWaiting() {
+        let batch = active.reduce((sum, sequence) => sum + (sequence.admitted ? 1 : 0), 0);
         for (const sequence of active) {
-            const fits = usedTokens + getMemory(sequence) <= settings.memoryTokens;
-            if (!sequence.admitted && batch < settings.maxBatch && fits) {
+            if (batch >= settings.maxBatch) {
+                return;
+            }
+            if (!sequence.admitted && usedTokens + getMemory(sequence) <= settings.memoryTokens) {
                 sequence.admitted = true;
+                // The last token of a prompt is always computed, because it yields the first output token.
+                sequence.cachedTokens = Math.min(cache.find(sequence.generation.prompt), sequence.promptTokens - 1);
                 usedTokens += getMemory(sequence);
                 batch++;
             }
         }
     }
 
-    function prefill(active: readonly Sequence[], elapsedMs: number) {
+    function prefill(elapsedMs: number) {
         let budget = settings.prefillTokensPerSecond * elapsedMs / millisecondsPerSecond;
         for (const sequence of active) {
             const missing = sequence.promptTokens - sequence.cachedTokens - sequence.prefilledTokens;
@@ -103,77 +139,111 @@
                 if (step === missing) {
                     // The prefill yields the first token.
                     sequence.decodeCredit = 1;
+                    recordCache(cache.add(sequence.generation.prompt));
                 }
             }
         }
     }
 
-    function decode(sequence: Sequence, elapsedMs: number): boolean {
-        const done = sequence.prefilledTokens >= sequence.promptTokens - sequence.cachedTokens;
-        if (!sequence.admitted || !done) {
+    function decode(sequence: Sequence, nowMs: number, elapsedMs: number): boolean {
+        const { output, generation } = sequence;
+        if (!sequence.admitted || sequence.prefilledTokens < sequence.promptTokens - sequence.cachedTokens) {
             return false;
         }
-        if (sequence.output.length > 0 || sequence.decodeCredit < 1) {
+        if (output.length > 0 || sequence.decodeCredit < 1) {
             sequence.decodeCredit += settings.decodeTokensPerSecond * elapsedMs / millisecondsPerSecond;
         }
         let produced = false;
-        while (sequence.decodeCredit >= 1 && sequence.output.length < sequence.generation.maxOutputTokens) {
-            sequence.output.push(makeOutputToken(sequence.promptHash, sequence.output.length));
+        while (sequence.decodeCredit >= 1 && output.length < generation.maxOutputTokens) {
+            output.push(makeOutputToken(sequence.promptHash, output.length));
             sequence.decodeCredit -= 1;
             produced = true;
         }
-        if (sequence.output.length >= sequence.generation.maxOutputTokens) {
-            finish(sequence, EngineFinish.Length);
+        if (output.length >= generation.maxOutputTokens) {
+            finish(sequence, EngineFinish.Length, nowMs);
         }
         return produced;
     }
 
+    function expire(nowMs: number): Sequence[] {
+        for (const sequence of ended) {
+            if (nowMs - sequence.endedMs < settings.retentionMs) {
+                break;
+            }
+            ended.delete(sequence);
+            sequences.delete(sequence.generation.id);
+        }
+        const late = active.filter(sequence => sequence.generation.deadlineMs <= nowMs);
+        late.forEach(sequence => finish(sequence, EngineFinish.TimedOut, nowMs));
+        return late;
+    }
+
     return {
         submit(generation) {
             const sequence: Sequence = {
                 generation,
                 order: nextOrder++,
                 promptTokens: countTokens(generation.prompt),
-                cachedTokens: 0,
                 promptHash: computePromptHash(generation.prompt),
                 output: [],
+                cachedTokens: 0,
                 prefilledTokens: 0,
                 decodeCredit: 0,
                 admitted: false,
                 finish: undefined,
+                endedMs: 0,
             };
             sequences.set(generation.id, sequence);
+            enqueue(sequence);
             return sequence;
         },
-        cancel(id) {
+        cancel(id, nowMs) {
             const sequence = sequences.get(id);
-            if (!sequence) {
-                return false;
+            if (sequence) {
+                finish(sequence, EngineFinish.Cancelled, nowMs);
             }
-            finish(sequence, EngineFinish.Cancelled);
-            return true;
         },
         get: id => sequences.get(id),
         list: () => [...sequences.values()],
-        release: id => void sequences.delete(id),
-        advance(nowMs, elapsedMs) {
-            const active = listActive();
-            const changed: Sequence[] = [];
-            for (const sequence of active) {
-                if (sequence.generation.deadlineMs <= nowMs) {
-                    finish(sequence, EngineFinish.TimedOut);
-                    changed.push(sequence);
-                }
+        countRunning() {
+            const current = active.filter(sequence => sequence.finish === undefined);
+            const running = current.filter(sequence => sequence.admitted).length;
+            return { running, waiting: current.length - running };
+        },
+        release(id) {
+            const sequence = sequences.get(id);
+            if (sequence?.finish !== undefined) {
+                sequences.delete(id);
+                ended.delete(sequence);
             }
-            admitWaiting(active.filter(sequence => sequence.finish === undefined));
-            prefill(active, elapsedMs);
+        },
+        advance(nowMs, elapsedMs) {
+            active = active.filter(sequence => sequence.finish === undefined);
+            const changed = expire(nowMs);
+            active = active.filter(sequence => sequence.finish === undefined);
+            admitWaiting();
+            prefill(elapsedMs);
             for (const sequence of active) {
-                if (sequence.finish === undefined && decode(sequence, elapsedMs)) {
+                if (decode(sequence, nowMs, elapsedMs)) {
                     changed.push(sequence);
                 }
             }
             return changed;
         },
+        addExport(exportId, tokens) {
+            const added = tokens - (exports.get(exportId) ?? 0);
+            if (usedTokens + added > settings.memoryTokens) {
+                return false;
+            }
+            exports.set(exportId, tokens);
+            usedTokens += added;
+            return true;
+        },
+        listExports: () => [...exports].map(([exportId, tokens]) => ({ exportId, tokens })),
+        releaseExport(exportId) {
+            usedTokens -= exports.get(exportId) ?? 0;
+            exports.delete(exportId);
+        },
         getUsedTokens: () => usedTokens,
         getUsage: sequence => ({
             promptTokens: sequence.promptTokens,
--- a/src/emulator/engine/engineServer.ts
+++ b/src/emulator/engine/engineServer.ts
@@ -1,213 +1,131 @@
 import * as http from "node:http";
-import { makeId } from "../../base/ids.js";
 import { TimerService } from "../../base/timerService.js";
-import { EngineCommand, EngineCommandResultKind, EngineReport } from "../../ports/modelEngine.js";
-import { readBody, RunningServer, sendJson, startHttpServer } from "../httpServer.js";
-import { createEngineModel, EngineModelSettings, Sequence } from "./engineModel.js";
+import { readJson, RunningServer, sendJson, startHttpServer } from "../httpServer.js";
+import { createEngineCore, EngineCoreSettings } from "./engineCore.js";
+import { createEngineFaults, EngineFaults, FaultChange } from "./engineFaults.js";
+import { createEngineRoutes } from "./engineRoutes.js";
 
-/** Settings of an emulated engine. */
-export interface EmulatedEngineSettings extends EngineModelSettings {
+/** Settings of an emulated engine that have a default. */
+export const emulatedEngineDefaults = {
+    retentionMs: 60_000,
+    loadingMs: 200,
+    adapterLoadingMs: 50,
+    cacheEventDelayMs: 100,
+    cacheEventGapEvery: 16,
+    cacheTokens: 200_000,
+    reportLagMs: 100,
+    poison: "",
+} as const;
+
+type DefaultedName = keyof typeof emulatedEngineDefaults;
+
+/** All settings of an emulated engine. */
+export interface FullEngineSettings extends EngineCoreSettings {
     readonly port: number;
-    readonly model: string;
-    readonly version: string;
-    readonly checksFencing: boolean;
+    /** Text that crashes the engine when a prompt contains it; empty for none. */
+    readonly poison: string;
+    /** Ends the process on a crash; absent for an engine that is embedded in another process. */
+    readonly exitProcess?: () => void;
 }
 
-/** Body of `POST /v1/completions`. */
-interface CompletionBody {
-    readonly request_id?: string;
-    readonly prompt: string;
-    readonly priority?: number;
-    readonly max_tokens?: number;
-    readonly time_limit_ms?: number;
-}
+/** Settings of an emulated engine. */
+export type EmulatedEngineSettings =
+    & Omit<FullEngineSettings, DefaultedName>
+    & Partial<Pick<FullEngineSettings, DefaultedName>>;
 
 const batchIntervalMs = 5;
-const defaultMaxOutputTokens = 16;
-const defaultTimeLimitMs = 600_000;
 
 /** A running emulated engine. */
 export interface EmulatedEngine extends RunningServer {
     getUsedTokens(): number;
+    readonly faults: EngineFaults;
 }
 
 /**
- * Starts an emulated engine on loopback.
+ * Starts an emulated engine on loopback. `POST /emulator/faults` switches faults and `GET /emulator/state` shows what
+ * the engine holds without the lag of its load report.
  *
  * @example
  * const engine = await startEmulatedEngine(settings, createSystemTimerService());
  */
 export async function startEmulatedEngine(
-    settings: EmulatedEngineSettings,
+    givenSettings: EmulatedEngineSettings,
     timers: TimerService,
 ): Promise<EmulatedEngine> {
-    const model = createEngineModel(settings);
-    const watchers = new Map<string, Set<(sequence: Sequence) => void>>();
-    const incarnation = makeId();
-    let version = settings.version;
-    let newestFencingToken = -1;
-    let lastAdvanceMs = timers.now();
-
-    function notify(sequence: Sequence) {
-        for (const watcher of watchers.get(sequence.generation.id) ?? []) {
-            watcher(sequence);
-        }
-    }
-
+    const settings: FullEngineSettings = { ...emulatedEngineDefaults, ...givenSettings };
+    const createCore = () => createEngineCore(settings, timers.now(), response => faults.isSilent(response));
+    const faults = createEngineFaults(
+        {
+            exitProcess: settings.exitProcess,
+            restart: () => {
+                core = createCore();
+            },
+        },
+        timers,
+        settings.poison,
+    );
+    let core = createCore();
     const batch = timers.subscribe(batchIntervalMs, () => {
-        const nowMs = timers.now();
-        const changed = model.advance(nowMs, nowMs - lastAdvanceMs);
-        lastAdvanceMs = nowMs;
-        changed.forEach(notify);
-    });
-
-    function streamSequence(sequence: Sequence, fromSequence: number, response: http.ServerResponse) {
-        const { id } = sequence.generation;
-        let next = fromSequence;
-        response.writeHead(200, { "content-type": "text/event-stream" });
-
-        function writeNew() {
-            let text = "";
-            for (; next < sequence.output.length; next++) {
-                text += `data: ${
-                    JSON.stringify({ id, sequence: next, choices: [{ text: sequence.output[next] }] })
-                }\n\n`;
-            }
-            if (sequence.finish !== undefined) {
-                const usage = model.getUsage(sequence);
-                text += `data: ${
-                    JSON.stringify({
-                        id,
-                        sequence: sequence.output.length,
-                        choices: [{ text: "", finish_reason: sequence.finish }],
-                        usage: {
-                            prompt_tokens: usage.promptTokens,
-                            cached_tokens: usage.cachedTokens,
-                            completion_tokens: usage.outputTokens,
-                        },
-                    })
-                }\n\ndata: [DONE]\n\n`;
-            }
-            if (text.length > 0) {
-                response.write(text);
-            }
-            if (sequence.finish !== undefined) {
-                response.end();
-                unsubscribe();
-            }
-        }
-
-        const set = watchers.get(id) ?? new Set();
-        watchers.set(id, set);
-        set.add(writeNew);
-        function unsubscribe() {
-            set.delete(writeNew);
-            if (set.size === 0) {
-                watchers.delete(id);
-            }
+        if (!faults.isFrozen()) {
+            core.advance(timers.now(), faults.getSlowdown());
         }
-        response.on("close", unsubscribe);
-        response.flushHeaders();
-        writeNew();
-    }
-
-    async function handleCompletion(request: http.IncomingMessage, response: http.ServerResponse) {
-        const body = JSON.parse((await readBody(request)).toString("utf8")) as CompletionBody;
-        const sequence = model.submit({
-            id: body.request_id ?? makeId(),
-            prompt: body.prompt,
-            priority: body.priority ?? 0,
-            maxOutputTokens: body.max_tokens ?? defaultMaxOutputTokens,
-            deadlineMs: timers.now() + (body.time_limit_ms ?? defaultTimeLimitMs),
-        });
-        streamSequence(sequence, 0, response);
-    }
+    });
 
-    function handleCommand(command: EngineCommand) {
-        if (settings.checksFencing && command.fencingToken < newestFencingToken) {
-            return { kind: EngineCommandResultKind.Stale, newest: newestFencingToken };
-        }
-        newestFencingToken = Math.max(newestFencingToken, command.fencingToken);
-        version = command.version ?? version;
-        return { kind: EngineCommandResultKind.Accepted };
-    }
+    const routes = createEngineRoutes(() => core, settings, faults, timers);
 
-    function makeReport(): EngineReport {
-        const active = model.list().filter(sequence => sequence.finish === undefined);
+    function makeState() {
+        const { model, incarnation } = core;
         return {
-            model: settings.model,
-            version,
-            adapters: [],
-            role: "general",
             incarnation,
-            loading: undefined,
-            memoryTokens: settings.memoryTokens,
             usedTokens: model.getUsedTokens(),
-            running: active.filter(sequence => sequence.admitted).length,
-            waiting: active.filter(sequence => !sequence.admitted).length,
-            prefillTokensPerSecond: settings.prefillTokensPerSecond,
-            decodeTokensPerSecond: settings.decodeTokensPerSecond,
+            requests: model.list().length,
+            exports: model.listExports().length,
+            crashes: faults.countCrashes(),
+            ...core.commands.get(timers.now()),
         };
     }
 
-    async function handle(request: http.IncomingMessage, response: http.ServerResponse) {
-        const url = new URL(request.url ?? "/", "http://engine");
-        const route = `${request.method} ${url.pathname}`;
-        const requestMatch = /^\/v1\/requests\/([^/]+)(\/stream)?$/.exec(url.pathname);
-        if (route === "POST /v1/completions") {
-            await handleCompletion(request, response);
-        }
-        else if (route === "GET /v1/load") {
-            sendJson(response, 200, makeReport());
+    async function handleControl(request: http.IncomingMessage, response: http.ServerResponse, path: string) {
+        if (request.method === "POST" && path === "/emulator/faults") {
+            const change = await readJson<FaultChange>(request);
+            sendJson(response, 200, {});
+            setImmediate(() => faults.apply(change));
         }
-        else if (route === "GET /v1/requests") {
-            sendJson(
-                response,
-                200,
-                model.list().map(sequence => ({
-                    id: sequence.generation.id,
-                    tokens: sequence.output.length,
-                    memoryTokens: sequence.promptTokens + sequence.generation.maxOutputTokens,
-                    ended: sequence.finish !== undefined,
-                })),
-            );
+        else if (request.method === "GET" && path === "/emulator/state") {
+            sendJson(response, 200, makeState());
         }
-        else if (route === "POST /v1/commands") {
-            sendJson(
-                response,
-                200,
-                handleCommand(JSON.parse((await readBody(request)).toString("utf8")) as EngineCommand),
-            );
+        else {
+            sendJson(response, 404, { error: `no route ${request.method} ${path}` });
         }
-        else if (requestMatch && request.method === "DELETE") {
-            const id = decodeURIComponent(requestMatch[1]!);
-            model.cancel(id);
-            const sequence = model.get(id);
-            if (sequence) {
-                notify(sequence);
-            }
-            model.release(id);
-            sendJson(response, 200, {});
+    }
+
+    async function handle(request: http.IncomingMessage, response: http.ServerResponse) {
+        const url = new URL(request.url ?? "/", "http://engine");
+        if (url.pathname.startsWith("/emulator/")) {
+            return handleControl(request, response, url.pathname);
         }
-        else if (requestMatch?.[2] && request.method === "GET") {
-            const sequence = model.get(decodeURIComponent(requestMatch[1]!));
-            if (!sequence) {
-                sendJson(response, 404, { error: "unknown request" });
-                return;
-            }
-            streamSequence(sequence, Number(url.searchParams.get("from") ?? 0), response);
+        await faults.waitUntilRunning();
+        const match = /^(\/v1\/(?:requests|exports))\/([^/]+)(\/stream)?$/.exec(url.pathname);
+        const pattern = match ? `${match[1]}/ID${match[3] ?? ""}` : url.pathname;
+        const respond = routes.get(`${request.method} ${pattern}`);
+        if (faults.isSilent(response)) {
+            return;
         }
-        else {
-            sendJson(response, 404, { error: `no route ${route}` });
+        if (!respond) {
+            sendJson(response, 404, { error: `no route ${request.method} ${url.pathname}` });
+            return;
         }
+        await respond({ request, response, url, id: decodeURIComponent(match?.[2] ?? "") });
     }
 
-    const server = await startHttpServer(settings.port, handle);
+    const server = await startHttpServer(settings.port, handle, socket => faults.registerSocket(socket));
     return {
         ...server,
-        getUsedTokens: () => model.getUsedTokens(),
+        faults,
+        getUsedTokens: () => core.model.getUsedTokens(),
         close: () => {
             batch.dispose();
+            faults.dispose();
             return server.close();
         },
     };
--- a/src/emulator/httpServer.ts
+++ b/src/emulator/httpServer.ts
@@ -1,5 +1,5 @@
 import * as http from "node:http";
-import { AddressInfo } from "node:net";
+import { AddressInfo, Socket } from "node:net";
 
 /** A running HTTP server of a stand-in. */
 export interface RunningServer {
@@ -11,12 +11,15 @@
 /**
  * Starts an HTTP server on loopback. Port 0 takes a free one.
  *
+ * @param handleConnection called with each connection that is accepted
+ *
  * @example
  * const server = await startHttpServer(0, (request, response) => response.end("ok"));
  */
 export async function startHttpServer(
     port: number,
     handle: (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>,
+    handleConnection: (socket: Socket) => void = () => undefined,
 ): Promise<RunningServer> {
     const server = http.createServer((request, response) => {
         handle(request, response).catch((error: unknown) => {
@@ -28,6 +31,7 @@
             }
         });
     });
+    server.on("connection", handleConnection);
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
         server.listen(port, "127.0.0.1", resolve);
@@ -53,6 +57,11 @@
     return Buffer.concat(parts);
 }
 
+/** Reads a request body as JSON. */
+export async function readJson<Body>(request: http.IncomingMessage): Promise<Body> {
+    return JSON.parse((await readBody(request)).toString("utf8")) as Body;
+}
+
 /** Sends a JSON answer. */
 export function sendJson(response: http.ServerResponse, status: number, value: unknown): void {
     const body = JSON.stringify(value ?? null);
