Schedule by rank, caller and length at each endpoint

The sidecar started work in order of arrival, so one flood or one long prompt delayed everybody.

A model of the engine's prefill tells what each lane has been served and how much is still ahead at the engine. The model now stays at a prompt until its first token or twice its expected time.

--- a/src/cli/devCommand.ts
+++ b/src/cli/devCommand.ts
@@ -19,7 +19,7 @@
 import { createEntry } from "../entry/entry.js";
 import { HostState } from "../ports/hostList.js";
 import { chooseLeastConnections } from "../routing/baselinePolicies.js";
-import { createFirstComeScheduler } from "../scheduling/firstComeScheduler.js";
+import { createFairScheduler } from "../scheduling/fairScheduler.js";
 import { createModelRunner, defaultModelRunnerSettings } from "../sidecar/modelRunner.js";
 import { createServiceRunner } from "../sidecar/serviceRunner.js";
 import { createSidecar, Sidecar, SidecarParts } from "../sidecar/sidecar.js";
@@ -67,7 +67,7 @@
 async function startSidecar(endpoint: string, parts: Omit<SidecarParts, "log" | "createScheduler">) {
     const settings = { ...linkDefaults, ...sidecarDefaults, endpoint, place, linkKey };
     const log = createEventLog("sidecar");
-    const sidecar = createSidecar(settings, { ...parts, log, createScheduler: createFirstComeScheduler });
+    const sidecar = createSidecar(settings, { ...parts, log, createScheduler: createFairScheduler });
     const server = net.createServer(socket => sidecar.accept(socket));
     const port = await listen(server, 0, loopback);
     return { sidecar, host: { name: endpoint, place, address: loopback, port, state: HostState.Live } };
@@ -81,7 +81,7 @@
             timers,
         );
         const engine = createHttpModelEngine(emulated.url);
-        const runner = createModelRunner(engine, timers, () => 0, defaultModelRunnerSettings);
+        const runner = createModelRunner(engine, timers, work => work.priority, defaultModelRunnerSettings);
         started.push(await startSidecar(`engine-${index}`, { timers, runner, readReport: () => engine.report() }));
     }
     const service = await startEmulatedService({ port: 0, delayMs: 5 }, timers);
--- a/src/cli/sidecarCommand.ts
+++ b/src/cli/sidecarCommand.ts
@@ -6,6 +6,7 @@
 import { createEventLog } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
 import { createSystemTimerService } from "../base/systemTimerService.js";
+import { createFairScheduler } from "../scheduling/fairScheduler.js";
 import { createFirstComeScheduler } from "../scheduling/firstComeScheduler.js";
 import { createModelRunner, defaultModelRunnerSettings } from "../sidecar/modelRunner.js";
 import { createServiceRunner } from "../sidecar/serviceRunner.js";
@@ -15,6 +16,14 @@
 import { logUnhandledErrors, waitForStopSignal } from "./process.js";
 import { applyLogSetting, durationSchema, logOption, parseSettings, portSchema, urlSchema } from "./settings.js";
 
+/** Names of the schedulers that `--scheduler` selects. */
+enum SchedulerName {
+    Fair = "fair",
+    FirstCome = "first-come",
+}
+
+const schedulers = { [SchedulerName.Fair]: createFairScheduler, [SchedulerName.FirstCome]: createFirstComeScheduler };
+
 const settingsSchema = z.object({
     endpoint: z.string().min(1),
     place: z.string().min(1),
@@ -26,6 +35,7 @@
     heartbeatIntervalMs: durationSchema,
     maxQueuedRequests: z.number().int().positive(),
     maxQueuedBytes: z.number().int().positive(),
+    scheduler: z.enum(SchedulerName),
     log: z.string(),
 }).refine(settings => (settings.engine === undefined) !== (settings.service === undefined), {
     message: "expected exactly one of --engine and --service",
@@ -50,6 +60,11 @@
             "heartbeat-interval-ms": { type: "number", default: linkDefaults.heartbeatIntervalMs },
             "max-queued-requests": { type: "number", default: sidecarDefaults.maxQueuedRequests },
             "max-queued-bytes": { type: "number", default: sidecarDefaults.maxQueuedBytes },
+            scheduler: {
+                choices: Object.values(SchedulerName),
+                default: SchedulerName.Fair,
+                describe: "order of queued work; first-come is a baseline for measurements",
+            },
             log: logOption,
         }),
     handler: async argv => {
@@ -71,15 +86,18 @@
     },
 };
 
-function buildSidecar(settings: SidecarSettings, parsed: Pick<ParsedSettings, "engine" | "service">): Sidecar {
+function buildSidecar(
+    settings: SidecarSettings,
+    parsed: Pick<ParsedSettings, "engine" | "service" | "scheduler">,
+): Sidecar {
     const timers = createSystemTimerService();
     const log = createEventLog("sidecar");
-    const createScheduler = createFirstComeScheduler;
+    const createScheduler = schedulers[parsed.scheduler];
     if (parsed.service !== undefined) {
         const runner = createServiceRunner(createHttpPlainService(parsed.service), timers);
         return createSidecar(settings, { timers, log, runner, createScheduler });
     }
     const engine = createHttpModelEngine(parsed.engine!);
-    const runner = createModelRunner(engine, timers, () => 0, defaultModelRunnerSettings);
+    const runner = createModelRunner(engine, timers, work => work.priority, defaultModelRunnerSettings);
     return createSidecar(settings, { timers, log, runner, createScheduler, readReport: () => engine.report() });
 }
--- a/src/routing/loadReport.ts
+++ b/src/routing/loadReport.ts
@@ -3,6 +3,10 @@
     readonly rank: string;
     readonly queued: number;
     readonly queuedTokens: number;
+    /** Prompt tokens of short prompts that wait or run without a first token. */
+    readonly pendingShortTokens?: number;
+    /** The same for longer prompts. */
+    readonly pendingLongTokens?: number;
 }
 
 /** Load of a sidecar, sent with heartbeats and answers. */
--- /dev/null
+++ b/src/scheduling/callerQueue.ts
@@ -0,0 +1,157 @@
+import { createOrderedHeap, OrderedHeap } from "./orderedHeap.js";
+import { compareArrival, QueueEntry } from "./queueEntry.js";
+
+/** Start-time fair queueing by caller: the next item is of the caller that has received least for its weight. */
+export interface CallerQueue {
+    enqueue(entry: QueueEntry): void;
+    getNext(): QueueEntry | undefined;
+    /** Removes the next entry and charges its cost to its caller. */
+    take(): QueueEntry | undefined;
+    remove(entry: QueueEntry): boolean;
+    /** Adds to what a caller was charged, when the true cost of started work is known. */
+    update(caller: string, costDifference: number): void;
+    getSize(): number;
+    /** Endpoint time of all queued work in milliseconds. */
+    getQueuedMs(): number;
+    /** Prompt tokens of all queued work that the engine has to compute. */
+    getQueuedTokens(): number;
+    /** Endpoint time that is served before a new item of a caller, in milliseconds. */
+    computeAheadMs(caller: string, itemMs: number): number;
+}
+
+interface Flow {
+    readonly caller: string;
+    readonly entries: OrderedHeap<QueueEntry>;
+    /** Virtual time at which the caller's next item starts. */
+    startTag: number;
+    /** Virtual time at which the caller's last started item ends. */
+    finishTag: number;
+    queuedMs: number;
+}
+
+/**
+ * Creates a fair queue.
+ *
+ * @param getWeight weight of a caller; twice the weight receives twice the service
+ *
+ * @example
+ * const queue = createCallerQueue(() => 1);
+ */
+export function createCallerQueue(getWeight: (caller: string) => number): CallerQueue {
+    const flows = new Map<string, Flow>();
+    const backlogged = createOrderedHeap<Flow>((left, right) =>
+        left.startTag - right.startTag || compareArrival(left.entries.getFirst()!, right.entries.getFirst()!)
+    );
+    /** Callers without queued work whose charge still lies ahead of the virtual time. */
+    const idle = createOrderedHeap<Flow>((left, right) => left.finishTag - right.finishTag);
+    let virtualTime = 0;
+    let size = 0;
+    let queuedMs = 0;
+    let queuedTokens = 0;
+
+    function getFlow(caller: string): Flow {
+        let flow = flows.get(caller);
+        if (!flow) {
+            flow = {
+                caller,
+                entries: createOrderedHeap(compareArrival),
+                startTag: virtualTime,
+                finishTag: virtualTime,
+                queuedMs: 0,
+            };
+            flows.set(caller, flow);
+        }
+        return flow;
+    }
+
+    function collectIdle() {
+        for (let flow = idle.getFirst(); flow && flow.finishTag <= virtualTime; flow = idle.getFirst()) {
+            idle.remove(flow);
+            flows.delete(flow.caller);
+        }
+    }
+
+    function releaseEntry(flow: Flow, entry: QueueEntry) {
+        // The heap of callers compares first entries, so the caller leaves it while its entries change.
+        backlogged.remove(flow);
+        flow.entries.remove(entry);
+        flow.queuedMs -= entry.endpointMs;
+        size--;
+        queuedTokens -= entry.prefillTokens;
+        // Sums of fractions drift; an empty queue is exactly zero.
+        queuedMs = size === 0 ? 0 : queuedMs - entry.endpointMs;
+    }
+
+    function restore(flow: Flow) {
+        (flow.entries.getSize() > 0 ? backlogged : idle).enqueue(flow);
+        collectIdle();
+    }
+
+    return {
+        enqueue(entry) {
+            const flow = getFlow(entry.item.caller);
+            idle.remove(flow);
+            if (!backlogged.remove(flow)) {
+                flow.startTag = Math.max(virtualTime, flow.finishTag);
+            }
+            flow.entries.enqueue(entry);
+            flow.queuedMs += entry.endpointMs;
+            size++;
+            queuedMs += entry.endpointMs;
+            queuedTokens += entry.prefillTokens;
+            backlogged.enqueue(flow);
+        },
+        getNext: () => backlogged.getFirst()?.entries.getFirst(),
+        take() {
+            const flow = backlogged.getFirst();
+            const entry = flow?.entries.getFirst();
+            if (!flow || !entry) {
+                return undefined;
+            }
+            releaseEntry(flow, entry);
+            virtualTime = Math.max(virtualTime, flow.startTag);
+            flow.finishTag = flow.startTag + entry.cost / getWeight(flow.caller);
+            flow.startTag = flow.finishTag;
+            restore(flow);
+            return entry;
+        },
+        remove(entry) {
+            const flow = flows.get(entry.item.caller);
+            if (!flow?.entries.has(entry)) {
+                return false;
+            }
+            releaseEntry(flow, entry);
+            restore(flow);
+            return true;
+        },
+        update(caller, costDifference) {
+            const flow = flows.get(caller);
+            if (!flow) {
+                return;
+            }
+            flow.finishTag += costDifference / getWeight(caller);
+            if (backlogged.has(flow)) {
+                flow.startTag = Math.max(virtualTime, flow.finishTag);
+                backlogged.update(flow);
+            }
+            else {
+                idle.update(flow);
+            }
+        },
+        getSize: () => size,
+        getQueuedMs: () => queuedMs,
+        getQueuedTokens: () => queuedTokens,
+        computeAheadMs(caller, itemMs) {
+            const weight = getWeight(caller);
+            const ownMs = flows.get(caller)?.queuedMs ?? 0;
+            let aheadMs = ownMs;
+            // While this caller's backlog is served, each other one receives as much for its weight.
+            for (const flow of backlogged.list()) {
+                if (flow.caller !== caller) {
+                    aheadMs += Math.min(flow.queuedMs, (ownMs + itemMs) * getWeight(flow.caller) / weight);
+                }
+            }
+            return aheadMs;
+        },
+    };
+}
--- /dev/null
+++ b/src/scheduling/fairScheduler.ts
@@ -0,0 +1,406 @@
+import { ErrorCode } from "../base/requestError.js";
+import { predictWaitMs } from "./admissionEstimate.js";
+import { createBacklog } from "./backlog.js";
+import { CallerQueue, createCallerQueue } from "./callerQueue.js";
+import { computeLengthClass, LengthClass, lengthClassCount } from "./lengthClass.js";
+import { createMemoryLedger, MemoryCheck } from "./memoryLedger.js";
+import { createOrderedHeap } from "./orderedHeap.js";
+import { computeLane, createPrefillModel } from "./prefillModel.js";
+import { QueueEntry } from "./queueEntry.js";
+import { AdmitDecision, AdmitKind, RankPolicy, Scheduler, SchedulerPolicy, WorkItem } from "./scheduler.js";
+import { createServiceEstimate } from "./serviceEstimate.js";
+import { createServiceShares } from "./serviceShares.js";
+
+/**
+ * Prefill that the engine is given ahead of an item of the same priority, in milliseconds at the measured rate. It
+ * covers the time in which the next start reaches the engine; more would let the engine's order replace this queue's.
+ */
+const prefillAheadMs = 100;
+/** Part of a rank's queue whose service is waited for before a dropped request comes back. */
+const retryQueuePart = 0.1;
+const minRetryAfterMs = 1_000;
+/** Long prompts queued beside which the endpoint still asks for more. */
+const maxWaitingLongPrompts = 2;
+const millisecondsPerSecond = 1000;
+
+interface RunningEntry {
+    readonly entry: QueueEntry;
+    readonly startedMs: number;
+}
+
+/** State of one pass over the lanes. */
+interface StartPass {
+    readonly nowMs: number;
+    readonly started: WorkItem[];
+    /** Memory held for the first item in order that did not fit. */
+    heldTokens: number;
+}
+
+/** What a lane may ignore because it is owed service. */
+enum Precedence {
+    None = 0,
+    /** Goes before shorter prompts of its rank. */
+    Lane = 1,
+    /** Goes before more urgent ranks. */
+    Rank = 2,
+}
+
+/**
+ * Creates the scheduler of an endpoint under load: ranks in strict order of urgency with guaranteed shares, fair queueing
+ * by caller inside a rank and length class, memory reserved before the start, and admission against the time limit.
+ *
+ * @example
+ * const scheduler = createFairScheduler(policy);
+ * scheduler.admit(item, nowMs);
+ * const started = scheduler.takeNext(nowMs);
+ */
+export function createFairScheduler(initialPolicy: SchedulerPolicy): Scheduler {
+    let policy = initialPolicy;
+    let ranks: readonly RankPolicy[] = [];
+    let rankIndexes = new Map<string, number>();
+    let lanes: CallerQueue[] = [];
+    let backlog = createBacklog(initialPolicy);
+    const queued = new Map<string, QueueEntry>();
+    const running = new Map<string, RunningEntry>();
+    const expiring = createOrderedHeap<QueueEntry>((left, right) => left.latestStartMs - right.latestStartMs);
+    const prefill = createPrefillModel();
+    const shares = createServiceShares();
+    const ledger = createMemoryLedger();
+    const estimate = createServiceEstimate();
+    let nextOrder = 0;
+    let runningSuspects = 0;
+
+    const getWeight = (caller: string) => Math.max(Number.EPSILON, policy.getWeight?.(caller) ?? 1);
+    const hasBacklog = (lane: number) => (lanes[lane]?.getSize() ?? 0) > 0 || prefill.countLane(lane) > 0;
+
+    function getRankIndex(rank: string): number {
+        // A rank that is not configured here yet counts as the least urgent.
+        return rankIndexes.get(rank) ?? Math.max(0, ranks.length - 1);
+    }
+
+    function makeEntry(item: WorkItem, order: number): QueueEntry {
+        const prefillTokens = Math.max(0, item.promptTokens - item.cachedTokens);
+        const { prefillMs, outputMs, endpointMs } = estimate.compute(item, policy.capacity);
+        return {
+            item,
+            order,
+            rankIndex: getRankIndex(item.rank),
+            lengthClass: policy.isSuspect?.(item.fingerprint) ? LengthClass.Suspect : computeLengthClass(prefillTokens),
+            cost: policy.cost(item),
+            prefillTokens,
+            reservedTokens: item.promptTokens + item.maxOutputTokens,
+            endpointMs,
+            latestStartMs: item.deadlineMs - prefillMs - outputMs,
+        };
+    }
+
+    function enqueue(entry: QueueEntry) {
+        queued.set(entry.item.id, entry);
+        lanes[computeLane(entry)]!.enqueue(entry);
+        backlog.enqueue(entry);
+        expiring.enqueue(entry);
+    }
+
+    function removeQueued(entry: QueueEntry) {
+        queued.delete(entry.item.id);
+        lanes[computeLane(entry)]!.remove(entry);
+        backlog.remove(entry);
+        expiring.remove(entry);
+    }
+
+    function applyRanks(next: readonly RankPolicy[]) {
+        ranks = [...next].sort((left, right) => left.urgency - right.urgency);
+        rankIndexes = new Map(ranks.map((rank, index) => [rank.name, index]));
+        const laneCount = Math.max(1, ranks.length) * lengthClassCount;
+        const entries = [...queued.values()];
+        lanes = Array.from({ length: laneCount }, () => createCallerQueue(getWeight));
+        backlog = createBacklog(policy);
+        expiring.list().slice().forEach(entry => expiring.remove(entry));
+        queued.clear();
+        backlog.update(policy, ranks.length);
+        entries.forEach(entry => enqueue(makeEntry(entry.item, entry.order)));
+    }
+
+    function applyPolicy(next: SchedulerPolicy) {
+        const isChanged = JSON.stringify(next.ranks) !== JSON.stringify(policy.ranks) || lanes.length === 0;
+        policy = next;
+        if (isChanged) {
+            applyRanks(next.ranks);
+        }
+        backlog.update(policy, ranks.length);
+        ledger.update(policy.capacity, lanes.length);
+        shares.update(ranks, policy.capacity.prefillTokensPerSecond);
+    }
+
+    function advance(nowMs: number) {
+        prefill.advance(nowMs, policy.capacity.prefillTokensPerSecond, (lane, tokens) => {
+            if (tokens > 0) {
+                shares.record(lane, tokens, hasBacklog);
+            }
+        });
+        shares.advance(nowMs, hasBacklog);
+        ledger.advance(nowMs);
+    }
+
+    function predictWait(entry: QueueEntry): number {
+        const { prefillTokensPerSecond } = policy.capacity;
+        return predictWaitMs(entry, { lanes, ranks, shares, prefill, prefillTokensPerSecond });
+    }
+
+    function computeRetryAfterMs(rankIndex: number): number {
+        const first = rankIndex * lengthClassCount;
+        const queuedMs = lanes.slice(first, first + lengthClassCount).reduce(
+            (sum, lane) => sum + lane.getQueuedMs(),
+            0,
+        );
+        return Math.max(minRetryAfterMs, Math.ceil(queuedMs * retryQueuePart));
+    }
+
+    function checkLimits(entry: QueueEntry, nowMs: number): AdmitDecision | undefined {
+        const largest = ledger.getLargestReservation(entry.lengthClass);
+        if (entry.reservedTokens > largest) {
+            return {
+                kind: AdmitKind.Refused,
+                code: ErrorCode.PromptTooLarge,
+                message: "the prompt and its output exceed the endpoint's memory",
+                largestPromptTokens: Math.max(0, largest - entry.item.maxOutputTokens),
+            };
+        }
+        if (entry.latestStartMs < nowMs) {
+            const message = "the time limit is shorter than the request takes on an idle endpoint";
+            return { kind: AdmitKind.Refused, code: ErrorCode.TimedOut, message };
+        }
+        const lateMs = nowMs + predictWait(entry) - entry.latestStartMs;
+        if (lateMs > 0) {
+            return {
+                kind: AdmitKind.Refused,
+                code: ErrorCode.Overloaded,
+                message: "the time limit cannot be met behind the work in the queue",
+                retryAfterMs: Math.max(minRetryAfterMs, Math.ceil(lateMs)),
+            };
+        }
+        return undefined;
+    }
+
+    /** Removes entries until the queue is within its bounds, or puts all back and returns none if `entry` is due itself. */
+    function drop(entry: QueueEntry): readonly QueueEntry[] | undefined {
+        const dropped: QueueEntry[] = [];
+        while (!backlog.hasRoom()) {
+            const victim = backlog.pickVictim() ?? entry;
+            removeQueued(victim);
+            if (victim === entry) {
+                dropped.forEach(enqueue);
+                return undefined;
+            }
+            dropped.push(victim);
+        }
+        return dropped;
+    }
+
+    function admit(item: WorkItem, nowMs: number): AdmitDecision {
+        advance(nowMs);
+        const entry = makeEntry(item, nextOrder++);
+        const refusal = checkLimits(entry, nowMs);
+        if (refusal) {
+            return refusal;
+        }
+        enqueue(entry);
+        const dropped = drop(entry);
+        if (!dropped) {
+            return {
+                kind: AdmitKind.Refused,
+                code: ErrorCode.Overloaded,
+                message: "the endpoint's queue is full",
+                retryAfterMs: computeRetryAfterMs(entry.rankIndex),
+            };
+        }
+        let position = -1;
+        for (let rankIndex = 0; rankIndex <= entry.rankIndex; rankIndex++) {
+            position += backlog.getRankSize(rankIndex);
+        }
+        const droppedRank = dropped[0]?.rankIndex;
+        return {
+            kind: AdmitKind.Queued,
+            position,
+            dropped: dropped.map(({ item }) => item),
+            droppedRetryAfterMs: droppedRank === undefined ? undefined : computeRetryAfterMs(droppedRank),
+        };
+    }
+
+    function hasPrefillRoom(entry: QueueEntry, precedence: Precedence): boolean {
+        const lane = computeLane(entry);
+        const firstLane = entry.rankIndex * lengthClassCount;
+        const from = { [Precedence.None]: 0, [Precedence.Lane]: lane, [Precedence.Rank]: firstLane }[precedence];
+        const limitTokens = policy.capacity.prefillTokensPerSecond * prefillAheadMs / millisecondsPerSecond;
+        if (entry.lengthClass === LengthClass.Long) {
+            // One long prefill at a time in a rank and those above: the engine computes one after the other anyway.
+            for (let other = lane; other >= from; other -= lengthClassCount) {
+                if (prefill.countLane(other) > 0) {
+                    return false;
+                }
+            }
+        }
+        return prefill.computePendingTokens(from, lane) < Math.max(1, limitTokens);
+    }
+
+    function startLane(lane: number, precedence: Precedence, pass: StartPass) {
+        const queue = lanes[lane]!;
+        for (let entry = queue.getNext(); entry; entry = queue.getNext()) {
+            const isSuspectLane = entry.lengthClass === LengthClass.Suspect;
+            if (!hasPrefillRoom(entry, precedence) || (isSuspectLane && runningSuspects > 0)) {
+                return;
+            }
+            const check = ledger.check(entry, pass.heldTokens, precedence !== Precedence.None);
+            if (check !== MemoryCheck.Fits) {
+                if (check === MemoryCheck.Full && pass.heldTokens === 0) {
+                    pass.heldTokens = entry.reservedTokens;
+                }
+                return;
+            }
+            if (!isSuspectLane && policy.isSuspect?.(entry.item.fingerprint)) {
+                // It became a suspect while it waited.
+                removeQueued(entry);
+                enqueue({ ...entry, lengthClass: LengthClass.Suspect });
+                continue;
+            }
+            queue.take();
+            queued.delete(entry.item.id);
+            backlog.remove(entry);
+            expiring.remove(entry);
+            start(entry, pass);
+        }
+    }
+
+    function start(entry: QueueEntry, pass: StartPass) {
+        ledger.reserve(entry);
+        prefill.record(entry);
+        runningSuspects += entry.lengthClass === LengthClass.Suspect ? 1 : 0;
+        running.set(entry.item.id, { entry, startedMs: pass.nowMs });
+        pass.started.push(entry.item);
+    }
+
+    /** Starts what a rank may start; lanes that are owed service come first and hold back the shorter ones. */
+    function startRank(rankIndex: number, precedence: Precedence, pass: StartPass) {
+        const first = rankIndex * lengthClassCount;
+        let barrier = first;
+        for (let lane = first; lane < first + lengthClassCount; lane++) {
+            if (shares.isLaneOwed(lane)) {
+                startLane(lane, Math.max(precedence, Precedence.Lane), pass);
+                barrier = prefill.hasUnfinished(lane) ? lane : barrier;
+            }
+        }
+        for (let lane = barrier; lane < first + lengthClassCount; lane++) {
+            startLane(lane, precedence, pass);
+        }
+    }
+
+    function hasUnfinishedRank(rankIndex: number): boolean {
+        const first = rankIndex * lengthClassCount;
+        for (let lane = first; lane < first + lengthClassCount; lane++) {
+            if (prefill.hasUnfinished(lane)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    function takeNext(nowMs: number): readonly WorkItem[] {
+        advance(nowMs);
+        const pass: StartPass = { nowMs, started: [], heldTokens: 0 };
+        const rankCount = lanes.length / lengthClassCount;
+        let barrier = 0;
+        for (let rankIndex = 0; rankIndex < rankCount; rankIndex++) {
+            if (shares.isRankOwed(rankIndex)) {
+                startRank(rankIndex, Precedence.Rank, pass);
+                barrier = hasUnfinishedRank(rankIndex) ? rankIndex : barrier;
+            }
+        }
+        // More urgent work waits while the engine pays a rank what it is owed; the engine would run it first.
+        for (let rankIndex = barrier; rankIndex < rankCount; rankIndex++) {
+            startRank(rankIndex, Precedence.None, pass);
+        }
+        return pass.started;
+    }
+
+    function complete(id: string, outputTokens: number, nowMs: number) {
+        const found = running.get(id);
+        if (!found) {
+            return;
+        }
+        advance(nowMs);
+        const { entry, startedMs } = found;
+        const lane = computeLane(entry);
+        running.delete(id);
+        prefill.release(id);
+        ledger.release(entry);
+        runningSuspects -= entry.lengthClass === LengthClass.Suspect ? 1 : 0;
+        estimate.record(entry.item, outputTokens, nowMs - startedMs);
+        if (outputTokens > 0) {
+            shares.record(lane, outputTokens, hasBacklog);
+        }
+        const trueCost = policy.cost({ ...entry.item, maxOutputTokens: outputTokens });
+        lanes[lane]?.update(entry.item.caller, trueCost - entry.cost);
+    }
+
+    applyPolicy(initialPolicy);
+
+    return {
+        admit,
+        takeNext,
+        markFirstToken(id, nowMs) {
+            const found = running.get(id);
+            if (found) {
+                advance(nowMs);
+                const tokens = prefill.release(id);
+                if (tokens > 0) {
+                    shares.record(computeLane(found.entry), tokens, hasBacklog);
+                }
+            }
+        },
+        complete,
+        remove(id) {
+            const entry = queued.get(id);
+            if (entry) {
+                removeQueued(entry);
+            }
+            return entry !== undefined;
+        },
+        expire(nowMs) {
+            const expired: WorkItem[] = [];
+            for (let entry = expiring.getFirst(); entry && entry.latestStartMs < nowMs; entry = expiring.getFirst()) {
+                removeQueued(entry);
+                expired.push(entry.item);
+            }
+            return expired;
+        },
+        update: applyPolicy,
+        getPriority: item => computeLane(running.get(item.id)?.entry ?? makeEntry(item, 0)),
+        report() {
+            const tokens = (fromLane: number, throughLane: number) => {
+                const waiting = lanes.slice(fromLane, throughLane + 1)
+                    .reduce((sum, lane) => sum + lane.getQueuedTokens(), 0);
+                return Math.round(waiting + prefill.computePendingTokens(fromLane, throughLane));
+            };
+            const longWaiting = lanes.filter((queue, lane) => lane % lengthClassCount === Number(LengthClass.Long))
+                .reduce((sum, queue) => sum + queue.getSize(), 0);
+            return {
+                running: ledger.getRunning(),
+                queued: backlog.getSize(),
+                queuedBytes: backlog.getBytes(),
+                pendingPrefillTokens: tokens(0, lanes.length - 1),
+                reservedTokens: ledger.getReservedTokens(),
+                ranks: ranks.map((rank, rankIndex) => {
+                    const first = rankIndex * lengthClassCount;
+                    return {
+                        rank: rank.name,
+                        queued: backlog.getRankSize(rankIndex),
+                        queuedTokens: backlog.getRankTokens(rankIndex),
+                        pendingShortTokens: tokens(first, first),
+                        pendingLongTokens: tokens(first + 1, first + lengthClassCount - 1),
+                    };
+                }),
+                acceptsLongPrompts: longWaiting < maxWaitingLongPrompts,
+            };
+        },
+    };
+}
--- a/src/scheduling/firstComeScheduler.ts
+++ b/src/scheduling/firstComeScheduler.ts
@@ -85,6 +85,7 @@
         update(next) {
             policy = next;
         },
+        getPriority: () => 0,
         report() {
             const pending = [...queue, ...[...prefilling].map(id => running.get(id)!)];
             return {
--- /dev/null
+++ b/src/scheduling/index.ts
@@ -0,0 +1,5 @@
+/** Decisions about the order of work at one endpoint. */
+export { createFairScheduler } from "./fairScheduler.js";
+export { createFirstComeScheduler } from "./firstComeScheduler.js";
+export { computeLengthClass, LengthClass, mediumPromptTokens, shortPromptTokens } from "./lengthClass.js";
+export * from "./scheduler.js";
--- /dev/null
+++ b/src/scheduling/prefillModel.ts
@@ -0,0 +1,126 @@
+import { lengthClassCount } from "./lengthClass.js";
+import { createOrderedHeap } from "./orderedHeap.js";
+import { QueueEntry } from "./queueEntry.js";
+
+/** Receives the tokens that a lane has been served. */
+export type ServedHandler = (lane: number, tokens: number) => void;
+
+/**
+ * Prefill of started work as the engine runs it: by priority, then by start, at the engine's measured rate. The engine
+ * shows only the first token; the model shows what is still ahead of an item and what each lane has received.
+ */
+export interface PrefillModel {
+    /** Moves the model to `nowMs` and reports the tokens that lanes received meanwhile. */
+    advance(nowMs: number, tokensPerSecond: number, handleServed: ServedHandler): void;
+    record(entry: QueueEntry): void;
+    /** The prefill is over, by the first token or the end. Returns the tokens that the model had not counted yet. */
+    release(id: string): number;
+    /** Tokens not yet computed of a range of lanes, both ends included. */
+    computePendingTokens(fromLane: number, throughLane: number): number;
+    /** Started items of a lane without a first token. */
+    countLane(lane: number): number;
+    /** Whether the engine still has prefill to do for the lane, by the model. */
+    hasUnfinished(lane: number): boolean;
+}
+
+interface RunningPrefill {
+    readonly entry: QueueEntry;
+    readonly order: number;
+    /** Tokens that are not counted as served yet. */
+    remainingTokens: number;
+    /** What the engine could have computed since it reached this prompt, in tokens. */
+    spentTokens: number;
+}
+
+/** Lane of an entry: rank by rank, in each rank by length class. It is the entry's priority at the engine. */
+export function computeLane(entry: Pick<QueueEntry, "rankIndex" | "lengthClass">): number {
+    return entry.rankIndex * lengthClassCount + entry.lengthClass;
+}
+
+const millisecondsPerSecond = 1000;
+/** Part of a prompt that counts as pending until its first token, whatever the model says. */
+const minPendingShare = 0.1;
+/** Multiple of the expected prefill time after which the model passes on from a prompt without a first token. */
+const maxOverrun = 2;
+
+/** Creates the model without running work. */
+export function createPrefillModel(): PrefillModel {
+    const running = new Map<string, RunningPrefill>();
+    const laneTokens: number[] = [];
+    const laneCounts: number[] = [];
+    const unfinishedCounts: number[] = [];
+    const unfinished = createOrderedHeap<RunningPrefill>((left, right) =>
+        computeLane(left.entry) - computeLane(right.entry) || left.order - right.order
+    );
+    let nextOrder = 0;
+    let lastMs: number | undefined;
+
+    function addTokens(lane: number, tokens: number) {
+        laneTokens[lane] = Math.max(0, (laneTokens[lane] ?? 0) + tokens);
+    }
+
+    function removeUnfinished(prefill: RunningPrefill) {
+        if (unfinished.remove(prefill)) {
+            unfinishedCounts[computeLane(prefill.entry)]!--;
+        }
+    }
+
+    /** Moves one prefill and returns the tokens of `budget` that are left for those behind it. */
+    function advanceFirst(first: RunningPrefill, budget: number, handleServed: ServedHandler): number {
+        const lane = computeLane(first.entry);
+        const step = Math.min(budget, Math.max(0, first.remainingTokens - first.entry.prefillTokens * minPendingShare));
+        first.remainingTokens -= step;
+        first.spentTokens += budget;
+        addTokens(lane, -step);
+        handleServed(lane, step);
+        // Until its first token comes, the engine is still at this prompt; the model does not pass on to the next. An
+        // engine that does not answer within this factor must not stop the model.
+        const left = first.spentTokens - first.entry.prefillTokens * maxOverrun;
+        if (left >= 0) {
+            removeUnfinished(first);
+            return Math.min(budget, left);
+        }
+        return 0;
+    }
+
+    return {
+        advance(nowMs, tokensPerSecond, handleServed) {
+            let budget = Math.max(0, nowMs - (lastMs ?? nowMs)) * tokensPerSecond / millisecondsPerSecond;
+            lastMs = nowMs;
+            for (let first = unfinished.getFirst(); first && budget > 0; first = unfinished.getFirst()) {
+                budget = advanceFirst(first, budget, handleServed);
+            }
+        },
+        record(entry) {
+            const prefill = { entry, order: nextOrder++, remainingTokens: entry.prefillTokens, spentTokens: 0 };
+            const lane = computeLane(entry);
+            running.set(entry.item.id, prefill);
+            unfinished.enqueue(prefill);
+            addTokens(lane, entry.prefillTokens);
+            laneCounts[lane] = (laneCounts[lane] ?? 0) + 1;
+            unfinishedCounts[lane] = (unfinishedCounts[lane] ?? 0) + 1;
+        },
+        release(id) {
+            const prefill = running.get(id);
+            if (!prefill) {
+                return 0;
+            }
+            const lane = computeLane(prefill.entry);
+            running.delete(id);
+            removeUnfinished(prefill);
+            laneCounts[lane] = laneCounts[lane]! - 1;
+            // Sums of fractions drift; an empty lane is exactly zero.
+            laneTokens[lane] = laneCounts[lane] === 0 ? 0 : Math.max(0, laneTokens[lane]! - prefill.remainingTokens);
+            return prefill.remainingTokens;
+        },
+        computePendingTokens(fromLane, throughLane) {
+            let sum = 0;
+            for (let lane = fromLane; lane <= throughLane; lane++) {
+                sum += laneTokens[lane] ?? 0;
+            }
+            return sum;
+        },
+        countLane: lane => laneCounts[lane] ?? 0,
+        hasUnfinished: lane => (unfinishedCounts[lane] ?? 0) > 0,
+    };
+}
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -32,6 +32,8 @@
         readonly position: number;
         /** Items that were removed from the queue to make room; they have not run. */
         readonly dropped: readonly WorkItem[];
+        /** When a dropped item is likely to be admitted again, in milliseconds from now. */
+        readonly droppedRetryAfterMs?: number;
     }
     | {
         readonly kind: AdmitKind.Refused;
@@ -88,6 +90,8 @@
     expire(nowMs: number): readonly WorkItem[];
     /** Replaces ranks, cost and capacity, as the configuration or the engine's report changes. */
     update(policy: SchedulerPolicy): void;
+    /** Priority of an item at the engine; lower numbers run first. */
+    getPriority(item: WorkItem): number;
     report(): SchedulerReport;
 }
 
@@ -96,6 +100,10 @@
     readonly ranks: readonly RankPolicy[];
     readonly capacity: EndpointCapacity;
     readonly cost: CostFunction;
+    /** Weight of a caller in fair queueing; 1 for all when absent. */
+    readonly getWeight?: (caller: string) => number;
+    /** Whether a request with this fingerprint ran beside a crash; suspects run one at a time. */
+    readonly isSuspect?: (fingerprint: string) => boolean;
     readonly maxQueuedRequests: number;
     readonly maxQueuedBytes: number;
 }
--- a/src/sidecar/schedulerPolicy.ts
+++ b/src/sidecar/schedulerPolicy.ts
@@ -33,6 +33,7 @@
             maxRunning: endpoint?.maxRunning ?? defaultMaxRunning,
         },
         cost: buildCostFunction(configuration),
+        getWeight: caller => configuration?.objects.callers[caller]?.weight ?? 1,
         maxQueuedRequests: settings.maxQueuedRequests,
         maxQueuedBytes: settings.maxQueuedBytes,
     };
--- a/src/sidecar/work.ts
+++ b/src/sidecar/work.ts
@@ -16,6 +16,8 @@
     /** Key of the session that owns the request. */
     readonly session: string;
     state: WorkState;
+    /** Priority at the engine, set at the start; lower numbers run first. */
+    priority: number;
     /** Output so far, kept for a resume on another connection until the entry acknowledges the end. */
     readonly output: string[];
     /** Messages that ended the request, for a resume. */
--- a/src/sidecar/workTable.ts
+++ b/src/sidecar/workTable.ts
@@ -14,6 +14,7 @@
 export interface DispatchRefusal {
     readonly code: ErrorCode;
     readonly message: string;
+    readonly retryAfterMs?: number;
 }
 
 /** What a work table is built from. */
@@ -96,6 +97,7 @@
             item,
             session,
             state: WorkState.Queued,
+            priority: 0,
             output: [],
             final: [],
             run: undefined,
@@ -104,7 +106,8 @@
         const { rank, caller } = item;
         log(LogEvent.WorkQueued, { request: item.id, rank, caller, position: decision.position });
         for (const dropped of decision.dropped) {
-            refuseQueued(dropped, { code: ErrorCode.Overloaded, message: "dropped from a full queue" });
+            const retryAfterMs = decision.droppedRetryAfterMs;
+            refuseQueued(dropped, { code: ErrorCode.Overloaded, message: "dropped from a full queue", retryAfterMs });
         }
         startWork();
     }
@@ -128,6 +131,7 @@
             work.state = WorkState.Running;
             const waitedMs = timers.now() - item.arrivedMs;
             log(LogEvent.WorkStarted, { request: item.id, rank: item.rank, caller: item.caller, waitedMs });
+            work.priority = scheduler.getPriority(item);
             work.run = parts.runner(work, parts.makeListener(work));
         }
     }
@@ -136,12 +140,13 @@
         if (work.state !== WorkState.Running) {
             return;
         }
-        if (work.output.length === 0) {
-            scheduler.markFirstToken(work.item.id, timers.now());
-        }
         const sequence = work.output.length;
         work.output.push(...items);
         send(work.session, { type: LinkMessageType.Chunk, request: work.item.id, sequence, items });
+        if (sequence === 0) {
+            scheduler.markFirstToken(work.item.id, timers.now());
+            startWork();
+        }
     }
 
     function handleEnd(work: Work, messages: readonly SidecarMessage[], outputTokens: number) {
