Add the load tool with open-loop arrivals and verified answers

Cause: the targets of the design need measurements from the caller's side, with the same arrivals for every policy. The tool plans all arrivals from a seed before the run (Poisson and surges), sends each at its planned time whatever the answers do, and counts times from the planned arrival, so that waiting connections or a slow tool are not hidden. Ruled out: a closed loop of workers, which slows down with the system and hides queueing. Every answer is compared with the output that its prompt determines; another request's answer, a missing token, an error event and a missing final event are told apart.

--- /dev/null
+++ b/src/load/loadClient.ts
@@ -0,0 +1,289 @@
+import { createParser } from "eventsource-parser";
+import { Agent, Dispatcher, request } from "undici";
+import { Disposable } from "../base/disposable.js";
+import { makeId } from "../base/ids.js";
+import { TimerService } from "../base/timerService.js";
+import { makeExpectedOutput } from "../emulator/engine/tokens.js";
+import { HeaderName } from "../entry/httpAnswer.js";
+import { Arrival } from "./arrivals.js";
+import { LoadPlan, LoadStream, RequestType } from "./loadPlan.js";
+import { OutcomeKind } from "./outcome.js";
+import { createPromptSource } from "./promptText.js";
+
+/** What one send of a request led to. Times are monotonic milliseconds. */
+export interface SendResult {
+    readonly kind: OutcomeKind;
+    readonly status: number;
+    readonly code: string | undefined;
+    readonly verdict: string | undefined;
+    readonly retryAfterSeconds: number | undefined;
+    readonly ticket: string | undefined;
+    readonly firstTokenAtMs: number | undefined;
+    readonly gapsMs: readonly number[];
+    readonly message: string | undefined;
+}
+
+/** Sends the requests of a plan. */
+export interface LoadClient extends Disposable {
+    /** Sends one request and reads its answer to the end. Never rejects. */
+    send(arrival: Arrival, ticket: string | undefined): Promise<SendResult>;
+}
+
+/** Time after its limit that a request may take before it counts as hung, in milliseconds. */
+const hangGraceMs = 2_000;
+const connectTimeoutMs = 5_000;
+const shownMessageLength = 200;
+const tooManyRequests = 429;
+const notRun = "not-run";
+const doneMarker = "[DONE]";
+
+interface ErrorBody {
+    readonly error?: { readonly code?: string; readonly message?: string; readonly verdict?: string };
+}
+
+interface CompletionEvent extends ErrorBody {
+    readonly choices?: readonly {
+        readonly text?: string;
+        readonly delta?: { readonly content?: string };
+        readonly message?: { readonly content?: string };
+    }[];
+}
+
+/** State of one answer while it is read. */
+interface Reading {
+    text: string;
+    firstTokenAtMs: number | undefined;
+    lastTokenAtMs: number;
+    readonly gapsMs: number[];
+    finished: boolean;
+    error: ErrorBody["error"];
+}
+
+/**
+ * Creates the client of a load run. It opens as many connections as there are requests in flight, so that no request
+ * waits for another inside the tool.
+ *
+ * @param targets root URLs of entries
+ *
+ * @example
+ * const client = createLoadClient(plan, 42, ["http://127.0.0.1:8080"], timers);
+ */
+export function createLoadClient(
+    plan: LoadPlan,
+    seed: number,
+    targets: readonly string[],
+    timers: TimerService,
+): LoadClient {
+    const agent = new Agent({ connect: { timeout: connectTimeoutMs }, headersTimeout: 0, bodyTimeout: 0 });
+    const makePrompt = createPromptSource(seed, plan.bytesPerToken);
+
+    function post(
+        arrival: Arrival,
+        stream: LoadStream,
+        path: string,
+        headers: Record<string, string>,
+        body: string,
+        signal: AbortSignal,
+    ) {
+        return request(`${targets[Math.floor(arrival.targetDraw * targets.length)]!}${path}`, {
+            dispatcher: agent,
+            method: "POST",
+            headers: {
+                "authorization": `Bearer ${plan.keys[arrival.caller]!}`,
+                "content-type": "application/json",
+                [HeaderName.Rank]: stream.rank,
+                [HeaderName.TimeLimit]: String(stream.timeLimitMs),
+                ...(stream.kind === undefined ? {} : { [HeaderName.Kind]: stream.kind }),
+                ...headers,
+            },
+            body,
+            signal,
+        });
+    }
+
+    function recordText(reading: Reading, text: string | undefined) {
+        if (!text) {
+            return;
+        }
+        const nowMs = timers.now();
+        if (reading.firstTokenAtMs === undefined) {
+            reading.firstTokenAtMs = nowMs;
+        }
+        else {
+            reading.gapsMs.push(nowMs - reading.lastTokenAtMs);
+        }
+        reading.lastTokenAtMs = nowMs;
+        reading.text += text;
+    }
+
+    async function readStream(body: Dispatcher.ResponseData["body"], reading: Reading) {
+        const parser = createParser({
+            onEvent({ data }) {
+                if (data === doneMarker) {
+                    reading.finished = true;
+                    return;
+                }
+                const event = JSON.parse(data) as CompletionEvent;
+                reading.error ??= event.error;
+                const choice = event.choices?.[0];
+                recordText(reading, choice?.text ?? choice?.delta?.content);
+            },
+        });
+        const utf8 = new TextDecoder();
+        for await (const bytes of body) {
+            parser.feed(utf8.decode(bytes as Uint8Array, { stream: true }));
+        }
+    }
+
+    async function sendCompletion(
+        arrival: Arrival,
+        stream: LoadStream,
+        ticket: string | undefined,
+        signal: AbortSignal,
+    ) {
+        const isChat = stream.type === RequestType.Chat;
+        const prompt = makePrompt(arrival.index, arrival.promptTokens);
+        const fields = JSON.stringify({
+            model: plan.model,
+            max_tokens: arrival.outputTokens,
+            stream: arrival.streamed,
+        }).slice(0, -1);
+        const body = isChat
+            ? `${fields},"messages":[{"role":"user","content":"${prompt}"}]}`
+            : `${fields},"prompt":"${prompt}"}`;
+        const path = isChat ? "/v1/chat/completions" : "/v1/completions";
+        const response = await post(
+            arrival,
+            stream,
+            path,
+            {
+                ...(ticket === undefined ? {} : { [HeaderName.Ticket]: ticket }),
+                ...(stream.allowsSplit ? { [HeaderName.Split]: "allow" } : {}),
+            },
+            body,
+            signal,
+        );
+        if (response.statusCode !== 200) {
+            return readError(response);
+        }
+        const reading: Reading = {
+            text: "",
+            firstTokenAtMs: undefined,
+            lastTokenAtMs: 0,
+            gapsMs: [],
+            finished: false,
+            error: undefined,
+        };
+        if (arrival.streamed) {
+            await readStream(response.body, reading);
+        }
+        else {
+            const answer = await response.body.json() as CompletionEvent;
+            reading.text = answer.choices?.[0]?.text ?? answer.choices?.[0]?.message?.content ?? "";
+            reading.finished = true;
+        }
+        const expected = makeExpectedOutput(isChat ? `user: ${prompt}` : prompt, arrival.outputTokens);
+        return judge(response.statusCode, reading, expected);
+    }
+
+    async function sendServiceCall(arrival: Arrival, stream: LoadStream, signal: AbortSignal) {
+        const path = `${stream.path}?index=${arrival.index}`;
+        const sent = JSON.stringify({ index: arrival.index, seed });
+        const headers = { [HeaderName.IdempotencyKey]: makeId() };
+        const response = await post(arrival, stream, `/v1/services/${stream.service}${path}`, headers, sent, signal);
+        if (response.statusCode !== 200) {
+            return readError(response);
+        }
+        const answer = await response.body.json() as { readonly path?: string; readonly body?: string };
+        const isOwn = answer.path === path && answer.body === sent;
+        return makeResult(
+            isOwn ? OutcomeKind.Completed : OutcomeKind.Wrong,
+            response.statusCode,
+            isOwn ? {} : { message: `answer belongs to ${answer.path}` },
+        );
+    }
+
+    return {
+        async send(arrival, ticket) {
+            const stream = plan.streams[arrival.stream]!;
+            const controller = new AbortController();
+            const timer = timers.schedule(stream.timeLimitMs + hangGraceMs, () => controller.abort());
+            try {
+                return stream.type === RequestType.Service
+                    ? await sendServiceCall(arrival, stream, controller.signal)
+                    : await sendCompletion(arrival, stream, ticket, controller.signal);
+            }
+            catch (error) {
+                const kind = controller.signal.aborted ? OutcomeKind.Hung : OutcomeKind.Failed;
+                return makeResult(kind, 0, { message: String(error).slice(0, shownMessageLength) });
+            }
+            finally {
+                timer.dispose();
+            }
+        },
+        dispose: () => void agent.destroy(),
+    };
+}
+
+function makeResult(kind: OutcomeKind, status: number, details: Partial<SendResult> = {}): SendResult {
+    return {
+        kind,
+        status,
+        code: undefined,
+        verdict: undefined,
+        retryAfterSeconds: undefined,
+        ticket: undefined,
+        firstTokenAtMs: undefined,
+        gapsMs: [],
+        message: undefined,
+        ...details,
+    };
+}
+
+/** Compares an answer that was read to its end with the one that its prompt determines. */
+function judge(status: number, reading: Reading, expected: string): SendResult {
+    const { firstTokenAtMs, gapsMs, error } = reading;
+    if (error) {
+        const { code, verdict, message } = error;
+        return makeResult(OutcomeKind.Failed, status, { firstTokenAtMs, gapsMs, code, verdict, message });
+    }
+    if (!reading.finished) {
+        return makeResult(OutcomeKind.Failed, status, { firstTokenAtMs, gapsMs, message: "no final event" });
+    }
+    if (reading.text !== expected) {
+        const message = `found ${JSON.stringify(reading.text.slice(0, 40))} (${reading.text.length}), `
+            + `expected ${JSON.stringify(expected.slice(0, 40))} (${expected.length})`;
+        return makeResult(OutcomeKind.Wrong, status, { firstTokenAtMs, gapsMs, message });
+    }
+    return makeResult(OutcomeKind.Completed, status, { firstTokenAtMs, gapsMs });
+}
+
+async function readError(response: Dispatcher.ResponseData): Promise<SendResult> {
+    const text = await response.body.text();
+    const status = response.statusCode;
+    let error: ErrorBody["error"];
+    try {
+        error = (JSON.parse(text) as ErrorBody).error;
+    }
+    catch {
+        error = undefined;
+    }
+    const { headers } = response;
+    const verdict = error?.verdict ?? readHeader(headers[HeaderName.Verdict]);
+    const retryAfter = readHeader(headers["retry-after"]);
+    return makeResult(
+        status === tooManyRequests || verdict === notRun ? OutcomeKind.Refused : OutcomeKind.Failed,
+        status,
+        {
+            code: error?.code,
+            verdict,
+            retryAfterSeconds: retryAfter === undefined ? undefined : Number(retryAfter),
+            ticket: readHeader(headers[HeaderName.Ticket]),
+            message: (error?.message ?? text).slice(0, shownMessageLength),
+        },
+    );
+}
+
+function readHeader(value: string | string[] | undefined): string | undefined {
+    return Array.isArray(value) ? value[0] : value;
+}
--- /dev/null
+++ b/src/load/outcome.ts
@@ -0,0 +1,71 @@
+import { Arrival } from "./arrivals.js";
+
+/** How a request of a load run ended, as its caller saw it. */
+export enum OutcomeKind {
+    /** The whole answer came and every byte was verified. */
+    Completed = "completed",
+    /** Refused before it ran, with status 429 or with the verdict "not run". */
+    Refused = "refused",
+    /** An error answer, a broken connection, or a stream that ended with an error event. */
+    Failed = "failed",
+    /** The answer was not the one that belongs to the request. */
+    Wrong = "wrong",
+    /** Neither an answer nor an error within the time limit and its grace. */
+    Hung = "hung",
+    /** The load tool did not send it, because too many requests were in flight. */
+    NotSent = "not-sent",
+    /** In progress and within its limit when the run was over. */
+    Unanswered = "unanswered",
+}
+
+/** What happened to one request. Times are in milliseconds. */
+export interface Outcome {
+    readonly arrival: Arrival;
+    readonly kind: OutcomeKind;
+    readonly rank: string;
+    /** Time limit that the request carried. */
+    readonly limitMs: number;
+    /** Delay of the load tool itself: from the planned to the real time of sending. */
+    readonly lagMs: number;
+    /** From the planned time of arrival to the first token; streamed answers only. */
+    readonly firstTokenMs: number | undefined;
+    /** From the planned time of arrival to the end. */
+    readonly totalMs: number;
+    /** Times between two events of a stream. */
+    readonly gapsMs: readonly number[];
+    readonly status: number;
+    /** Error code of the answer. */
+    readonly code: string | undefined;
+    readonly verdict: string | undefined;
+    readonly retryAfterSeconds: number | undefined;
+    /** Times that it was sent again after a refusal. */
+    readonly repeats: number;
+    readonly message: string | undefined;
+}
+
+/** Prompt lengths that are reported together. */
+export enum LengthClass {
+    UpTo1K = "<=1k",
+    UpTo4K = "<=4k",
+    UpTo32K = "<=32k",
+    UpTo128K = "<=128k",
+    UpTo1M = "<=1M",
+    Service = "service",
+}
+
+const lengthLimits: readonly (readonly [number, LengthClass])[] = [
+    [1_024, LengthClass.UpTo1K],
+    [4_096, LengthClass.UpTo4K],
+    [32_768, LengthClass.UpTo32K],
+    [131_072, LengthClass.UpTo128K],
+];
+
+/**
+ * Returns the class of a prompt length in tokens.
+ *
+ * @example
+ * getLengthClass(3_000); // LengthClass.UpTo4K
+ */
+export function getLengthClass(promptTokens: number): LengthClass {
+    return lengthLimits.find(([limit]) => promptTokens <= limit)?.[1] ?? LengthClass.UpTo1M;
+}
--- a/src/main.ts
+++ b/src/main.ts
@@ -3,6 +3,7 @@
 import { devCommand } from "./cli/devCommand.js";
 import { emulateCommand } from "./cli/emulateCommand.js";
 import { entryCommand } from "./cli/entryCommand.js";
+import { loadCommand } from "./cli/loadCommand.js";
 import { SettingsError } from "./cli/settings.js";
 import { sidecarCommand } from "./cli/sidecarCommand.js";
 
@@ -17,6 +18,7 @@
     .command(entryCommand)
     .command(sidecarCommand)
     .command(emulateCommand)
+    .command(loadCommand)
     .command(devCommand)
     .demandCommand(1, "expected a command")
     .strict()
