Retry sooner when a sidecar is gone and no answer has been delivered

Cause: after a sidecar was killed, a request that could start again elsewhere waited the whole 3 s in which a link may come back, and then had too little of its 6 s limit left (504 in 'sidecar killed').

Ruled out: counting refused connections; with a paused sidecar the host still accepts connections and each attempt takes its 2 s timeout ('sidecar paused' failed that way).

Change: an attempt that may start again elsewhere waits 0.5 s for a lost link, others still 3 s. The entry's handshake moved to its own module.

--- a/src/entry/endpointLink.ts
+++ b/src/entry/endpointLink.ts
@@ -6,8 +6,7 @@
 import { buildRequestError, ErrorCode } from "../base/requestError.js";
 import { TimerService } from "../base/timerService.js";
 import { Verdict } from "../base/verdict.js";
-import { createLinkConnection, LinkConnection } from "../link/connection.js";
-import { LinkRole, makeNonce, signHandshake, verifyHandshake } from "../link/handshake.js";
+import { LinkConnection } from "../link/connection.js";
 import {
     ChunkMessage,
     ConfigurationMessage,
@@ -15,14 +14,13 @@
     DispatchMessage,
     EndMessage,
     EntryMessage,
-    LinkMessage,
     LinkMessageType,
-    linkProtocolVersion,
     SidecarMessage,
     WelcomeMessage,
 } from "../link/messages.js";
 import { LoadReport } from "../routing/loadReport.js";
 import { AttemptEventKind, AttemptListener } from "./attempt.js";
+import { openConnection } from "./linkOpening.js";
 
 /** Settings of the entry's end of links. */
 export interface EndpointLinkSettings {
@@ -64,7 +62,17 @@
     getLatencyMs(): number;
     getOutstanding(): { readonly requests: number; readonly prefillTokens: number };
     getTraffic(): { readonly sentBytes: number; readonly receivedBytes: number };
-    dispatch(dispatch: Omit<DispatchMessage, "type" | "incarnation">, listener: AttemptListener): void;
+    /**
+     * Sends a request to the sidecar.
+     *
+     * @param isRestartable whether the request may start again elsewhere at this moment; such an attempt waits
+     *     only briefly for a lost link
+     */
+    dispatch(
+        dispatch: Omit<DispatchMessage, "type" | "incarnation">,
+        listener: AttemptListener,
+        isRestartable?: () => boolean,
+    ): void;
     /** Asks the sidecar to stop an attempt; the attempt then fails with the sidecar's verdict. */
     cancel(request: string): void;
     send(message: EntryMessage): void;
@@ -75,6 +83,7 @@
     /** Incarnation of the sidecar that the dispatch names. */
     readonly incarnation: string;
     readonly listener: AttemptListener;
+    readonly isRestartable: () => boolean;
     readonly promptTokens: number;
     nextSequence: number;
     cancelled: boolean;
@@ -86,7 +95,10 @@
 const reconnectDelayMs = 50;
 const maxReconnectDelayMs = 2_000;
 const missedHeartbeatLimit = 3;
-const connectTimeoutMs = 2_000;
+/** Time that a request which can start again elsewhere waits for a lost link: several attempts to connect again. */
+const restartGraceMs = 500;
+/** Connecting and the handshake take two round trips. */
+const handshakeOneWayTrips = 4;
 /** A sidecar acknowledges a dispatch at once; only a dead connection or a stopped process takes this long. */
 const acknowledgeTimeoutMs = 1_000;
 
@@ -257,6 +269,7 @@
         connection = opened;
         state = LinkState.Open;
         failures = 0;
+        lastReceivedMs = timers.now();
         sidecarIncarnation = welcome.incarnation;
         leaving = welcome.leaving;
         generation = welcome.generation;
@@ -281,7 +294,7 @@
             log(LogEvent.LinkClosed, { endpoint, reason });
             for (const attempt of attempts.values()) {
                 attempt.lostTimer = timers.schedule(
-                    settings.resumeGraceMs,
+                    attempt.isRestartable() ? restartGraceMs : settings.resumeGraceMs,
                     () =>
                         fail(
                             attempt,
@@ -305,66 +318,17 @@
             return;
         }
         const startedMs = timers.now();
-        const nonce = makeNonce();
-        let sidecarNonce: Uint8Array | undefined;
-        let isOpen = false;
-        const socket = connect();
-        const opening = createLinkConnection(socket, settings.maxFrameBytes, {
-            handleMessages(messages) {
-                lastReceivedMs = timers.now();
-                for (const message of messages as readonly SidecarMessage[]) {
-                    if (isOpen) {
-                        handleMessage(message);
-                    }
-                    else {
-                        handleHandshake(message);
-                    }
-                }
+        const opening = openConnection(connect(), endpoint, settings, timers, log, {
+            handleOpened(welcome) {
+                latencyMs = (timers.now() - startedMs) / handshakeOneWayTrips;
+                handleOpen(welcome, opening);
             },
-            handleClosed(reason) {
-                timeout.dispose();
-                handleLost(opening, reason);
+            handleMessage(message) {
+                lastReceivedMs = timers.now();
+                handleMessage(message);
             },
-            handleFrameError: error =>
-                log(LogEvent.LinkRefused, { endpoint, code: error.kind, message: error.message }),
-        });
-        const timeout = timers.schedule(connectTimeoutMs, () => {
-            if (!isOpen) {
-                opening.dispose();
-            }
+            handleClosed: reason => handleLost(opening, reason),
         });
-
-        function refuse(message: string) {
-            log(LogEvent.LinkRefused, { endpoint, message });
-            opening.dispose();
-        }
-
-        function handleHandshake(message: LinkMessage) {
-            if (message.type === LinkMessageType.Challenge && message.version === linkProtocolVersion) {
-                sidecarNonce = message.nonce;
-                const { entry, incarnation, place } = settings;
-                const proof = signHandshake(settings.linkKey, LinkRole.Entry, message.nonce, nonce);
-                const version = linkProtocolVersion;
-                opening.send({ type: LinkMessageType.Hello, version, entry, incarnation, place, nonce, proof });
-                return;
-            }
-            if (message.type !== LinkMessageType.Welcome || !sidecarNonce) {
-                refuse(message.type === LinkMessageType.Refusal ? message.message : "unexpected handshake message");
-                return;
-            }
-            if (!verifyHandshake(settings.linkKey, LinkRole.Sidecar, sidecarNonce, nonce, message.proof)) {
-                refuse("the sidecar's link key is wrong");
-                return;
-            }
-            if (message.endpoint !== endpoint) {
-                refuse(`the sidecar serves endpoint ${message.endpoint}`);
-                return;
-            }
-            isOpen = true;
-            // Connecting and the handshake take two round trips.
-            latencyMs = (timers.now() - startedMs) / 4;
-            handleOpen(message, opening);
-        }
     }
 
     const link: EndpointLink = {
@@ -383,12 +347,13 @@
                 receivedBytes: receivedBytes + traffic.receivedBytes,
             };
         },
-        dispatch(dispatch, attemptListener) {
+        dispatch(dispatch, attemptListener, isRestartable = () => false) {
             const promptTokens = dispatch.model?.promptTokens ?? 0;
             const attempt: Attempt = {
                 request: dispatch.request,
                 incarnation: sidecarIncarnation,
                 listener: attemptListener,
+                isRestartable,
                 promptTokens,
                 nextSequence: 0,
                 cancelled: false,
--- a/src/entry/requestTask.ts
+++ b/src/entry/requestTask.ts
@@ -68,6 +68,7 @@
     const { timers, log } = context;
     const startedMs = timers.now();
     const deadlineMs = startedMs + plan.limitMs;
+    const isRepeatable = plan.service?.repeatable ?? true;
     const excluded = new Set<string>();
     const verdicts: Verdict[] = [];
     let attempts = 0;
@@ -154,7 +155,7 @@
         const decision = decideRetry({
             code: error.code,
             verdict: error.verdict,
-            repeatable: plan.service?.repeatable ?? true,
+            repeatable: isRepeatable,
             delivered,
             remainingMs: deadlineMs - timers.now(),
             attempts,
@@ -234,18 +235,22 @@
             candidates: candidates.length,
         });
         current = { link, id };
-        link.dispatch({
-            request: id,
-            caller: plan.caller,
-            rank: plan.rank,
-            kind: plan.kind,
-            remainingMs,
-            waitedMs: plan.waitedMs + (timers.now() - startedMs),
-            fingerprint: plan.fingerprint,
-            attempt: attempts,
-            model: plan.model,
-            service: plan.service,
-        }, event => handleEvent(choice.endpoint, event));
+        link.dispatch(
+            {
+                request: id,
+                caller: plan.caller,
+                rank: plan.rank,
+                kind: plan.kind,
+                remainingMs,
+                waitedMs: plan.waitedMs + (timers.now() - startedMs),
+                fingerprint: plan.fingerprint,
+                attempt: attempts,
+                model: plan.model,
+                service: plan.service,
+            },
+            event => handleEvent(choice.endpoint, event),
+            () => isRepeatable && !delivered,
+        );
     }
 
     timer = timers.schedule(plan.limitMs, () => stop(ErrorCode.TimedOut, "the time limit passed"));
--- /dev/null
+++ b/test/path/processFaults.test.ts
@@ -0,0 +1,119 @@
+import assert from "node:assert/strict";
+import { after, before, test } from "node:test";
+import { makeExpectedOutput } from "../../src/emulator/engine/tokens.js";
+import { Fleet, startFleet } from "./fleet.js";
+
+const limitMs = 6_000;
+/** The requirement: no request passes its limit by more than one second. */
+const toleranceMs = 1_000;
+const requestsPerEntry = 6;
+const tokens = 100;
+
+let fleet: Fleet;
+before(async () => {
+    fleet = await startFleet({ entries: 2, engines: 4, services: 0 });
+});
+after(() => fleet.close());
+
+interface Outcome {
+    readonly status: number;
+    readonly body: string;
+    readonly expected: string;
+    readonly elapsedMs: number;
+}
+
+async function run(entry: number, index: number, stream: boolean): Promise<Outcome> {
+    const prompt = `entry ${entry} question ${index} `.repeat(20);
+    const startedMs = performance.now();
+    const response = await fleet.send(
+        entry,
+        "/v1/completions",
+        { model: "demo", prompt, max_tokens: tokens, stream },
+        { "jujubelane-time-limit-ms": String(limitMs) },
+    );
+    const body = await response.text();
+    const elapsedMs = performance.now() - startedMs;
+    return { status: response.status, body, expected: makeExpectedOutput(prompt, tokens), elapsedMs };
+}
+
+function readText(outcome: Outcome, stream: boolean): { text: string; isComplete: boolean } {
+    if (!stream) {
+        const choices = (JSON.parse(outcome.body) as { choices?: { text: string }[] }).choices;
+        return { text: choices?.[0]?.text ?? "", isComplete: choices !== undefined };
+    }
+    const events = outcome.body.split("\n\n").filter(event => event.startsWith("data: {"))
+        .map(event => JSON.parse(event.slice("data: ".length)) as { choices?: { text: string }[] });
+    const text = events.map(event => event.choices?.[0]?.text ?? "").join("");
+    return { text, isComplete: outcome.body.includes("data: [DONE]") };
+}
+
+const pauseMs = 4_000;
+
+function pause(pid: number | undefined): void {
+    process.kill(pid!, "SIGSTOP");
+    setTimeout(() => process.kill(pid!, "SIGCONT"), pauseMs);
+}
+
+interface ProcessFault {
+    readonly name: string;
+    readonly inject: (fleet: Fleet) => void;
+    /** Requests that are not streamed must succeed in spite of the fault: they can run again elsewhere. */
+    readonly plainSucceeds: boolean;
+}
+
+// Each case uses up processes of the fleet, so the order matters.
+const cases: readonly ProcessFault[] = [
+    { name: "sidecar paused", inject: f => pause(f.engines[0]!.sidecar.child.pid), plainSucceeds: true },
+    { name: "engine paused", inject: f => pause(f.engines[0]!.backend.child.pid), plainSucceeds: false },
+    {
+        name: "sidecar and engine of different endpoints paused together",
+        inject: f => {
+            pause(f.engines[0]!.sidecar.child.pid);
+            pause(f.engines[1]!.backend.child.pid);
+        },
+        plainSucceeds: false,
+    },
+    { name: "sidecar killed", inject: f => void f.engines[0]!.sidecar.kill(), plainSucceeds: true },
+    { name: "engine killed", inject: f => void f.engines[1]!.backend.kill(), plainSucceeds: true },
+    {
+        name: "sidecar paused and another endpoint's engine killed",
+        inject: f => {
+            pause(f.engines[2]!.sidecar.child.pid);
+            void f.engines[3]!.backend.kill();
+        },
+        plainSucceeds: false,
+    },
+];
+
+for (const { name, inject, plainSucceeds } of cases) {
+    test(`requests end within their limits with whole answers or errors: ${name}`, async () => {
+        const injection = setTimeout(() => inject(fleet), 700);
+        const streams = [true, false];
+        const outcomes = await Promise.all(
+            streams.flatMap(stream =>
+                [0, 1].flatMap(entry =>
+                    Array.from({ length: requestsPerEntry / 2 }, async (unused, index) => ({
+                        stream,
+                        ...await run(entry, index, stream),
+                    }))
+                )
+            ),
+        );
+        clearTimeout(injection);
+        for (const outcome of outcomes) {
+            assert.ok(outcome.elapsedMs <= limitMs + toleranceMs, `ended after ${outcome.elapsedMs} ms`);
+            const { text, isComplete } = readText(outcome, outcome.stream);
+            if (isComplete) {
+                assert.equal(text, outcome.expected);
+            }
+            else {
+                assert.ok(outcome.expected.startsWith(text), "a part of another answer was delivered");
+                assert.match(outcome.body, /"verdict":"(not-run|may-have-run)"/);
+            }
+            if (!outcome.stream && plainSucceeds) {
+                assert.equal(outcome.status, 200, outcome.body);
+            }
+        }
+        await new Promise(resolve => setTimeout(resolve, pauseMs));
+    });
+}
