Let callers below their share start ahead of long backlogs

Small callers waited for the work of large callers that the engine already held, and a burst of a small caller waited a full turn of the large ones after each request. A caller that used less than its share may now run up to four requests ahead of the others, at a higher priority of the engine inside its lane; over longer times the shares stay equal.

--- a/src/scheduling/callerQueue.ts
+++ b/src/scheduling/callerQueue.ts
@@ -5,6 +5,8 @@
 export interface CallerQueue {
     enqueue(entry: QueueEntry): void;
     getNext(): QueueEntry | undefined;
+    /** Whether the next entry's caller uses less than its fair share, so that the entry need not wait for others. */
+    isNextLight(): boolean;
     /** Removes the next entry and charges its cost to its caller. */
     take(): QueueEntry | undefined;
     remove(entry: QueueEntry): boolean;
@@ -29,6 +31,14 @@
     queuedMs: number;
 }
 
+/**
+ * Entries of mean cost by which a caller that used less than its share may run ahead of the others, so that a short burst
+ * of a small caller does not wait for callers with a long backlog. Over longer times the shares are equal all the same.
+ */
+const creditEntries = 4;
+/** Weight of one entry in the mean cost. */
+const learningRate = 0.05;
+
 /**
  * Creates a fair queue.
  *
@@ -48,6 +58,13 @@
     let size = 0;
     let queuedMs = 0;
     let queuedTokens = 0;
+    /** Mean cost of an entry. */
+    let meanCost = 0;
+
+    /** Where the next item of a caller starts that has queued nothing. */
+    function computeStartTag(flow: Flow): number {
+        return Math.max(virtualTime - meanCost * creditEntries / getWeight(flow.caller), flow.finishTag);
+    }
 
     function getFlow(caller: string): Flow {
         let flow = flows.get(caller);
@@ -55,8 +72,8 @@
             flow = {
                 caller,
                 entries: createOrderedHeap(compareArrival),
-                startTag: virtualTime,
-                finishTag: virtualTime,
+                startTag: 0,
+                finishTag: Number.NEGATIVE_INFINITY,
                 queuedMs: 0,
             };
             flows.set(caller, flow);
@@ -65,7 +82,7 @@
     }
 
     function collectIdle() {
-        for (let flow = idle.getFirst(); flow && flow.finishTag <= virtualTime; flow = idle.getFirst()) {
+        for (let flow = idle.getFirst(); flow && flow.finishTag < computeStartTag(flow); flow = idle.getFirst()) {
             idle.remove(flow);
             flows.delete(flow.caller);
         }
@@ -92,8 +109,9 @@
             const flow = getFlow(entry.item.caller);
             idle.remove(flow);
             if (!backlogged.remove(flow)) {
-                flow.startTag = Math.max(virtualTime, flow.finishTag);
+                flow.startTag = computeStartTag(flow);
             }
+            meanCost += (entry.cost - meanCost) * (meanCost === 0 ? 1 : learningRate);
             flow.entries.enqueue(entry);
             flow.queuedMs += entry.endpointMs;
             size++;
@@ -101,6 +119,7 @@
             queuedTokens += entry.prefillTokens;
             backlogged.enqueue(flow);
         },
+        isNextLight: () => (backlogged.getFirst()?.startTag ?? virtualTime) < virtualTime,
         getNext: () => backlogged.getFirst()?.entries.getFirst(),
         take() {
             const flow = backlogged.getFirst();
@@ -131,7 +150,7 @@
             }
             flow.finishTag += costDifference / getWeight(caller);
             if (backlogged.has(flow)) {
-                flow.startTag = Math.max(virtualTime, flow.finishTag);
+                flow.startTag = computeStartTag(flow);
                 backlogged.update(flow);
             }
             else {
--- a/src/scheduling/fairScheduler.ts
+++ b/src/scheduling/fairScheduler.ts
@@ -10,6 +10,7 @@
 import { AdmitDecision, AdmitKind, RankPolicy, Scheduler, SchedulerPolicy, WorkItem } from "./scheduler.js";
 import { createServiceEstimate } from "./serviceEstimate.js";
 import { createServiceShares } from "./serviceShares.js";
+import { createWaitCorrection, WaitCorrection } from "./waitCorrection.js";
 
 /**
  * Prefill that the engine is given ahead of an item of the same priority, in milliseconds at the measured rate. It
@@ -59,6 +60,7 @@
     let ranks: readonly RankPolicy[] = [];
     let rankIndexes = new Map<string, number>();
     let lanes: CallerQueue[] = [];
+    let corrections: WaitCorrection[] = [];
     let backlog = createBacklog(initialPolicy);
     const queued = new Map<string, QueueEntry>();
     const running = new Map<string, RunningEntry>();
@@ -78,18 +80,20 @@
         return rankIndexes.get(rank) ?? Math.max(0, ranks.length - 1);
     }
 
-    function makeEntry(item: WorkItem, order: number): QueueEntry {
+    function makeEntry(item: WorkItem, order: number, nowMs: number): QueueEntry {
         const prefillTokens = Math.max(0, item.promptTokens - item.cachedTokens);
         const { prefillMs, outputMs, endpointMs } = estimate.compute(item, policy.capacity);
         return {
             item,
             order,
+            admittedMs: nowMs,
             rankIndex: getRankIndex(item.rank),
             lengthClass: policy.isSuspect?.(item.fingerprint) ? LengthClass.Suspect : computeLengthClass(prefillTokens),
             cost: policy.cost(item),
             prefillTokens,
             reservedTokens: item.promptTokens + item.maxOutputTokens,
             endpointMs,
+            predictedWaitMs: 0,
             latestStartMs: item.deadlineMs - prefillMs - outputMs,
         };
     }
@@ -114,11 +118,12 @@
         const laneCount = Math.max(1, ranks.length) * lengthClassCount;
         const entries = [...queued.values()];
         lanes = Array.from({ length: laneCount }, () => createCallerQueue(getWeight));
+        corrections = Array.from({ length: laneCount / lengthClassCount }, createWaitCorrection);
         backlog = createBacklog(policy);
         expiring.list().slice().forEach(entry => expiring.remove(entry));
         queued.clear();
         backlog.update(policy, ranks.length);
-        entries.forEach(entry => enqueue(makeEntry(entry.item, entry.order)));
+        entries.forEach(entry => enqueue(makeEntry(entry.item, entry.order, entry.admittedMs)));
     }
 
     function applyPolicy(next: SchedulerPolicy) {
@@ -170,7 +175,8 @@
             const message = "the time limit is shorter than the request takes on an idle endpoint";
             return { kind: AdmitKind.Refused, code: ErrorCode.TimedOut, message };
         }
-        const lateMs = nowMs + predictWait(entry) - entry.latestStartMs;
+        entry.predictedWaitMs = predictWait(entry);
+        const lateMs = nowMs + entry.predictedWaitMs * corrections[entry.rankIndex]!.getFactor() - entry.latestStartMs;
         if (lateMs > 0) {
             return {
                 kind: AdmitKind.Refused,
@@ -199,7 +205,7 @@
 
     function admit(item: WorkItem, nowMs: number): AdmitDecision {
         advance(nowMs);
-        const entry = makeEntry(item, nextOrder++);
+        const entry = makeEntry(item, nextOrder++, nowMs);
         const refusal = checkLimits(entry, nowMs);
         if (refusal) {
             return refusal;
@@ -227,7 +233,7 @@
         };
     }
 
-    function hasPrefillRoom(entry: QueueEntry, precedence: Precedence): boolean {
+    function hasPrefillRoom(entry: QueueEntry, precedence: Precedence, isLight: boolean): boolean {
         const lane = computeLane(entry);
         const firstLane = entry.rankIndex * lengthClassCount;
         const from = { [Precedence.None]: 0, [Precedence.Lane]: lane, [Precedence.Rank]: firstLane }[precedence];
@@ -240,14 +246,15 @@
                 }
             }
         }
-        return prefill.computePendingTokens(from, lane) < Math.max(1, limitTokens);
+        return prefill.computePendingTokens(from, lane, isLight) < Math.max(1, limitTokens);
     }
 
     function startLane(lane: number, precedence: Precedence, pass: StartPass) {
         const queue = lanes[lane]!;
         for (let entry = queue.getNext(); entry; entry = queue.getNext()) {
+            const isLight = queue.isNextLight();
             const isSuspectLane = entry.lengthClass === LengthClass.Suspect;
-            if (!hasPrefillRoom(entry, precedence) || (isSuspectLane && runningSuspects > 0)) {
+            if (!hasPrefillRoom(entry, precedence, isLight) || (isSuspectLane && runningSuspects > 0)) {
                 return;
             }
             const check = ledger.check(entry, pass.heldTokens, precedence !== Precedence.None);
@@ -267,18 +274,23 @@
             queued.delete(entry.item.id);
             backlog.remove(entry);
             expiring.remove(entry);
-            start(entry, pass);
+            start(entry, isLight, pass);
         }
     }
 
-    function start(entry: QueueEntry, pass: StartPass) {
+    function start(entry: QueueEntry, isLight: boolean, pass: StartPass) {
         ledger.reserve(entry);
-        prefill.record(entry);
+        prefill.record(entry, isLight);
+        recordWait(entry, pass.nowMs);
         runningSuspects += entry.lengthClass === LengthClass.Suspect ? 1 : 0;
         running.set(entry.item.id, { entry, startedMs: pass.nowMs });
         pass.started.push(entry.item);
     }
 
+    function recordWait(entry: QueueEntry, nowMs: number) {
+        corrections[entry.rankIndex]?.record(entry.predictedWaitMs, nowMs - entry.admittedMs);
+    }
+
     /** Starts what a rank may start; lanes that are owed service come first and hold back the shorter ones. */
     function startRank(rankIndex: number, precedence: Precedence, pass: StartPass) {
         const first = rankIndex * lengthClassCount;
@@ -369,12 +381,13 @@
             const expired: WorkItem[] = [];
             for (let entry = expiring.getFirst(); entry && entry.latestStartMs < nowMs; entry = expiring.getFirst()) {
                 removeQueued(entry);
+                recordWait(entry, nowMs);
                 expired.push(entry.item);
             }
             return expired;
         },
         update: applyPolicy,
-        getPriority: item => computeLane(running.get(item.id)?.entry ?? makeEntry(item, 0)),
+        getPriority: item => prefill.getPriority(item.id) ?? Number.MAX_SAFE_INTEGER,
         report() {
             const tokens = (fromLane: number, throughLane: number) => {
                 const waiting = lanes.slice(fromLane, throughLane + 1)
--- a/src/scheduling/prefillModel.ts
+++ b/src/scheduling/prefillModel.ts
@@ -12,11 +12,14 @@
 export interface PrefillModel {
     /** Moves the model to `nowMs` and reports the tokens that lanes received meanwhile. */
     advance(nowMs: number, tokensPerSecond: number, handleServed: ServedHandler): void;
-    record(entry: QueueEntry): void;
+    /** @param isLight whether the engine serves the entry before others of its lane */
+    record(entry: QueueEntry, isLight: boolean): void;
     /** The prefill is over, by the first token or the end. Returns the tokens that the model had not counted yet. */
     release(id: string): number;
-    /** Tokens not yet computed of a range of lanes, both ends included. */
-    computePendingTokens(fromLane: number, throughLane: number): number;
+    /** Tokens not yet computed of a range of lanes, both ends included; of the last lane only light work if so asked. */
+    computePendingTokens(fromLane: number, throughLane: number, lastIsLight?: boolean): number;
+    /** Priority of a started entry at the engine. */
+    getPriority(id: string): number | undefined;
     /** Started items of a lane without a first token. */
     countLane(lane: number): number;
     /** Whether the engine still has prefill to do for the lane, by the model. */
@@ -25,6 +28,8 @@
 
 interface RunningPrefill {
     readonly entry: QueueEntry;
+    /** Priority at the engine: two levels in each lane. */
+    readonly level: number;
     readonly order: number;
     /** Tokens that are not counted as served yet. */
     remainingTokens: number;
@@ -32,11 +37,12 @@
     spentTokens: number;
 }
 
-/** Lane of an entry: rank by rank, in each rank by length class. It is the entry's priority at the engine. */
+/** Lane of an entry: rank by rank, in each rank by length class. */
 export function computeLane(entry: Pick<QueueEntry, "rankIndex" | "lengthClass">): number {
     return entry.rankIndex * lengthClassCount + entry.lengthClass;
 }
 
+const levelsPerLane = 2;
 const millisecondsPerSecond = 1000;
 /** Part of a prompt that counts as pending until its first token, whatever the model says. */
 const minPendingShare = 0.1;
@@ -46,17 +52,17 @@
 /** Creates the model without running work. */
 export function createPrefillModel(): PrefillModel {
     const running = new Map<string, RunningPrefill>();
-    const laneTokens: number[] = [];
+    const levelTokens: number[] = [];
     const laneCounts: number[] = [];
     const unfinishedCounts: number[] = [];
     const unfinished = createOrderedHeap<RunningPrefill>((left, right) =>
-        computeLane(left.entry) - computeLane(right.entry) || left.order - right.order
+        left.level - right.level || left.order - right.order
     );
     let nextOrder = 0;
     let lastMs: number | undefined;
 
-    function addTokens(lane: number, tokens: number) {
-        laneTokens[lane] = Math.max(0, (laneTokens[lane] ?? 0) + tokens);
+    function addTokens(level: number, tokens: number) {
+        levelTokens[level] = Math.max(0, (levelTokens[level] ?? 0) + tokens);
     }
 
     function removeUnfinished(prefill: RunningPrefill) {
@@ -67,12 +73,11 @@
 
     /** Moves one prefill and returns the tokens of `budget` that are left for those behind it. */
     function advanceFirst(first: RunningPrefill, budget: number, handleServed: ServedHandler): number {
-        const lane = computeLane(first.entry);
         const step = Math.min(budget, Math.max(0, first.remainingTokens - first.entry.prefillTokens * minPendingShare));
         first.remainingTokens -= step;
         first.spentTokens += budget;
-        addTokens(lane, -step);
-        handleServed(lane, step);
+        addTokens(first.level, -step);
+        handleServed(computeLane(first.entry), step);
         // Until its first token comes, the engine is still at this prompt; the model does not pass on to the next. An
         // engine that does not answer within this factor must not stop the model.
         const left = first.spentTokens - first.entry.prefillTokens * maxOverrun;
@@ -91,12 +96,14 @@
                 budget = advanceFirst(first, budget, handleServed);
             }
         },
-        record(entry) {
-            const prefill = { entry, order: nextOrder++, remainingTokens: entry.prefillTokens, spentTokens: 0 };
+        record(entry, isLight) {
             const lane = computeLane(entry);
+            const level = lane * levelsPerLane + (isLight ? 0 : 1);
+            const remainingTokens = entry.prefillTokens;
+            const prefill = { entry, level, order: nextOrder++, remainingTokens, spentTokens: 0 };
             running.set(entry.item.id, prefill);
             unfinished.enqueue(prefill);
-            addTokens(lane, entry.prefillTokens);
+            addTokens(level, entry.prefillTokens);
             laneCounts[lane] = (laneCounts[lane] ?? 0) + 1;
             unfinishedCounts[lane] = (unfinishedCounts[lane] ?? 0) + 1;
         },
@@ -109,17 +116,18 @@
             running.delete(id);
             removeUnfinished(prefill);
             laneCounts[lane] = laneCounts[lane]! - 1;
-            // Sums of fractions drift; an empty lane is exactly zero.
-            laneTokens[lane] = laneCounts[lane] === 0 ? 0 : Math.max(0, laneTokens[lane]! - prefill.remainingTokens);
+            addTokens(prefill.level, -prefill.remainingTokens);
             return prefill.remainingTokens;
         },
-        computePendingTokens(fromLane, throughLane) {
+        computePendingTokens(fromLane, throughLane, lastIsLight = false) {
             let sum = 0;
-            for (let lane = fromLane; lane <= throughLane; lane++) {
-                sum += laneTokens[lane] ?? 0;
+            const end = (throughLane + 1) * levelsPerLane - (lastIsLight ? 1 : 0);
+            for (let level = fromLane * levelsPerLane; level < end; level++) {
+                sum += levelTokens[level] ?? 0;
             }
             return sum;
         },
+        getPriority: id => running.get(id)?.level,
         countLane: lane => laneCounts[lane] ?? 0,
         hasUnfinished: lane => (unfinishedCounts[lane] ?? 0) > 0,
     };
--- a/src/scheduling/queueEntry.ts
+++ b/src/scheduling/queueEntry.ts
@@ -6,6 +6,7 @@
     readonly item: WorkItem;
     /** Order of admission, to break ties. */
     readonly order: number;
+    readonly admittedMs: number;
     /** Index of the rank in order of urgency, from 0. */
     readonly rankIndex: number;
     readonly lengthClass: LengthClass;
@@ -16,6 +17,8 @@
     readonly reservedTokens: number;
     /** Share of the endpoint's time that the item takes from the others, in milliseconds. */
     readonly endpointMs: number;
+    /** Predicted wait at admission in milliseconds, before correction. */
+    predictedWaitMs: number;
     /** Last time at which a start can still meet the deadline. */
     readonly latestStartMs: number;
 }
--- a/test/scheduling/virtualEndpoint.ts
+++ b/test/scheduling/virtualEndpoint.ts
@@ -22,6 +22,8 @@
     completed: number;
     /** Tokens of completed requests, prompt and output. */
     tokens: number;
+    /** Prompt tokens that the engine computed for the stream in the measured time. */
+    prefilled: number;
     readonly firstTokenMs: number[];
     longestWaitMs: number;
 }
@@ -100,6 +102,7 @@
             failed: 0,
             completed: 0,
             tokens: 0,
+            prefilled: 0,
             firstTokenMs: [],
             longestWaitMs: 0,
         });
@@ -179,6 +182,9 @@
                 const step = Math.min(sequence.prefillLeft, budget);
                 sequence.prefillLeft -= step;
                 budget -= step;
+                if (nowMs >= warmUpMs) {
+                    results.get(sequence.stream.name)!.prefilled += step;
+                }
                 if (sequence.prefillLeft === 0) {
                     sequence.produced = 1;
                     firstTokens.push(sequence);
@@ -202,8 +208,8 @@
 
     function end(sequence: Running, nowMs: number, isWhole: boolean) {
         const { item, stream } = sequence;
-        const result = getResult(stream, item);
-        if (result) {
+        if (nowMs >= warmUpMs) {
+            const result = results.get(stream.name)!;
             result.completed += isWhole ? 1 : 0;
             result.failed += isWhole ? 0 : 1;
             result.tokens += isWhole ? item.promptTokens + item.maxOutputTokens : 0;
@@ -268,9 +274,10 @@
 
 /** One line of figures per stream. */
 export function formatResult(name: string, result: RunResult): string {
-    const lines = [...result.streams].map(([stream, { offered, refused, failed, completed, firstTokenMs, tokens }]) =>
-        `${name} ${stream}: offered ${offered} refused ${refused} failed ${failed} completed ${completed}`
-        + ` tokens ${tokens} first token p50 ${computePercentile(firstTokenMs, 0.5)} p95 ${
+    const lines = [...result.streams].map((
+        [stream, { offered, refused, failed, completed, firstTokenMs, prefilled }],
+    ) => `${name} ${stream}: offered ${offered} refused ${refused} failed ${failed} completed ${completed}`
+        + ` prefilled ${Math.round(prefilled)} first token p50 ${computePercentile(firstTokenMs, 0.5)} p95 ${
             computePercentile(firstTokenMs, 0.95)
         } ms`
     );
