Fold configuration change sets from the log

The configuration was one fixed file per entry. It is now a fold of change set records in log order: a change set is accepted if no object that it touches changed after its base offset and the whole resulting set passes schema and references; otherwise it is rejected as a whole with a typed reason.

--- /dev/null
+++ b/src/config/applyChanges.ts
@@ -0,0 +1,49 @@
+import { makeFailure, makeSuccess, Result } from "../base/result.js";
+import { Change, ChangeOperation } from "./changeSet.js";
+import { ConfigurationObjects } from "./objects.js";
+import { ConfigurationProblem } from "./problems.js";
+import { findReferenceProblems } from "./references.js";
+import { parseObject } from "./validate.js";
+
+/**
+ * Applies changes to a valid set and checks the whole result. Sections without a change are shared with the old set,
+ * and only changed objects are checked against their schema.
+ *
+ * @example
+ * const result = applyChanges(objects, changeSet.changes);
+ */
+export function applyChanges(
+    objects: ConfigurationObjects,
+    changes: readonly Change[],
+): Result<ConfigurationObjects, readonly ConfigurationProblem[]> {
+    const problems: ConfigurationProblem[] = [];
+    const next = { ...objects } as unknown as Record<string, Record<string, unknown>>;
+    const touched = new Set<string>();
+    for (const change of changes) {
+        if (!touched.has(change.kind)) {
+            touched.add(change.kind);
+            next[change.kind] = { ...next[change.kind] };
+        }
+        const section = next[change.kind]!;
+        if (change.op === ChangeOperation.Delete) {
+            if (!Object.hasOwn(section, change.name)) {
+                const object = `${change.kind}.${change.name}`;
+                problems.push({ object, found: "a deletion", allowed: "the deletion of an object that exists" });
+            }
+            delete section[change.name];
+            continue;
+        }
+        const parsed = parseObject(change.kind, change.name, change.value);
+        if (Array.isArray(parsed)) {
+            problems.push(...parsed as ConfigurationProblem[]);
+        }
+        else {
+            section[change.name] = parsed;
+        }
+    }
+    const result = next as unknown as ConfigurationObjects;
+    if (problems.length === 0) {
+        problems.push(...findReferenceProblems(result));
+    }
+    return problems.length === 0 ? makeSuccess(result) : makeFailure(problems);
+}
--- /dev/null
+++ b/src/config/index.ts
@@ -0,0 +1,13 @@
+export * from "./applyChanges.js";
+export * from "./changeSet.js";
+export * from "./checkpoint.js";
+export * from "./diff.js";
+export * from "./digest.js";
+export * from "./fold.js";
+export * from "./history.js";
+export * from "./objects.js";
+export * from "./problems.js";
+export * from "./reader.js";
+export * from "./references.js";
+export * from "./schema.js";
+export { parseObject, validateObjects } from "./validate.js";
--- /dev/null
+++ b/src/config/problems.ts
@@ -0,0 +1,45 @@
+/** One thing that is wrong with a configuration, with what an operator needs to correct it. */
+export interface ConfigurationProblem {
+    /** File that holds the object; absent when the set did not come from files. */
+    readonly file?: string;
+    /** Section and name of the object, for example `endpoints.engine-1`. */
+    readonly object?: string;
+    readonly field?: string;
+    /** Value found, as JSON; "nothing" for a missing one. */
+    readonly found: string;
+    /** Values that would be accepted. */
+    readonly allowed: string;
+}
+
+/** Finds the file that an object came from. */
+export type FileLocator = (section: string, name: string) => string | undefined;
+
+const maxFoundLength = 120;
+const maxListedNames = 12;
+
+/**
+ * Formats a problem as one line.
+ *
+ * @example
+ * formatProblem({ object: "models.m", field: "version", found: "\"v\"", allowed: "a version" });
+ */
+export function formatProblem(problem: ConfigurationProblem): string {
+    const place = [problem.file, problem.object, problem.field].filter(part => part !== undefined).join(": ");
+    return `${place}: found ${problem.found}; allowed: ${problem.allowed}`;
+}
+
+/** Formats a value found as bounded JSON. */
+export function formatFound(value: unknown): string {
+    const text = value === undefined ? "nothing" : JSON.stringify(value) ?? typeof value;
+    return text.length > maxFoundLength ? `${text.slice(0, maxFoundLength)}...` : text;
+}
+
+/** Formats the names that a reference may have. */
+export function formatNames(names: Iterable<string>): string {
+    const all = [...names];
+    if (all.length === 0) {
+        return "none is configured";
+    }
+    const rest = all.length - maxListedNames;
+    return all.slice(0, maxListedNames).join(", ") + (rest > 0 ? ` and ${rest} more` : "");
+}
