Carry what later folds need in configuration messages

A new entry that starts while the log is down takes the configuration from a sidecar. Objects alone were not enough: the conflict rule needs the offset of each object's last change. The message now carries the fold's maps with a digest, and the sidecar keeps the whole message. Entry and sidecar also compare generations every second, so that a message lost with its connection is repaired in both directions.

--- a/src/entry/configurationSource.ts
+++ b/src/entry/configurationSource.ts
@@ -1,7 +1,18 @@
 import { Disposable } from "../base/disposable.js";
 import { computeConfigurationDigest } from "../config/digest.js";
 import { Configuration, ConfigurationObjects } from "../config/objects.js";
-import { ConfigurationMessage } from "../link/messages.js";
+import { ConfigurationMessage, LinkMessageType } from "../link/messages.js";
+
+/** How a source stands with the log, for operators. */
+export interface ConfigurationSourceStatus {
+    /** Whether the last read of the log succeeded; absent when the configuration is fixed. */
+    readonly logReachable?: boolean;
+    /** Time since the last successful read of the log, in milliseconds. */
+    readonly logAgeMs?: number;
+    readonly foldedOffset: number;
+    /** What an operator should look at; empty when all is well. */
+    readonly alarms: readonly string[];
+}
 
 /** Where an entry gets its configuration from. */
 export interface ConfigurationSource extends Disposable {
@@ -10,10 +21,13 @@
     subscribe(listener: (configuration: Configuration) => void): Disposable;
     /** Offers a configuration that a peer holds; it is used only if it is newer and matches its digest. */
     offer(message: ConfigurationMessage): void;
+    /** Builds the message that gives the current configuration to a peer, with what later folds need. */
+    buildMessage(): ConfigurationMessage | undefined;
+    describe(): ConfigurationSourceStatus;
 }
 
 /**
- * Creates a source with one configuration that never changes, for `dev` and for tests.
+ * Creates a source with one configuration that never changes, for trials and for tests.
  *
  * @example
  * const source = createFixedConfigurationSource(objects);
@@ -27,6 +41,8 @@
             return { dispose: () => undefined };
         },
         offer: () => undefined,
+        buildMessage: () => ({ type: LinkMessageType.Configuration, foldedOffset: 0, ...configuration }),
+        describe: () => ({ foldedOffset: 0, alarms: [] }),
         dispose: () => undefined,
     };
 }
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -69,6 +69,7 @@
 }
 
 const overloadRetryAfterMs = 1_000;
+const configurationSyncIntervalMs = 1_000;
 
 /**
  * Creates an entry from its ports.
@@ -87,13 +88,13 @@
     let decision = 0;
     let handleIdle: (() => void) | undefined;
 
-    function sendConfiguration(link: EndpointLink) {
-        const current = configuration.getCurrent();
-        if (!current) {
+    function syncConfiguration(link: EndpointLink) {
+        const generation = configuration.getCurrent()?.generation ?? -1;
+        if (link.getGeneration() > generation) {
             link.send({ type: LinkMessageType.ConfigurationRequest });
         }
-        else if (link.getGeneration() < current.generation) {
-            link.send({ type: LinkMessageType.Configuration, foldedOffset: current.generation, ...current });
+        else if (link.getGeneration() < generation) {
+            link.send(configuration.buildMessage()!);
         }
     }
 
@@ -105,7 +106,7 @@
         selectAperture: parts.selectAperture,
         connect: parts.connect,
         listener: {
-            handleOpened: sendConfiguration,
+            handleOpened: syncConfiguration,
             handleConfiguration: message => configuration.offer(message),
             handleCrashReport: () => undefined,
         },
@@ -195,9 +196,12 @@
     store.register(directory);
     store.register(configuration.subscribe(current => {
         directory.update(current);
-        directory.list().forEach(sendConfiguration);
+        directory.list().forEach(syncConfiguration);
     }));
 
+    // Repairs a configuration message that was lost with its connection, in either direction.
+    store.register(timers.subscribe(configurationSyncIntervalMs, () => directory.list().forEach(syncConfiguration)));
+
     return {
         state,
         handler: createCallerHandler({
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -221,6 +221,17 @@
     readonly objects: unknown;
     /** Offset of the log up to which the sender had folded. */
     readonly foldedOffset: number;
+    /** What later folds need, with a digest over the whole; a sidecar keeps it for entries that start without a log. */
+    readonly fold?: ConfigurationFold;
+}
+
+/** The part of a checkpoint that is not the objects themselves. */
+export interface ConfigurationFold {
+    readonly shift: number;
+    readonly changed: unknown;
+    readonly deleted: unknown;
+    readonly ids: unknown;
+    readonly digest: string;
 }
 
 /** Entry → sidecar: asks for the configuration that the sidecar holds. */
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -91,6 +91,7 @@
     const store = createDisposableStore();
     const mailbox = createMailbox<SidecarEvent>();
     let configuration: Configuration | undefined;
+    let configurationMessage: ConfigurationMessage | undefined;
     let engineReport: EngineReport | undefined;
     let leaving = false;
     let handleDrained: (() => void) | undefined;
@@ -171,6 +172,7 @@
             return;
         }
         configuration = { generation: message.generation, digest: message.digest, objects };
+        configurationMessage = message;
         updatePolicy();
         links.broadcast(makeHeartbeat());
     }
@@ -198,12 +200,8 @@
                 handleConfiguration(session, message);
                 return;
             case LinkMessageType.ConfigurationRequest:
-                if (configuration) {
-                    links.send(session, {
-                        type: LinkMessageType.Configuration,
-                        foldedOffset: configuration.generation,
-                        ...configuration,
-                    });
+                if (configurationMessage) {
+                    links.send(session, configurationMessage);
                 }
                 return;
             case LinkMessageType.Drain:
