--- a/src/base/logEvents.ts
+++ b/src/base/logEvents.ts
@@ -26,6 +26,7 @@
     CheckpointFailed = 3010,
     PeerConfigurationTaken = 3011,
     PeerConfigurationRefused = 3012,
+    EndpointDrainRequested = 3013,
     LinkOpened = 5001,
     LinkClosed = 5002,
     LinkRefused = 5003,
--- a/src/cli/devCommand.ts
+++ b/src/cli/devCommand.ts
@@ -15,8 +15,8 @@
 import { startEmulatedEngine } from "../emulator/engine/engineServer.js";
 import { startEmulatedHostList } from "../emulator/hostListServer.js";
 import { startEmulatedService } from "../emulator/serviceServer.js";
-import { createFixedConfigurationSource } from "../entry/configurationSource.js";
 import { createEntry } from "../entry/entry.js";
+import { createOperatorRoute } from "../entry/operatorRoute.js";
 import { HostState } from "../ports/hostList.js";
 import { chooseLeastConnections } from "../routing/baselinePolicies.js";
 import { createFirstComeScheduler } from "../scheduling/firstComeScheduler.js";
@@ -24,6 +24,7 @@
 import { createServiceRunner } from "../sidecar/serviceRunner.js";
 import { createSidecar, Sidecar, SidecarParts } from "../sidecar/sidecar.js";
 import { entryDefaults, linkDefaults, sidecarDefaults } from "./defaults.js";
+import { startDevConfiguration } from "./devConfiguration.js";
 import { closeServer, listen } from "./listen.js";
 import { logUnhandledErrors, waitForStopSignal } from "./process.js";
 import { applyLogSetting, logOption, parseSettings, portSchema } from "./settings.js";
@@ -32,6 +33,7 @@
     port: portSchema,
     engines: z.number().int().min(1).max(16),
     key: z.string().min(1),
+    logUrl: z.boolean(),
     log: z.string(),
 });
 
@@ -110,6 +112,11 @@
             port: { type: "number", default: 8080, describe: "port for callers; 0 takes a free one" },
             engines: { type: "number", default: 2, describe: "number of emulated engines" },
             key: { type: "string", default: "dev-key", describe: "API key of the one caller" },
+            "log-url": {
+                type: "boolean",
+                default: false,
+                describe: "print the URL of the embedded log on a second line",
+            },
             log: { ...logOption, default: "" },
         }),
     handler: async argv => {
@@ -121,20 +128,26 @@
         const hosts = await startEmulatedHostList({ port: 0, lagMs: 0 }, timers);
         const endpoints = await startEndpoints(settings.engines, timers);
         await registerHosts(hosts.url, endpoints.map(endpoint => endpoint.host));
+        const random = createSystemRandomSource();
+        const objects = buildDevObjects(settings.engines, settings.key);
+        const configuration = await startDevConfiguration(objects, { timers, random, log });
         const entry = createEntry({ ...linkDefaults, ...entryDefaults, name: "dev", place, linkKey }, {
             timers,
-            random: createSystemRandomSource(),
+            random,
             log,
             hostList: createHttpHostList(hosts.url),
-            configuration: createFixedConfigurationSource(buildDevObjects(settings.engines, settings.key)),
+            configuration: configuration.source,
             policy: chooseLeastConnections,
             selectAperture: all => all,
             connect: host => net.connect(host.port, host.address),
-            createOperatorRoute: () => () => Promise.resolve(false),
+            createOperatorRoute: state => createOperatorRoute(state, configuration.source, log),
         });
         const server = http.createServer(entry.handler);
         const port = await listen(server, settings.port, loopback);
         process.stdout.write(`listening on http://${loopback}:${port}\n`);
+        if (settings.logUrl) {
+            process.stdout.write(`log service on ${configuration.logUrl}\n`);
+        }
         await waitForStopSignal();
         await entry.drain();
         await closeServer(server, closeTimeoutMs);
--- a/src/cli/entryCommand.ts
+++ b/src/cli/entryCommand.ts
@@ -6,11 +6,12 @@
 import { LogEvent } from "../base/logEvents.js";
 import { createSystemRandomSource } from "../base/systemRandomSource.js";
 import { createSystemTimerService } from "../base/systemTimerService.js";
-import { createFixedConfigurationSource } from "../entry/configurationSource.js";
 import { createEntry } from "../entry/entry.js";
+import { createOperatorRoute } from "../entry/operatorRoute.js";
+import { HostRecord } from "../ports/hostList.js";
 import { chooseLeastConnections } from "../routing/baselinePolicies.js";
-import { readConfigurationFiles } from "./configurationFiles.js";
 import { entryDefaults, linkDefaults } from "./defaults.js";
+import { createEntryConfiguration, entryConfigurationOptions, entryConfigurationSchema } from "./entryConfiguration.js";
 import { linkSecurityOptions, linkSecuritySchema, loadLinkTransport } from "./linkSecurity.js";
 import { closeServer, listen } from "./listen.js";
 import { logUnhandledErrors, waitForStopSignal } from "./process.js";
@@ -22,7 +23,7 @@
     address: z.ipv4().or(z.ipv6()),
     port: portSchema,
     hosts: urlSchema,
-    config: z.array(z.string()).min(1, "expected at least one configuration file"),
+    ...entryConfigurationSchema,
     ...linkSecuritySchema,
     heartbeatIntervalMs: durationSchema,
     maxBodyBytes: z.number().int().positive(),
@@ -44,7 +45,7 @@
             address: { type: "string", default: "127.0.0.1", describe: "IP address to listen on" },
             port: { type: "number", default: 8080, describe: "port for callers; 0 takes a free one" },
             hosts: { type: "string", demandOption: true, describe: "root URL of the platform's host list" },
-            config: { type: "string", array: true, default: [], describe: "configuration files" },
+            ...entryConfigurationOptions,
             ...linkSecurityOptions,
             "heartbeat-interval-ms": { type: "number", default: linkDefaults.heartbeatIntervalMs },
             "max-body-bytes": { type: "number", default: entryDefaults.maxBodyBytes },
@@ -58,17 +59,20 @@
         const log = createEventLog("entry");
         logUnhandledErrors(log);
         const transport = await loadLinkTransport(settings, settings.address, log);
-        const configuration = createFixedConfigurationSource(await readConfigurationFiles(settings.config));
-        const entry = createEntry({ ...linkDefaults, ...entryDefaults, ...settings }, {
+        const shared = {
             timers: createSystemTimerService(),
             random: createSystemRandomSource(),
             log,
             hostList: createHttpHostList(settings.hosts),
+            connect: (host: HostRecord) => transport.connect(host.port, host.address),
+        };
+        const configuration = await createEntryConfiguration(settings, shared);
+        const entry = createEntry({ ...linkDefaults, ...entryDefaults, ...settings }, {
+            ...shared,
             configuration,
             policy: chooseLeastConnections,
             selectAperture: endpoints => endpoints,
-            connect: host => transport.connect(host.port, host.address),
-            createOperatorRoute: () => () => Promise.resolve(false),
+            createOperatorRoute: state => createOperatorRoute(state, configuration, log),
         });
         const server = http.createServer(entry.handler);
         const port = await listen(server, settings.port, settings.address);
@@ -78,6 +82,7 @@
         await entry.drain();
         await closeServer(server, closeTimeoutMs);
         entry.dispose();
+        configuration.dispose();
         log(LogEvent.ProcessStopped, { role: "entry", name: settings.name, signal });
         process.exit(0);
     },
--- a/src/entry/configurationSource.ts
+++ b/src/entry/configurationSource.ts
@@ -12,6 +12,8 @@
     readonly foldedOffset: number;
     /** What an operator should look at; empty when all is well. */
     readonly alarms: readonly string[];
+    /** Change sets that were rejected lately. */
+    readonly rejections: readonly string[];
 }
 
 /** Where an entry gets its configuration from. */
@@ -42,7 +44,7 @@
         },
         offer: () => undefined,
         buildMessage: () => ({ type: LinkMessageType.Configuration, foldedOffset: 0, ...configuration }),
-        describe: () => ({ foldedOffset: 0, alarms: [] }),
+        describe: () => ({ foldedOffset: 0, alarms: [], rejections: [] }),
         dispose: () => undefined,
     };
 }
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,10 +1,13 @@
 #!/usr/bin/env node
 import yargs from "yargs";
+import { configCommand } from "./cli/configCommand.js";
 import { devCommand } from "./cli/devCommand.js";
+import { drainCommand } from "./cli/drainCommand.js";
 import { emulateCommand } from "./cli/emulateCommand.js";
 import { entryCommand } from "./cli/entryCommand.js";
 import { SettingsError } from "./cli/settings.js";
 import { sidecarCommand } from "./cli/sidecarCommand.js";
+import { statusCommand } from "./cli/statusCommand.js";
 
 const usageExitCode = 2;
 
@@ -18,6 +21,9 @@
     .command(sidecarCommand)
     .command(emulateCommand)
     .command(devCommand)
+    .command(configCommand)
+    .command(statusCommand)
+    .command(drainCommand)
     .demandCommand(1, "expected a command")
     .strict()
     .help()
