--- a/src/main.ts
+++ b/src/main.ts
@@ -5,6 +5,7 @@
 import { drainCommand } from "./cli/drainCommand.js";
 import { emulateCommand } from "./cli/emulateCommand.js";
 import { entryCommand } from "./cli/entryCommand.js";
+import { loadCommand } from "./cli/loadCommand.js";
 import { SettingsError } from "./cli/settings.js";
 import { sidecarCommand } from "./cli/sidecarCommand.js";
 import { statusCommand } from "./cli/statusCommand.js";
@@ -20,6 +21,7 @@
     .command(entryCommand)
     .command(sidecarCommand)
     .command(emulateCommand)
+    .command(loadCommand)
     .command(devCommand)
     .command(configCommand)
     .command(statusCommand)
