--- a/src/cli/configCommand.ts
+++ b/src/cli/configCommand.ts
@@ -16,6 +16,11 @@
     demandOption: true,
     describe: "root URL of the log service (or JUJUBELANE_LOG_SERVICE)",
 };
+const deleteMissingOption: Options = {
+    type: "boolean",
+    default: false,
+    describe: "the files are the whole configuration: objects that they do not name are deleted; otherwise they stay",
+};
 const publishOptions: Record<string, Options> = {
     "log-service": logServiceOption,
     author: { type: "string", demandOption: true, describe: "name that the history shows" },
@@ -79,7 +84,6 @@
 });
 
 async function publishFiles(settings: z.infer<typeof publishFilesSchema>): Promise<CommandResult> {
-    const wanted = await readConfigurationFiles(settings.files);
     return useLog(settings.logService, async (log, timers) => {
         const history = await readHistory(log);
         const base = findGeneration(history, settings.base);
@@ -87,6 +91,7 @@
         if (unusable || "code" in base) {
             return unusable!;
         }
+        const wanted = await readConfigurationFiles(settings.files, settings.deleteMissing ? undefined : base.objects);
         const changes = buildChanges(base.objects, wanted, settings.deleteMissing);
         const { generation } = history.reader.state;
         if (changes.length === 0) {
@@ -114,11 +119,7 @@
                 describe:
                     "generation that the files were made from; objects that changed later are then not overwritten",
             },
-            "delete-missing": {
-                type: "boolean",
-                default: false,
-                describe: "delete objects that the files do not name; otherwise they stay",
-            },
+            "delete-missing": deleteMissingOption,
             "dry-run": { type: "boolean", default: false, describe: "print the changes and publish nothing" },
         }).epilogue(exitCodeHelp),
     handler: async argv => {
@@ -132,6 +133,7 @@
     logService: urlSchema,
     from: generationSchema.optional(),
     to: generationSchema.optional(),
+    deleteMissing: z.boolean(),
     json: z.boolean(),
 }).refine(settings => settings.files.length === 0 || settings.to === undefined, {
     message: "expected files or --to, not both",
@@ -146,17 +148,23 @@
             "log-service": logServiceOption,
             from: { type: "number", describe: "generation to compare from; default: the one in force" },
             to: { type: "number", describe: "generation to compare with; default: the files, else the one in force" },
+            "delete-missing": deleteMissingOption,
             json: jsonOption,
         }).epilogue(exitCodeHelp),
     handler: async argv => {
         const settings = parseSettings(diffSchema, argv);
-        const wanted = settings.files.length > 0 ? await readConfigurationFiles(settings.files) : undefined;
         const result = await useLog(settings.logService, async log => {
             const history = await readHistory(log);
             const from = findGeneration(history, settings.from);
-            const to = wanted ? { objects: wanted, generation: undefined } : findGeneration(history, settings.to);
-            if ("code" in from || "code" in to) {
-                return "code" in from ? from : to as CommandResult;
+            if ("code" in from) {
+                return from;
+            }
+            const onto = settings.deleteMissing ? undefined : from.objects;
+            const to = settings.files.length > 0
+                ? { objects: await readConfigurationFiles(settings.files, onto), generation: undefined }
+                : findGeneration(history, settings.to);
+            if ("code" in to) {
+                return to;
             }
             const differences = diffObjects(from.objects, to.objects);
             const code = differences.length === 0 ? ExitCode.Success : ExitCode.Negative;
--- a/src/cli/configurationFiles.ts
+++ b/src/cli/configurationFiles.ts
@@ -14,11 +14,14 @@
  * Loads configuration files in YAML (or JSON, which YAML includes), merges their sections and checks the whole set.
  * All problems of all files are returned at once.
  *
+ * @param onto objects that stay unless a file names them; without it the files are the whole set
+ *
  * @example
  * const result = await loadConfigurationFiles(["ranks.yaml", "endpoints.yaml"]);
  */
 export async function loadConfigurationFiles(
     paths: readonly string[],
+    onto?: ConfigurationObjects,
 ): Promise<Result<ConfigurationObjects, readonly ConfigurationProblem[]>> {
     const problems: ConfigurationProblem[] = [];
     const merged: Record<string, Sections> = {};
@@ -29,11 +32,20 @@
             mergeSection(path, section, objects, merged, files, problems);
         }
     }
-    const result = validateObjects(merged, (section, name) => files.get(`${section}.${name}`) ?? files.get(section));
+    const whole = onto ? mergeOnto(onto, merged) : merged;
+    const result = validateObjects(whole, (section, name) => files.get(`${section}.${name}`) ?? files.get(section));
     const failures = result.kind === ResultKind.Failure ? result.error : [];
     return problems.length > 0 ? makeFailure([...problems, ...failures]) : result;
 }
 
+function mergeOnto(objects: ConfigurationObjects, sections: Record<string, Sections>): Record<string, Sections> {
+    const whole: Record<string, Sections> = { ...sections };
+    for (const type of Object.values(ObjectType)) {
+        whole[type] = { ...objects[type], ...sections[type] };
+    }
+    return whole;
+}
+
 async function readSections(path: string, problems: ConfigurationProblem[]): Promise<Sections> {
     let text: string;
     try {
@@ -94,8 +106,11 @@
  *
  * @throws SettingsError if a file cannot be read or the set does not pass; the message lists every problem
  */
-export async function readConfigurationFiles(paths: readonly string[]): Promise<ConfigurationObjects> {
-    const result = await loadConfigurationFiles(paths);
+export async function readConfigurationFiles(
+    paths: readonly string[],
+    onto?: ConfigurationObjects,
+): Promise<ConfigurationObjects> {
+    const result = await loadConfigurationFiles(paths, onto);
     if (result.kind === ResultKind.Failure) {
         throw new SettingsError(`invalid configuration:\n${formatProblems(result.error)}`);
     }
--- a/src/entry/logConfigurationSource.ts
+++ b/src/entry/logConfigurationSource.ts
@@ -6,7 +6,7 @@
 import { TimerService } from "../base/timerService.js";
 import { configurationStream } from "../config/changeSet.js";
 import { computeConfigurationDigest } from "../config/digest.js";
-import { FoldOutcome, FoldOutcomeKind } from "../config/fold.js";
+import { FoldOutcome, FoldOutcomeKind, RejectionReason } from "../config/fold.js";
 import { Configuration } from "../config/objects.js";
 import {
     acceptPage,
@@ -150,6 +150,10 @@
         if (outcome.kind === FoldOutcomeKind.Rejected) {
             const { id, author } = outcome.changeSet;
             log(LogEvent.ChangeSetRejected, { offset, id, author, reason: outcome.reason, message: outcome.message });
+            if (outcome.reason === RejectionReason.Duplicate) {
+                // A publisher appends a change set again when the answer to the first append was lost.
+                return;
+            }
             rejections.push(`change set ${id} by ${author} at offset ${offset} was rejected: ${outcome.reason}`);
             rejections.splice(0, Math.max(0, rejections.length - maxReportedRejections));
         }
