Run a keyed call at most once by a claim in the log

A caller that has lost an answer sends its booking again, perhaps to another entry or sidecar. A sidecar now appends a claim for the call's idempotency key before it runs the call, reads the claim stream up to it, and runs only if its claim is the first in the log's order. A repeated send waits for the outcome within its limit and answers with it. With the log down a call is refused as not run. Without a key a call runs with one dispatch and no claim; with a key but without a log service it is refused.

src/idempotency holds the fold and the decision; src/sidecar/claims appends, reads and runs. A stream is read only when a send needs it, each time from the last folded record on, so that a log that began anew is noticed. Each stream gets a mark at least every half window, so that a new sidecar can tell that it sees every claim that is younger than its key. Entries send the keys of one claim stream to the same sidecar by rendezvous hash.

Ruled out: a claim that counts as won when its append is answered (a delayed append of another sidecar may come first); taking over a claim whose holder is silent (a paused holder may still run the call); following all streams all the time (a poll per stream and sidecar, for a cache that log order does not need).

--- a/src/cli/devCommand.ts
+++ b/src/cli/devCommand.ts
@@ -3,6 +3,7 @@
 import { CommandModule } from "yargs";
 import { z } from "zod";
 import { createHttpHostList } from "../adapters/httpHostList.js";
+import { createHttpLogService } from "../adapters/httpLogService.js";
 import { createHttpModelEngine } from "../adapters/httpModelEngine.js";
 import { createHttpPlainService } from "../adapters/httpPlainService.js";
 import { computeDigest } from "../base/ids.js";
@@ -14,14 +15,17 @@
 import { configurationSchema } from "../config/schema.js";
 import { startEmulatedEngine } from "../emulator/engine/engineServer.js";
 import { startEmulatedHostList } from "../emulator/hostListServer.js";
+import { defaultLogModelSettings } from "../emulator/log/logModel.js";
+import { startEmulatedLog } from "../emulator/log/logServer.js";
 import { startEmulatedService } from "../emulator/serviceServer.js";
 import { createFixedConfigurationSource } from "../entry/configurationSource.js";
 import { createEntry } from "../entry/entry.js";
 import { HostState } from "../ports/hostList.js";
 import { chooseLeastConnections } from "../routing/baselinePolicies.js";
 import { createFairScheduler } from "../scheduling/fairScheduler.js";
+import { createClaimRunner } from "../sidecar/claims/claimRunner.js";
+import { defaultClaimTaskSettings, startClaims } from "../sidecar/claims/startClaims.js";
 import { createModelRunner, defaultModelRunnerSettings } from "../sidecar/modelRunner.js";
-import { createServiceRunner } from "../sidecar/serviceRunner.js";
 import { createSidecar, Sidecar, SidecarParts } from "../sidecar/sidecar.js";
 import { entryDefaults, linkDefaults, sidecarDefaults } from "./defaults.js";
 import { closeServer, listen } from "./listen.js";
@@ -39,6 +43,8 @@
 const linkKey = "dev";
 const engineSpeed = { memoryTokens: 400_000, prefillTokensPerSecond: 40_000, decodeTokensPerSecond: 60, maxBatch: 32 };
 const closeTimeoutMs = 2_000;
+/** All clocks of `dev` are one; a fresh log would otherwise refuse the keys of its first seconds. */
+const devKeyAheadMs = 0;
 const loopback = "127.0.0.1";
 
 /** Configuration of `dev`: one model with emulated engines, one plain service, one caller who is also an operator. */
@@ -85,7 +91,16 @@
         started.push(await startSidecar(`engine-${index}`, { timers, runner, readReport: () => engine.report() }));
     }
     const service = await startEmulatedService({ port: 0, delayMs: 5 }, timers);
-    const runner = createServiceRunner(createHttpPlainService(service.url), timers);
+    const log = await startEmulatedLog({ ...defaultLogModelSettings, port: 0 }, timers);
+    const claims = startClaims({ ...defaultClaimTaskSettings, maxKeyAheadMs: devKeyAheadMs }, {
+        service: createHttpLogService(log.url, timers),
+        timers,
+        random: createSystemRandomSource(),
+        log: createEventLog("sidecar"),
+        endpoint: "booking-1",
+    });
+    await claims.refreshMarks();
+    const runner = createClaimRunner(createHttpPlainService(service.url), claims, timers);
     started.push(await startSidecar("booking-1", { timers, runner }));
     return started;
 }
--- a/src/cli/sidecarCommand.ts
+++ b/src/cli/sidecarCommand.ts
@@ -5,11 +5,14 @@
 import { createEventLog } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
 import { createSystemTimerService } from "../base/systemTimerService.js";
+import { TimerService } from "../base/timerService.js";
 import { createFairScheduler } from "../scheduling/fairScheduler.js";
 import { createFirstComeScheduler } from "../scheduling/firstComeScheduler.js";
+import { createClaimRunner } from "../sidecar/claims/claimRunner.js";
+import { ClaimTask } from "../sidecar/claims/claimTask.js";
 import { createModelRunner, defaultModelRunnerSettings } from "../sidecar/modelRunner.js";
-import { createServiceRunner } from "../sidecar/serviceRunner.js";
 import { createSidecar, Sidecar, SidecarSettings } from "../sidecar/sidecar.js";
+import { buildClaims, claimOptions, claimSettingsSchema, isWindowKept, windowProblem } from "./claimSettings.js";
 import { linkDefaults, sidecarDefaults } from "./defaults.js";
 import { linkSecurityOptions, linkSecuritySchema, loadLinkTransport } from "./linkSecurity.js";
 import { listen } from "./listen.js";
@@ -35,12 +38,19 @@
     heartbeatIntervalMs: durationSchema,
     maxQueuedRequests: z.number().int().positive(),
     maxQueuedBytes: z.number().int().positive(),
+    ...claimSettingsSchema,
     scheduler: z.enum(SchedulerName),
     log: z.string(),
-}).refine(settings => (settings.engine === undefined) !== (settings.service === undefined), {
-    message: "expected exactly one of --engine and --service",
-    path: ["engine"],
-});
+}).refine(isWindowKept, windowProblem).refine(
+    settings => (settings.engine === undefined) !== (settings.service === undefined),
+    {
+        message: "expected exactly one of --engine and --service",
+        path: ["engine"],
+    },
+);
+
+/** Time that a stopping sidecar waits for the log to take its last claim records, in milliseconds. */
+const claimDrainMs = 3_000;
 
 type ParsedSettings = z.infer<typeof settingsSchema>;
 
@@ -60,6 +70,7 @@
             "heartbeat-interval-ms": { type: "number", default: linkDefaults.heartbeatIntervalMs },
             "max-queued-requests": { type: "number", default: sidecarDefaults.maxQueuedRequests },
             "max-queued-bytes": { type: "number", default: sidecarDefaults.maxQueuedBytes },
+            ...claimOptions,
             scheduler: {
                 choices: Object.values(SchedulerName),
                 default: SchedulerName.Fair,
@@ -72,7 +83,9 @@
         applyLogSetting(settings.log);
         const log = createEventLog("sidecar");
         logUnhandledErrors(log);
-        const sidecar = buildSidecar({ ...linkDefaults, ...sidecarDefaults, ...settings }, settings);
+        const timers = createSystemTimerService();
+        const claims = buildClaims(settings, timers, log);
+        const sidecar = buildSidecar({ ...linkDefaults, ...sidecarDefaults, ...settings }, settings, timers, claims);
         const transport = await loadLinkTransport(settings, settings.address, log);
         const server = transport.createServer(
             socket => sidecar.accept(socket),
@@ -83,6 +96,7 @@
         process.stdout.write(`listening on ${settings.address}:${port}\n`);
         const signal = await waitForStopSignal();
         await sidecar.drain();
+        await claims?.drain(claimDrainMs);
         server.close();
         sidecar.dispose();
         log(LogEvent.ProcessStopped, { role: "sidecar", name: settings.endpoint, signal });
@@ -93,12 +107,13 @@
 function buildSidecar(
     settings: SidecarSettings,
     parsed: Pick<ParsedSettings, "engine" | "service" | "scheduler">,
+    timers: TimerService,
+    claims: ClaimTask | undefined,
 ): Sidecar {
-    const timers = createSystemTimerService();
     const log = createEventLog("sidecar");
     const createScheduler = schedulers[parsed.scheduler];
     if (parsed.service !== undefined) {
-        const runner = createServiceRunner(createHttpPlainService(parsed.service), timers);
+        const runner = createClaimRunner(createHttpPlainService(parsed.service), claims, timers);
         return createSidecar(settings, { timers, log, runner, createScheduler });
     }
     const engine = createHttpModelEngine(parsed.engine!);
--- a/src/entry/requestTask.ts
+++ b/src/entry/requestTask.ts
@@ -5,9 +5,11 @@
 import { buildRequestError, ErrorCode, RequestError } from "../base/requestError.js";
 import { TimerService } from "../base/timerService.js";
 import { mergeVerdicts, Verdict } from "../base/verdict.js";
+import { computePartition, defaultClaimPartitions, formatClaimStream } from "../idempotency/index.js";
 import { ModelWork, ServiceWork } from "../link/messages.js";
 import { RetryBudget } from "../retries/retryBudget.js";
 import { decideRetry, RetryDecision } from "../retries/retryPolicy.js";
+import { chooseByAffinity } from "../routing/affinityPolicy.js";
 import { RoutingPolicy } from "../routing/routing.js";
 import { AttemptEvent, AttemptEventKind } from "./attempt.js";
 import { EndpointLink } from "./endpointLink.js";
@@ -203,7 +205,9 @@
     function attempt(lastError: RequestError | undefined) {
         const candidates = context.directory.listViews({ model: plan.model?.model, service: plan.service?.service });
         const remainingMs = deadlineMs - timers.now();
-        const choice = context.policy(
+        const affinityKey = computeAffinityKey(plan);
+        const policy = affinityKey === undefined ? context.policy : chooseByAffinity;
+        const choice = policy(
             {
                 id: plan.id,
                 caller: plan.caller,
@@ -213,7 +217,7 @@
                 prefixDigest: plan.model?.prefixDigest ?? "",
                 remainingMs,
                 excluded,
-                affinityKey: plan.service?.idempotencyKey,
+                affinityKey,
             },
             candidates,
             { place: context.place, random: context.random, decision: context.countDecision() },
@@ -253,3 +257,11 @@
     attempt(undefined);
     return { cancel: () => stop(ErrorCode.Cancelled, "the caller closed its connection") };
 }
+
+/** A repeated call with a key goes to the sidecar that has probably folded the key's partition already. */
+function computeAffinityKey(plan: RequestPlan): string | undefined {
+    const key = plan.service?.idempotencyKey;
+    return key === undefined
+        ? undefined
+        : formatClaimStream(computePartition(plan.caller, key, defaultClaimPartitions));
+}
--- /dev/null
+++ b/src/idempotency/claimRecords.ts
@@ -0,0 +1,85 @@
+import { z } from "zod";
+
+/** Tag of a {@link ClaimRecord}. */
+export enum ClaimRecordKind {
+    Claim = "claim",
+    Outcome = "outcome",
+    Release = "release",
+    Mark = "mark",
+}
+
+/** What is known of a call whose claim is not released. */
+export enum OutcomeResult {
+    Ran = "ran",
+    /** The call was sent and no whole answer came back. */
+    MayHaveRun = "may-have-run",
+}
+
+const id = z.string().min(1).max(64);
+const partitions = z.number().int().positive();
+
+const claimSchema = z.object({
+    kind: z.literal(ClaimRecordKind.Claim),
+    id,
+    key: z.string(),
+    caller: z.string(),
+    fingerprint: z.string(),
+    holder: z.string(),
+    limitMs: z.number().min(0),
+    partitions,
+});
+
+const outcomeSchema = z.object({
+    kind: z.literal(ClaimRecordKind.Outcome),
+    id,
+    claim: id,
+    holder: z.string(),
+    result: z.enum(OutcomeResult),
+    status: z.number().int(),
+    headers: z.record(z.string(), z.string()),
+    body: z.string().optional(),
+});
+
+const releaseSchema = z.object({
+    kind: z.literal(ClaimRecordKind.Release),
+    id,
+    claim: id,
+    holder: z.string(),
+});
+
+const markSchema = z.object({ kind: z.literal(ClaimRecordKind.Mark), id, partitions });
+
+const recordSchema = z.discriminatedUnion("kind", [claimSchema, outcomeSchema, releaseSchema, markSchema]);
+
+/**
+ * A sidecar is about to run a call. `key` is the caller's UUIDv7, `fingerprint` a digest of service, method, path and
+ * body, `holder` the process, `limitMs` the call's remaining time in milliseconds, `partitions` the number of claim
+ * streams that the holder assumes.
+ */
+export type ClaimRecord = Readonly<z.infer<typeof claimSchema>>;
+
+/** The end of a claimed call. `body` is base64; it is absent when it exceeds the limit of recorded bodies. */
+export type OutcomeRecord = Readonly<z.infer<typeof outcomeSchema>>;
+
+/** The claimed call certainly did not run and its holder will not run it. */
+export type ReleaseRecord = Readonly<z.infer<typeof releaseSchema>>;
+
+/** Shows from which time on the stream is complete when it holds nothing else. */
+export type MarkRecord = Readonly<z.infer<typeof markSchema>>;
+
+/** A record of a claim stream. */
+export type AnyClaimRecord = ClaimRecord | OutcomeRecord | ReleaseRecord | MarkRecord;
+
+/** An outcome as it is replayed. */
+export type RecordedOutcome = Pick<OutcomeRecord, "result" | "status" | "headers" | "body">;
+
+/**
+ * Parses a value of a claim stream. Returns `undefined` for a value that is no claim record; readers skip it.
+ *
+ * @example
+ * parseClaimRecord({ kind: "mark", id: "1", partitions: 8 });
+ */
+export function parseClaimRecord(value: unknown): AnyClaimRecord | undefined {
+    const parsed = recordSchema.safeParse(value);
+    return parsed.success ? parsed.data : undefined;
+}
--- /dev/null
+++ b/src/sidecar/claims/backgroundAppends.ts
@@ -0,0 +1,66 @@
+import { AppendOutcomeKind, IdentifiedRecord, LogAppender } from "../../adapters/logAppender.js";
+import { EventLog } from "../../base/log.js";
+import { LogEvent } from "../../base/logEvents.js";
+import { TimerService, waitFor } from "../../base/timerService.js";
+
+/** Appends that go on until the log has taken the record. */
+export interface BackgroundAppends {
+    /**
+     * Appends a record as soon as the log takes it. Resolves when it has, or when `untilMs` has passed.
+     *
+     * @param untilMs monotonic time after which the record is of no use
+     */
+    append(stream: string, record: IdentifiedRecord, untilMs: number): Promise<void>;
+    countPending(): number;
+    /** Resolves when nothing is pending or after `timeLimitMs`. */
+    drain(timeLimitMs: number): Promise<void>;
+}
+
+const attemptLimitMs = 2_000;
+const firstDelayMs = 100;
+const maxDelayMs = 2_000;
+const drainCheckMs = 20;
+
+/**
+ * Creates background appends.
+ *
+ * @example
+ * const appends = createBackgroundAppends(appender, timers, log);
+ * void appends.append("claims-0", release, timers.now() + 60_000);
+ */
+export function createBackgroundAppends(
+    appender: LogAppender,
+    timers: TimerService,
+    log: EventLog,
+): BackgroundAppends {
+    let pending = 0;
+
+    async function run(stream: string, record: IdentifiedRecord, untilMs: number) {
+        let delayMs = firstDelayMs;
+        while (timers.now() < untilMs) {
+            const outcome = await appender.append(stream, record, attemptLimitMs);
+            if (outcome.kind === AppendOutcomeKind.Appended) {
+                return;
+            }
+            log(LogEvent.ClaimRecordDelayed, { stream, record: record.id, error: outcome.error.message });
+            await waitFor(timers, delayMs);
+            delayMs = Math.min(maxDelayMs, delayMs * 2);
+        }
+        log(LogEvent.ClaimRecordDropped, { stream, record: record.id });
+    }
+
+    return {
+        async append(stream, record, untilMs) {
+            pending++;
+            await run(stream, record, untilMs);
+            pending--;
+        },
+        countPending: () => pending,
+        async drain(timeLimitMs) {
+            const endMs = timers.now() + timeLimitMs;
+            while (pending > 0 && timers.now() < endMs) {
+                await waitFor(timers, drainCheckMs);
+            }
+        },
+    };
+}
--- /dev/null
+++ b/src/sidecar/claims/claimPartition.ts
@@ -0,0 +1,142 @@
+import { EventLog } from "../../base/log.js";
+import { LogEvent } from "../../base/logEvents.js";
+import { TimerService, waitFor } from "../../base/timerService.js";
+import { ClaimFold, ClaimFoldSettings, createClaimFold, RecordedOutcome } from "../../idempotency/index.js";
+import { LogService } from "../../ports/logService.js";
+
+/** One claim stream as this sidecar has folded it. It is read only when a send needs it. */
+export interface ClaimPartition {
+    readonly stream: string;
+    readonly fold: ClaimFold;
+    /**
+     * Reads to the end of the stream, in a read that begins after the call.
+     *
+     * @returns false if the log did not answer within the time limit
+     */
+    sync(timeLimitMs: number): Promise<boolean>;
+    /** Resolves when the stream or a local outcome has changed something, or after `timeLimitMs`. */
+    waitForChange(timeLimitMs: number): Promise<void>;
+    /** Applies an outcome of this process before its record is in the log. */
+    applyOutcome(claim: string, outcome: RecordedOutcome): void;
+}
+
+const pageRecords = 500;
+const pollMs = 2_000;
+const pollRetryDelayMs = 200;
+
+/**
+ * Creates the view of one claim stream.
+ *
+ * @example
+ * const partition = createClaimPartition("claims-0", service, timers, log, settings);
+ * if (await partition.sync(1_000)) { partition.fold.find(caller, key); }
+ */
+export function createClaimPartition(
+    stream: string,
+    service: LogService,
+    timers: TimerService,
+    log: EventLog,
+    settings: ClaimFoldSettings,
+): ClaimPartition {
+    const fold = createClaimFold(settings);
+    const changeListeners = new Set<() => void>();
+    let reading: Promise<boolean> | undefined;
+    let following: Promise<boolean> | undefined;
+    let isPolling = false;
+
+    async function readToEnd(): Promise<boolean> {
+        try {
+            for (;;) {
+                const fromOffset = fold.getReadOffset();
+                const page = await service.read(stream, fromOffset, pageRecords);
+                const nextOffset = fold.getNextOffset();
+                const isAnew = !fold.applyPage(page);
+                if (isAnew || page.firstOffset > nextOffset) {
+                    const { firstOffset, endOffset } = page;
+                    log(LogEvent.ClaimStreamGap, { stream, nextOffset, firstOffset, endOffset });
+                }
+                if (isAnew) {
+                    continue;
+                }
+                const last = page.records.at(-1);
+                if (!last || last.offset + 1 >= page.endOffset) {
+                    return true;
+                }
+            }
+        }
+        catch {
+            return false;
+        }
+        finally {
+            emitChange();
+        }
+    }
+
+    function emitChange() {
+        for (const listener of [...changeListeners]) {
+            listener();
+        }
+    }
+
+    /** Starts a read, or joins the one that follows the read in progress. */
+    function read(): Promise<boolean> {
+        if (!reading) {
+            reading = readToEnd().finally(() => {
+                reading = undefined;
+            });
+            return reading;
+        }
+        following ??= reading.then(() => {
+            following = undefined;
+            return read();
+        });
+        return following;
+    }
+
+    function limit<Value>(promise: Promise<Value>, timeLimitMs: number, otherwise: Value): Promise<Value> {
+        return new Promise((resolve, reject) => {
+            const timer = timers.schedule(timeLimitMs, () => resolve(otherwise));
+            promise.finally(() => timer.dispose()).then(resolve, reject);
+        });
+    }
+
+    /** Watches the stream while someone waits for a change. */
+    async function poll() {
+        isPolling = true;
+        while (changeListeners.size > 0) {
+            try {
+                const next = fold.getNextOffset();
+                const page = await service.read(stream, next, 1, pollMs);
+                if (page.endOffset !== next && !await read()) {
+                    await waitFor(timers, pollRetryDelayMs);
+                }
+            }
+            catch {
+                await waitFor(timers, pollRetryDelayMs);
+            }
+        }
+        isPolling = false;
+    }
+
+    return {
+        stream,
+        fold,
+        sync: timeLimitMs => limit(read(), timeLimitMs, false),
+        async waitForChange(timeLimitMs) {
+            let listener: (() => void) | undefined;
+            const changed = new Promise<void>(resolve => {
+                listener = resolve;
+                changeListeners.add(resolve);
+            });
+            if (!isPolling) {
+                void poll();
+            }
+            await limit(changed, timeLimitMs, undefined);
+            changeListeners.delete(listener!);
+        },
+        applyOutcome(claim, outcome) {
+            fold.applyOutcome(claim, outcome);
+            emitChange();
+        },
+    };
+}
--- /dev/null
+++ b/src/sidecar/claims/claimTask.ts
@@ -0,0 +1,181 @@
+import { AppendOutcomeKind, LogAppender } from "../../adapters/logAppender.js";
+import { makeId } from "../../base/ids.js";
+import { EventLog } from "../../base/log.js";
+import { LogEvent } from "../../base/logEvents.js";
+import { ErrorCode } from "../../base/requestError.js";
+import { TimerService } from "../../base/timerService.js";
+import {
+    ClaimRecord,
+    ClaimRecordKind,
+    computePartition,
+    formatClaimStream,
+    MarkRecord,
+    OutcomeRecord,
+    ReleaseRecord,
+} from "../../idempotency/index.js";
+import { LogService } from "../../ports/logService.js";
+import {
+    acquireClaim,
+    AcquireResult,
+    ClaimedCall,
+    ClaimTaskSettings,
+    describeNotRun,
+    HeldCall,
+} from "./acquireClaim.js";
+import { createBackgroundAppends } from "./backgroundAppends.js";
+import { ClaimPartition, createClaimPartition } from "./claimPartition.js";
+
+/** Claims of one sidecar. */
+export interface ClaimTask {
+    /** Acquires the right to run a call, or finds out what became of it. Never throws. */
+    acquire(call: ClaimedCall): Promise<AcquireResult>;
+    /** Makes sure that every claim stream holds a record that is older than keys to come. */
+    refreshMarks(): Promise<void>;
+    /** Resolves when all records are in the log or after `timeLimitMs`. */
+    drain(timeLimitMs: number): Promise<void>;
+    countPendingRecords(): number;
+}
+
+/** What a claim task is built from. */
+export interface ClaimTaskParts {
+    readonly service: LogService;
+    readonly appender: LogAppender;
+    readonly timers: TimerService;
+    readonly log: EventLog;
+    /** Name of this process in claim records; it is never used by another process. */
+    readonly holder: string;
+}
+
+const markLimitMs = 2_000;
+/** Age of a stream's last record, as a share of the window, at which a mark is added. */
+const markAgeShare = 0.5;
+
+/**
+ * Creates the claims of one sidecar.
+ *
+ * @example
+ * const claims = createClaimTask(settings, { service, appender, timers, log, holder: makeId() });
+ * const result = await claims.acquire(call);
+ */
+export function createClaimTask(settings: ClaimTaskSettings, parts: ClaimTaskParts): ClaimTask {
+    const { service, appender, timers, log, holder } = parts;
+    const background = createBackgroundAppends(appender, timers, log);
+    const partitions = new Map<number, ClaimPartition>();
+
+    function open(index: number): ClaimPartition {
+        let partition = partitions.get(index);
+        if (!partition) {
+            partition = createClaimPartition(formatClaimStream(index), service, timers, log, settings);
+            partitions.set(index, partition);
+        }
+        return partition;
+    }
+
+    /** Appends a record that others wait for. After the window nobody does: the key has expired. */
+    function appendLater(partition: ClaimPartition, record: OutcomeRecord | ReleaseRecord) {
+        void background.append(partition.stream, record, timers.now() + settings.windowMs);
+    }
+
+    function release(partition: ClaimPartition, call: ClaimedCall, claim: string, reason: string) {
+        log(LogEvent.ClaimReleased, { request: call.request, claim, reason });
+        appendLater(partition, { kind: ClaimRecordKind.Release, id: makeId(), claim, holder });
+    }
+
+    function hold(partition: ClaimPartition, call: ClaimedCall, claim: string): HeldCall {
+        return {
+            record(outcome) {
+                partition.applyOutcome(claim, outcome);
+                const { result, status, headers, body } = outcome;
+                const id = makeId();
+                appendLater(partition, {
+                    kind: ClaimRecordKind.Outcome,
+                    id,
+                    claim,
+                    holder,
+                    result,
+                    status,
+                    headers,
+                    body,
+                });
+            },
+            release: reason => release(partition, call, claim, reason),
+        };
+    }
+
+    /** Appends a claim and reads the stream up to it. */
+    async function appendClaim(
+        partition: ClaimPartition,
+        call: ClaimedCall,
+        claim: string,
+        timeLimitMs: number,
+    ): Promise<boolean> {
+        const startedMs = timers.now();
+        const record: ClaimRecord = {
+            kind: ClaimRecordKind.Claim,
+            id: claim,
+            key: call.key,
+            caller: call.caller,
+            fingerprint: call.fingerprint,
+            holder,
+            limitMs: Math.max(0, Math.ceil(call.deadlineMs - timers.now())),
+            partitions: settings.partitions,
+        };
+        const outcome = await appender.append(partition.stream, record, timeLimitMs);
+        if (outcome.kind === AppendOutcomeKind.NotAppended) {
+            return false;
+        }
+        const remainingMs = timeLimitMs - (timers.now() - startedMs);
+        if (outcome.kind === AppendOutcomeKind.Appended && await partition.sync(remainingMs)) {
+            return true;
+        }
+        log(LogEvent.ClaimAppendUnknown, { request: call.request, claim });
+        release(partition, call, claim, "the claim was not read back");
+        return false;
+    }
+
+    async function acquire(call: ClaimedCall): Promise<AcquireResult> {
+        const partition = open(computePartition(call.caller, call.key, settings.partitions));
+        const isKnown = partition.fold.getKnownFrom() !== undefined;
+        if (!isKnown && !await partition.sync(Math.min(settings.claimLimitMs, call.deadlineMs - timers.now()))) {
+            return describeNotRun(ErrorCode.LogUnavailable, "the log does not answer");
+        }
+        if (partition.fold.getKnownFrom() === undefined) {
+            await refreshMark(partition);
+        }
+        if (partition.fold.findOtherPartitions(settings.partitions) !== undefined) {
+            const message = "the log holds claims of another number of partitions";
+            return describeNotRun(ErrorCode.LogUnavailable, message);
+        }
+        return acquireClaim(call, partition, settings, {
+            timers,
+            log,
+            appendClaim: (claim, timeLimitMs) => appendClaim(partition, call, claim, timeLimitMs),
+            release: (claim, reason) => release(partition, call, claim, reason),
+            hold: claim => hold(partition, call, claim),
+        });
+    }
+
+    async function refreshMark(partition: ClaimPartition) {
+        if (!await partition.sync(markLimitMs)) {
+            return;
+        }
+        const other = partition.fold.findOtherPartitions(settings.partitions);
+        if (other !== undefined) {
+            log(LogEvent.ClaimPartitionsDiffer, { stream: partition.stream, expected: settings.partitions, other });
+        }
+        if (timers.wallNow() - partition.fold.getLastTime() >= settings.windowMs * markAgeShare) {
+            const mark: MarkRecord = { kind: ClaimRecordKind.Mark, id: makeId(), partitions: settings.partitions };
+            await appender.append(partition.stream, mark, markLimitMs);
+            await partition.sync(markLimitMs);
+        }
+    }
+
+    return {
+        acquire,
+        async refreshMarks() {
+            await Promise.all([...Array(settings.partitions).keys()].map(index => refreshMark(open(index))));
+        },
+        drain: timeLimitMs => background.drain(timeLimitMs),
+        countPendingRecords: () => background.countPending(),
+    };
+}
--- a/src/sidecar/serviceRunner.ts
+++ b/src/sidecar/serviceRunner.ts
@@ -41,7 +41,8 @@
     };
 }
 
-function describeResult(work: Work, result: ServiceResult): SidecarMessage[] {
+/** Describes the result of a call to the entry. */
+export function describeResult(work: Work, result: ServiceResult): SidecarMessage[] {
     const request = work.dispatch.request;
     switch (result.kind) {
         case ServiceResultKind.Answered:
--- /dev/null
+++ b/test/idempotency/claimFold.test.ts
@@ -0,0 +1,169 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+    AnyClaimRecord,
+    ClaimRecordKind,
+    ClaimStanding,
+    computePartition,
+    createClaimFold,
+    decideSend,
+    defaultClaimFoldSettings,
+    OutcomeResult,
+    SendDecisionKind,
+} from "../../src/idempotency/index.js";
+
+const settings = { ...defaultClaimFoldSettings, windowMs: 1_000, maxKeyAheadMs: 0, maxBodyBytes: 10 };
+const keyTimeMs = 1_700_000_000_000;
+const key = `${keyTimeMs.toString(16).padStart(12, "0").replace(/^(.{8})/, "$1-")}-7000-8000-000000000001`;
+const caller = "kiosk";
+
+function claim(id: string, holder: string): AnyClaimRecord {
+    return {
+        kind: ClaimRecordKind.Claim,
+        id,
+        key,
+        caller,
+        fingerprint: "f",
+        holder,
+        limitMs: 100,
+        partitions: 1,
+    };
+}
+
+function release(of: string, holder: string): AnyClaimRecord {
+    return { kind: ClaimRecordKind.Release, id: `release-${of}`, claim: of, holder };
+}
+
+function outcome(of: string, holder: string, body?: string): AnyClaimRecord {
+    const result = OutcomeResult.Ran;
+    return {
+        kind: ClaimRecordKind.Outcome,
+        id: `outcome-${of}`,
+        claim: of,
+        holder,
+        result,
+        status: 200,
+        headers: {},
+        body,
+    };
+}
+
+const mark: AnyClaimRecord = { kind: ClaimRecordKind.Mark, id: "mark", partitions: 1 };
+
+/** Folds records of which the first is a mark older than the key; the others are `atMs` after the key. */
+function fold(records: readonly unknown[], atMs = 10) {
+    const subject = createClaimFold(settings);
+    const all = [mark, ...records].map((value, offset) => ({
+        offset,
+        timeMs: keyTimeMs + (offset === 0 ? -10 : atMs),
+        value,
+    }));
+    subject.applyPage({ records: all, firstOffset: 0, endOffset: all.length });
+    return subject;
+}
+
+const standings: Record<
+    string,
+    { records: readonly unknown[]; atMs?: number; expected: Record<string, ClaimStanding> }
+> = {
+    "the first claim in the log's order holds the key": {
+        records: [claim("a", "A"), claim("b", "B")],
+        expected: { a: ClaimStanding.First, b: ClaimStanding.Void, c: ClaimStanding.Unseen },
+    },
+    "a claim that has lost stays void after the winner's release, its holder may have gone on": {
+        records: [claim("a", "A"), claim("b", "B"), release("a", "A"), claim("b", "B")],
+        expected: { a: ClaimStanding.Void, b: ClaimStanding.Void },
+    },
+    "a claim after a release of the first holds the key": {
+        records: [claim("a", "A"), release("a", "A"), claim("b", "B")],
+        expected: { a: ClaimStanding.Void, b: ClaimStanding.First },
+    },
+    "a delayed claim that comes after its own release is void": {
+        records: [release("a", "A"), claim("a", "A"), claim("b", "B")],
+        expected: { a: ClaimStanding.Void, b: ClaimStanding.First },
+    },
+    "a second copy of a released claim does not bring it back": {
+        records: [claim("a", "A"), release("a", "A"), claim("a", "A")],
+        expected: { a: ClaimStanding.Void },
+    },
+    "a release by another process does not free the key": {
+        records: [claim("a", "A"), release("a", "B")],
+        expected: { a: ClaimStanding.First },
+    },
+    "a release by another process before the claim does not void it": {
+        records: [release("a", "B"), claim("a", "A")],
+        expected: { a: ClaimStanding.First },
+    },
+    "a call that has ended is not released": {
+        records: [claim("a", "A"), outcome("a", "A"), release("a", "A")],
+        expected: { a: ClaimStanding.First },
+    },
+    "a claim that arrives after its key's window is void": {
+        records: [claim("a", "A")],
+        atMs: settings.windowMs + 1,
+        expected: { a: ClaimStanding.Void },
+    },
+    "values that are no claim records are skipped": {
+        records: [null, 7, { kind: "claim" }, { id: "a" }, claim("a", "A")],
+        expected: { a: ClaimStanding.First },
+    },
+};
+
+for (const [name, { records, atMs, expected }] of Object.entries(standings)) {
+    test(`claim fold: ${name}`, () => {
+        const subject = fold(records, atMs);
+        for (const [id, standing] of Object.entries(expected)) {
+            assert.equal(subject.getStanding(id), standing, id);
+        }
+    });
+}
+
+test("claim fold: an outcome by another process is not replayed", () => {
+    assert.equal(fold([claim("a", "A"), outcome("a", "B")]).find(caller, key)?.outcome, undefined);
+});
+
+test("claim fold: recorded bodies are bounded, the oldest goes first", () => {
+    const subject = fold([claim("a", "A"), outcome("a", "A", "12345678")]);
+    const other = claim("b", "B") as Extract<AnyClaimRecord, { kind: ClaimRecordKind.Claim }>;
+    const records = [{ ...other, caller: "other" }, outcome("b", "B", "12345678")]
+        .map((value, index) => ({ offset: 3 + index, timeMs: keyTimeMs + 20, value }));
+    subject.applyPage({ records, firstOffset: 0, endOffset: 5 });
+    assert.equal(subject.find(caller, key)?.outcome?.body, undefined);
+    assert.equal(subject.find(caller, key)?.outcome?.status, 200);
+    assert.equal(subject.find("other", key)?.outcome?.body, "12345678");
+});
+
+test("claim fold: records lost from the log between a claim and its reading forbid the run", () => {
+    const subject = fold([]);
+    const records = [{ offset: 5, timeMs: keyTimeMs + 20, value: claim("a", "A") }];
+    subject.applyPage({ records, firstOffset: 5, endOffset: 6 });
+    const send = { caller, key, fingerprint: "f", claim: "a" };
+    assert.equal(decideSend(send, subject, settings, keyTimeMs + 30).kind, SendDecisionKind.Refuse);
+    assert.equal(decideSend(send, fold([claim("a", "A")]), settings, keyTimeMs + 30).kind, SendDecisionKind.Run);
+});
+
+test("claim fold: a send whose claim has lost claims again once the key is free, and does not run on the lost one", () => {
+    const send = { caller, key, fingerprint: "f", claim: "b" };
+    const records = [claim("a", "A"), claim("b", "B")];
+    assert.equal(decideSend(send, fold(records), settings, keyTimeMs + 30).kind, SendDecisionKind.InProgress);
+    const freed = fold([...records, release("a", "A")]);
+    assert.equal(decideSend(send, freed, settings, keyTimeMs + 30).kind, SendDecisionKind.Claim);
+});
+
+test("claim fold: a key that was forgotten stays expired when the clock goes back", () => {
+    const subject = fold([claim("a", "A"), outcome("a", "A")]);
+    const send = { caller, key, fingerprint: "f", claim: undefined };
+    assert.equal(decideSend(send, subject, settings, keyTimeMs + 30).kind, SendDecisionKind.Replay);
+    assert.equal(decideSend(send, subject, settings, keyTimeMs + 2_000).kind, SendDecisionKind.Refuse);
+    assert.equal(subject.countKeys(), 0);
+    assert.equal(decideSend(send, subject, settings, keyTimeMs + 30).kind, SendDecisionKind.Refuse);
+});
+
+test("keys spread over the partitions and keep theirs", () => {
+    const counts = Array<number>(8).fill(0);
+    for (let index = 0; index < 8_000; index++) {
+        counts[computePartition(`caller-${index % 13}`, `${key}${index}`, counts.length)]!++;
+    }
+    assert.ok(counts.every(count => count > 800 && count < 1_200), counts.join(" "));
+    assert.equal(computePartition(caller, key, 8), computePartition(caller, key.toUpperCase(), 8));
+});
--- /dev/null
+++ b/test/sidecar/claims/world.ts
@@ -0,0 +1,356 @@
+import { createLogAppender } from "../../../src/adapters/logAppender.js";
+import { createManualTimerService, ManualTimerService } from "../../../src/base/manualTimerService.js";
+import { createSeededRandomSource, RandomSource } from "../../../src/base/randomSource.js";
+import { ErrorCode } from "../../../src/base/requestError.js";
+import { TimerService, waitFor } from "../../../src/base/timerService.js";
+import { Verdict } from "../../../src/base/verdict.js";
+import { createLogModel, defaultLogModelSettings, LogModel } from "../../../src/emulator/log/logModel.js";
+import { createMemoryLogService } from "../../../src/emulator/log/memoryLogService.js";
+import { LinkMessageType, SidecarMessage } from "../../../src/link/messages.js";
+import { LogService } from "../../../src/ports/logService.js";
+import { PlainService, ServiceCall, ServiceResult, ServiceResultKind } from "../../../src/ports/plainService.js";
+import { ClaimTaskSettings } from "../../../src/sidecar/claims/acquireClaim.js";
+import { createClaimRunner } from "../../../src/sidecar/claims/claimRunner.js";
+import { createClaimTask } from "../../../src/sidecar/claims/claimTask.js";
+import { defaultClaimTaskSettings } from "../../../src/sidecar/claims/startClaims.js";
+import { createServiceRunner } from "../../../src/sidecar/serviceRunner.js";
+import { Work, WorkRunner, WorkState } from "../../../src/sidecar/work.js";
+
+/** What a caller learns of one send. */
+export interface SendEnd {
+    readonly request: string;
+    readonly verdict: Verdict;
+    readonly code: ErrorCode | undefined;
+    readonly replayed: boolean;
+    readonly body: string | undefined;
+}
+
+/** Places at which a test can act on a node. */
+export enum Step {
+    AppendSent = "append-sent",
+    AppendAnswered = "append-answered",
+    ReadSent = "read-sent",
+    ReadAnswered = "read-answered",
+    CallSent = "call-sent",
+    CallAnswered = "call-answered",
+}
+
+/** A send in progress. */
+export interface TestSend {
+    readonly request: string;
+    readonly end: Promise<SendEnd>;
+    readonly result: { value: SendEnd | undefined };
+    cancel(): void;
+}
+
+/** One sidecar's claim code, which can be paused and crashed. */
+export interface TestNode {
+    readonly name: string;
+    send(key: string, options?: { body?: string; limitMs?: number; caller?: string }): TestSend;
+    pause(): void;
+    resume(): void;
+    /** Ends the node: nothing that it waits for reaches it any more. */
+    crash(): void;
+    refreshMarks(): Promise<void>;
+}
+
+/** Nodes around one log and one service, in virtual time. */
+export interface World {
+    readonly timers: ManualTimerService;
+    readonly model: LogModel;
+    /** Bodies that the service ran, by request id: the witness of the invariant. */
+    readonly runs: readonly ServiceCall[];
+    /** What the service does with calls. */
+    readonly service: { delayMs: number; lostAnswers: number; refusedConnections: number };
+    /** Called at each step of each node. */
+    onStep: (node: TestNode, step: Step) => void;
+    addNode(name: string): TestNode;
+    /** Moves time forward in small steps and lets everything that is due happen. */
+    advance(durationMs: number): Promise<void>;
+    /** Moves time forward until a promise is settled. */
+    settle<Value>(promise: Promise<Value>): Promise<Value>;
+}
+
+/** Settings of a world. */
+export interface WorldSettings {
+    readonly claims?: Partial<ClaimTaskSettings>;
+    readonly retentionMs?: number;
+    /** Longest random delay of each message to or from the log, in milliseconds. */
+    readonly maxLogDelayMs?: number;
+    readonly seed?: number;
+    /** Runs calls without claims, to show what the claims prevent. */
+    readonly withoutClaims?: boolean;
+}
+
+/** Settings of claims in tests. */
+export const testClaimSettings: ClaimTaskSettings = {
+    ...defaultClaimTaskSettings,
+    partitions: 1,
+    windowMs: 60_000,
+    maxKeyAheadMs: 0,
+};
+
+const stepMs = 20;
+const flushTurns = 3;
+const longestSettleMs = 120_000;
+const answerTimeoutMs = 500;
+
+interface Gate {
+    readonly timers: TimerService;
+    pass<Value>(promise: Promise<Value>): Promise<Value>;
+    close(): void;
+    open(): void;
+}
+
+/** Holds back timers and answers of a node that does not run. */
+function createGate(timers: TimerService): Gate {
+    let held: (() => void)[] | undefined;
+    const deliver = (callback: () => void) => held ? void held.push(callback) : callback();
+    return {
+        timers: {
+            ...timers,
+            schedule: (delayMs, callback) => {
+                let disposed = false;
+                const timer = timers.schedule(delayMs, () => deliver(() => disposed || callback()));
+                return {
+                    dispose() {
+                        disposed = true;
+                        timer.dispose();
+                    },
+                };
+            },
+            subscribe: (intervalMs, callback) => timers.subscribe(intervalMs, () => deliver(callback)),
+        },
+        pass: promise =>
+            new Promise((resolve, reject) => {
+                promise.then(
+                    value => deliver(() => resolve(value)),
+                    (error: Error) => deliver(() => reject(error)),
+                );
+            }),
+        close() {
+            held ??= [];
+        },
+        open() {
+            const callbacks = held ?? [];
+            held = undefined;
+            callbacks.forEach(callback => callback());
+        },
+    };
+}
+
+/** Makes a call to a service whose calls may not be repeated. */
+export function makeWork(
+    request: string,
+    key: string | undefined,
+    body: string,
+    caller: string,
+    deadlineMs: number,
+): Work {
+    const service = {
+        service: "bookings",
+        method: "POST",
+        path: "/bookings",
+        headers: {},
+        body: Buffer.from(body),
+        idempotencyKey: key,
+        repeatable: false,
+    };
+    const common = { rank: "urgent", caller, kind: "booking", fingerprint: "" };
+    return {
+        dispatch: {
+            type: LinkMessageType.Dispatch,
+            request,
+            incarnation: "",
+            remainingMs: 0,
+            waitedMs: 0,
+            attempt: 1,
+            service,
+            ...common,
+        },
+        item: {
+            id: request,
+            promptTokens: 1,
+            cachedTokens: 0,
+            maxOutputTokens: 0,
+            arrivedMs: 0,
+            bodyBytes: 0,
+            deadlineMs,
+            ...common,
+        },
+        session: "",
+        priority: 0,
+        state: WorkState.Running,
+        output: [],
+        final: [],
+        run: undefined,
+        forget: undefined,
+    };
+}
+
+/** Reads from the messages to the entry what the caller will learn. */
+export function describeEnd(request: string, messages: readonly SidecarMessage[]): SendEnd {
+    const answer = messages.find(message => message.type === LinkMessageType.ServiceAnswer);
+    const end = messages.find(message => message.type === LinkMessageType.End);
+    const rejected = messages.find(message => message.type === LinkMessageType.Rejected);
+    return {
+        request,
+        verdict: end?.verdict ?? Verdict.NotRun,
+        code: end ? end.code : rejected?.code,
+        replayed: answer?.replayed ?? false,
+        body: answer && Buffer.from(answer.body).toString(),
+    };
+}
+
+/** Creates a world. */
+export function createWorld(settings: WorldSettings = {}): World {
+    const timers = createManualTimerService();
+    const random: RandomSource = createSeededRandomSource(settings.seed ?? 1);
+    const model = createLogModel({
+        ...defaultLogModelSettings,
+        retentionMs: settings.retentionMs ?? defaultLogModelSettings.retentionMs,
+    }, timers);
+    const claimSettings = { ...testClaimSettings, ...settings.claims };
+    const runs: ServiceCall[] = [];
+    const service = { delayMs: 20, lostAnswers: 0, refusedConnections: 0 };
+    let requests = 0;
+
+    async function delay() {
+        const delayMs = Math.floor(random() * (settings.maxLogDelayMs ?? 0));
+        if (delayMs > 0) {
+            await waitFor(timers, delayMs);
+        }
+    }
+
+    async function runCall(call: ServiceCall): Promise<ServiceResult> {
+        if (service.refusedConnections > 0) {
+            service.refusedConnections--;
+            return { kind: ServiceResultKind.NotSent, message: "connection refused" };
+        }
+        runs.push(call);
+        const count = runs.length;
+        const isLost = service.lostAnswers > 0;
+        service.lostAnswers -= isLost ? 1 : 0;
+        await waitFor(timers, service.delayMs);
+        return isLost
+            ? { kind: ServiceResultKind.Unknown, message: "connection reset" }
+            : { kind: ServiceResultKind.Answered, status: 201, headers: {}, body: Buffer.from(`run ${count}`) };
+    }
+
+    function addNode(name: string): TestNode {
+        const gate = createGate(timers);
+        const shared = createMemoryLogService(model, timers, answerTimeoutMs);
+        const step = (at: Step) => world.onStep(node, at);
+
+        async function observe<Value>(sent: Step, answered: Step, call: () => Promise<Value>): Promise<Value> {
+            step(sent);
+            const run = async () => {
+                await delay();
+                try {
+                    return await call();
+                }
+                finally {
+                    await delay();
+                    step(answered);
+                }
+            };
+            return gate.pass(run());
+        }
+
+        const logService: LogService = {
+            append: (stream, values) =>
+                observe(Step.AppendSent, Step.AppendAnswered, () => shared.append(stream, values)),
+            read: (stream, from, limit, waitMs) =>
+                observe(Step.ReadSent, Step.ReadAnswered, () => shared.read(stream, from, limit, waitMs)),
+        };
+        const plainService: PlainService = {
+            call: call => observe(Step.CallSent, Step.CallAnswered, () => runCall(call)),
+        };
+        const claims = createClaimTask(claimSettings, {
+            service: logService,
+            appender: createLogAppender(logService, gate.timers),
+            timers: gate.timers,
+            log: () => undefined,
+            holder: name,
+        });
+        const runner: WorkRunner = settings.withoutClaims
+            ? createServiceRunner(plainService, gate.timers)
+            : createClaimRunner(plainService, claims, gate.timers);
+        const node: TestNode = {
+            name,
+            send(key, options = {}) {
+                const request = `${name}-${++requests}`;
+                const deadlineMs = timers.now() + (options.limitMs ?? 5_000);
+                const work = makeWork(request, key, options.body ?? "body", options.caller ?? "kiosk", deadlineMs);
+                const result: { value: SendEnd | undefined } = { value: undefined };
+                let cancel = () => undefined as void;
+                const end = new Promise<SendEnd>(resolve => {
+                    const run = runner(work, {
+                        handleItems: () => undefined,
+                        handleEnd(messages) {
+                            result.value = describeEnd(request, messages);
+                            resolve(result.value);
+                        },
+                    });
+                    cancel = () => run.cancel();
+                });
+                return { request, end, result, cancel: () => cancel() };
+            },
+            pause: () => gate.close(),
+            resume: () => gate.open(),
+            crash() {
+                gate.close();
+                node.resume = () => undefined;
+            },
+            refreshMarks: () => claims.refreshMarks(),
+        };
+        return node;
+    }
+
+    async function flush() {
+        for (let turn = 0; turn < flushTurns; turn++) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+    }
+
+    async function advance(durationMs: number) {
+        const endMs = timers.now() + durationMs;
+        await flush();
+        while (timers.now() < endMs) {
+            timers.advance(Math.min(stepMs, endMs - timers.now()));
+            await flush();
+        }
+    }
+
+    const world: World = {
+        timers,
+        model,
+        runs,
+        service,
+        onStep: () => undefined,
+        addNode,
+        advance,
+        async settle(promise) {
+            let isSettled = false;
+            const mark = () => {
+                isSettled = true;
+            };
+            promise.then(mark, mark);
+            const endMs = timers.now() + longestSettleMs;
+            while (!isSettled) {
+                if (timers.now() > endMs) {
+                    throw new Error(`not settled within ${longestSettleMs} ms of virtual time`);
+                }
+                await advance(stepMs);
+            }
+            return promise;
+        },
+    };
+    return world;
+}
+
+/** Makes a UUIDv7 with the given time, so that virtual time and key age agree. */
+export function makeKey(timeMs: number, index = 0): string {
+    const time = Math.floor(timeMs).toString(16).padStart(12, "0");
+    return `${time.slice(0, 8)}-${time.slice(8)}-7000-8000-${index.toString(16).padStart(12, "0")}`;
+}
