--- /dev/null
+++ b/src/entry/crashGuard.ts
@@ -0,0 +1,143 @@
+import { AppendOutcomeKind, createLogAppender } from "../adapters/logAppender.js";
+import { Disposable } from "../base/disposable.js";
+import { EventLog } from "../base/log.js";
+import { LogEvent } from "../base/logEvents.js";
+import { buildRequestError, ErrorCode, RequestError } from "../base/requestError.js";
+import { TimerService, waitFor } from "../base/timerService.js";
+import { Verdict } from "../base/verdict.js";
+import { CrashReportMessage, LinkMessageType, QuarantineMessage } from "../link/messages.js";
+import { LogService } from "../ports/logService.js";
+import { buildCrashRecord, parseCrashRecord } from "../quarantine/crashRecord.js";
+import {
+    applyCrash,
+    CrashRecord,
+    createQuarantineState,
+    decideTreatment,
+    defaultQuarantineSettings,
+    QuarantineSettings,
+    Treatment,
+} from "../quarantine/quarantine.js";
+
+/** What a crash guard is built from. */
+export interface CrashGuardParts {
+    readonly timers: TimerService;
+    readonly log: EventLog;
+    /** Where entries share crashes; without it each entry knows those of its own sidecars only. */
+    readonly logService?: LogService;
+    readonly settings?: QuarantineSettings;
+    /** Sends a message to every sidecar that this entry has a link to. */
+    broadcast(message: QuarantineMessage): void;
+}
+
+/** Keeps requests that crash endpoints from crashing more of them. */
+export interface CrashGuard extends Disposable {
+    handleCrashReport(message: CrashReportMessage): void;
+    /** What a sidecar whose link has opened has to know. */
+    listMessages(): readonly QuarantineMessage[];
+    /** Returns the refusal of a quarantined request. */
+    check(fingerprint: string): RequestError | undefined;
+}
+
+const controlStream = "control";
+const pageRecords = 500;
+const readWaitMs = 10_000;
+const appendLimitMs = 5_000;
+const retryDelayMs = 1_000;
+
+/**
+ * Creates the crash guard of an entry.
+ *
+ * @example
+ * const guard = createCrashGuard({ timers, log, broadcast: message => links.forEach(link => link.send(message)) });
+ */
+export function createCrashGuard(parts: CrashGuardParts): CrashGuard {
+    const { timers, log, logService } = parts;
+    const settings = parts.settings ?? defaultQuarantineSettings;
+    const appender = logService && createLogAppender(logService, timers);
+    let state = createQuarantineState();
+    let disposed = false;
+
+    function buildMessage(fingerprint: string): QuarantineMessage | undefined {
+        const suspect = state.suspects.get(fingerprint);
+        return suspect && {
+            type: LinkMessageType.Quarantine,
+            fingerprint,
+            untilMs: suspect.untilMs,
+            isolated: !suspect.quarantined,
+        };
+    }
+
+    function apply(record: CrashRecord, timeMs: number) {
+        const { state: next, changed } = applyCrash(state, record, timeMs, settings);
+        state = next;
+        for (const fingerprint of changed) {
+            const message = buildMessage(fingerprint);
+            if (message) {
+                const event = message.isolated ? LogEvent.SuspectFound : LogEvent.FingerprintQuarantined;
+                log(event, { fingerprint, crash: record.crash });
+                parts.broadcast(message);
+            }
+        }
+    }
+
+    async function share(record: CrashRecord): Promise<void> {
+        // A crash that this entry has not shared when it stops is known to the sidecar's other entries.
+        for (let attempt = 1; appender && !disposed; attempt++) {
+            const outcome = await appender.append(controlStream, buildCrashRecord(record), appendLimitMs);
+            if (outcome.kind === AppendOutcomeKind.Appended) {
+                return;
+            }
+            if (attempt === 1) {
+                log(LogEvent.CrashNotShared, { crash: record.crash, reason: outcome.error.message });
+            }
+            await waitFor(timers, retryDelayMs);
+        }
+    }
+
+    async function follow(service: LogService): Promise<void> {
+        let nextOffset = 0;
+        while (!disposed) {
+            try {
+                const page = await service.read(controlStream, nextOffset, pageRecords, readWaitMs);
+                nextOffset = page.endOffset < nextOffset ? 0 : nextOffset;
+                for (const { offset, timeMs, value } of page.records) {
+                    nextOffset = offset + 1;
+                    const record = parseCrashRecord(value);
+                    if (record && !disposed) {
+                        apply(record, timeMs);
+                    }
+                }
+            }
+            catch {
+                // The log does not answer; what is known stays in force.
+                await waitFor(timers, retryDelayMs);
+            }
+        }
+    }
+
+    if (logService) {
+        void follow(logService);
+    }
+    return {
+        handleCrashReport(message) {
+            const record = { crash: message.crash, fingerprints: message.fingerprints };
+            if (!state.crashes.has(record.crash)) {
+                apply(record, timers.wallNow());
+                void share(record);
+            }
+        },
+        listMessages: () =>
+            [...state.suspects.keys()].flatMap(fingerprint => buildMessage(fingerprint) ?? [])
+                .filter(message => message.untilMs > timers.wallNow()),
+        check(fingerprint) {
+            if (decideTreatment(state, fingerprint, timers.wallNow()) !== Treatment.Quarantined) {
+                return undefined;
+            }
+            const message = "the request has crashed endpoints and is quarantined";
+            return buildRequestError(ErrorCode.Quarantined, message, Verdict.NotRun);
+        },
+        dispose() {
+            disposed = true;
+        },
+    };
+}
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -232,16 +232,21 @@
     readonly type: LinkMessageType.ConfigurationRequest;
 }
 
-/** Entry → sidecar: a fingerprint that must not run. */
+/** Entry → sidecar: a fingerprint that must not run, or only alone. */
 export interface QuarantineMessage {
     readonly type: LinkMessageType.Quarantine;
     readonly fingerprint: string;
+    /** Wall-clock time at which this ends, in milliseconds since the Unix epoch. */
     readonly untilMs: number;
+    /** Whether it may run while nothing else runs on the endpoint. */
+    readonly isolated?: boolean;
 }
 
 /** Sidecar → entry: the endpoint died while these fingerprints ran. */
 export interface CrashReportMessage {
     readonly type: LinkMessageType.CrashReport;
+    /** Names the crash; every entry receives the same name. */
+    readonly crash: string;
     readonly fingerprints: readonly string[];
 }
 
--- /dev/null
+++ b/src/quarantine/index.ts
@@ -0,0 +1,10 @@
+export { buildCrashRecord, crashRecordType, parseCrashRecord } from "./crashRecord.js";
+export {
+    applyCrash,
+    createQuarantineState,
+    decideTreatment,
+    defaultQuarantineSettings,
+    expireSuspects,
+    Treatment,
+} from "./quarantine.js";
+export type { CrashRecord, QuarantineAdvance, QuarantineSettings, QuarantineState, Suspect } from "./quarantine.js";
--- a/src/sidecar/modelRunner.ts
+++ b/src/sidecar/modelRunner.ts
@@ -4,6 +4,7 @@
 import { Verdict } from "../base/verdict.js";
 import { EndMessage, LinkMessageType } from "../link/messages.js";
 import { EngineEvent, EngineEventKind, EngineFinish, ModelEngine } from "../ports/modelEngine.js";
+import { stoppingStatus } from "./watchedEngine.js";
 import { Work, WorkListener, WorkRun, WorkRunner } from "./work.js";
 
 /** Settings of a model runner. */
@@ -46,7 +47,7 @@
 function startGeneration(work: Work, listener: WorkListener, context: GenerationContext): WorkRun {
     const { engine, timers, settings } = context;
     const request = work.dispatch.request;
-    const model = work.dispatch.model!;
+    const model = work.dispatch.model;
     let nextSequence = 0;
     let resumes = 0;
     let ended = false;
@@ -135,8 +136,8 @@
                 return;
             case EngineEventKind.Refused:
                 end({
-                    verdict: resumes === 0 ? Verdict.NotRun : Verdict.MayHaveRun,
-                    code: ErrorCode.EndpointFailed,
+                    verdict: resumes === 0 && !work.inherited ? Verdict.NotRun : Verdict.MayHaveRun,
+                    code: event.status === stoppingStatus ? ErrorCode.Leaving : ErrorCode.EndpointFailed,
                     message: `the engine refused the request with status ${event.status}: ${event.message}`,
                 });
         }
@@ -158,7 +159,7 @@
         end({ verdict: Verdict.MayHaveRun, finish, usage, code, message: `the engine ended the request: ${finish}` });
     }
 
-    stream = engine.generate({
+    stream = work.inherited || !model ? engine.resume(request, 0, handleEvent) : engine.generate({
         id: request,
         model: model.model,
         adapter: model.adapter,
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -9,18 +9,24 @@
 import { computeConfigurationDigest } from "../config/digest.js";
 import { Configuration, ConfigurationObjects } from "../config/objects.js";
 import {
+    CancelMessage,
     ConfigurationMessage,
     DispatchMessage,
     EntryMessage,
     LinkMessageType,
+    QuarantineMessage,
+    ResumeMessage,
     SidecarMessage,
 } from "../link/messages.js";
 import { EngineReport } from "../ports/modelEngine.js";
 import { LoadReport } from "../routing/loadReport.js";
 import { Scheduler, SchedulerPolicy } from "../scheduling/scheduler.js";
+import { OrphanState } from "./engineAudit.js";
+import { EngineSide } from "./engineSide.js";
+import { createIsolatingScheduler } from "./isolatingScheduler.js";
 import { createLinkServer, LinkServerSettings } from "./linkServer.js";
 import { buildSchedulerPolicy } from "./schedulerPolicy.js";
-import { Work, WorkRunner } from "./work.js";
+import { Work, WorkRunner, WorkState } from "./work.js";
 import { createWorkTable, DispatchRefusal } from "./workTable.js";
 
 /** Settings of a sidecar. */
@@ -40,8 +46,10 @@
     readonly log: EventLog;
     readonly runner: WorkRunner;
     readonly createScheduler: (policy: SchedulerPolicy) => Scheduler;
-    /** Reads the engine's report; absent beside a plain service. */
+    /** Reads the engine's report; absent beside a plain service and with `engineSide`. */
     readonly readReport?: () => Promise<EngineReport>;
+    /** Follows, commands and audits the engine; absent beside a plain service. */
+    readonly engineSide?: EngineSide;
 }
 
 /** A sidecar: the process beside one endpoint. */
@@ -92,9 +100,14 @@
     const mailbox = createMailbox<SidecarEvent>();
     let configuration: Configuration | undefined;
     let engineReport: EngineReport | undefined;
+    let announcedVersion: string | undefined;
     let leaving = false;
     let handleDrained: (() => void) | undefined;
-    const scheduler = parts.createScheduler(buildSchedulerPolicy(settings, undefined, undefined));
+    const { engineSide } = parts;
+    const baseScheduler = parts.createScheduler(buildSchedulerPolicy(settings, undefined, undefined));
+    const scheduler = engineSide
+        ? createIsolatingScheduler(baseScheduler, fingerprint => engineSide.isSuspect(fingerprint))
+        : baseScheduler;
 
     function makeLoad(): LoadReport {
         const report = scheduler.report();
@@ -107,8 +120,8 @@
             prefillTokensPerSecond: engineReport?.prefillTokensPerSecond ?? 0,
             decodeTokensPerSecond: engineReport?.decodeTokensPerSecond ?? 0,
             ranks: report.ranks,
-            version: engineReport?.version,
-            reconciledGeneration: configuration?.generation ?? -1,
+            version: engineSide ? engineSide.getVersion() : engineReport?.version,
+            reconciledGeneration: engineSide?.getReconciledGeneration() ?? configuration?.generation ?? -1,
             acceptsLongPrompts: report.acceptsLongPrompts,
         };
     }
@@ -158,7 +171,7 @@
         if (!configuration) {
             return { code: ErrorCode.NoEndpoint, message: "the sidecar has no configuration yet" };
         }
-        return undefined;
+        return engineSide?.checkDispatch(dispatch);
     }
 
     function handleConfiguration(session: string, message: ConfigurationMessage) {
@@ -171,6 +184,7 @@
             return;
         }
         configuration = { generation: message.generation, digest: message.digest, objects };
+        engineSide?.handleConfiguration(configuration);
         updatePolicy();
         links.broadcast(makeHeartbeat());
     }
@@ -186,10 +200,17 @@
                 table.handleDispatch(session, message);
                 return;
             case LinkMessageType.Cancel:
-                table.handleCancel(session, message.request);
+                if (findInherited(session, message)) {
+                    table.handleCancel(session, message.request);
+                }
                 return;
             case LinkMessageType.Resume:
-                table.handleResume(session, message.request, message.fromSequence);
+                if (findInherited(session, message)) {
+                    table.handleResume(session, message.request, message.fromSequence);
+                }
+                return;
+            case LinkMessageType.Quarantine:
+                handleQuarantine(message);
                 return;
             case LinkMessageType.Acknowledge:
                 table.handleAcknowledge(message.request);
@@ -214,6 +235,60 @@
         }
     }
 
+    /**
+     * Takes over the request of a message if an earlier process started it. Returns false while the engine has not
+     * said what it holds: the message is then handled again later.
+     */
+    function findInherited(session: string, message: CancelMessage | ResumeMessage): boolean {
+        const state = engineSide?.findOrphan(message.request) ?? OrphanState.Absent;
+        if (state === OrphanState.Unknown) {
+            const event: SidecarEvent = { kind: SidecarEventKind.Message, session, message };
+            store.register(timers.schedule(expiryIntervalMs, () => mailbox.post(event)));
+            return false;
+        }
+        if (state === OrphanState.Held) {
+            table.acceptInherited(session, message.request);
+        }
+        return true;
+    }
+
+    function handleQuarantine(message: QuarantineMessage) {
+        engineSide?.handleQuarantine(message);
+        if (!message.isolated) {
+            const refusal = { code: ErrorCode.Quarantined, message: "the request has crashed endpoints before" };
+            table.refuseQueuedWork(refusal, message.fingerprint);
+        }
+    }
+
+    function handleEngineChange(side: EngineSide) {
+        engineReport = side.getReport();
+        updatePolicy();
+        const version = side.getVersion();
+        if (version === announcedVersion) {
+            return;
+        }
+        announcedVersion = version;
+        links.broadcast(makeHeartbeat());
+        if (version === undefined) {
+            table.refuseQueuedWork({ code: ErrorCode.NoEndpoint, message: "the engine takes no requests now" });
+        }
+    }
+
+    function connectEngine(side: EngineSide) {
+        const listIds = (works: readonly Work[]) => new Set(works.map(work => work.item.id));
+        const listRunning = () => table.listActive().filter(work => work.state === WorkState.Running);
+        side.connect(incarnation, {
+            listOwned: () => listIds(table.listActive()),
+            listReserved: () => listIds(listRunning().filter(work => !work.inherited)),
+            listRunningFingerprints: () =>
+                listRunning().map(work => work.item.fingerprint).filter(fingerprint => fingerprint !== ""),
+            handleCrash: (crash, fingerprints) =>
+                links.broadcast({ type: LinkMessageType.CrashReport, crash, fingerprints }),
+            handleChange: () => handleEngineChange(side),
+        });
+        store.register(side);
+    }
+
     function startDrain() {
         if (!leaving) {
             leaving = true;
@@ -257,7 +332,10 @@
 
     store.register(runTask(mailbox, handleEvent, error => log(LogEvent.TaskFailed, { error: String(error) })));
     store.register(timers.subscribe(expiryIntervalMs, () => mailbox.post({ kind: SidecarEventKind.Tick })));
-    if (parts.readReport) {
+    if (engineSide) {
+        connectEngine(engineSide);
+    }
+    else if (parts.readReport) {
         void readReport();
         store.register(timers.subscribe(reportIntervalMs, () => void readReport()));
     }
--- a/src/sidecar/work.ts
+++ b/src/sidecar/work.ts
@@ -21,6 +21,8 @@
     /** Messages that ended the request, for a resume. */
     readonly final: SidecarMessage[];
     run: WorkRun | undefined;
+    /** Whether an earlier sidecar process started it; the scheduler does not know it. */
+    readonly inherited: boolean;
     forget: Disposable | undefined;
 }
 
--- a/src/sidecar/workTable.ts
+++ b/src/sidecar/workTable.ts
@@ -50,6 +50,11 @@
     expire(): void;
     /** Requests that are queued or running. */
     countActive(): number;
+    listActive(): readonly Work[];
+    /** Takes over a request that an earlier process started and that the engine still holds. */
+    acceptInherited(session: string, request: string): void;
+    /** Refuses the queued requests with a fingerprint, or all, and cancels running ones with the fingerprint. */
+    refuseQueuedWork(refusal: DispatchRefusal, fingerprint?: string): void;
 }
 
 /**
@@ -101,6 +106,7 @@
             output: [],
             final: [],
             run: undefined,
+            inherited: false,
             forget: undefined,
         });
         const { rank, caller } = item;
@@ -140,7 +146,7 @@
         if (work.state !== WorkState.Running) {
             return;
         }
-        if (work.output.length === 0) {
+        if (work.output.length === 0 && !work.inherited) {
             scheduler.markFirstToken(work.item.id, timers.now());
         }
         const sequence = work.output.length;
@@ -154,7 +160,9 @@
         }
         work.state = WorkState.Ended;
         work.final.push(...messages);
-        scheduler.complete(work.item.id, outputTokens, timers.now());
+        if (!work.inherited) {
+            scheduler.complete(work.item.id, outputTokens, timers.now());
+        }
         log(LogEvent.WorkEnded, { request: work.item.id, outputTokens });
         const load = parts.makeLoad();
         for (const message of messages) {
@@ -213,6 +221,46 @@
         }
     }
 
+    function acceptInherited(session: string, request: string) {
+        if (works.has(request)) {
+            return;
+        }
+        const dispatch = makeInheritedDispatch(request);
+        const work: Work = {
+            dispatch,
+            item: makeWorkItem(dispatch, timers.now()),
+            session,
+            state: WorkState.Running,
+            output: [],
+            final: [],
+            run: undefined,
+            inherited: true,
+            forget: undefined,
+        };
+        works.set(request, work);
+        started.record(request);
+        log(LogEvent.WorkResumed, { request });
+        work.run = parts.runner(work, parts.makeListener(work));
+    }
+
+    function refuseQueuedWork(refusal: DispatchRefusal, fingerprint?: string) {
+        const concerned = [...works.values()]
+            .filter(work => fingerprint === undefined || work.item.fingerprint === fingerprint);
+        for (const work of concerned) {
+            if (work.state === WorkState.Queued) {
+                scheduler.remove(work.item.id);
+                refuseQueued(work.item, refusal);
+            }
+            else if (work.state === WorkState.Running && fingerprint !== undefined) {
+                work.run?.cancel();
+            }
+        }
+    }
+
+    function listActive(): readonly Work[] {
+        return [...works.values()].filter(work => work.state !== WorkState.Ended);
+    }
+
     function handleSessionLost(session: string) {
         for (const work of [...works.values()].filter(candidate => candidate.session === session)) {
             if (work.state === WorkState.Queued) {
@@ -246,7 +294,10 @@
                 refuseQueued(item, { code: ErrorCode.TimedOut, message: "the time limit cannot be met in the queue" });
             }
         },
-        countActive: () => [...works.values()].filter(work => work.state !== WorkState.Ended).length,
+        countActive: () => listActive().length,
+        listActive,
+        acceptInherited,
+        refuseQueuedWork,
         dispose() {
             for (const work of works.values()) {
                 work.forget?.dispose();
@@ -257,6 +308,25 @@
 
 type RejectedFields = Extract<SidecarMessage, { type: LinkMessageType.Rejected }>;
 
+/** Longest time limit that an entry gives; the entry and the engine enforce the request's own. */
+const longestLimitMs = 24 * 60 * 60 * 1000;
+
+/** Stands for the dispatch that an earlier process received; only the request's id is known. */
+function makeInheritedDispatch(request: string): DispatchMessage {
+    return {
+        type: LinkMessageType.Dispatch,
+        request,
+        incarnation: "",
+        caller: "",
+        rank: "",
+        kind: "",
+        remainingMs: longestLimitMs,
+        waitedMs: 0,
+        fingerprint: "",
+        attempt: 0,
+    };
+}
+
 function makeWorkItem(dispatch: DispatchMessage, nowMs: number): WorkItem {
     return {
         id: dispatch.request,
