--- a/src/cli/devCommand.ts
+++ b/src/cli/devCommand.ts
@@ -19,7 +19,8 @@
 import { createEntry } from "../entry/entry.js";
 import { HostState } from "../ports/hostList.js";
 import { chooseLeastConnections } from "../routing/baselinePolicies.js";
-import { createFirstComeScheduler } from "../scheduling/firstComeScheduler.js";
+import { createFairScheduler } from "../scheduling/fairScheduler.js";
+import { createEngineSide } from "../sidecar/engineSide.js";
 import { createModelRunner, defaultModelRunnerSettings } from "../sidecar/modelRunner.js";
 import { createServiceRunner } from "../sidecar/serviceRunner.js";
 import { createSidecar, Sidecar, SidecarParts } from "../sidecar/sidecar.js";
@@ -67,7 +68,7 @@
 async function startSidecar(endpoint: string, parts: Omit<SidecarParts, "log" | "createScheduler">) {
     const settings = { ...linkDefaults, ...sidecarDefaults, endpoint, place, linkKey };
     const log = createEventLog("sidecar");
-    const sidecar = createSidecar(settings, { ...parts, log, createScheduler: createFirstComeScheduler });
+    const sidecar = createSidecar(settings, { ...parts, log, createScheduler: createFairScheduler });
     const server = net.createServer(socket => sidecar.accept(socket));
     const port = await listen(server, 0, loopback);
     return { sidecar, host: { name: endpoint, place, address: loopback, port, state: HostState.Live } };
@@ -80,9 +81,13 @@
             { ...engineSpeed, port: 0, model: "demo", version: "demo-v1", checksFencing: true },
             timers,
         );
+        const endpoint = `engine-${index}`;
         const engine = createHttpModelEngine(emulated.url);
-        const runner = createModelRunner(engine, timers, () => 0, defaultModelRunnerSettings);
-        started.push(await startSidecar(`engine-${index}`, { timers, runner, readReport: () => engine.report() }));
+        const random = createSystemRandomSource();
+        const log = createEventLog("sidecar");
+        const engineSide = createEngineSide({ endpoint, timers, random, log, engine });
+        const runner = createModelRunner(engineSide.engine, timers, work => work.priority, defaultModelRunnerSettings);
+        started.push(await startSidecar(endpoint, { timers, runner, engineSide }));
     }
     const service = await startEmulatedService({ port: 0, delayMs: 5 }, timers);
     const runner = createServiceRunner(createHttpPlainService(service.url), timers);
--- a/src/cli/emulateCommand.ts
+++ b/src/cli/emulateCommand.ts
@@ -11,9 +11,10 @@
 import { waitForStopSignal } from "./process.js";
 import { durationSchema, parseSettings, portSchema } from "./settings.js";
 
-async function serve(server: RunningServer): Promise<void> {
+async function serve(server: RunningServer, drain?: () => Promise<void>): Promise<void> {
     process.stdout.write(`listening on ${server.url}\n`);
     await waitForStopSignal();
+    await drain?.();
     await server.close();
     process.exit(0);
 }
@@ -73,13 +74,12 @@
         }),
     handler: async argv => {
         const settings = parseSettings(engineSchema, argv);
-        await serve(
-            await startEmulatedEngine({
-                ...settings,
-                version: settings.modelVersion,
-                exitProcess: () => process.exit(crashExitCode),
-            }, createSystemTimerService()),
-        );
+        const engine = await startEmulatedEngine({
+            ...settings,
+            version: settings.modelVersion,
+            exitProcess: () => process.exit(crashExitCode),
+        }, createSystemTimerService());
+        await serve(engine, () => engine.drain());
     },
 };
 
@@ -111,20 +111,6 @@
     },
 };
 
-const emulateWeights: CommandModule = {
-    command: "weights",
-    describe: "run an emulated weight store with a rate limit",
-    builder: yargs =>
-        yargs.options({
-            port: portOption,
-            "grants-per-second": { type: "number", default: 2, describe: "permissions to read weights per second" },
-        }),
-    handler: async argv => {
-        const settings = parseSettings(z.object({ port: portSchema, grantsPerSecond: z.number().positive() }), argv);
-        await serve(await startEmulatedWeightStore(settings, createSystemTimerService()));
-    },
-};
-
 const logSchema = z.object({
     port: portSchema,
     retentionMs: durationSchema,
@@ -152,12 +138,26 @@
     },
 };
 
+const emulateWeights: CommandModule = {
+    command: "weights",
+    describe: "run an emulated weight store with a rate limit",
+    builder: yargs =>
+        yargs.options({
+            port: portOption,
+            "grants-per-second": { type: "number", default: 2, describe: "permissions to read weights per second" },
+        }),
+    handler: async argv => {
+        const settings = parseSettings(z.object({ port: portSchema, grantsPerSecond: z.number().positive() }), argv);
+        await serve(await startEmulatedWeightStore(settings, createSystemTimerService()));
+    },
+};
+
 /** `jujubelane emulate` */
 export const emulateCommand: CommandModule = {
     command: "emulate",
     describe: "run one of the emulators of outside systems",
     builder: yargs =>
-        yargs.command(emulateEngine).command(emulateService).command(emulateHosts).command(emulateWeights)
-            .command(emulateLog).demandCommand(1),
+        yargs.command(emulateEngine).command(emulateService).command(emulateHosts).command(emulateLog)
+            .command(emulateWeights).demandCommand(1),
     handler: () => undefined,
 };
--- a/src/cli/sidecarCommand.ts
+++ b/src/cli/sidecarCommand.ts
@@ -1,11 +1,16 @@
 import { CommandModule } from "yargs";
 import { z } from "zod";
+import { createHttpLogService } from "../adapters/httpLogService.js";
 import { createHttpModelEngine } from "../adapters/httpModelEngine.js";
 import { createHttpPlainService } from "../adapters/httpPlainService.js";
+import { createHttpWeightStore } from "../adapters/httpWeightStore.js";
 import { createEventLog } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
+import { createSystemRandomSource } from "../base/systemRandomSource.js";
 import { createSystemTimerService } from "../base/systemTimerService.js";
+import { createFairScheduler } from "../scheduling/fairScheduler.js";
 import { createFirstComeScheduler } from "../scheduling/firstComeScheduler.js";
+import { createEngineSide } from "../sidecar/engineSide.js";
 import { createModelRunner, defaultModelRunnerSettings } from "../sidecar/modelRunner.js";
 import { createServiceRunner } from "../sidecar/serviceRunner.js";
 import { createSidecar, Sidecar, SidecarSettings } from "../sidecar/sidecar.js";
@@ -15,6 +20,14 @@
 import { logUnhandledErrors, waitForStopSignal } from "./process.js";
 import { applyLogSetting, durationSchema, logOption, parseSettings, portSchema, urlSchema } from "./settings.js";
 
+/** Names of the schedulers that `--scheduler` selects. */
+enum SchedulerName {
+    Fair = "fair",
+    FirstCome = "first-come",
+}
+
+const schedulers = { [SchedulerName.Fair]: createFairScheduler, [SchedulerName.FirstCome]: createFirstComeScheduler };
+
 const settingsSchema = z.object({
     endpoint: z.string().min(1),
     place: z.string().min(1),
@@ -22,10 +35,13 @@
     port: portSchema,
     engine: urlSchema.optional(),
     service: urlSchema.optional(),
+    logService: urlSchema.optional(),
+    weights: urlSchema.optional(),
     ...linkSecuritySchema,
     heartbeatIntervalMs: durationSchema,
     maxQueuedRequests: z.number().int().positive(),
     maxQueuedBytes: z.number().int().positive(),
+    scheduler: z.enum(SchedulerName),
     log: z.string(),
 }).refine(settings => (settings.engine === undefined) !== (settings.service === undefined), {
     message: "expected exactly one of --engine and --service",
@@ -46,10 +62,17 @@
             port: { type: "number", default: 7000, describe: "port for links; 0 takes a free one" },
             engine: { type: "string", describe: "root URL of the model engine beside this process" },
             service: { type: "string", describe: "root URL of the plain service beside this process" },
+            "log-service": { type: "string", describe: "root URL of the platform's log service, for load slots" },
+            weights: { type: "string", describe: "root URL of the platform's weight store" },
             ...linkSecurityOptions,
             "heartbeat-interval-ms": { type: "number", default: linkDefaults.heartbeatIntervalMs },
             "max-queued-requests": { type: "number", default: sidecarDefaults.maxQueuedRequests },
             "max-queued-bytes": { type: "number", default: sidecarDefaults.maxQueuedBytes },
+            scheduler: {
+                choices: Object.values(SchedulerName),
+                default: SchedulerName.Fair,
+                describe: "order of queued work; first-come is a baseline for measurements",
+            },
             log: logOption,
         }),
     handler: async argv => {
@@ -75,15 +98,26 @@
     },
 };
 
-function buildSidecar(settings: SidecarSettings, parsed: Pick<ParsedSettings, "engine" | "service">): Sidecar {
+function buildSidecar(
+    settings: SidecarSettings,
+    parsed: Pick<ParsedSettings, "engine" | "service" | "scheduler" | "logService" | "weights">,
+): Sidecar {
     const timers = createSystemTimerService();
     const log = createEventLog("sidecar");
-    const createScheduler = createFirstComeScheduler;
+    const createScheduler = schedulers[parsed.scheduler];
     if (parsed.service !== undefined) {
         const runner = createServiceRunner(createHttpPlainService(parsed.service), timers);
         return createSidecar(settings, { timers, log, runner, createScheduler });
     }
-    const engine = createHttpModelEngine(parsed.engine!);
-    const runner = createModelRunner(engine, timers, () => 0, defaultModelRunnerSettings);
-    return createSidecar(settings, { timers, log, runner, createScheduler, readReport: () => engine.report() });
+    const engineSide = createEngineSide({
+        endpoint: settings.endpoint,
+        timers,
+        random: createSystemRandomSource(),
+        log,
+        engine: createHttpModelEngine(parsed.engine!),
+        logService: parsed.logService === undefined ? undefined : createHttpLogService(parsed.logService, timers),
+        weightStore: parsed.weights === undefined ? undefined : createHttpWeightStore(parsed.weights),
+    });
+    const runner = createModelRunner(engineSide.engine, timers, work => work.priority, defaultModelRunnerSettings);
+    return createSidecar(settings, { timers, log, runner, createScheduler, engineSide });
 }
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -12,11 +12,13 @@
 import { Configuration } from "../config/objects.js";
 import { LinkMessageType } from "../link/messages.js";
 import { HostList, HostRecord } from "../ports/hostList.js";
+import { LogService } from "../ports/logService.js";
 import { createRetryBudget, defaultRetryBudgetSettings } from "../retries/retryBudget.js";
 import { RoutingPolicy } from "../routing/routing.js";
 import { AttemptEventKind } from "./attempt.js";
 import { createCallerHandler, OperatorRoute } from "./callerServer.js";
 import { ConfigurationSource } from "./configurationSource.js";
+import { createCrashGuard } from "./crashGuard.js";
 import { EndpointLink } from "./endpointLink.js";
 import { ApertureFunction, createLinkDirectory, LinkDirectory } from "./linkDirectory.js";
 import { RequestListener, RequestPlan, RequestTask, startRequest } from "./requestTask.js";
@@ -43,6 +45,8 @@
     readonly log: EventLog;
     readonly hostList: HostList;
     readonly configuration: ConfigurationSource;
+    /** Where entries share crashes of endpoints; absent where no log is set up. */
+    readonly logService?: LogService;
     readonly policy: RoutingPolicy;
     readonly selectAperture: ApertureFunction;
     readonly connect: (host: HostRecord) => net.Socket;
@@ -97,7 +101,13 @@
         }
     }
 
-    const directory = createLinkDirectory({ ...settings, entry: settings.name, incarnation: makeId() }, {
+    const crashGuard = store.register(createCrashGuard({
+        timers,
+        log,
+        logService: parts.logService,
+        broadcast: message => directory.list().forEach(link => link.send(message)),
+    }));
+    const directory: LinkDirectory = createLinkDirectory({ ...settings, entry: settings.name, incarnation: makeId() }, {
         timers,
         random: parts.random,
         log,
@@ -105,9 +115,12 @@
         selectAperture: parts.selectAperture,
         connect: parts.connect,
         listener: {
-            handleOpened: sendConfiguration,
+            handleOpened(link) {
+                sendConfiguration(link);
+                crashGuard.listMessages().forEach(message => link.send(message));
+            },
             handleConfiguration: message => configuration.offer(message),
-            handleCrashReport: () => undefined,
+            handleCrashReport: (unused, message) => crashGuard.handleCrashReport(message),
         },
     });
 
@@ -158,6 +171,7 @@
             policy: parts.policy,
             place: settings.place,
             retryBudget,
+            checkFingerprint: fingerprint => crashGuard.check(fingerprint),
             countDecision: () => decision++,
         }, event => {
             if (event.kind === AttemptEventKind.Completed || event.kind === AttemptEventKind.Failed) {
--- a/src/sidecar/isolatingScheduler.ts
+++ b/src/sidecar/isolatingScheduler.ts
@@ -74,6 +74,7 @@
             return [...expired, ...inner.expire(nowMs)];
         },
         update: policy => inner.update(policy),
+        getPriority: item => inner.getPriority(item),
         report() {
             const report = inner.report();
             const reserved = alone ? alone.promptTokens + alone.maxOutputTokens : 0;
