Prove that every engine ends on the accepted version

Last season a rollback was clean and the next roll-forward left some engines on the old version. The table goes forward, back and forward again with an engine frozen, restarted on the old version, ignoring fencing tokens, with commands or answers lost, with the log or the weight store down, and with a sidecar restarted while its engine loads.

With the mechanism off (each command sent once, no read-back) the rows of frozen and restarted engines, of a lost command and of a late command at an engine that ignores fencing tokens end on the wrong version; those runs are tests as well. With it on, all 12 rows end on the accepted version and at most 2 of 4 engines load at a time. Leases: 10 rows.

--- /dev/null
+++ b/test/rollout/leases.test.ts
@@ -0,0 +1,74 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { computeBackoff } from "../../src/rollout/backoff.js";
+import { createLeaseState, foldLease, LeaseRecordType } from "../../src/rollout/leases.js";
+
+const resource = "load/demo";
+const durationMs = 100;
+let nextId = 0;
+
+function acquire(holder: string, id = `record-${nextId++}`) {
+    return { id, type: LeaseRecordType.Acquire, resource, holder, durationMs, capacity: 1 };
+}
+
+function extend(holder: string, token: number) {
+    return { id: `record-${nextId++}`, type: LeaseRecordType.Renew, resource, holder, durationMs, token };
+}
+
+function release(holder: string, token: number) {
+    return { id: `record-${nextId++}`, type: LeaseRecordType.Release, resource, holder, token };
+}
+
+/** Records as pairs of time and value; their index is their offset. Expected: holders, with who waits in brackets. */
+const cases: readonly (readonly [string, readonly (readonly [number, unknown])[], string])[] = [
+    ["the first to ask holds, the second waits", [[0, acquire("a")], [1, acquire("b")]], "a@0 (b@1)"],
+    ["a release passes the slot on", [[0, acquire("a")], [1, acquire("b")], [2, release("a", 0)]], "b@1"],
+    ["an expired lease passes on with the next record", [[0, acquire("a")], [150, acquire("b")]], "b@1"],
+    ["a renewal in time keeps the slot", [[0, acquire("a")], [90, extend("a", 0)], [150, acquire("b")]], "a@0 (b@2)"],
+    [
+        "a holder that was paused cannot renew what it lost",
+        [[0, acquire("a")], [1, acquire("b")], [150, extend("a", 0)]],
+        "b@1",
+    ],
+    [
+        "a holder that was paused cannot release what another holds",
+        [[0, acquire("a")], [150, acquire("b")], [160, release("a", 1)], [170, release("a", 0)]],
+        "b@1",
+    ],
+    [
+        "a second copy of a request does not ask again",
+        [[0, acquire("a", "copy")], [1, release("a", 0)], [2, acquire("a", "copy")]],
+        "",
+    ],
+    ["a new process of a holder replaces the earlier one", [[0, acquire("a")], [1, acquire("a")]], "a@1"],
+    [
+        "the token of an earlier process has no effect",
+        [[0, acquire("a")], [1, acquire("a")], [2, release("a", 0)]],
+        "a@1",
+    ],
+    [
+        "foreign and malformed records are passed over",
+        [[0, { type: "crash" }], [1, undefined], [2, acquire("a")]],
+        "a@2",
+    ],
+];
+
+for (const [name, records, expected] of cases) {
+    test(`load slots: ${name}`, () => {
+        const state = records.reduce(
+            (folded, [timeMs, value], offset) => foldLease(folded, { offset, timeMs, value }),
+            createLeaseState(),
+        );
+        const shown = (state.resources.get(resource)?.leases ?? []).map(lease =>
+            lease.expiresMs === undefined ? `(${lease.holder}@${lease.token})` : `${lease.holder}@${lease.token}`
+        );
+        assert.equal(shown.join(" "), expected);
+        assert.equal(state.nextOffset, records.length);
+    });
+}
+
+test("the delay between attempts grows to its bound and is never the same for all", () => {
+    const settings = { baseMs: 100, maxMs: 1_000 };
+    assert.deepEqual([1, 2, 3, 9].map(failures => computeBackoff(settings, failures, () => 0)), [50, 100, 200, 500]);
+    assert.equal(computeBackoff(settings, 9, () => 0.5), 750);
+});
--- /dev/null
+++ b/test/rollout/versions.test.ts
@@ -0,0 +1,169 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { LogEvent } from "../../src/base/logEvents.js";
+import { EngineCommandKind, EngineCommandResultKind } from "../../src/ports/modelEngine.js";
+import { createFleet, Fleet, loadingMs, Mechanism } from "./fleet.js";
+
+interface VersionCase {
+    readonly name: string;
+    readonly checksFencing?: boolean;
+    /** Called after each of the three publishes, while engines load; `round` counts from 0. */
+    readonly inject: (fleet: Fleet, round: number) => void;
+    /** Called before the last wait. */
+    readonly heal?: (fleet: Fleet) => void;
+    /** Whether sending each command once, without reading back, leaves an engine on the wrong version. */
+    readonly failsWhenOff: boolean;
+}
+
+const first = (fleet: Fleet) => fleet.engines[0]!;
+const heal = (fleet: Fleet) => {
+    first(fleet).frozen = false;
+    fleet.store.down = false;
+    fleet.logModel.updateFaults({ unavailable: false, unresponsive: false });
+};
+
+/** Last season a rollback was clean and the next roll-forward left some engines on the old version. */
+const cases: readonly VersionCase[] = [
+    { name: "no fault", inject: () => undefined, failsWhenOff: false },
+    {
+        name: "an engine is frozen from the rollback on",
+        inject(fleet, round) {
+            first(fleet).frozen = round >= 1;
+        },
+        heal,
+        failsWhenOff: true,
+    },
+    { name: "an engine restarts on the old version", inject: fleet => first(fleet).restart(), failsWhenOff: true },
+    {
+        name: "an engine that ignores fencing tokens restarts on the old version",
+        checksFencing: false,
+        inject: fleet => first(fleet).restart(),
+        failsWhenOff: true,
+    },
+    {
+        name: "the command of the roll-forward is lost",
+        inject(fleet, round) {
+            first(fleet).lostCommands = round === 1 ? 1 : 0;
+        },
+        failsWhenOff: true,
+    },
+    {
+        name: "answers to commands are lost",
+        inject(fleet) {
+            first(fleet).lostAnswers = 2;
+        },
+        failsWhenOff: false,
+    },
+    {
+        name: "the log is down from the rollback on",
+        inject: (fleet, round) => fleet.logModel.updateFaults({ unavailable: round >= 1 }),
+        heal,
+        failsWhenOff: false,
+    },
+    {
+        name: "the log loses answers and repeats appends",
+        inject: fleet => fleet.logModel.updateFaults({ lostAnswers: 2, duplicatedAppends: 2, lostAppends: 1 }),
+        failsWhenOff: false,
+    },
+    {
+        name: "the weight store is down during the changes",
+        inject(fleet) {
+            fleet.store.down = true;
+        },
+        heal,
+        failsWhenOff: false,
+    },
+    {
+        name: "a sidecar restarts while its engine loads",
+        inject: fleet => fleet.restartSidecar(0),
+        failsWhenOff: false,
+    },
+    {
+        name: "a command of an earlier generation arrives late at an engine that ignores fencing tokens",
+        checksFencing: false,
+        inject(fleet, round) {
+            if (round === 2) {
+                sendStale(fleet);
+            }
+        },
+        failsWhenOff: true,
+    },
+    {
+        name: "a command of an earlier generation arrives late at an engine that checks fencing tokens",
+        inject(fleet, round) {
+            if (round === 2) {
+                sendStale(fleet);
+            }
+        },
+        failsWhenOff: false,
+    },
+];
+
+/** What a holder that was paused since generation 1 sends when it goes on. */
+function sendStale(fleet: Fleet) {
+    void first(fleet).engine.command({ kind: EngineCommandKind.LoadVersion, fencingToken: 1, version: "v1" });
+}
+
+async function changeVersions(fleet: Fleet, versionCase: VersionCase) {
+    await fleet.run(1_000);
+    for (const [round, version] of ["v2", "v1", "v2"].entries()) {
+        fleet.publish(version);
+        // Part of the engines loads already, part waits for a slot.
+        await fleet.run(loadingMs + 600);
+        versionCase.inject(fleet, round);
+        await fleet.run(600);
+    }
+    await fleet.run(3_000);
+    versionCase.heal?.(fleet);
+    await fleet.run(60_000);
+}
+
+for (const versionCase of cases) {
+    test(`forward, back and forward again end on the accepted version: ${versionCase.name}`, async () => {
+        const fleet = createFleet(4, versionCase.checksFencing ?? true);
+        await changeVersions(fleet, versionCase);
+        assert.ok(fleet.isAgreed(), fleet.describe());
+        assert.ok(fleet.getMaxLoading() <= 2, `${fleet.getMaxLoading()} of 4 engines loaded at a time`);
+    });
+
+    if (versionCase.failsWhenOff) {
+        test(`commands that are sent once leave an engine on the old version: ${versionCase.name}`, async () => {
+            const fleet = createFleet(4, versionCase.checksFencing ?? true, Mechanism.SendOnce);
+            await changeVersions(fleet, versionCase);
+            assert.ok(!fleet.isAgreed(), "the fault does not show what the mechanism is for");
+        });
+    }
+}
+
+test("a command from a paused holder has no effect on an engine that was never commanded since", async () => {
+    const fleet = createFleet(1, true);
+    await fleet.run(1_000);
+    // v2 is withdrawn before any engine was told to load it, so that only the fence tells it of generation 2.
+    fleet.logModel.updateFaults({ unavailable: true });
+    fleet.publish("v2");
+    await fleet.run(100);
+    fleet.publish("v1");
+    await fleet.run(2_000);
+    const result = await first(fleet).engine.command({
+        kind: EngineCommandKind.LoadVersion,
+        fencingToken: 1,
+        version: "v2",
+    });
+    assert.equal(result.kind, EngineCommandResultKind.Stale);
+    await fleet.run(2_000);
+    assert.equal(first(fleet).getVersion(), "v1");
+});
+
+test("with the log and the weight store down an engine keeps serving and says which generation it has", async () => {
+    const fleet = createFleet(2, true);
+    await fleet.run(1_000);
+    fleet.logModel.updateFaults({ unresponsive: true });
+    fleet.store.down = true;
+    fleet.publish("v2");
+    await fleet.run(20_000);
+    assert.deepEqual(fleet.engines.map(engine => engine.getVersion()), ["v1", "v1"]);
+    assert.ok(!fleet.isAgreed());
+    assert.ok(
+        !fleet.events.some(({ event, fields }) => event === LogEvent.EngineReconciled && fields["generation"] === 1),
+    );
+});
