--- a/src/cli/claimSettings.ts
+++ b/src/cli/claimSettings.ts
@@ -20,7 +20,10 @@
 
 /** Flags of claims. */
 export const claimOptions = {
-    "log-service": { type: "string", describe: "root URL of the platform's log, for calls that run at most once" },
+    "log-service": {
+        type: "string",
+        describe: "root URL of the platform's log, for claims of calls that run at most once and for load slots",
+    },
     "log-retention-ms": { type: "number", describe: "retention of the log, where it is known" },
     "claim-partitions": {
         type: "number",
--- a/src/cli/devCommand.ts
+++ b/src/cli/devCommand.ts
@@ -25,6 +25,7 @@
 import { createFairScheduler } from "../scheduling/fairScheduler.js";
 import { createClaimRunner } from "../sidecar/claims/claimRunner.js";
 import { defaultClaimTaskSettings, startClaims } from "../sidecar/claims/startClaims.js";
+import { createEngineSide } from "../sidecar/engineSide.js";
 import { createModelRunner, defaultModelRunnerSettings } from "../sidecar/modelRunner.js";
 import { createSidecar, Sidecar, SidecarParts } from "../sidecar/sidecar.js";
 import { entryDefaults, linkDefaults, sidecarDefaults } from "./defaults.js";
@@ -88,9 +89,13 @@
             { ...engineSpeed, port: 0, model: "demo", version: "demo-v1", checksFencing: true },
             timers,
         );
+        const endpoint = `engine-${index}`;
         const engine = createHttpModelEngine(emulated.url);
-        const runner = createModelRunner(engine, timers, work => work.priority, defaultModelRunnerSettings);
-        started.push(await startSidecar(`engine-${index}`, { timers, runner, readReport: () => engine.report() }));
+        const random = createSystemRandomSource();
+        const log = createEventLog("sidecar");
+        const engineSide = createEngineSide({ endpoint, timers, random, log, engine });
+        const runner = createModelRunner(engineSide.engine, timers, work => work.priority, defaultModelRunnerSettings);
+        started.push(await startSidecar(endpoint, { timers, runner, engineSide }));
     }
     const service = await startEmulatedService({ port: 0, delayMs: 5 }, timers);
     const log = await startEmulatedLog({ ...defaultLogModelSettings, port: 0 }, timers);
--- a/src/cli/sidecarCommand.ts
+++ b/src/cli/sidecarCommand.ts
@@ -1,15 +1,19 @@
 import { CommandModule } from "yargs";
 import { z } from "zod";
+import { createHttpLogService } from "../adapters/httpLogService.js";
 import { createHttpModelEngine } from "../adapters/httpModelEngine.js";
 import { createHttpPlainService } from "../adapters/httpPlainService.js";
+import { createHttpWeightStore } from "../adapters/httpWeightStore.js";
 import { createEventLog } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
+import { createSystemRandomSource } from "../base/systemRandomSource.js";
 import { createSystemTimerService } from "../base/systemTimerService.js";
 import { TimerService } from "../base/timerService.js";
 import { createFairScheduler } from "../scheduling/fairScheduler.js";
 import { createFirstComeScheduler } from "../scheduling/firstComeScheduler.js";
 import { createClaimRunner } from "../sidecar/claims/claimRunner.js";
 import { ClaimTask } from "../sidecar/claims/claimTask.js";
+import { createEngineSide } from "../sidecar/engineSide.js";
 import { createModelRunner, defaultModelRunnerSettings } from "../sidecar/modelRunner.js";
 import { createSidecar, Sidecar, SidecarSettings } from "../sidecar/sidecar.js";
 import { buildClaims, claimOptions, claimSettingsSchema, isWindowKept, windowProblem } from "./claimSettings.js";
@@ -34,6 +38,7 @@
     port: portSchema,
     engine: urlSchema.optional(),
     service: urlSchema.optional(),
+    weights: urlSchema.optional(),
     ...linkSecuritySchema,
     heartbeatIntervalMs: durationSchema,
     maxQueuedRequests: z.number().int().positive(),
@@ -66,6 +71,7 @@
             port: { type: "number", default: 7000, describe: "port for links; 0 takes a free one" },
             engine: { type: "string", describe: "root URL of the model engine beside this process" },
             service: { type: "string", describe: "root URL of the plain service beside this process" },
+            weights: { type: "string", describe: "root URL of the platform's weight store" },
             ...linkSecurityOptions,
             "heartbeat-interval-ms": { type: "number", default: linkDefaults.heartbeatIntervalMs },
             "max-queued-requests": { type: "number", default: sidecarDefaults.maxQueuedRequests },
@@ -106,7 +112,7 @@
 
 function buildSidecar(
     settings: SidecarSettings,
-    parsed: Pick<ParsedSettings, "engine" | "service" | "scheduler">,
+    parsed: Pick<ParsedSettings, "engine" | "service" | "scheduler" | "logService" | "weights">,
     timers: TimerService,
     claims: ClaimTask | undefined,
 ): Sidecar {
@@ -116,7 +122,15 @@
         const runner = createClaimRunner(createHttpPlainService(parsed.service), claims, timers);
         return createSidecar(settings, { timers, log, runner, createScheduler });
     }
-    const engine = createHttpModelEngine(parsed.engine!);
-    const runner = createModelRunner(engine, timers, work => work.priority, defaultModelRunnerSettings);
-    return createSidecar(settings, { timers, log, runner, createScheduler, readReport: () => engine.report() });
+    const engineSide = createEngineSide({
+        endpoint: settings.endpoint,
+        timers,
+        random: createSystemRandomSource(),
+        log,
+        engine: createHttpModelEngine(parsed.engine!),
+        logService: parsed.logService === undefined ? undefined : createHttpLogService(parsed.logService, timers),
+        weightStore: parsed.weights === undefined ? undefined : createHttpWeightStore(parsed.weights),
+    });
+    const runner = createModelRunner(engineSide.engine, timers, work => work.priority, defaultModelRunnerSettings);
+    return createSidecar(settings, { timers, log, runner, createScheduler, engineSide });
 }
--- a/src/emulator/engine/engineServer.ts
+++ b/src/emulator/engine/engineServer.ts
@@ -1,5 +1,5 @@
 import * as http from "node:http";
-import { TimerService } from "../../base/timerService.js";
+import { TimerService, waitFor } from "../../base/timerService.js";
 import { readJson, RunningServer, sendJson, startHttpServer } from "../httpServer.js";
 import { createEngineCore, EngineCoreSettings } from "./engineCore.js";
 import { createEngineFaults, EngineFaults, FaultChange } from "./engineFaults.js";
@@ -38,6 +38,8 @@
 /** A running emulated engine. */
 export interface EmulatedEngine extends RunningServer {
     getUsedTokens(): number;
+    /** Refuses new requests with status 503 and resolves when every stream has been read to its end. */
+    drain(): Promise<void>;
     readonly faults: EngineFaults;
 }
 
@@ -65,13 +67,25 @@
         settings.poison,
     );
     let core = createCore();
+    let isDraining = false;
     const batch = timers.subscribe(batchIntervalMs, () => {
         if (!faults.isFrozen()) {
             core.advance(timers.now(), faults.getSlowdown());
         }
     });
 
-    const routes = createEngineRoutes(() => core, settings, faults, timers);
+    const routes = createEngineRoutes(() => core, settings, faults, timers, () => isDraining);
+
+    async function drain() {
+        isDraining = true;
+        const isBusy = () => {
+            const { running, waiting } = core.model.countRunning();
+            return running + waiting + core.streams.countReaders() > 0;
+        };
+        while (isBusy()) {
+            await waitFor(timers, batchIntervalMs);
+        }
+    }
 
     function makeState() {
         const { model, incarnation } = core;
@@ -122,6 +136,7 @@
     return {
         ...server,
         faults,
+        drain,
         getUsedTokens: () => core.model.getUsedTokens(),
         close: () => {
             batch.dispose();
--- a/src/entry/requestTask.ts
+++ b/src/entry/requestTask.ts
@@ -48,6 +48,8 @@
     readonly policy: RoutingPolicy;
     readonly place: string;
     readonly retryBudget: RetryBudget;
+    /** Returns the refusal of a request that must not run. */
+    checkFingerprint(fingerprint: string): RequestError | undefined;
     /** Counts decisions, for policies that take turns. */
     countDecision(): number;
 }
@@ -204,6 +206,11 @@
     }
 
     function attempt(lastError: RequestError | undefined) {
+        const refusal = context.checkFingerprint(plan.fingerprint);
+        if (refusal) {
+            fail(refusal);
+            return;
+        }
         const candidates = context.directory.listViews({ model: plan.model?.model, service: plan.service?.service });
         const remainingMs = deadlineMs - timers.now();
         const affinityKey = computeAffinityKey(plan);
