--- a/src/scheduling/callerQueue.ts
+++ b/src/scheduling/callerQueue.ts
@@ -63,7 +63,7 @@
 
     /** Where the next item of a caller starts that has queued nothing. */
     function computeStartTag(flow: Flow): number {
-        return Math.max(virtualTime - meanCost * creditEntries / getWeight(flow.caller), flow.finishTag);
+        return Math.max(virtualTime - meanCost * creditEntries, flow.finishTag);
     }
 
     function getFlow(caller: string): Flow {
@@ -106,12 +106,12 @@
 
     return {
         enqueue(entry) {
+            meanCost += (entry.cost - meanCost) * (meanCost === 0 ? 1 : learningRate);
             const flow = getFlow(entry.item.caller);
             idle.remove(flow);
             if (!backlogged.remove(flow)) {
                 flow.startTag = computeStartTag(flow);
             }
-            meanCost += (entry.cost - meanCost) * (meanCost === 0 ? 1 : learningRate);
             flow.entries.enqueue(entry);
             flow.queuedMs += entry.endpointMs;
             size++;
--- a/test/scheduling/virtualEndpoint.ts
+++ b/test/scheduling/virtualEndpoint.ts
@@ -86,7 +86,9 @@
         readonly capacity?: typeof engineCapacity;
     },
 ): RunResult {
-    const random = createSeededRandomSource(seed);
+    // Each stream has its own source, so that its requests are the same whatever else is sent.
+    const seeds = createSeededRandomSource(seed);
+    const sources = new Map(streams.map(stream => [stream, createSeededRandomSource(Math.floor(seeds() * 2 ** 30))]));
     const results = new Map<string, StreamResult>();
     const queued = new Map<string, { readonly item: WorkItem; readonly stream: Stream }>();
     let running: Running[] = [];
@@ -109,7 +111,7 @@
     }
 
     function makeGap(stream: Stream) {
-        return -Math.log(1 - random()) * 1000 / stream.requestsPerSecond;
+        return -Math.log(1 - sources.get(stream)!()) * 1000 / stream.requestsPerSecond;
     }
 
     function getResult(stream: Stream, item: WorkItem): StreamResult | undefined {
@@ -117,7 +119,11 @@
     }
 
     function start(nowMs: number) {
-        for (const item of scheduler.takeNext(nowMs)) {
+        const started = scheduler.takeNext(nowMs);
+        if (started.length === 0) {
+            return;
+        }
+        for (const item of started) {
             const found = queued.get(item.id);
             if (!found) {
                 throw new Error(`${item.id} was started twice or after it left the queue`);
@@ -131,12 +137,12 @@
                 produced: 0,
             });
         }
-        running.sort((left, right) => left.priority - right.priority || left.order - right.order);
         peakReservedTokens = Math.max(peakReservedTokens, scheduler.report().reservedTokens);
+        running.sort((left, right) => left.priority - right.priority || left.order - right.order);
     }
 
     function arrive(stream: Stream, nowMs: number) {
-        const promptTokens = Math.round(stream.promptTokens(random));
+        const promptTokens = Math.round(stream.promptTokens(sources.get(stream)!));
         const item: WorkItem = {
             id: `${stream.name}-${nextId++}`,
             rank: stream.rank,
