Check documents against the code

Cause: the catalogue of log events, the callers' error codes and the list of verbs existed or were promised without a check.

Conclusion: a new event, error code or verb needs its line in the docs.

--- a/src/base/logEvents.ts
+++ b/src/base/logEvents.ts
@@ -60,5 +60,4 @@
     ProcessDraining = 9002,
     ProcessStopped = 9003,
     TaskFailed = 9004,
-    SettingsRefused = 9005,
 }
--- a/src/cli/configCommand.ts
+++ b/src/cli/configCommand.ts
@@ -5,7 +5,7 @@
 import { diffObjects, formatDifferences } from "../config/diff.js";
 import { ConfigurationHistory } from "../config/history.js";
 import { ConfigurationObjects, makeEmptyObjects, ObjectType } from "../config/objects.js";
-import { describeUnusableLog, publishChanges, readHistory, useLog } from "./configLog.js";
+import { describeUnusableLog, openLog, publishChanges, readHistory } from "./configLog.js";
 import { configStatusCommand } from "./configStatusCommand.js";
 import { formatProblems, loadConfigurationFiles, readConfigurationFiles } from "./configurationFiles.js";
 import { CommandResult, endCommand, ExitCode, exitCodeHelp, formatTable, jsonOption } from "./output.js";
@@ -84,7 +84,7 @@
 });
 
 async function publishFiles(settings: z.infer<typeof publishFilesSchema>): Promise<CommandResult> {
-    return useLog(settings.logService, async (log, timers) => {
+    return openLog(settings.logService, async (log, timers) => {
         const history = await readHistory(log);
         const base = findGeneration(history, settings.base);
         const unusable = describeUnusableLog(history) ?? ("code" in base ? base : undefined);
@@ -153,7 +153,7 @@
         }).epilogue(exitCodeHelp),
     handler: async argv => {
         const settings = parseSettings(diffSchema, argv);
-        const result = await useLog(settings.logService, async log => {
+        const result = await openLog(settings.logService, async log => {
             const history = await readHistory(log);
             const from = findGeneration(history, settings.from);
             if ("code" in from) {
@@ -187,7 +187,7 @@
     handler: async argv => {
         const schema = z.object({ logService: urlSchema, limit: z.number().int().positive(), json: z.boolean() });
         const settings = parseSettings(schema, argv);
-        const result = await useLog(settings.logService, async log => {
+        const result = await openLog(settings.logService, async log => {
             const history = await readHistory(log);
             const entries = history.entries.slice(-settings.limit);
             const rows = entries.map(entry => [
@@ -209,8 +209,8 @@
 
 const rollbackSchema = z.object({ ...publishSchema, generation: generationSchema });
 
-async function rollBack(settings: z.infer<typeof rollbackSchema>): Promise<CommandResult> {
-    return useLog(settings.logService, async (log, timers) => {
+async function publishRollback(settings: z.infer<typeof rollbackSchema>): Promise<CommandResult> {
+    return openLog(settings.logService, async (log, timers) => {
         const history = await readHistory(log);
         const target = findGeneration(history, settings.generation);
         const unusable = describeUnusableLog(history) ?? ("code" in target ? target : undefined);
@@ -236,7 +236,7 @@
             .options(publishOptions).epilogue(exitCodeHelp),
     handler: async argv => {
         const settings = parseSettings(rollbackSchema, argv);
-        endCommand(await rollBack(settings), settings.json);
+        endCommand(await publishRollback(settings), settings.json);
     },
 };
 
--- a/src/cli/configLog.ts
+++ b/src/cli/configLog.ts
@@ -29,7 +29,7 @@
 }
 
 /** Runs a command against a log service and describes an unreachable one. */
-export async function useLog(
+export async function openLog(
     url: string,
     run: (log: LogService, timers: TimerService) => Promise<CommandResult>,
 ): Promise<CommandResult> {
--- a/src/cli/configStatusCommand.ts
+++ b/src/cli/configStatusCommand.ts
@@ -1,7 +1,7 @@
 import { CommandModule } from "yargs";
 import { z } from "zod";
 import type { EntryStatus } from "../entry/operatorRoute.js";
-import { readHistory, useLog } from "./configLog.js";
+import { openLog, readHistory } from "./configLog.js";
 import { EntryAnswer, entryClientOptions, entryClientSchema, listErrors, readStatuses } from "./operatorClient.js";
 import { CommandResult, endCommand, ExitCode, exitCodeHelp, formatTable, jsonOption } from "./output.js";
 import { parseSettings, urlSchema } from "./settings.js";
@@ -41,7 +41,7 @@
 
 async function readLogGeneration(url: string): Promise<number | string> {
     let generation = -1;
-    const result = await useLog(url, async log => {
+    const result = await openLog(url, async log => {
         generation = (await readHistory(log)).reader.state.generation;
         return { code: ExitCode.Success, lines: [], data: {} };
     });
--- a/src/cli/drainCommand.ts
+++ b/src/cli/drainCommand.ts
@@ -1,6 +1,6 @@
 import { CommandModule } from "yargs";
 import { z } from "zod";
-import { askEntry, entryClientOptions, entryClientSchema, listErrors, readStatuses } from "./operatorClient.js";
+import { callEntry, entryClientOptions, entryClientSchema, listErrors, readStatuses } from "./operatorClient.js";
 import { CommandResult, endCommand, ExitCode, exitCodeHelp, formatTable, jsonOption } from "./output.js";
 import { parseSettings } from "./settings.js";
 
@@ -40,7 +40,7 @@
 async function drainEndpoint(settings: DrainSettings, endpoint: string): Promise<CommandResult> {
     const errors: string[] = [];
     for (const url of settings.entry) {
-        const answer = await askEntry<object>(url, settings.key, "POST", "/operator/drain", { endpoint });
+        const answer = await callEntry<object>(url, settings.key, "POST", "/operator/drain", { endpoint });
         if (answer.error === undefined) {
             const lines = [`${endpoint} is asked to leave, through ${url}; it finishes what it holds`];
             return { code: ExitCode.Success, lines, data: { result: "draining", endpoint, entry: url } };
--- a/src/cli/operatorClient.ts
+++ b/src/cli/operatorClient.ts
@@ -24,7 +24,7 @@
 const answerTimeoutMs = 5_000;
 
 /** Sends an operator's request to one entry. Never throws. */
-export async function askEntry<Value>(
+export async function callEntry<Value>(
     url: string,
     key: string,
     method: "GET" | "POST",
@@ -62,7 +62,7 @@
 
 /** Reads the status of entries side by side. */
 export function readStatuses(urls: readonly string[], key: string): Promise<readonly EntryAnswer<EntryStatus>[]> {
-    return Promise.all(urls.map(url => askEntry<EntryStatus>(url, key, "GET", "/operator/status")));
+    return Promise.all(urls.map(url => callEntry<EntryStatus>(url, key, "GET", "/operator/status")));
 }
 
 /** Lists the entries that gave no answer, with the reason. */
--- a/src/config/reader.ts
+++ b/src/config/reader.ts
@@ -108,12 +108,12 @@
 
 function acceptRecord(reader: ConfigurationReader, record: LogRecord, outcomes: FoldOutcome[]): ConfigurationReader {
     if (!isCheckpointValue(record.value)) {
-        return keepOrFold(reader, record, outcomes);
+        return foldOrKeep(reader, record, outcomes);
     }
     const checkpoint = parseCheckpoint(record.value);
     if (typeof checkpoint === "string") {
         outcomes.push({ kind: FoldOutcomeKind.Ignored, record, message: checkpoint });
-        return keepOrFold(reader, record, []);
+        return foldOrKeep(reader, record, []);
     }
     const { offset, timeMs } = record;
     const seen = { ...reader, checkpoint: { offset, foldedOffset: checkpoint.state.foldedOffset, timeMs } };
@@ -127,7 +127,7 @@
     }
     const isAhead = checkpoint.state.generation > reader.state.generation
         && checkpoint.state.foldedOffset >= reader.state.foldedOffset;
-    return keepOrFold(isAhead ? replaceState(seen, checkpoint.state) : seen, record, outcomes);
+    return foldOrKeep(isAhead ? replaceState(seen, checkpoint.state) : seen, record, outcomes);
 }
 
 /** Replaces the state by a newer one. A gap that the newer state does not cover stays. */
@@ -147,7 +147,7 @@
         : candidate.foldedOffset >= reader.gap.toOffset;
 }
 
-function keepOrFold(reader: ConfigurationReader, record: LogRecord, outcomes: FoldOutcome[]): ConfigurationReader {
+function foldOrKeep(reader: ConfigurationReader, record: LogRecord, outcomes: FoldOutcome[]): ConfigurationReader {
     return reader.gap
         ? { ...reader, pending: [...reader.pending, record] }
         : fold(reader, [record], outcomes);
--- a/src/config/references.ts
+++ b/src/config/references.ts
@@ -32,7 +32,7 @@
     const problems: ConfigurationProblem[] = [];
     const report: Report = problem => problems.push(problem);
 
-    function expectName(object: string, field: string, type: ObjectType, name: string): boolean {
+    function checkName(object: string, field: string, type: ObjectType, name: string): boolean {
         if (names[type].has(name)) {
             return true;
         }
@@ -40,30 +40,30 @@
         return false;
     }
 
-    checkModels(objects, expectName, report);
+    checkModels(objects, checkName, report);
     for (const type of [ObjectType.Version, ObjectType.Adapter] as const) {
         for (const [name, object] of Object.entries(objects[type])) {
-            expectName(`${type}.${name}`, "model", ObjectType.Model, object.model);
+            checkName(`${type}.${name}`, "model", ObjectType.Model, object.model);
         }
     }
     for (const [name, kind] of Object.entries(objects.kinds)) {
-        expectName(`${ObjectType.Kind}.${name}`, "rank", ObjectType.Rank, kind.rank);
+        checkName(`${ObjectType.Kind}.${name}`, "rank", ObjectType.Rank, kind.rank);
     }
     for (const [name, service] of Object.entries(objects.services)) {
-        expectName(`${ObjectType.Service}.${name}`, "rank", ObjectType.Rank, service.rank);
+        checkName(`${ObjectType.Service}.${name}`, "rank", ObjectType.Rank, service.rank);
     }
     checkShares(objects, report);
-    checkCallers(objects, expectName, report);
+    checkCallers(objects, checkName, report);
     for (const [name, endpoint] of Object.entries(objects.endpoints)) {
-        checkEndpoint(`${ObjectType.Endpoint}.${name}`, endpoint, objects.adapters, expectName, report);
+        checkEndpoint(`${ObjectType.Endpoint}.${name}`, endpoint, objects.adapters, checkName, report);
     }
     return problems;
 }
 
-function checkModels(objects: ConfigurationObjects, expectName: Expect, report: Report) {
+function checkModels(objects: ConfigurationObjects, checkName: Expect, report: Report) {
     for (const [name, model] of Object.entries(objects.models)) {
         const object = `${ObjectType.Model}.${name}`;
-        if (!expectName(object, "version", ObjectType.Version, model.version)) {
+        if (!checkName(object, "version", ObjectType.Version, model.version)) {
             continue;
         }
         const owner = objects.versions[model.version]?.model;
@@ -93,12 +93,12 @@
     }
 }
 
-function checkCallers(objects: ConfigurationObjects, expectName: Expect, report: Report) {
+function checkCallers(objects: ConfigurationObjects, checkName: Expect, report: Report) {
     const owners = new Map<string, string>();
     for (const [name, caller] of Object.entries(objects.callers)) {
         const object = `${ObjectType.Caller}.${name}`;
-        caller.ranks.forEach((rank, index) => expectName(object, `ranks.${index}`, ObjectType.Rank, rank));
-        expectName(object, "defaultKind", ObjectType.Kind, caller.defaultKind);
+        caller.ranks.forEach((rank, index) => checkName(object, `ranks.${index}`, ObjectType.Rank, rank));
+        checkName(object, "defaultKind", ObjectType.Kind, caller.defaultKind);
         caller.keyDigests.forEach((digest, index) => {
             const owner = owners.get(digest);
             if (owner !== undefined) {
@@ -118,18 +118,18 @@
     object: string,
     endpoint: EndpointObject,
     adapters: Readonly<Record<string, AdapterObject>>,
-    expectName: Expect,
+    checkName: Expect,
     report: Report,
 ) {
     if (endpoint.model !== undefined) {
-        expectName(object, "model", ObjectType.Model, endpoint.model);
+        checkName(object, "model", ObjectType.Model, endpoint.model);
     }
     if (endpoint.service !== undefined) {
-        expectName(object, "service", ObjectType.Service, endpoint.service);
+        checkName(object, "service", ObjectType.Service, endpoint.service);
     }
     endpoint.adapters.forEach((name, index) => {
         const field = `adapters.${index}`;
-        if (!expectName(object, field, ObjectType.Adapter, name)) {
+        if (!checkName(object, field, ObjectType.Adapter, name)) {
             return;
         }
         const model = adapters[name]?.model;
--- a/src/entry/crashGuard.ts
+++ b/src/entry/crashGuard.ts
@@ -80,7 +80,7 @@
         }
     }
 
-    async function share(record: CrashRecord): Promise<void> {
+    async function publishRecord(record: CrashRecord): Promise<void> {
         // A crash that this entry has not shared when it stops is known to the sidecar's other entries.
         for (let attempt = 1; appender && !disposed; attempt++) {
             const outcome = await appender.append(controlStream, buildCrashRecord(record), appendLimitMs);
@@ -123,7 +123,7 @@
             const record = { crash: message.crash, fingerprints: message.fingerprints };
             if (!state.crashes.has(record.crash)) {
                 apply(record, timers.wallNow());
-                void share(record);
+                void publishRecord(record);
             }
         },
         listMessages: () =>
--- a/src/load/arrivals.ts
+++ b/src/load/arrivals.ts
@@ -41,7 +41,7 @@
                 ),
             ];
             for (const atMs of times) {
-                drafts.push({ atMs, phase: phase.name, stream: name, ...drawRequest(stream, random) });
+                drafts.push({ atMs, phase: phase.name, stream: name, ...pickRequest(stream, random) });
             }
         });
         startMs = endMs;
@@ -70,7 +70,7 @@
     return [...Array(count).keys()].map(index => atMs + index * gapMs);
 }
 
-function drawRequest(stream: LoadStream, random: RandomSource) {
+function pickRequest(stream: LoadStream, random: RandomSource) {
     const caller = pickWeighted(Object.entries(stream.callers), ([, weight]) => weight, random)[0];
     const band = pickWeighted(stream.prompt, ({ weight }) => weight, random);
     const promptTokens = Math.round(band.minTokens * (band.maxTokens / band.minTokens) ** random());
--- a/src/load/loadClient.ts
+++ b/src/load/loadClient.ts
@@ -183,7 +183,7 @@
             reading.finished = true;
         }
         const expected = makeExpectedOutput(isChat ? `user: ${prompt}` : prompt, arrival.outputTokens);
-        return judge(response.statusCode, reading, expected);
+        return makeVerifiedResult(response.statusCode, reading, expected);
     }
 
     async function sendServiceCall(arrival: Arrival, stream: LoadStream, signal: AbortSignal) {
@@ -241,7 +241,7 @@
 }
 
 /** Compares an answer that was read to its end with the one that its prompt determines. */
-function judge(status: number, reading: Reading, expected: string): SendResult {
+function makeVerifiedResult(status: number, reading: Reading, expected: string): SendResult {
     const { firstTokenAtMs, gapsMs, error } = reading;
     if (error) {
         const { code, verdict, message } = error;
--- a/src/rollout/reconcile.ts
+++ b/src/rollout/reconcile.ts
@@ -60,7 +60,7 @@
     return { state, effects };
 }
 
-function enter(state: RolloutState, phase: RolloutPhase, context: RolloutContext, untilMs = 0): RolloutState {
+function updatePhase(state: RolloutState, phase: RolloutPhase, context: RolloutContext, untilMs = 0): RolloutState {
     return { ...state, phase, sinceMs: context.nowMs, untilMs };
 }
 
@@ -84,7 +84,7 @@
     }
     // Answers to what was asked for the previous target must not advance this one.
     const next = { ...state, target, changedGeneration: target.generation, attempt: state.attempt + 1, failures: 0 };
-    return keep(enter(next, RolloutPhase.ReadBack, context), [{ kind: RolloutEffectKind.ReadBack }]);
+    return keep(updatePhase(next, RolloutPhase.ReadBack, context), [{ kind: RolloutEffectKind.ReadBack }]);
 }
 
 function handleReport(
@@ -146,11 +146,13 @@
 function plan(state: RolloutState, context: RolloutContext): RolloutAdvance {
     const { target, report } = state;
     if (!target || !report) {
-        return keep(enter(state, target ? RolloutPhase.ReadBack : RolloutPhase.Settled, context));
+        return keep(updatePhase(state, target ? RolloutPhase.ReadBack : RolloutPhase.Settled, context));
     }
     const step = findStep(state);
     if (!step) {
-        return isInForce(target, report) ? settle(state, context) : keep(enter(state, RolloutPhase.Applying, context));
+        return isInForce(target, report)
+            ? settle(state, context)
+            : keep(updatePhase(state, RolloutPhase.Applying, context));
     }
     if (!step.needsSlot) {
         const released = release(state);
@@ -165,7 +167,7 @@
 function settle(state: RolloutState, context: RolloutContext): RolloutAdvance {
     const generation = state.target!.generation;
     const released = release(state);
-    const next = { ...enter(released.state, RolloutPhase.Settled, context), step: undefined, failures: 0 };
+    const next = { ...updatePhase(released.state, RolloutPhase.Settled, context), step: undefined, failures: 0 };
     return state.reconciledGeneration === generation
         ? keep(next, released.effects)
         : keep({ ...next, reconciledGeneration: generation }, [
@@ -182,7 +184,7 @@
 
 function waitForSlot(state: RolloutState, context: RolloutContext): RolloutAdvance {
     const { model, loadSlots } = state.target!;
-    const next = { ...enter(state, RolloutPhase.Slot, context), slotRequested: true };
+    const next = { ...updatePhase(state, RolloutPhase.Slot, context), slotRequested: true };
     return keep(next, state.slotRequested ? [] : [{ kind: RolloutEffectKind.AcquireSlot, model, loadSlots }]);
 }
 
@@ -194,7 +196,7 @@
 ): RolloutAdvance {
     const attempt = state.attempt + 1;
     if (step.weights !== undefined) {
-        const next = { ...enter(state, RolloutPhase.Weights, context), step, attempt };
+        const next = { ...updatePhase(state, RolloutPhase.Weights, context), step, attempt };
         const request = { kind: RolloutEffectKind.RequestWeights, attempt, weights: step.weights } as const;
         return keep(next, [...effects, request]);
     }
@@ -209,7 +211,7 @@
 ): RolloutAdvance {
     // The generation may have grown since the step was planned, with the same target.
     const command = { ...state.step!.command, fencingToken: state.target!.generation, weightToken };
-    return keep(enter(state, RolloutPhase.Command, context), [
+    return keep(updatePhase(state, RolloutPhase.Command, context), [
         ...effects,
         { kind: RolloutEffectKind.SendCommand, attempt: state.attempt, command },
     ]);
@@ -259,7 +261,7 @@
             const isAdapter = state.step?.command.kind === EngineCommandKind.LoadAdapter;
             const untilMs = context.nowMs + (isAdapter ? adapterPatienceMs : 0);
             const fence = { ...state.fence, token: Math.max(state.fence.token, state.target!.generation) };
-            const next = { ...enter(state, RolloutPhase.Applying, context, untilMs), fence };
+            const next = { ...updatePhase(state, RolloutPhase.Applying, context, untilMs), fence };
             return keep(next, [{ kind: RolloutEffectKind.ReadBack }]);
         }
         case EngineCommandResultKind.Stale:
@@ -277,7 +279,7 @@
         minMs * (1 + context.random() / 2),
     );
     const released = failures > maxFailuresWithSlot ? release(state) : keep(state);
-    const next = enter({ ...released.state, failures }, RolloutPhase.Backoff, context, context.nowMs + delayMs);
+    const next = updatePhase({ ...released.state, failures }, RolloutPhase.Backoff, context, context.nowMs + delayMs);
     return keep(next, [...released.effects, { kind: RolloutEffectKind.ReportDelay, reason, delayMs }]);
 }
 
@@ -287,7 +289,7 @@
         return handleSlotLost(state, context);
     }
     if (state.phase === RolloutPhase.Backoff && context.nowMs >= state.untilMs) {
-        return keep(enter(state, RolloutPhase.ReadBack, context), [{ kind: RolloutEffectKind.ReadBack }]);
+        return keep(updatePhase(state, RolloutPhase.ReadBack, context), [{ kind: RolloutEffectKind.ReadBack }]);
     }
     const isAsking = state.phase === RolloutPhase.Weights || state.phase === RolloutPhase.Command;
     return isAsking && context.nowMs - state.sinceMs > answerTimeoutMs
--- a/src/scheduling/memoryLedger.ts
+++ b/src/scheduling/memoryLedger.ts
@@ -67,7 +67,7 @@
         return isMoreUrgent || isShorter;
     }
 
-    function fitsBesideDemand(entry: QueueEntry): boolean {
+    function hasRoomBesideDemand(entry: QueueEntry): boolean {
         const lane = computeLane(entry);
         let tokens = 0;
         let slots = 0;
@@ -112,7 +112,7 @@
             if (after + heldTokens > capacity.memoryTokens && !isInOwnPart) {
                 return MemoryCheck.Kept;
             }
-            return ignoresDemand || fitsBesideDemand(entry) ? MemoryCheck.Fits : MemoryCheck.Kept;
+            return ignoresDemand || hasRoomBesideDemand(entry) ? MemoryCheck.Fits : MemoryCheck.Kept;
         },
         reserve(entry) {
             const use = getUse(computeLane(entry));
--- a/src/scheduling/serviceShares.ts
+++ b/src/scheduling/serviceShares.ts
@@ -42,7 +42,7 @@
     let tokensPerMs = 1;
     let lastMs: number | undefined;
 
-    function credit(account: Account, tokens: number) {
+    function addCredit(account: Account, tokens: number) {
         const quantum = quantumMs * tokensPerMs;
         account.owed = Math.min(maxOwedMs * tokensPerMs, Math.max(-quantum, account.owed + tokens));
         account.first = account.owed > (account.first ? quantum / 2 : quantum);
@@ -69,7 +69,7 @@
             for (let rankIndex = 0; rankIndex < ranks.length; rankIndex++) {
                 const served = rankIndex === servedRank ? tokens : 0;
                 if (served > 0 || hasRankBacklog(rankIndex, hasBacklog)) {
-                    credit(rankAccounts[rankIndex]!, ranks[rankIndex]!.share * tokens - served);
+                    addCredit(rankAccounts[rankIndex]!, ranks[rankIndex]!.share * tokens - served);
                 }
             }
             for (let lengthClass = 0; lengthClass < lengthClassCount; lengthClass++) {
@@ -77,7 +77,7 @@
                 const served = other === lane ? tokens : 0;
                 const account = laneAccounts[other];
                 if (account && (served > 0 || hasBacklog(other))) {
-                    credit(account, classShares[lengthClass as keyof typeof classShares] * tokens - served);
+                    addCredit(account, classShares[lengthClass as keyof typeof classShares] * tokens - served);
                 }
             }
         },
--- a/src/sidecar/claims/claimPartition.ts
+++ b/src/sidecar/claims/claimPartition.ts
@@ -93,7 +93,7 @@
         return following;
     }
 
-    function limit<Value>(promise: Promise<Value>, timeLimitMs: number, otherwise: Value): Promise<Value> {
+    function waitWithin<Value>(promise: Promise<Value>, timeLimitMs: number, otherwise: Value): Promise<Value> {
         return new Promise((resolve, reject) => {
             const timer = timers.schedule(timeLimitMs, () => resolve(otherwise));
             promise.finally(() => timer.dispose()).then(resolve, reject);
@@ -121,7 +121,7 @@
     return {
         stream,
         fold,
-        sync: timeLimitMs => limit(read(), timeLimitMs, false),
+        sync: timeLimitMs => waitWithin(read(), timeLimitMs, false),
         async waitForChange(timeLimitMs) {
             let listener: (() => void) | undefined;
             const changed = new Promise<void>(resolve => {
@@ -131,7 +131,7 @@
             if (!isPolling) {
                 void poll();
             }
-            await limit(changed, timeLimitMs, undefined);
+            await waitWithin(changed, timeLimitMs, undefined);
             changeListeners.delete(listener!);
         },
         applyOutcome(claim, outcome) {
--- a/src/sidecar/engineReconciler.ts
+++ b/src/sidecar/engineReconciler.ts
@@ -66,7 +66,7 @@
         mailbox.post(event);
     }
 
-    async function requestWeights(attempt: number, weights: string) {
+    async function askForWeights(attempt: number, weights: string) {
         try {
             const ticket = await parts.weightStore?.request(weights) ?? { kind: WeightTicketKind.Granted, token: "" };
             post(
@@ -106,7 +106,7 @@
                 slots?.release();
                 return;
             case RolloutEffectKind.RequestWeights:
-                void requestWeights(effect.attempt, effect.weights);
+                void askForWeights(effect.attempt, effect.weights);
                 return;
             case RolloutEffectKind.SendCommand:
                 void sendCommand(effect.attempt, effect.command);
--- a/src/sidecar/loadSlots.ts
+++ b/src/sidecar/loadSlots.ts
@@ -77,7 +77,7 @@
     }
 
     /** Folds what the log holds; `visit` sees the state after each record. */
-    async function catchUp(current: Wish, visit: (offset: number) => void): Promise<void> {
+    async function readForward(current: Wish, visit: (offset: number) => void): Promise<void> {
         for (;;) {
             const page = await logService.read(controlStream, state.nextOffset, pageRecords);
             if (page.endOffset < state.nextOffset) {
@@ -122,7 +122,7 @@
         current.sentMs = sentMs;
         lastRecordMs = timers.now();
         let isGrantedAtOnce = false;
-        await catchUp(current, offset => {
+        await readForward(current, offset => {
             isGrantedAtOnce ||= offset === token && getLease(current)?.expiresMs !== undefined;
         });
         if (wish === current && isGrantedAtOnce && getLease(current)) {
@@ -149,7 +149,7 @@
             await waitFor(timers, settings.pollMs);
             return;
         }
-        await catchUp(current, () => undefined);
+        await readForward(current, () => undefined);
         const lease = getLease(current);
         if (wish !== current) {
             return;
@@ -174,7 +174,7 @@
         const position = getPosition(current);
         const factor = Math.min(maxPositionFactor, 1 + Math.floor(Math.max(0, position) / current.capacity));
         await waitFor(timers, settings.pollMs * factor);
-        await catchUp(current, () => undefined);
+        await readForward(current, () => undefined);
         const lease = getLease(current);
         if (lease?.expiresMs !== undefined) {
             log(LogEvent.LoadSlotGranted, { resource: current.resource, token: current.token });
--- /dev/null
+++ b/test/docs/documents.test.ts
@@ -0,0 +1,52 @@
+import assert from "node:assert/strict";
+import { readdirSync, readFileSync } from "node:fs";
+import { describe, test } from "node:test";
+import { LogEvent } from "../../src/base/logEvents.js";
+import { ErrorCode } from "../../src/base/requestError.js";
+
+const root = new URL("../../../", import.meta.url);
+
+function read(path: string): string {
+    return readFileSync(new URL(path, root), "utf8");
+}
+
+function listSources(): string[] {
+    return (readdirSync(new URL("src", root), { recursive: true }) as string[]).filter(name => name.endsWith(".ts"));
+}
+
+describe("documents and code agree", () => {
+    test("the catalogue of log events lists each event once with its number and name", () => {
+        const catalogue = [...read("docs/events.md").matchAll(/^\| (\d{4}) \| (\w+) \|/gm)]
+            .map(match => `${match[1]} ${match[2]}`);
+        const events = Object.entries(LogEvent).filter(([, value]) => typeof value === "number")
+            .map(([name, value]) => `${value} ${name}`);
+        assert.deepEqual(catalogue.sort(), events.sort());
+    });
+
+    test("every log event is written somewhere", () => {
+        const sources = listSources().filter(name => !name.endsWith("logEvents.ts"))
+            .map(name => read(`src/${name}`)).join("\n");
+        const unused = Object.keys(LogEvent).filter(name => Number.isNaN(Number(name)))
+            .filter(name => !sources.includes(`LogEvent.${name}`));
+        assert.deepEqual(unused, []);
+    });
+
+    test("the callers' page lists each error code", () => {
+        const page = read("docs/callers.md");
+        assert.deepEqual(Object.values(ErrorCode).filter(code => !page.includes(`\`${code}\``)), []);
+    });
+
+    test("functions begin with a verb of the list", () => {
+        const verbs = new Set([...read("docs/verbs.md").matchAll(/^\| `(\w+)` \|/gm)].map(match => match[1]));
+        const wrong: string[] = [];
+        for (const name of listSources()) {
+            for (const match of read(`src/${name}`).matchAll(/^\s*(?:export )?(?:async )?function\*? (\w+)/gm)) {
+                const verb = /^[a-z]+/.exec(match[1]!)?.[0] ?? "";
+                if (!verbs.has(verb)) {
+                    wrong.push(`${name}: ${match[1]}`);
+                }
+            }
+        }
+        assert.deepEqual(wrong, []);
+    });
+});
