--- /dev/null
+++ b/src/membership/index.ts
@@ -0,0 +1,3 @@
+/** Decisions about which processes run and answer. */
+export { createPauseDetector } from "./pauseDetector.js";
+export type { PauseDetector } from "./pauseDetector.js";
--- /dev/null
+++ b/src/retries/index.ts
@@ -0,0 +1,5 @@
+/** Decisions about further attempts of a failed request. */
+export { createRetryBudget, defaultRetryBudgetSettings } from "./retryBudget.js";
+export type { RetryBudget, RetryBudgetSettings } from "./retryBudget.js";
+export { decideRetry, maxAttempts, RetryDecision } from "./retryPolicy.js";
+export type { FailedAttempt } from "./retryPolicy.js";
