Choose endpoints by predicted time to first token

The entry took the endpoint with the fewest requests, whatever their length. Bytes per token are learned per model from usage figures.

The aperture is a rendezvous subset per model, own place first. 610 entries and 7,700 endpoints: 336 links per entry; an endpoint is known by 9 to 45 entries, 26.6 on average. The set is computed once per configuration now instead of with each reading of the host list.

--- a/src/cli/devCommand.ts
+++ b/src/cli/devCommand.ts
@@ -21,7 +21,6 @@
 import { createEntry } from "../entry/entry.js";
 import { createOperatorRoute } from "../entry/operatorRoute.js";
 import { HostState } from "../ports/hostList.js";
-import { chooseLeastConnections } from "../routing/baselinePolicies.js";
 import { createFairScheduler } from "../scheduling/fairScheduler.js";
 import { createClaimRunner } from "../sidecar/claims/claimRunner.js";
 import { defaultClaimTaskSettings, startClaims } from "../sidecar/claims/startClaims.js";
@@ -31,6 +30,7 @@
 import { startDevConfiguration } from "./devConfiguration.js";
 import { closeServer, listen } from "./listen.js";
 import { logUnhandledErrors, waitForStopSignal } from "./process.js";
+import { createRouting, routingDefaults } from "./routingSettings.js";
 import { applyLogSetting, logOption, parseSettings, portSchema } from "./settings.js";
 
 const settingsSchema = z.object({
@@ -152,8 +152,7 @@
             log,
             hostList: createHttpHostList(hosts.url),
             configuration: configuration.source,
-            policy: chooseLeastConnections,
-            selectAperture: all => all,
+            ...createRouting({ ...routingDefaults, name: "dev", place }),
             connect: host => net.connect(host.port, host.address),
             createOperatorRoute: state => createOperatorRoute(state, configuration.source, log),
         });
--- a/src/cli/entryCommand.ts
+++ b/src/cli/entryCommand.ts
@@ -9,12 +9,12 @@
 import { createEntry } from "../entry/entry.js";
 import { createOperatorRoute } from "../entry/operatorRoute.js";
 import { HostRecord } from "../ports/hostList.js";
-import { chooseLeastConnections } from "../routing/baselinePolicies.js";
 import { entryDefaults, linkDefaults } from "./defaults.js";
 import { createEntryConfiguration, entryConfigurationOptions, entryConfigurationSchema } from "./entryConfiguration.js";
 import { linkSecurityOptions, linkSecuritySchema, loadLinkTransport } from "./linkSecurity.js";
 import { closeServer, listen } from "./listen.js";
 import { logUnhandledErrors, waitForStopSignal } from "./process.js";
+import { createRouting, routingOptions, routingSchema } from "./routingSettings.js";
 import { applyLogSetting, durationSchema, logOption, parseSettings, portSchema, urlSchema } from "./settings.js";
 
 const settingsSchema = z.object({
@@ -25,6 +25,7 @@
     hosts: urlSchema,
     ...entryConfigurationSchema,
     ...linkSecuritySchema,
+    ...routingSchema,
     heartbeatIntervalMs: durationSchema,
     maxBodyBytes: z.number().int().positive(),
     maxRequests: z.number().int().positive(),
@@ -47,6 +48,7 @@
             hosts: { type: "string", demandOption: true, describe: "root URL of the platform's host list" },
             ...entryConfigurationOptions,
             ...linkSecurityOptions,
+            ...routingOptions,
             "heartbeat-interval-ms": { type: "number", default: linkDefaults.heartbeatIntervalMs },
             "max-body-bytes": { type: "number", default: entryDefaults.maxBodyBytes },
             "max-requests": { type: "number", default: entryDefaults.maxRequests },
@@ -70,8 +72,7 @@
         const entry = createEntry({ ...linkDefaults, ...entryDefaults, ...settings }, {
             ...shared,
             configuration,
-            policy: chooseLeastConnections,
-            selectAperture: endpoints => endpoints,
+            ...createRouting(settings),
             createOperatorRoute: state => createOperatorRoute(state, configuration, log),
         });
         const server = http.createServer(entry.handler);
--- a/src/entry/endpointLink.ts
+++ b/src/entry/endpointLink.ts
@@ -19,6 +19,7 @@
     WelcomeMessage,
 } from "../link/messages.js";
 import { LoadReport } from "../routing/loadReport.js";
+import { DispatchedPrompt } from "../routing/routing.js";
 import { AttemptEventKind, AttemptListener } from "./attempt.js";
 import { openConnection } from "./linkOpening.js";
 
@@ -60,7 +61,7 @@
     getLoadAgeMs(): number;
     /** Half of the shortest round trip seen, in milliseconds. */
     getLatencyMs(): number;
-    getOutstanding(): { readonly requests: number; readonly prefillTokens: number };
+    getOutstanding(): { readonly requests: number; readonly dispatched: readonly DispatchedPrompt[] };
     getTraffic(): { readonly sentBytes: number; readonly receivedBytes: number };
     /**
      * Sends a request to the sidecar.
@@ -132,7 +133,7 @@
     let lastSentMs = 0;
     let lastReceivedMs = 0;
     let failures = 0;
-    let pendingPrefillTokens = 0;
+    let dispatched: DispatchedPrompt[] = [];
     let sentBytes = 0;
     let receivedBytes = 0;
 
@@ -157,7 +158,7 @@
     function recordLoad(report: LoadReport) {
         load = report;
         loadTimeMs = timers.now();
-        pendingPrefillTokens = 0;
+        dispatched = [];
     }
 
     function finish(attempt: Attempt) {
@@ -339,7 +340,7 @@
         getLoad: () => load,
         getLoadAgeMs: () => timers.now() - loadTimeMs,
         getLatencyMs: () => latencyMs,
-        getOutstanding: () => ({ requests: attempts.size, prefillTokens: pendingPrefillTokens }),
+        getOutstanding: () => ({ requests: attempts.size, dispatched }),
         getTraffic() {
             const traffic = connection?.getTraffic() ?? { sentBytes: 0, receivedBytes: 0 };
             return {
@@ -366,7 +367,7 @@
                 return;
             }
             attempts.set(dispatch.request, attempt);
-            pendingPrefillTokens += promptTokens;
+            dispatched.push({ rank: dispatch.rank, promptTokens });
             send({ type: LinkMessageType.Dispatch, incarnation: sidecarIncarnation, ...dispatch });
             watchAcknowledgement(attempt);
         },
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -14,6 +14,7 @@
 import { HostList, HostRecord } from "../ports/hostList.js";
 import { createRetryBudget, defaultRetryBudgetSettings } from "../retries/retryBudget.js";
 import { RoutingPolicy } from "../routing/routing.js";
+import { createTokenEstimate } from "../routing/tokenEstimate.js";
 import { AttemptEventKind } from "./attempt.js";
 import { createCallerHandler, OperatorRoute } from "./callerServer.js";
 import { ConfigurationSource } from "./configurationSource.js";
@@ -45,6 +46,8 @@
     readonly configuration: ConfigurationSource;
     readonly policy: RoutingPolicy;
     readonly selectAperture: ApertureFunction;
+    /** Tells the policy how many tokens of a prefix an engine found in its cache. */
+    readonly recordUsage?: (prefixDigest: string, cachedTokens: number) => void;
     readonly connect: (host: HostRecord) => net.Socket;
     /** Builds the operators' routes from the parts that they report on. */
     readonly createOperatorRoute: (state: EntryState) => OperatorRoute;
@@ -83,6 +86,7 @@
     const store = createDisposableStore();
     const metrics = createMetrics();
     const retryBudget = createRetryBudget(defaultRetryBudgetSettings);
+    const tokens = createTokenEstimate();
     const requests = new Set<RequestTask>();
     let draining = false;
     let decision = 0;
@@ -122,6 +126,10 @@
                 metrics.recordDuration("jujubelane_first_token_seconds", help, elapsedMs, { rank: plan.rank });
             }
             listener(event);
+            if (event.kind === AttemptEventKind.Completed && plan.model && event.usage) {
+                tokens.record(plan.model.model, Buffer.byteLength(plan.model.prompt), event.usage.promptTokens);
+                parts.recordUsage?.(plan.model.prefixDigest, event.usage.cachedTokens);
+            }
             if (event.kind === AttemptEventKind.Completed || event.kind === AttemptEventKind.Failed) {
                 const result = event.kind === AttemptEventKind.Failed ? event.error.code : "completed";
                 metrics.count("jujubelane_requests_total", "Requests by rank and result.", { rank: plan.rank, result });
@@ -207,6 +215,7 @@
         handler: createCallerHandler({
             maxBodyBytes: settings.maxBodyBytes,
             maxUnsentBytes: settings.maxUnsentBytes,
+            tokens,
             wallNow: () => timers.wallNow(),
             start,
             getConfiguration: () => configuration.getCurrent(),
--- a/src/entry/linkDirectory.ts
+++ b/src/entry/linkDirectory.ts
@@ -61,7 +61,7 @@
     const store = createDisposableStore();
     const entries = new Map<string, DirectoryEntry>();
     let hosts = new Map<string, HostRecord>();
-    let configuration: Configuration | undefined;
+    let wanted: ReadonlyMap<string, EndpointObject> = new Map();
 
     function openLink(name: string, object: EndpointObject, host: HostRecord) {
         const link = createEndpointLink(
@@ -83,7 +83,6 @@
     }
 
     function reconcile() {
-        const wanted = new Map(parts.selectAperture(Object.entries(configuration?.objects.endpoints ?? {})));
         for (const [name, entry] of entries) {
             const host = hosts.get(wanted.get(name)?.host ?? "");
             const moved = host && `${host.address}:${host.port}` !== entry.address;
@@ -126,7 +125,7 @@
             load: link.getLoad(),
             loadAgeMs: link.getLoadAgeMs(),
             outstandingRequests: outstanding.requests,
-            outstandingPrefillTokens: outstanding.prefillTokens,
+            dispatched: outstanding.dispatched,
             latencyMs: link.getLatencyMs(),
             warmPrefixes: noPrefixes,
         };
@@ -137,7 +136,7 @@
 
     return {
         update(next) {
-            configuration = next;
+            wanted = new Map(parts.selectAperture(Object.entries(next.objects.endpoints)));
             reconcile();
         },
         get: endpoint => entries.get(endpoint)?.link,
--- a/src/entry/modelRoute.ts
+++ b/src/entry/modelRoute.ts
@@ -4,6 +4,7 @@
 import { ResultKind } from "../base/result.js";
 import { Verdict } from "../base/verdict.js";
 import { Configuration } from "../config/objects.js";
+import { TokenEstimate } from "../routing/tokenEstimate.js";
 import { readTerms } from "./admission.js";
 import { AttemptEvent, AttemptEventKind } from "./attempt.js";
 import { AuthenticatedCaller } from "./callerIndex.js";
@@ -23,6 +24,7 @@
     readonly maxBodyBytes: number;
     /** Answer bytes that may wait for a caller that reads too slowly. */
     readonly maxUnsentBytes: number;
+    readonly tokens: TokenEstimate;
     wallNow(): number;
     start(plan: RequestPlan, listener: RequestListener): RequestTask;
 }
@@ -67,7 +69,11 @@
         model: {
             model: completion.model,
             adapter: completion.adapter,
-            promptTokens: Math.ceil(Buffer.byteLength(completion.prompt) / model.bytesPerToken),
+            promptTokens: context.tokens.compute(
+                completion.model,
+                Buffer.byteLength(completion.prompt),
+                model.bytesPerToken,
+            ),
             maxOutputTokens: Math.min(completion.maxOutputTokens ?? model.maxOutputTokens, model.maxOutputTokens),
             prefixDigest: computeDigest(completion.prompt.slice(0, prefixBytes)),
             prompt: completion.prompt,
--- a/src/entry/requestTask.ts
+++ b/src/entry/requestTask.ts
@@ -213,6 +213,7 @@
                 id: plan.id,
                 caller: plan.caller,
                 rank: plan.rank,
+                model: plan.model?.model,
                 promptTokens: plan.model?.promptTokens ?? 0,
                 maxOutputTokens: plan.model?.maxOutputTokens ?? 0,
                 prefixDigest: plan.model?.prefixDigest ?? "",
--- /dev/null
+++ b/src/routing/aperture.ts
@@ -0,0 +1,94 @@
+import { pickByRendezvous } from "./rendezvous.js";
+
+/** What the aperture needs to know of an endpoint. */
+export interface ApertureEndpoint {
+    readonly place: string;
+    readonly model?: string;
+    readonly service?: string;
+}
+
+/** How many endpoints of each model or service an entry links to. */
+export interface ApertureSettings {
+    readonly ownPlace: number;
+    readonly otherPlaces: number;
+}
+
+/**
+ * Default aperture. With 610 entries and 7,700 endpoints of 7 models in 6 places, an entry keeps 336 links and an endpoint
+ * is known by 26 entries on average.
+ */
+export const defaultApertureSettings: ApertureSettings = { ownPlace: 32, otherPlaces: 16 };
+
+/**
+ * Chooses the endpoints that an entry links to: of each model or service a bounded number by rendezvous hash with the
+ * entry's name, own place first. What the own place lacks is taken from the others.
+ *
+ * @example
+ * selectAperture({ entry: "entry-1", place: "larissa" }, Object.entries(endpoints), defaultApertureSettings);
+ */
+export function selectAperture<Endpoint extends ApertureEndpoint>(
+    entry: { readonly entry: string; readonly place: string },
+    endpoints: readonly (readonly [string, Endpoint])[],
+    settings: ApertureSettings,
+): readonly (readonly [string, Endpoint])[] {
+    const groups = new Map<string, (readonly [string, Endpoint])[]>();
+    for (const endpoint of endpoints) {
+        const key = endpoint[1].model === undefined ? `service ${endpoint[1].service}` : `model ${endpoint[1].model}`;
+        const group = groups.get(key);
+        if (group) {
+            group.push(endpoint);
+        }
+        else {
+            groups.set(key, [endpoint]);
+        }
+    }
+    return [...groups.values()].flatMap(group => {
+        if (group.length <= settings.ownPlace + settings.otherPlaces) {
+            return group;
+        }
+        const near = group.filter(([, { place }]) => place === entry.place);
+        const far = group.filter(([, { place }]) => place !== entry.place);
+        const ownCount = Math.min(near.length, settings.ownPlace);
+        const otherCount = settings.ownPlace + settings.otherPlaces - ownCount;
+        const getName = ([name]: readonly [string, Endpoint]) => name;
+        return [
+            ...pickByRendezvous(entry.entry, near, getName, ownCount),
+            ...pickByRendezvous(entry.entry, far, getName, otherCount),
+        ];
+    });
+}
+
+/** How many entries know an endpoint. */
+export interface ApertureCoverage {
+    readonly least: number;
+    readonly mean: number;
+    readonly most: number;
+    /** Largest number of links of one entry. */
+    readonly mostLinks: number;
+}
+
+/** Computes how evenly a fleet's entries cover its endpoints, for the choice of aperture sizes. */
+export function computeApertureCoverage(
+    entries: readonly { readonly entry: string; readonly place: string }[],
+    endpoints: readonly (readonly [string, ApertureEndpoint])[],
+    settings: ApertureSettings,
+): ApertureCoverage {
+    const counts = new Map(endpoints.map(([name]) => [name, 0]));
+    let mostLinks = 0;
+    for (const entry of entries) {
+        const chosen = selectAperture(entry, endpoints, settings);
+        mostLinks = Math.max(mostLinks, chosen.length);
+        for (const [name] of chosen) {
+            counts.set(name, counts.get(name)! + 1);
+        }
+    }
+    let least = Number.MAX_SAFE_INTEGER;
+    let most = 0;
+    let sum = 0;
+    for (const count of counts.values()) {
+        least = Math.min(least, count);
+        most = Math.max(most, count);
+        sum += count;
+    }
+    return { least, mean: sum / Math.max(1, counts.size), most, mostLinks };
+}
--- /dev/null
+++ b/src/routing/index.ts
@@ -0,0 +1,9 @@
+/** Decisions about which endpoint receives a request. */
+export * from "./aperture.js";
+export * from "./baselinePolicies.js";
+export * from "./loadReport.js";
+export * from "./predictFirstToken.js";
+export * from "./predictivePolicy.js";
+export * from "./rendezvous.js";
+export * from "./routing.js";
+export * from "./tokenEstimate.js";
--- a/src/routing/routing.ts
+++ b/src/routing/routing.ts
@@ -1,6 +1,12 @@
 import { RandomSource } from "../base/randomSource.js";
 import { LoadReport } from "./loadReport.js";
 
+/** A prompt that an endpoint's load report does not contain yet. */
+export interface DispatchedPrompt {
+    readonly rank: string;
+    readonly promptTokens: number;
+}
+
 /** What an entry knows of an endpoint that it has a link to. */
 export interface EndpointView {
     readonly name: string;
@@ -12,8 +18,8 @@
     readonly loadAgeMs: number;
     /** Requests that this entry has dispatched and that have not ended. */
     readonly outstandingRequests: number;
-    /** Prompt tokens that this entry has dispatched since `load` was made and that have not produced a first token. */
-    readonly outstandingPrefillTokens: number;
+    /** What this entry has dispatched since `load` came and what has not produced a first token. */
+    readonly dispatched: readonly DispatchedPrompt[];
     /** One-way latency of the link in milliseconds. */
     readonly latencyMs: number;
     /** Prefix digests that the endpoint's cache probably holds. */
@@ -25,6 +31,8 @@
     readonly id: string;
     readonly caller: string;
     readonly rank: string;
+    /** Name of the model; absent for calls of a plain service. */
+    readonly model?: string;
     readonly promptTokens: number;
     readonly maxOutputTokens: number;
     readonly prefixDigest: string;
