--- a/src/cli/emulateCommand.ts
+++ b/src/cli/emulateCommand.ts
@@ -11,9 +11,10 @@
 import { waitForStopSignal } from "./process.js";
 import { durationSchema, parseSettings, portSchema } from "./settings.js";
 
-async function serve(server: RunningServer): Promise<void> {
+async function serve(server: RunningServer, drain?: () => Promise<void>): Promise<void> {
     process.stdout.write(`listening on ${server.url}\n`);
     await waitForStopSignal();
+    await drain?.();
     await server.close();
     process.exit(0);
 }
@@ -73,13 +74,12 @@
         }),
     handler: async argv => {
         const settings = parseSettings(engineSchema, argv);
-        await serve(
-            await startEmulatedEngine({
-                ...settings,
-                version: settings.modelVersion,
-                exitProcess: () => process.exit(crashExitCode),
-            }, createSystemTimerService()),
-        );
+        const engine = await startEmulatedEngine({
+            ...settings,
+            version: settings.modelVersion,
+            exitProcess: () => process.exit(crashExitCode),
+        }, createSystemTimerService());
+        await serve(engine, () => engine.drain());
     },
 };
 
--- a/src/emulator/engine/engineRoutes.ts
+++ b/src/emulator/engine/engineRoutes.ts
@@ -38,7 +38,7 @@
  * Creates the routes of an emulated engine, by method and path with `ID` for a name in the path.
  *
  * @example
- * const routes = createEngineRoutes(() => core, settings, faults, timers);
+ * const routes = createEngineRoutes(() => core, settings, faults, timers, () => false);
  * routes.get("GET /v1/load");
  */
 export function createEngineRoutes(
@@ -46,10 +46,14 @@
     settings: EngineCoreSettings,
     faults: EngineFaults,
     timers: TimerService,
+    isDraining: () => boolean,
 ): ReadonlyMap<string, Responder> {
     function checkCompletion(body: CompletionBody): { readonly status: number; readonly error: string } | undefined {
         const promptTokens = countTokens(body.prompt);
         const maxOutputTokens = body.max_tokens ?? defaultMaxOutputTokens;
+        if (isDraining()) {
+            return { status: 503, error: "the engine stops" };
+        }
         if (body.model !== undefined && body.model !== settings.model) {
             return { status: 404, error: `the engine runs model ${settings.model}` };
         }
--- a/src/emulator/engine/engineStreams.ts
+++ b/src/emulator/engine/engineStreams.ts
@@ -7,6 +7,7 @@
     serve(sequence: Sequence, fromSequence: number, response: http.ServerResponse): void;
     /** Sends what a generation has produced since the last call to its readers. */
     publish(sequence: Sequence): void;
+    countReaders(): number;
 }
 
 /**
@@ -80,6 +81,7 @@
             response.flushHeaders();
             write();
         },
+        countReaders: () => readers.size,
         publish(sequence) {
             for (const write of [...readers.get(sequence.generation.id) ?? []]) {
                 write();
--- a/test/sidecar/claims/world.ts
+++ b/test/sidecar/claims/world.ts
@@ -180,6 +180,7 @@
         },
         session: "",
         priority: 0,
+        inherited: false,
         state: WorkState.Running,
         output: [],
         final: [],
