--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -1,5 +1,11 @@
 /** Decisions about the endpoint that a request goes to. */
 export { chooseByAffinity } from "./affinityPolicy.js";
-export { chooseLeastConnections, chooseRoundRobin } from "./baselinePolicies.js";
+/** Decisions about which endpoint receives a request. */
+export * from "./aperture.js";
+export * from "./baselinePolicies.js";
 export * from "./loadReport.js";
+export * from "./predictFirstToken.js";
+export * from "./predictivePolicy.js";
+export * from "./rendezvous.js";
 export * from "./routing.js";
+export * from "./tokenEstimate.js";
