Prove that an accepted configuration survives log outages and replaced processes

A source whose log lags behind the state of its peers waited for the restart detection (1 s) before it served; it now serves the peers' state at once.

--- a/src/entry/logConfigurationSource.ts
+++ b/src/entry/logConfigurationSource.ts
@@ -235,7 +235,7 @@
         }
         const { nextOffset } = reader;
         const result = acceptPage(reader, page);
-        isLogTried ||= result.reader.atEnd;
+        isLogTried ||= result.reader.atEnd || isBehind;
         // A gap hides what is in force; a part of the log may end at an older generation.
         isComplete ||= result.reader.atEnd && !result.reader.gap;
         accept(result);
--- /dev/null
+++ b/test/entry/logConfigurationSource.test.ts
@@ -0,0 +1,179 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { configurationStream } from "../../src/config/changeSet.js";
+import { LogPage, LogService, LogServiceError, LogServiceErrorKind } from "../../src/ports/logService.js";
+import { createSourceHarness, retentionMs, SourceHarness } from "./logSourceHarness.js";
+
+const inForceMs = 3_000;
+
+async function startWithTwo(harness: SourceHarness): Promise<void> {
+    harness.start(0);
+    harness.start(1);
+    await harness.publishSample();
+    await harness.advance(1_000);
+    await harness.publishRank("first", "x", 1);
+    await harness.advance(6_000);
+    assert.equal(new Set(harness.generations()).size, 1);
+    assert.equal(harness.sources[0]!.getCurrent()?.objects.ranks.x?.timeLimitMs, 1);
+}
+
+/** Publishes after the fault and expects the change in force at every source in time, with one digest. */
+async function expectPublishable(harness: SourceHarness): Promise<void> {
+    const before = harness.generations()[0]!;
+    await harness.publishRank(`after-${before}`, "y", 7);
+    await harness.advance(inForceMs);
+    const currents = harness.sources.map(source => source.getCurrent()!);
+    for (const current of currents) {
+        assert.equal(current.objects.ranks.y?.timeLimitMs, 7, "the change is not in force");
+        assert.equal(current.objects.ranks.x?.timeLimitMs, 1, "the earlier configuration reverted");
+        assert.ok(current.generation > before);
+        assert.equal(current.digest, currents[0]!.digest);
+        assert.equal(current.generation, currents[0]!.generation);
+    }
+    assert.equal(harness.reverted, undefined);
+}
+
+async function replaceAll(harness: SourceHarness): Promise<void> {
+    for (const index of harness.sources.keys()) {
+        harness.start(index);
+        await harness.advance(4_000);
+        assert.equal(harness.sources[index]!.getCurrent()?.objects.ranks.x?.timeLimitMs, 1, "a new process has it");
+    }
+}
+
+/** What happens between the first configuration and the next publish. */
+const outages: Readonly<Record<string, (harness: SourceHarness) => Promise<void>>> = {
+    async "log down for longer than its retention"(harness) {
+        harness.model.updateFaults({ unavailable: true });
+        await harness.advance(retentionMs * 2);
+        harness.model.updateFaults({ unavailable: false });
+    },
+    async "log unresponsive for longer than its retention"(harness) {
+        harness.model.updateFaults({ unresponsive: true });
+        await harness.advance(retentionMs * 2);
+        harness.model.updateFaults({ unresponsive: false });
+    },
+    async "all processes replaced one by one while the log is down"(harness) {
+        harness.model.updateFaults({ unavailable: true });
+        await replaceAll(harness);
+        await harness.advance(retentionMs * 2);
+        await replaceAll(harness);
+        harness.model.updateFaults({ unavailable: false });
+    },
+    async "all processes replaced while the log is down, and the log comes back emptied"(harness) {
+        harness.model.updateFaults({ unavailable: true });
+        await replaceAll(harness);
+        harness.model.empty(false);
+        harness.model.updateFaults({ unavailable: false });
+    },
+    async "log emptied, offsets go on"(harness) {
+        harness.model.empty(false);
+    },
+    async "log emptied, offsets start again at 0"(harness) {
+        harness.model.empty(true);
+    },
+    async "log emptied with offsets from 0, then all processes replaced"(harness) {
+        harness.model.updateFaults({ unavailable: true });
+        harness.model.empty(true);
+        await replaceAll(harness);
+        harness.model.updateFaults({ unavailable: false });
+        await replaceAll(harness);
+    },
+    async "nothing but time: older records and checkpoints expire several times"(harness) {
+        await harness.advance(retentionMs * 4);
+        await replaceAll(harness);
+    },
+};
+
+for (const [name, bringAbout] of Object.entries(outages)) {
+    test(`an accepted configuration never reverts and publishing goes on: ${name}`, async () => {
+        const harness = createSourceHarness();
+        await startWithTwo(harness);
+        await bringAbout(harness);
+        await harness.advance(12_000);
+        assert.equal(harness.reverted, undefined);
+        await expectPublishable(harness);
+        // Without peers, a process that starts now builds the same state from the log alone.
+        harness.held = undefined;
+        harness.start(2);
+        await harness.advance(1_000);
+        assert.equal(harness.sources[2]!.getCurrent()?.digest, harness.sources[0]!.getCurrent()?.digest);
+        harness.sources.forEach(source => source.dispose());
+    });
+}
+
+/** A replica of the log that shows the log as it was, or nothing. */
+function createStaleLog(page: LogPage): LogService {
+    return {
+        append: () => Promise.reject(new LogServiceError(LogServiceErrorKind.Unavailable, "read only")),
+        read: (stream, from, limit) =>
+            Promise.resolve({ ...page, records: page.records.filter(({ offset }) => offset >= from).slice(0, limit) }),
+    };
+}
+
+const staleLogs: Readonly<Record<string, (page: LogPage) => LogPage>> = {
+    "an old checkpoint is the log's only record": page => {
+        const checkpoint = page.records.find(({ value }) => (value as { type: string }).type === "checkpoint")!;
+        return { records: [checkpoint], firstOffset: checkpoint.offset, endOffset: checkpoint.offset + 1 };
+    },
+    "the log lags behind what peers hold": page => ({ ...page, records: page.records.slice(0, 1), endOffset: 1 }),
+    "the log is empty": () => ({ records: [], firstOffset: 0, endOffset: 0 }),
+};
+
+for (const [name, makeStale] of Object.entries(staleLogs)) {
+    test(`a replaced process serves no older generation than its peers: ${name}`, async () => {
+        const harness = createSourceHarness();
+        await startWithTwo(harness);
+        await harness.publishRank("newer", "x", 2);
+        await harness.advance(1_000);
+        const newest = harness.generations()[0]!;
+        const page = await harness.logService.read(configurationStream, 0, 100);
+        harness.start(2, createStaleLog(makeStale(page)));
+        await harness.advance(10_000);
+        assert.equal(harness.reverted, undefined);
+        assert.equal(harness.sources[2]!.getCurrent()?.generation, newest);
+        assert.equal(harness.sources[2]!.getCurrent()?.objects.ranks.x?.timeLimitMs, 2);
+        harness.sources.forEach(source => source.dispose());
+    });
+}
+
+test("a process that was cut off while records expired takes a checkpoint instead of folding on", async () => {
+    const harness = createSourceHarness();
+    await startWithTwo(harness);
+    harness.cut.add(1);
+    await harness.publishRank("missed", "z", 3);
+    await harness.advance(retentionMs * 2);
+    await harness.publishRank("later", "y", 4);
+    harness.held = undefined;
+    harness.cut.delete(1);
+    await harness.advance(inForceMs);
+    const ranks = harness.sources[1]!.getCurrent()!.objects.ranks;
+    assert.equal(ranks.z?.timeLimitMs, 3);
+    assert.equal(ranks.y?.timeLimitMs, 4);
+    assert.equal(harness.generations()[1], harness.generations()[0]);
+    harness.sources.forEach(source => source.dispose());
+});
+
+test("a peer's configuration that does not match its digest is not used", async () => {
+    const harness = createSourceHarness();
+    await startWithTwo(harness);
+    const message = harness.held!;
+    const objects = { ...message.objects as object, ranks: {} };
+    harness.sources[0]!.offer({ ...message, generation: message.generation + 5, foldedOffset: 99, objects });
+    harness.sources[0]!.offer({ ...message, generation: message.generation + 5, foldedOffset: 99, fold: undefined });
+    await harness.advance(100);
+    assert.equal(harness.generations()[0], message.generation);
+    harness.sources.forEach(source => source.dispose());
+});
+
+test("checkpoints are few: one process of many writes each, at half of the retention", async () => {
+    const harness = createSourceHarness();
+    for (let index = 0; index < 8; index++) {
+        harness.start(index);
+    }
+    await harness.publishSample();
+    await harness.advance(retentionMs * 2.2);
+    const appends = harness.model.countAppends();
+    assert.ok(appends >= 5 && appends <= 10, `${appends} appends`);
+    harness.sources.forEach(source => source.dispose());
+});
