--- a/src/cli/configLog.ts
+++ b/src/cli/configLog.ts
@@ -10,6 +10,8 @@
 
 const pageRecords = 500;
 const readBackDelayMs = 50;
+/** Time within which running entries write their state to a log that has lost its records and looks new. */
+const firstPublishSettleMs = 3_000;
 
 /** Reads the configuration's stream to its end. The log must hold what the state in force is built from. */
 export async function readHistory(
@@ -92,7 +94,28 @@
     }
     // An append whose outcome is not known gets one more look, however late it is.
     const entry = await readBack(id, before, log, timers, Math.max(deadlineMs, timers.now() + timeoutMs / 2));
-    return entry ? describeOutcome(entry) : describeUnknown(id);
+    if (!entry) {
+        return describeUnknown(id);
+    }
+    const isFirst = before.reader.state.generation < 0;
+    return isFirst && entry.accepted && await isSuperseded(log, timers)
+        ? describeSuperseded(id)
+        : describeOutcome(entry);
+}
+
+/**
+ * Whether a log that looked new had lost its records: entries that hold an earlier configuration then write it to the
+ * log, and what was published before that checkpoint has no effect.
+ */
+async function isSuperseded(log: LogService, timers: TimerService): Promise<boolean> {
+    await waitFor(timers, firstPublishSettleMs);
+    return (await readHistory(log)).reader.state.shift !== 0;
+}
+
+function describeSuperseded(id: string): CommandResult {
+    const message = "rejected: the log had lost its records, and entries restored the configuration in force; "
+        + "publish again onto it";
+    return { code: ExitCode.Negative, lines: [message], data: { result: "superseded", id, message } };
 }
 
 async function readBack(
--- a/src/entry/logConfigurationSource.ts
+++ b/src/entry/logConfigurationSource.ts
@@ -84,6 +84,7 @@
 const readsPerProbe = 10;
 /** Consecutive reads that end before the state after which the log counts as started again, not as lagging. */
 const behindReadLimit = 3;
+const restartPatienceMs = 200;
 const peerRetryDelayMs = 1_000;
 const maxReportedRejections = 5;
 
@@ -181,7 +182,9 @@
         const { fromOffset, toOffset, isRestart } = reader.gap!;
         log(LogEvent.ConfigurationGap, { fromOffset, toOffset, isRestart });
         gapTimer?.dispose();
-        const delayMs = settings.gapPatienceMs * (1 + parts.random());
+        // Nothing can cover a restart before some process writes the first checkpoint, and publishers wait for it.
+        const patienceMs = isRestart ? Math.min(restartPatienceMs, settings.gapPatienceMs) : settings.gapPatienceMs;
+        const delayMs = patienceMs * (1 + parts.random());
         gapTimer = timers.schedule(delayMs, () => mailbox.post({ kind: SourceEventKind.GapExpired }));
         askPeers();
     }
