Let a dropped endpoint finish its requests and prove that a leaving one gets no work

Cause: the link directory closed the link of an endpoint that the configuration names no more at once, and its requests in progress failed. The link now takes no new work and closes when its last request has ended.

The tests send steadily from two entries whose host list never changes, drain one endpoint (also while its messages do not reach one entry, or the link is silent), and count its runs from 3 s on: none, and no request fails.

--- a/src/entry/linkDirectory.ts
+++ b/src/entry/linkDirectory.ts
@@ -45,6 +45,8 @@
     readonly link: EndpointLink;
     readonly address: string;
     object: EndpointObject;
+    /** Set when the configuration names the endpoint no more: it gets no new work and closes when its last request ends. */
+    retired: boolean;
 }
 
 const hostListIntervalMs = 1_000;
@@ -73,7 +75,7 @@
             parts.log,
             parts.listener,
         );
-        entries.set(name, { link, address: `${host.address}:${host.port}`, object });
+        entries.set(name, { link, address: `${host.address}:${host.port}`, object, retired: false });
     }
 
     function closeLink(name: string) {
@@ -88,8 +90,10 @@
             const host = hosts.get(wanted.get(name)?.host ?? "");
             const moved = host && `${host.address}:${host.port}` !== entry.address;
             // A host that is missing from the list is not believed dead while its link answers or holds requests.
-            const isIdle = entry.link.getState() !== LinkState.Open && entry.link.getOutstanding().requests === 0;
-            if (!wanted.has(name) || (isIdle && (moved || !host))) {
+            const isUnused = entry.link.getOutstanding().requests === 0;
+            const isIdle = isUnused && entry.link.getState() !== LinkState.Open;
+            entry.retired = !wanted.has(name);
+            if ((entry.retired && isUnused) || (isIdle && (moved || !host))) {
                 closeLink(name);
             }
         }
@@ -122,7 +126,7 @@
         return {
             name,
             place: object.place,
-            available: link.getState() === LinkState.Open && !link.isLeaving() && !isListedLeaving,
+            available: !entry.retired && link.getState() === LinkState.Open && !link.isLeaving() && !isListedLeaving,
             load: link.getLoad(),
             loadAgeMs: link.getLoadAgeMs(),
             outstandingRequests: outstanding.requests,
