--- a/src/cli/devCommand.ts
+++ b/src/cli/devCommand.ts
@@ -82,7 +82,7 @@
     return { sidecar, host: { name: endpoint, place, address: loopback, port, state: HostState.Live } };
 }
 
-async function startEndpoints(engines: number, timers: TimerService) {
+async function startEndpoints(engines: number, logUrl: string, timers: TimerService) {
     const started: Awaited<ReturnType<typeof startSidecar>>[] = [];
     for (let index = 1; index <= engines; index++) {
         const emulated = await startEmulatedEngine(
@@ -98,9 +98,8 @@
         started.push(await startSidecar(endpoint, { timers, runner, engineSide }));
     }
     const service = await startEmulatedService({ port: 0, delayMs: 5 }, timers);
-    const log = await startEmulatedLog({ ...defaultLogModelSettings, port: 0 }, timers);
     const claims = startClaims({ ...defaultClaimTaskSettings, maxKeyAheadMs: devKeyAheadMs }, {
-        service: createHttpLogService(log.url, timers),
+        service: createHttpLogService(logUrl, timers),
         timers,
         random: createSystemRandomSource(),
         log: createEventLog("sidecar"),
@@ -146,27 +145,29 @@
         logUnhandledErrors(log);
         const timers = createSystemTimerService();
         const hosts = await startEmulatedHostList({ port: 0, lagMs: 0 }, timers);
-        const endpoints = await startEndpoints(settings.engines, timers);
+        const logServer = await startEmulatedLog({ ...defaultLogModelSettings, port: 0 }, timers);
+        const endpoints = await startEndpoints(settings.engines, logServer.url, timers);
         await registerHosts(hosts.url, endpoints.map(endpoint => endpoint.host));
         const random = createSystemRandomSource();
         const objects = buildDevObjects(settings.engines, settings.key);
-        const configuration = await startDevConfiguration(objects, { timers, random, log });
+        const logService = createHttpLogService(logServer.url, timers);
+        const configuration = await startDevConfiguration(objects, { timers, random, log, logService });
         const entry = createEntry({ ...linkDefaults, ...entryDefaults, name: "dev", place, linkKey }, {
             timers,
             random,
             log,
             hostList: createHttpHostList(hosts.url),
-            configuration: configuration.source,
+            configuration,
             policy: chooseLeastConnections,
             selectAperture: all => all,
             connect: host => net.connect(host.port, host.address),
-            createOperatorRoute: state => createOperatorRoute(state, configuration.source, log),
+            createOperatorRoute: state => createOperatorRoute(state, configuration, log),
         });
         const server = http.createServer(entry.handler);
         const port = await listen(server, settings.port, loopback);
         process.stdout.write(`listening on http://${loopback}:${port}\n`);
         if (settings.logUrl) {
-            process.stdout.write(`log service on ${configuration.logUrl}\n`);
+            process.stdout.write(`log service on ${logServer.url}\n`);
         }
         await waitForStopSignal();
         await entry.drain();
--- a/src/entry/linkOpening.ts
+++ b/src/entry/linkOpening.ts
@@ -29,12 +29,14 @@
 /**
  * Performs the entry's side of the handshake on a new socket. A connection that is not open after a time limit is closed.
  *
+ * @param endpoint endpoint that the sidecar must serve; without it any sidecar with the right key is accepted
+ *
  * @example
  * const connection = openConnection(net.connect(7001, "127.0.0.1"), "engine-1", settings, timers, log, listener);
  */
 export function openConnection(
     socket: net.Socket,
-    endpoint: string,
+    endpoint: string | undefined,
     settings: LinkOpeningSettings,
     timers: TimerService,
     log: EventLog,
@@ -90,7 +92,7 @@
         else if (!verifyHandshake(settings.linkKey, LinkRole.Sidecar, sidecarNonce, nonce, message.proof)) {
             refuse("the sidecar's link key is wrong");
         }
-        else if (message.endpoint !== endpoint) {
+        else if (endpoint !== undefined && message.endpoint !== endpoint) {
             refuse(`the sidecar serves endpoint ${message.endpoint}`);
         }
         else {
--- a/src/entry/peerConfiguration.ts
+++ b/src/entry/peerConfiguration.ts
@@ -1,17 +1,10 @@
 import * as net from "node:net";
+import { EventLog } from "../base/log.js";
 import { RandomSource } from "../base/randomSource.js";
 import { TimerService } from "../base/timerService.js";
-import { createLinkConnection, LinkConnection } from "../link/connection.js";
-import { LinkRole, makeNonce, signHandshake, verifyHandshake } from "../link/handshake.js";
-import {
-    ChallengeMessage,
-    ConfigurationMessage,
-    LinkMessage,
-    LinkMessageType,
-    linkProtocolVersion,
-    WelcomeMessage,
-} from "../link/messages.js";
+import { ConfigurationMessage, LinkMessageType } from "../link/messages.js";
 import { HostList, HostRecord } from "../ports/hostList.js";
+import { openConnection } from "./linkOpening.js";
 
 /** Settings of the search for a configuration at peers. */
 export interface PeerSearchSettings {
@@ -29,6 +22,7 @@
 export interface PeerSearchParts {
     readonly timers: TimerService;
     readonly random: RandomSource;
+    readonly log: EventLog;
     readonly hostList: HostList;
     readonly connect: (host: HostRecord) => net.Socket;
     readonly makeIncarnation: () => string;
@@ -67,9 +61,8 @@
     settings: PeerSearchSettings,
     parts: PeerSearchParts,
 ): Promise<ConfigurationMessage | undefined> {
-    const nonce = makeNonce();
-    let sidecarNonce: Uint8Array | undefined;
-    let isOpen = false;
+    // The incarnation is one of its own, so that the question does not displace the entry's link.
+    const opening = { ...settings, incarnation: parts.makeIncarnation() };
     return new Promise(resolve => {
         function end(answer?: ConfigurationMessage) {
             timer.dispose();
@@ -77,44 +70,21 @@
             resolve(answer);
         }
 
-        function answerChallenge(message: ChallengeMessage) {
-            sidecarNonce = message.nonce;
-            const { entry, place, linkKey } = settings;
-            const proof = signHandshake(linkKey, LinkRole.Entry, message.nonce, nonce);
-            // The incarnation is one of its own, so that the question does not displace the entry's link.
-            const incarnation = parts.makeIncarnation();
-            const version = linkProtocolVersion;
-            connection.send({ type: LinkMessageType.Hello, version, entry, incarnation, place, nonce, proof });
-        }
-
-        function acceptWelcome(message: WelcomeMessage) {
-            const isVerified = sidecarNonce
-                && verifyHandshake(settings.linkKey, LinkRole.Sidecar, sidecarNonce, nonce, message.proof);
-            if (!isVerified || message.generation < 0) {
-                end();
-                return;
-            }
-            isOpen = true;
-            connection.send({ type: LinkMessageType.ConfigurationRequest });
-        }
-
-        function handleMessage(message: LinkMessage) {
-            if (message.type === LinkMessageType.Challenge) {
-                answerChallenge(message);
-            }
-            else if (message.type === LinkMessageType.Welcome) {
-                acceptWelcome(message);
-            }
-            else if (message.type === LinkMessageType.Configuration && isOpen) {
-                end(message);
-            }
-        }
-
         const timer = parts.timers.schedule(settings.timeoutMs, () => end());
-        const connection: LinkConnection = createLinkConnection(parts.connect(host), settings.maxFrameBytes, {
-            handleMessages: messages => messages.forEach(handleMessage),
+        const connection = openConnection(parts.connect(host), undefined, opening, parts.timers, parts.log, {
+            handleOpened(welcome) {
+                if (welcome.generation < 0) {
+                    end();
+                    return;
+                }
+                connection.send({ type: LinkMessageType.ConfigurationRequest });
+            },
+            handleMessage(message) {
+                if (message.type === LinkMessageType.Configuration) {
+                    end(message);
+                }
+            },
             handleClosed: () => end(),
-            handleFrameError: () => end(),
         });
     });
 }
