--- /dev/null
+++ b/test/cli/configCommand.test.ts
@@ -0,0 +1,94 @@
+import assert from "node:assert/strict";
+import { execFile } from "node:child_process";
+import { mkdtemp, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "node:test";
+import { fileURLToPath } from "node:url";
+import { startProcess } from "../path/processes.js";
+
+const mainPath = fileURLToPath(new URL("../../src/main.js", import.meta.url));
+
+function run(...args: string[]): Promise<{ readonly code: number; readonly output: string }> {
+    return new Promise(resolve => {
+        execFile(process.execPath, [mainPath, ...args], { timeout: 20_000 }, (error, stdout, stderr) => {
+            resolve({ code: typeof error?.code === "number" ? error.code : 0, output: stdout + stderr });
+        });
+    });
+}
+
+async function writeFiles(files: readonly string[]): Promise<readonly string[]> {
+    const directory = await mkdtemp(join(tmpdir(), "jujubelane-"));
+    return Promise.all(files.map(async (text, index) => {
+        const path = join(directory, `${index}.yaml`);
+        await writeFile(path, text);
+        return path;
+    }));
+}
+
+const rank = "ranks: { urgent: { urgency: 0, timeLimitMs: 10 } }";
+
+/** Files that must not be taken for a configuration, with what the operator must read. */
+const fileCases: readonly (readonly [string, readonly string[], number, RegExp])[] = [
+    ["valid", [rank], 0, /^valid: 1 objects in 1 files$/m],
+    ["valid JSON", [JSON.stringify({ ranks: { urgent: { urgency: 0, timeLimitMs: 10 } } })], 0, /^valid: 1 objects/m],
+    [
+        "empty",
+        ["# nothing"],
+        2,
+        /0\.yaml: found an empty file; allowed: a map with at least one of the sections models/,
+    ],
+    ["empty beside a valid one", [rank, ""], 2, /1\.yaml: found an empty file/],
+    ["a list at the top", ["- ranks"], 2, /0\.yaml: found \["ranks"\]; allowed: a map/],
+    ["an unknown section", ["rank: {}"], 2, /0\.yaml: rank: found this section; allowed: models, /],
+    ["an object in two files", [rank, rank], 2, /1\.yaml: ranks\.urgent: found a second one, after .*0\.yaml/],
+    ["an object twice in a file", ["ranks:\n  a: {}\n  a: {}"], 2, /0\.yaml: found Map keys must be unique/],
+    ["damaged YAML", ["ranks: {"], 2, /0\.yaml: found .*; allowed: YAML without errors/],
+    [
+        "two files with one problem each",
+        ["kinds: { k: { rank: x } }", "ranks: { r: { urgency: 1 } }"],
+        2,
+        /0\.yaml: kinds\.k: rank: found "x"[^]*1\.yaml: ranks\.r: timeLimitMs|1\.yaml: ranks\.r: timeLimitMs[^]*0\.yaml: kinds\.k: rank/,
+    ],
+];
+
+for (const [name, files, code, expected] of fileCases) {
+    test(`config check: ${name}`, async () => {
+        const told = await run("config", "check", ...await writeFiles(files));
+        assert.match(told.output, expected);
+        assert.equal(told.code, code);
+    });
+}
+
+test("a file with only new objects is published onto the configuration of dev", async () => {
+    const dev = await startProcess("dev", "--port", "0", "--log-url");
+    // A started process does not keep this one alive while it stops.
+    const keepAlive = setInterval(() => undefined, 1_000);
+    try {
+        const [file] = await writeFiles(["kinds: { letter: { rank: bulk } }"]);
+        for (let turn = 0; dev.outputLines.length < 2 && turn < 100; turn++) {
+            await new Promise(resolve => setTimeout(resolve, 20));
+        }
+        const url = dev.outputLines[1]!.replace("log service on ", "");
+        const told = await run("config", "publish", file!, "--log-service", url, "--author", "test");
+        assert.match(told.output, /^accepted at offset \d+ \(1 changes/);
+        const status = await run("config", "status", "--entry", dev.address, "--key", "dev-key", "--log-service", url);
+        assert.match(status.output, /all 4 are on generation \d+/);
+        assert.equal(status.code, 0);
+    }
+    finally {
+        assert.equal(await dev.stop(), 0);
+        clearInterval(keepAlive);
+    }
+});
+
+test("no command hides a flag or an exit code from its help", async () => {
+    const commands = ["check", "publish", "status", "diff", "history", "rollback"].map(name => ["config", name]);
+    for (const command of [...commands, ["status"], ["drain"]]) {
+        const told = await run(...command, "--help");
+        assert.equal(told.code, 0);
+        assert.match(told.output, /--json/);
+        assert.match(told.output, /Exit codes: 0 success/);
+        assert.doesNotMatch(told.output, /undefined/);
+    }
+});
--- a/test/path/processes.ts
+++ b/test/path/processes.ts
@@ -15,6 +15,8 @@
     readonly address: string;
     readonly child: ChildProcess;
     readonly logLines: string[];
+    /** Lines on standard output so far. */
+    readonly outputLines: string[];
     /** Asks the process to stop and returns its exit code. */
     stop(): Promise<number | null>;
     /** Ends the process without warning. */
@@ -31,11 +33,13 @@
     child.once("exit", () => running.delete(child));
     child.unref();
     const logLines: string[] = [];
+    const outputLines: string[] = [];
     createInterface({ input: child.stderr }).on("line", line => logLines.push(line));
     const exited = new Promise<number | null>(resolve => child.once("exit", code => resolve(code)));
     const address = await new Promise<string>((resolve, reject) => {
         const timer = setTimeout(() => reject(new Error(`${args[0]} did not start`)), startTimeoutMs);
         createInterface({ input: child.stdout }).on("line", line => {
+            outputLines.push(line);
             const match = /^listening on (\S+)$/.exec(line);
             if (match?.[1] !== undefined) {
                 clearTimeout(timer);
@@ -51,6 +55,7 @@
         address,
         child,
         logLines,
+        outputLines,
         stop() {
             child.kill("SIGTERM");
             return exited;
