--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -1,6 +1,5 @@
 /** Decisions about the endpoint that a request goes to. */
 export { chooseByAffinity } from "./affinityPolicy.js";
-/** Decisions about which endpoint receives a request. */
 export * from "./aperture.js";
 export * from "./baselinePolicies.js";
 export * from "./loadReport.js";
