--- a/test/system/system.ts
+++ b/test/system/system.ts
@@ -15,8 +15,12 @@
 import { createFixedConfigurationSource } from "../../src/entry/configurationSource.js";
 import { createEntry, Entry, EntrySettings } from "../../src/entry/entry.js";
 import { HostRecord, HostState } from "../../src/ports/hostList.js";
+import { LogService } from "../../src/ports/logService.js";
+import { ModelEngine } from "../../src/ports/modelEngine.js";
 import { chooseLeastConnections } from "../../src/routing/baselinePolicies.js";
 import { createFirstComeScheduler } from "../../src/scheduling/firstComeScheduler.js";
+import { EngineAuditSettings } from "../../src/sidecar/engineAudit.js";
+import { createEngineSide } from "../../src/sidecar/engineSide.js";
 import { createModelRunner, defaultModelRunnerSettings } from "../../src/sidecar/modelRunner.js";
 import { createServiceRunner } from "../../src/sidecar/serviceRunner.js";
 import { createSidecar, Sidecar } from "../../src/sidecar/sidecar.js";
@@ -33,17 +37,29 @@
     readonly name: string;
     readonly relay: Relay;
     readonly sidecar: Sidecar;
+    /** Ends the sidecar without warning and starts another behind the same address. */
+    restartSidecar(): void;
     readonly engine: EmulatedEngine | undefined;
     readonly service: EmulatedService | undefined;
 }
 
+/** An entry with the address that callers use. */
+export interface TestEntry {
+    readonly url: string;
+    readonly entry: Entry;
+    /** Ends the entry without warning. */
+    crash(): void;
+}
+
 /** A system in one process with real sockets on loopback. */
 export interface TestSystem {
     readonly url: string;
     readonly entry: Entry;
+    /** Entries beyond the first. */
+    readonly others: readonly TestEntry[];
     readonly endpoints: readonly TestEndpoint[];
     readonly events: readonly RecordedEvent[];
-    send(path: string, body: unknown, headers?: Record<string, string>): Promise<Response>;
+    send(path: string, body: unknown, headers?: Record<string, string>, origin?: string): Promise<Response>;
     close(): Promise<void>;
 }
 
@@ -54,6 +70,10 @@
     readonly engine?: Partial<EmulatedEngineSettings>;
     readonly serviceDelayMs?: number;
     readonly entry?: Partial<EntrySettings>;
+    readonly entries?: number;
+    /** Log that the entries share. */
+    readonly logService?: LogService;
+    readonly audit?: EngineAuditSettings;
     readonly objects?: (objects: Record<string, Record<string, unknown>>) => void;
     readonly heartbeatIntervalMs?: number;
 }
@@ -116,7 +136,39 @@
         ? undefined
         : await startEmulatedService({ port: 0, delayMs: settings.serviceDelayMs ?? 5 }, timers);
     const engineClient = engine && createHttpModelEngine(engine.url);
-    const sidecar = createSidecar({
+    const startSidecar = () => createTestSidecar(name, settings, log, engineClient, service);
+    let sidecar = startSidecar();
+    store.register({ dispose: () => sidecar.dispose() });
+    const server = net.createServer(socket => sidecar.accept(socket));
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    store.register({ dispose: () => server.close() });
+    const relay = await startRelay((server.address() as net.AddressInfo).port);
+    return {
+        name,
+        relay,
+        get sidecar() {
+            return sidecar;
+        },
+        restartSidecar() {
+            sidecar.dispose();
+            sidecar = startSidecar();
+        },
+        engine,
+        service,
+    };
+}
+
+function createTestSidecar(
+    name: string,
+    settings: TestSystemSettings,
+    log: EventLog,
+    engineClient: ModelEngine | undefined,
+    service: EmulatedService | undefined,
+): Sidecar {
+    const random = createSeededRandomSource(2);
+    const engineSide = engineClient
+        && createEngineSide({ endpoint: name, timers, random, log, engine: engineClient, audit: settings.audit });
+    return createSidecar({
         endpoint: name,
         place: testPlace,
         linkKey,
@@ -130,17 +182,11 @@
         timers,
         log,
         createScheduler: createFirstComeScheduler,
-        runner: engineClient
-            ? createModelRunner(engineClient, timers, () => 0, defaultModelRunnerSettings)
+        runner: engineSide
+            ? createModelRunner(engineSide.engine, timers, work => work.priority, defaultModelRunnerSettings)
             : createServiceRunner(createHttpPlainService(service!.url), timers),
-        readReport: engineClient && (() => engineClient.report()),
+        engineSide,
     });
-    store.register(sidecar);
-    const server = net.createServer(socket => sidecar.accept(socket));
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    store.register({ dispose: () => server.close() });
-    const relay = await startRelay((server.address() as net.AddressInfo).port);
-    return { name, relay, sidecar, engine, service };
 }
 
 /** Starts a system. */
@@ -160,8 +206,54 @@
         port: endpoint.relay.port,
         state: HostState.Live,
     }));
+    const entries = await Promise.all(
+        Array.from({ length: settings.entries ?? 1 }, (unused, index) => {
+            const objects = buildObjects(settings, names);
+            return startEntry(`entry-${index + 1}`, settings, log, hosts, objects);
+        }),
+    );
+    const [{ url, entry }, ...others] = entries as [TestEntry, ...TestEntry[]];
+    const isLinked = (candidate: Entry) =>
+        candidate.state.directory.list().filter(link => link.getLoad()?.reconciledGeneration === 0).length
+            === names.length;
+    await waitUntil(() => entries.every(item => isLinked(item.entry)));
+    return {
+        url,
+        entry,
+        others,
+        endpoints,
+        events,
+        send: (path, body, headers = {}, origin = url) =>
+            fetch(`${origin}${path}`, {
+                method: "POST",
+                headers: {
+                    authorization: `Bearer ${testKeys.planner}`,
+                    "content-type": "application/json",
+                    ...headers,
+                },
+                body: typeof body === "string" ? body : JSON.stringify(body),
+            }),
+        async close() {
+            entries.forEach(item => item.crash());
+            store.dispose();
+            for (const endpoint of endpoints) {
+                await endpoint.relay.close();
+                await endpoint.engine?.close();
+                await endpoint.service?.close();
+            }
+        },
+    };
+}
+
+async function startEntry(
+    name: string,
+    settings: TestSystemSettings,
+    log: EventLog,
+    hosts: readonly HostRecord[],
+    objects: ConfigurationObjects,
+): Promise<TestEntry> {
     const entry = createEntry({
-        name: "entry-1",
+        name,
         place: testPlace,
         linkKey,
         heartbeatIntervalMs: settings.heartbeatIntervalMs ?? 200,
@@ -177,41 +269,22 @@
         random: createSeededRandomSource(1),
         log,
         hostList: { read: () => Promise.resolve(hosts) },
-        configuration: createFixedConfigurationSource(buildObjects(settings, names)),
+        configuration: createFixedConfigurationSource(objects),
+        logService: settings.logService,
         policy: chooseLeastConnections,
         selectAperture: all => all,
         connect: host => net.connect(host.port, host.address),
         createOperatorRoute: () => () => Promise.resolve(false),
     });
-    store.register(entry);
     const server = http.createServer(entry.handler);
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const url = `http://127.0.0.1:${(server.address() as net.AddressInfo).port}`;
-    await waitUntil(() => entry.state.directory.list().filter(link => link.getLoad()).length === names.length);
     return {
-        url,
+        url: `http://127.0.0.1:${(server.address() as net.AddressInfo).port}`,
         entry,
-        endpoints,
-        events,
-        send: (path, body, headers = {}) =>
-            fetch(`${url}${path}`, {
-                method: "POST",
-                headers: {
-                    authorization: `Bearer ${testKeys.planner}`,
-                    "content-type": "application/json",
-                    ...headers,
-                },
-                body: typeof body === "string" ? body : JSON.stringify(body),
-            }),
-        async close() {
+        crash() {
             server.closeAllConnections();
             server.close();
-            store.dispose();
-            for (const endpoint of endpoints) {
-                await endpoint.relay.close();
-                await endpoint.engine?.close();
-                await endpoint.service?.close();
-            }
+            entry.dispose();
         },
     };
 }
