Do not lose messages that a task posts to its mailbox during a delivery

Cause: fromEvent of most collects events and delivers them in one task, which clears the collection afterwards. What a handler posted while a batch was delivered was added to that collection and cleared with it. A sidecar so lost the end of a cancelled request when the cancel came in one batch with other messages: the request counted as running for ever and kept its memory reserved, and the entry learned no verdict. Ruled out: the engine adapter and the model runner, whose calls were traced up to the mailbox.

The mailbox now has a source of its own with one queue.

--- a/src/base/mailbox.ts
+++ b/src/base/mailbox.ts
@@ -1,5 +1,4 @@
-import { fromEvent, Stream } from "most";
-import { EventEmitter } from "node:events";
+import { Sink, Stream } from "most";
 import { Disposable } from "./disposable.js";
 
 /** An ordered queue of messages to one task, offered as a `most` stream. */
@@ -9,10 +8,11 @@
     post(message: Message): void;
 }
 
-const messageEvent = "message";
-
 /**
- * Creates a mailbox.
+ * Creates a mailbox. Messages are delivered in a microtask after the current code, in order.
+ *
+ * The stream has a source of its own: `fromEvent` of `most` clears its buffer after it has delivered it, and so loses
+ * what is posted during the delivery.
  *
  * @example
  * const mailbox = createMailbox<number>();
@@ -20,19 +20,47 @@
  * mailbox.post(1);
  */
 export function createMailbox<Message>(): Mailbox<Message> {
-    const emitter = new EventEmitter();
-    const messages = fromEvent(messageEvent, emitter) as unknown as Stream<Message>;
+    const sinks = new Set<(message: Message) => void>();
+    const queue: Message[] = [];
+    let delivering = false;
     let disposed = false;
+
+    function deliver() {
+        const next = queue.shift();
+        if (next === undefined) {
+            delivering = false;
+            return;
+        }
+        // Scheduled first, so that an error thrown by a sink does not stop what follows.
+        queueMicrotask(deliver);
+        for (const send of sinks) {
+            send(next);
+        }
+    }
+
+    const messages = new Stream<Message>({
+        run(sink: Sink<Message>, scheduler) {
+            const send = (message: Message) => sink.event(scheduler.now(), message);
+            sinks.add(send);
+            return { dispose: () => void sinks.delete(send) };
+        },
+    });
     return {
         messages,
         post(message) {
-            if (!disposed) {
-                emitter.emit(messageEvent, message);
+            if (disposed) {
+                return;
+            }
+            queue.push(message);
+            if (!delivering) {
+                delivering = true;
+                queueMicrotask(deliver);
             }
         },
         dispose() {
             disposed = true;
-            emitter.removeAllListeners();
+            queue.length = 0;
+            sinks.clear();
         },
     };
 }
