Return the engine's memory without a restart, whatever ends a request

Cause: after a crash of sidecar and entry, a lost cancel or an export left behind, nobody knew what the engine still held.

A stream that the engine has gone on with while nothing arrives is resumed.

--- a/src/adapters/httpModelEngine.ts
+++ b/src/adapters/httpModelEngine.ts
@@ -41,11 +41,13 @@
  */
 export function createHttpModelEngine(baseUrl: string): HttpModelEngine {
     // Each stream holds a connection, so the number of connections has no bound of its own: the scheduler bounds it.
+    // No connection is used twice (`reset`): an idle one may have stopped responding while new ones work.
     const agent = new Agent({ connect: { timeout: connectTimeoutMs }, headersTimeout: 0, bodyTimeout: 0 });
 
     async function call<Answer>(method: "GET" | "POST" | "DELETE", path: string, body?: unknown): Promise<Answer> {
         const response = await request(`${baseUrl}${path}`, {
             dispatcher: agent,
+            reset: true,
             method,
             headers: { "content-type": "application/json" },
             body: body === undefined ? undefined : JSON.stringify(body),
@@ -78,6 +80,7 @@
         async function run() {
             const response = await request(`${baseUrl}${path}`, {
                 dispatcher: agent,
+                reset: true,
                 method,
                 headers: { "content-type": "application/json" },
                 body: body === undefined ? undefined : JSON.stringify(body),
--- a/src/emulator/engine/engineFaults.ts
+++ b/src/emulator/engine/engineFaults.ts
@@ -11,6 +11,8 @@
     readonly slowdown?: number;
     /** Makes the connections that are open now silent for ever; new ones work. */
     readonly silence?: boolean;
+    /** Cancels that have no effect and whose connections are closed. */
+    readonly lostCancels?: number;
     /** Crashes the engine. */
     readonly crash?: boolean;
     /** Text that crashes the engine when it begins a prompt that contains it; empty for none. */
@@ -33,6 +35,8 @@
     isPoisoned(prompt: string): boolean;
     isFrozen(): boolean;
     getSlowdown(): number;
+    /** Takes one from the cancels to lose. */
+    takeLostCancel(): boolean;
     isSilent(response: http.ServerResponse): boolean;
     /** Follows a connection. */
     registerSocket(socket: Socket): void;
@@ -59,6 +63,7 @@
     let slowdown = 1;
     let poison = initialPoison;
     let crashes = 0;
+    let lostCancels = 0;
     let downUntilMs = -Infinity;
 
     function crash() {
@@ -75,6 +80,7 @@
             slowdown = change.slowdown ?? slowdown;
             poison = change.poison ?? poison;
             frozen = change.frozen ?? frozen;
+            lostCancels = change.lostCancels ?? lostCancels;
             if (!frozen) {
                 waiting.splice(0).forEach(resume => resume());
             }
@@ -87,6 +93,7 @@
         },
         isPoisoned: prompt => poison !== "" && prompt.includes(poison),
         isFrozen: () => frozen,
+        takeLostCancel: () => lostCancels > 0 && lostCancels-- > 0,
         getSlowdown: () => slowdown,
         isSilent: response => response.socket !== null && silent.has(response.socket),
         registerSocket(socket) {
--- a/src/emulator/engine/engineRoutes.ts
+++ b/src/emulator/engine/engineRoutes.ts
@@ -99,6 +99,10 @@
     };
 
     const cancelRequest: Responder = ({ response, id }) => {
+        if (faults.takeLostCancel()) {
+            response.destroy();
+            return;
+        }
         getCore().model.cancel(id, timers.now());
         const sequence = getCore().model.get(id);
         if (sequence) {
--- a/src/emulator/engine/engineServer.ts
+++ b/src/emulator/engine/engineServer.ts
@@ -38,6 +38,8 @@
 /** A running emulated engine. */
 export interface EmulatedEngine extends RunningServer {
     getUsedTokens(): number;
+    /** Tokens that the generations which the engine holds have produced. */
+    countOutputTokens(): number;
     /** Refuses new requests with status 503 and resolves when every stream has been read to its end. */
     drain(): Promise<void>;
     readonly faults: EngineFaults;
@@ -137,6 +139,7 @@
         ...server,
         faults,
         drain,
+        countOutputTokens: () => core.model.list().reduce((sum, sequence) => sum + sequence.output.length, 0),
         getUsedTokens: () => core.model.getUsedTokens(),
         close: () => {
             batch.dispose();
--- a/src/sidecar/engineAudit.ts
+++ b/src/sidecar/engineAudit.ts
@@ -42,6 +42,8 @@
     /** Requests among them whose memory the scheduler has reserved. */
     listReserved(): ReadonlySet<string>;
     handleChange(): void;
+    /** Hands over what the engine holds, so that streams that have stopped are noticed. */
+    handleList(requests: readonly EngineRequestState[]): void;
 }
 
 /** Time for which a resume waits for the engine's first list, in milliseconds. */
@@ -103,6 +105,7 @@
         const owned = parts.listOwned();
         const reserved = parts.listReserved();
         markOrphans(requests, owned);
+        parts.handleList(requests);
         // What the scheduler has reserved is known exactly; only the rest is taken from the engine's figures.
         const foreign = requests.filter(({ id }) => !reservedBefore.has(id) && !reserved.has(id));
         foreignTokens = foreign.reduce((sum, request) => sum + request.memoryTokens, 0)
--- a/src/sidecar/isolatingScheduler.ts
+++ b/src/sidecar/engineScheduler.ts
@@ -1,15 +1,29 @@
-import { AdmitKind, Scheduler, WorkItem } from "../scheduling/scheduler.js";
+import { AdmitKind, Scheduler, SchedulerPolicy, WorkItem } from "../scheduling/scheduler.js";
+
+/** What the order of work takes from the engine's state. */
+export interface EngineSchedulerParts {
+    /** Whether a fingerprint must run alone now. */
+    isSuspect(fingerprint: string): boolean;
+    /** Tokens of the engine's memory that no scheduled request accounts for. */
+    getForeignTokens(): number;
+}
 
 /**
- * Wraps a scheduler so that a suspect of a crash runs alone: it starts once nothing else runs, and nothing else starts
- * before it has ended. A crash then shows whether the suspect caused it, and costs no other request.
+ * Wraps a scheduler for an engine.
  *
- * @param isSuspect whether a fingerprint must run alone now
+ * A suspect of a crash runs alone: it starts once nothing else runs, and nothing else starts before it has ended. A
+ * crash then shows whether the suspect caused it, and costs no other request. Memory that others use delays starts but
+ * refuses no prompt, because the audit gives it back.
  *
  * @example
- * const scheduler = createIsolatingScheduler(createFirstComeScheduler(policy), fingerprint => suspects.has(fingerprint));
+ * const scheduler = createEngineScheduler(createFirstComeScheduler(policy), policy, engineSide);
  */
-export function createIsolatingScheduler(inner: Scheduler, isSuspect: (fingerprint: string) => boolean): Scheduler {
+export function createEngineScheduler(
+    inner: Scheduler,
+    initialPolicy: SchedulerPolicy,
+    parts: EngineSchedulerParts,
+): Scheduler {
+    let policy = initialPolicy;
     let waiting: WorkItem[] = [];
     let alone: WorkItem | undefined;
 
@@ -22,8 +36,16 @@
 
     /** Starts what the inner scheduler allows, but for items that have become suspects in its queue. */
     function takeOthers(nowMs: number): readonly WorkItem[] {
+        const foreignTokens = parts.getForeignTokens();
+        if (foreignTokens > 0) {
+            const memoryTokens = Math.max(0, policy.capacity.memoryTokens - foreignTokens);
+            inner.update({ ...policy, capacity: { ...policy.capacity, memoryTokens } });
+        }
         const items = inner.takeNext(nowMs);
-        const suspects = items.filter(item => isSuspect(item.fingerprint));
+        if (foreignTokens > 0) {
+            inner.update(policy);
+        }
+        const suspects = items.filter(item => parts.isSuspect(item.fingerprint));
         for (const item of suspects) {
             inner.complete(item.id, 0, nowMs);
             waiting.push(item);
@@ -34,7 +56,7 @@
     return {
         admit(item, nowMs) {
             const decision = inner.admit(item, nowMs);
-            if (decision.kind === AdmitKind.Queued && isSuspect(item.fingerprint)) {
+            if (decision.kind === AdmitKind.Queued && parts.isSuspect(item.fingerprint)) {
                 inner.remove(item.id);
                 waiting.push(item);
             }
@@ -73,7 +95,10 @@
             waiting = waiting.filter(item => item.deadlineMs > nowMs);
             return [...expired, ...inner.expire(nowMs)];
         },
-        update: policy => inner.update(policy),
+        update(next) {
+            policy = next;
+            inner.update(next);
+        },
         getPriority: item => inner.getPriority(item),
         report() {
             const report = inner.report();
--- a/src/sidecar/engineSide.ts
+++ b/src/sidecar/engineSide.ts
@@ -7,7 +7,7 @@
 import { Configuration } from "../config/objects.js";
 import { DispatchMessage, QuarantineMessage } from "../link/messages.js";
 import { LogService } from "../ports/logService.js";
-import { EngineReport, ModelEngine } from "../ports/modelEngine.js";
+import { EngineReport, EngineRequestState, ModelEngine } from "../ports/modelEngine.js";
 import { WeightStore } from "../ports/weightStore.js";
 import { createEngineAudit, defaultEngineAuditSettings, EngineAuditSettings, OrphanState } from "./engineAudit.js";
 import { createEngineReconciler } from "./engineReconciler.js";
@@ -42,6 +42,8 @@
     listRunningFingerprints(): readonly string[];
     /** The engine has crashed while these fingerprints ran; their requests have not ended yet. */
     handleCrash(crash: string, fingerprints: readonly string[]): void;
+    /** Hands over what the engine holds. */
+    handleList(requests: readonly EngineRequestState[]): void;
     /** The report, the reconciled generation or the foreign memory has changed. */
     handleChange(): void;
 }
@@ -59,8 +61,9 @@
     isSuspect(fingerprint: string): boolean;
     /** Whether the engine holds a request of an earlier sidecar process. */
     findOrphan(request: string): OrphanState;
-    /** The engine's last report, with the memory that others use taken off. */
     getReport(): EngineReport | undefined;
+    /** Tokens of the engine's memory that no scheduled request accounts for. */
+    getForeignTokens(): number;
     /** The version that the engine serves, or `undefined` while it takes no requests. */
     getVersion(): string | undefined;
     getReconciledGeneration(): number;
@@ -143,6 +146,7 @@
                 listOwned: () => sidecar.listOwned(),
                 listReserved: () => sidecar.listReserved(),
                 handleChange: () => sidecar.handleChange(),
+                handleList: requests => sidecar.handleList(requests),
             }, parts.audit ?? defaultEngineAuditSettings));
             void watch.read();
         },
@@ -151,11 +155,8 @@
         checkDispatch,
         isSuspect: fingerprint => suspects.isSuspect(fingerprint),
         findOrphan: request => audit?.findOrphan(request) ?? OrphanState.Absent,
-        getReport() {
-            const report = watch.getReport();
-            const foreignTokens = audit?.getForeignTokens() ?? 0;
-            return report && { ...report, memoryTokens: Math.max(0, report.memoryTokens - foreignTokens) };
-        },
+        getReport: () => watch.getReport(),
+        getForeignTokens: () => audit?.getForeignTokens() ?? 0,
         getVersion: () => watch.getServing()?.version,
         getReconciledGeneration: () => reconciler.getReconciledGeneration(),
         dispose: () => store.dispose(),
--- a/src/sidecar/modelRunner.ts
+++ b/src/sidecar/modelRunner.ts
@@ -50,6 +50,7 @@
     const model = work.dispatch.model;
     let nextSequence = 0;
     let resumes = 0;
+    let checkedSequence = -1;
     let ended = false;
     let stream: Disposable | undefined;
     let progressTimer: Disposable | undefined;
@@ -176,5 +177,12 @@
                 code: ErrorCode.Cancelled,
                 message: "cancelled while running",
             }),
+        checkProgress(producedTokens, isEnded) {
+            const isBehind = isEnded || producedTokens > nextSequence;
+            if (!ended && isBehind && nextSequence === checkedSequence) {
+                resume("the connection to the engine stopped delivering");
+            }
+            checkedSequence = isBehind ? nextSequence : -1;
+        },
     };
 }
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -18,12 +18,12 @@
     ResumeMessage,
     SidecarMessage,
 } from "../link/messages.js";
-import { EngineReport } from "../ports/modelEngine.js";
+import { EngineReport, EngineRequestState } from "../ports/modelEngine.js";
 import { LoadReport } from "../routing/loadReport.js";
 import { Scheduler, SchedulerPolicy } from "../scheduling/scheduler.js";
 import { OrphanState } from "./engineAudit.js";
+import { createEngineScheduler } from "./engineScheduler.js";
 import { EngineSide } from "./engineSide.js";
-import { createIsolatingScheduler } from "./isolatingScheduler.js";
 import { createLinkServer, LinkServerSettings } from "./linkServer.js";
 import { buildSchedulerPolicy } from "./schedulerPolicy.js";
 import { Work, WorkRunner, WorkState } from "./work.js";
@@ -104,10 +104,9 @@
     let leaving = false;
     let handleDrained: (() => void) | undefined;
     const { engineSide } = parts;
-    const baseScheduler = parts.createScheduler(buildSchedulerPolicy(settings, undefined, undefined));
-    const scheduler = engineSide
-        ? createIsolatingScheduler(baseScheduler, fingerprint => engineSide.isSuspect(fingerprint))
-        : baseScheduler;
+    const firstPolicy = buildSchedulerPolicy(settings, undefined, undefined);
+    const baseScheduler = parts.createScheduler(firstPolicy);
+    const scheduler = engineSide ? createEngineScheduler(baseScheduler, firstPolicy, engineSide) : baseScheduler;
 
     function makeLoad(): LoadReport {
         const report = scheduler.report();
@@ -274,6 +273,16 @@
         }
     }
 
+    function checkProgress(requests: readonly EngineRequestState[]) {
+        const states = new Map(requests.map(request => [request.id, request]));
+        for (const work of table.listActive()) {
+            const state = states.get(work.item.id);
+            if (state) {
+                work.run?.checkProgress?.(state.tokens, state.ended);
+            }
+        }
+    }
+
     function connectEngine(side: EngineSide) {
         const listIds = (works: readonly Work[]) => new Set(works.map(work => work.item.id));
         const listRunning = () => table.listActive().filter(work => work.state === WorkState.Running);
@@ -285,6 +294,7 @@
             handleCrash: (crash, fingerprints) =>
                 links.broadcast({ type: LinkMessageType.CrashReport, crash, fingerprints }),
             handleChange: () => handleEngineChange(side),
+            handleList: requests => checkProgress(requests),
         });
         store.register(side);
     }
--- a/src/sidecar/work.ts
+++ b/src/sidecar/work.ts
@@ -32,6 +32,8 @@
 export interface WorkRun {
     /** Stops the request; the runner reports its end as usual. */
     cancel(): void;
+    /** Compares what has arrived with the tokens that the endpoint says it has produced. */
+    checkProgress?(producedTokens: number, ended: boolean): void;
 }
 
 /** What a runner reports of one request. */
--- a/test/rollout/fleet.ts
+++ b/test/rollout/fleet.ts
@@ -174,6 +174,7 @@
             listReserved: () => new Set(),
             listRunningFingerprints: () => [],
             handleCrash: () => undefined,
+            handleList: () => undefined,
             handleChange: () => undefined,
         });
         side.handleConfiguration(configuration);
--- /dev/null
+++ b/test/system/engineMemory.test.ts
@@ -0,0 +1,164 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { LogEvent } from "../../src/base/logEvents.js";
+import { makeExpectedOutput } from "../../src/emulator/engine/tokens.js";
+import { startSystem, TestSystem, waitUntil } from "./system.js";
+
+/** Where the request that runs first stands when the fault comes. */
+enum Step {
+    Queued = "queued",
+    Prefill = "prefill",
+    Decode = "decode",
+}
+
+interface MemoryCase {
+    readonly name: string;
+    readonly inject: (system: TestSystem, abort: () => void) => Promise<void> | void;
+    readonly heal?: (system: TestSystem) => void;
+    /** Steps at which memory stays in use when the audit is off. */
+    readonly leaksWhenOff: readonly Step[];
+}
+
+const memoryTokens = 100_000;
+const largePrompt = "word".repeat(90_000);
+/** At 100 tokens a second none of the requests ends by itself while a test runs. */
+const outputTokens = 4_000;
+const floodRequests = 6;
+/** Time for the entry to find a new sidecar process before the callers leave, in milliseconds. */
+const settleMs = 600;
+const audit = { intervalMs: 200, orphanGraceMs: 500 };
+const noAudit = { intervalMs: 1e9, orphanGraceMs: 500 };
+
+const engineOf = (system: TestSystem) => system.endpoints[0]!.engine!;
+
+function callEngine(system: TestSystem, path: string, body: unknown): Promise<Response> {
+    return fetch(`${engineOf(system).url}${path}`, { method: "POST", body: JSON.stringify(body) });
+}
+
+const cases: readonly MemoryCase[] = [
+    { name: "callers close their connections", inject: (system, abort) => abort(), leaksWhenOff: [] },
+    {
+        name: "the sidecar crashes",
+        inject: system => system.endpoints[0]!.restartSidecar(),
+        // The entry asks the new sidecar for its requests, which takes them over.
+        leaksWhenOff: [],
+    },
+    { name: "the entry crashes", inject: system => system.others[0]!.crash(), leaksWhenOff: [] },
+    {
+        name: "the entry and the sidecar crash",
+        inject(system) {
+            system.others[0]!.crash();
+            system.endpoints[0]!.restartSidecar();
+        },
+        leaksWhenOff: [Step.Prefill, Step.Decode],
+    },
+    {
+        name: "the engine's connections are silent",
+        inject(system, abort) {
+            engineOf(system).faults.apply({ silence: true });
+            abort();
+        },
+        leaksWhenOff: [],
+    },
+    {
+        name: "cancels are lost",
+        inject(system, abort) {
+            engineOf(system).faults.apply({ lostCancels: 2 });
+            abort();
+        },
+        leaksWhenOff: [Step.Prefill, Step.Decode],
+    },
+    {
+        name: "exports are left behind",
+        async inject(system, abort) {
+            await callEngine(system, "/v1/imports", { exportId: "left", tokens: 5_000 });
+            abort();
+        },
+        leaksWhenOff: [Step.Queued, Step.Prefill, Step.Decode],
+    },
+];
+
+async function waitForStep(system: TestSystem, step: Step) {
+    const isLogged = (event: LogEvent) => system.events.some(item => item.event === event);
+    switch (step) {
+        case Step.Queued:
+            return waitUntil(() => isLogged(LogEvent.WorkQueued));
+        case Step.Prefill:
+            return waitUntil(() => engineOf(system).getUsedTokens() > 0);
+        case Step.Decode:
+            await waitUntil(() => engineOf(system).getUsedTokens() > 0);
+            return waitUntil(() => engineOf(system).countOutputTokens() > 0);
+    }
+}
+
+async function runFlood(memoryCase: MemoryCase, step: Step, auditSettings: typeof audit) {
+    const system = await startSystem({
+        entries: 2,
+        audit: auditSettings,
+        engine: { memoryTokens, prefillTokensPerSecond: 400_000, decodeTokensPerSecond: 100 },
+    });
+    const controller = new AbortController();
+    const flood = Array.from(
+        { length: floodRequests },
+        (unused, index) =>
+            fetch(`${system.others[0]!.url}/v1/completions`, {
+                method: "POST",
+                signal: controller.signal,
+                headers: { authorization: "Bearer planner-key", "jujubelane-rank": "bulk" },
+                body: JSON.stringify({ model: "demo", prompt: `${index}${largePrompt}`, max_tokens: outputTokens }),
+            }).then(response => response.text()).catch(() => undefined),
+    );
+    await waitForStep(system, step);
+    await memoryCase.inject(system, () => controller.abort());
+    await new Promise(resolve => setTimeout(resolve, settleMs));
+    controller.abort();
+    await Promise.all(flood);
+    return system;
+}
+
+async function checkUsable(system: TestSystem) {
+    const prompt = `after${largePrompt}`;
+    const response = await system.send("/v1/completions", { model: "demo", prompt, max_tokens: 4 });
+    const text = await response.text();
+    assert.equal(response.status, 200, text);
+    const answer = JSON.parse(text) as { choices: { text: string }[] };
+    assert.equal(answer.choices[0]?.text, makeExpectedOutput(prompt, 4));
+}
+
+// Most of the time of these tests is waiting for grace periods.
+describe("the engine's memory after a flood", { concurrency: 4 }, () => {
+    for (const memoryCase of cases) {
+        for (const step of Object.values(Step)) {
+            test(`the engine's memory comes back without a restart: ${memoryCase.name} (${step})`, async () => {
+                const system = await runFlood(memoryCase, step, audit);
+                try {
+                    const load = () => system.entry.state.directory.list()[0]!.getLoad();
+                    const isIdle = () => load()?.running === 0 && load()?.queued === 0;
+                    await waitUntil(() => engineOf(system).getUsedTokens() === 0 && isIdle(), 15_000);
+                    await checkUsable(system);
+                    await waitUntil(() => load()?.reservedTokens === 0 && load()?.memoryTokens === memoryTokens);
+                }
+                finally {
+                    await system.close();
+                }
+            });
+
+            if (memoryCase.leaksWhenOff.includes(step)) {
+                test(`without the audit the engine's memory stays in use: ${memoryCase.name} (${step})`, async () => {
+                    const system = await runFlood(memoryCase, step, noAudit);
+                    try {
+                        // Past the session's grace, the request's own run and several intervals of the audit.
+                        await new Promise(resolve => setTimeout(resolve, 3_500));
+                        assert.ok(
+                            engineOf(system).getUsedTokens() > 0,
+                            "the fault does not show what the audit is for",
+                        );
+                    }
+                    finally {
+                        await system.close();
+                    }
+                });
+            }
+        }
+    }
+});
--- a/test/system/system.ts
+++ b/test/system/system.ts
@@ -135,11 +135,21 @@
     const service = isEngine
         ? undefined
         : await startEmulatedService({ port: 0, delayMs: settings.serviceDelayMs ?? 5 }, timers);
-    const engineClient = engine && createHttpModelEngine(engine.url);
-    const startSidecar = () => createTestSidecar(name, settings, log, engineClient, service);
-    let sidecar = startSidecar();
-    store.register({ dispose: () => sidecar.dispose() });
-    const server = net.createServer(socket => sidecar.accept(socket));
+    function startSidecar() {
+        // Each sidecar has connections of its own, which end with it.
+        const client = engine && createHttpModelEngine(engine.url);
+        const created = createTestSidecar(name, settings, log, client, service);
+        return {
+            sidecar: created,
+            dispose() {
+                created.dispose();
+                client?.dispose();
+            },
+        };
+    }
+    let current = startSidecar();
+    store.register({ dispose: () => current.dispose() });
+    const server = net.createServer(socket => current.sidecar.accept(socket));
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     store.register({ dispose: () => server.close() });
     const relay = await startRelay((server.address() as net.AddressInfo).port);
@@ -147,11 +157,11 @@
         name,
         relay,
         get sidecar() {
-            return sidecar;
+            return current.sidecar;
         },
         restartSidecar() {
-            sidecar.dispose();
-            sidecar = startSidecar();
+            current.dispose();
+            current = startSidecar();
         },
         engine,
         service,
