--- a/src/cli/sidecarCommand.ts
+++ b/src/cli/sidecarCommand.ts
@@ -8,12 +8,15 @@
 import { LogEvent } from "../base/logEvents.js";
 import { createSystemRandomSource } from "../base/systemRandomSource.js";
 import { createSystemTimerService } from "../base/systemTimerService.js";
+import { TimerService } from "../base/timerService.js";
 import { createFairScheduler } from "../scheduling/fairScheduler.js";
 import { createFirstComeScheduler } from "../scheduling/firstComeScheduler.js";
+import { createClaimRunner } from "../sidecar/claims/claimRunner.js";
+import { ClaimTask } from "../sidecar/claims/claimTask.js";
 import { createEngineSide } from "../sidecar/engineSide.js";
 import { createModelRunner, defaultModelRunnerSettings } from "../sidecar/modelRunner.js";
-import { createServiceRunner } from "../sidecar/serviceRunner.js";
 import { createSidecar, Sidecar, SidecarSettings } from "../sidecar/sidecar.js";
+import { buildClaims, claimOptions, claimSettingsSchema, isWindowKept, windowProblem } from "./claimSettings.js";
 import { linkDefaults, sidecarDefaults } from "./defaults.js";
 import { linkSecurityOptions, linkSecuritySchema, loadLinkTransport } from "./linkSecurity.js";
 import { listen } from "./listen.js";
@@ -35,18 +38,24 @@
     port: portSchema,
     engine: urlSchema.optional(),
     service: urlSchema.optional(),
-    logService: urlSchema.optional(),
     weights: urlSchema.optional(),
     ...linkSecuritySchema,
     heartbeatIntervalMs: durationSchema,
     maxQueuedRequests: z.number().int().positive(),
     maxQueuedBytes: z.number().int().positive(),
+    ...claimSettingsSchema,
     scheduler: z.enum(SchedulerName),
     log: z.string(),
-}).refine(settings => (settings.engine === undefined) !== (settings.service === undefined), {
-    message: "expected exactly one of --engine and --service",
-    path: ["engine"],
-});
+}).refine(isWindowKept, windowProblem).refine(
+    settings => (settings.engine === undefined) !== (settings.service === undefined),
+    {
+        message: "expected exactly one of --engine and --service",
+        path: ["engine"],
+    },
+);
+
+/** Time that a stopping sidecar waits for the log to take its last claim records, in milliseconds. */
+const claimDrainMs = 3_000;
 
 type ParsedSettings = z.infer<typeof settingsSchema>;
 
@@ -62,12 +71,12 @@
             port: { type: "number", default: 7000, describe: "port for links; 0 takes a free one" },
             engine: { type: "string", describe: "root URL of the model engine beside this process" },
             service: { type: "string", describe: "root URL of the plain service beside this process" },
-            "log-service": { type: "string", describe: "root URL of the platform's log service, for load slots" },
             weights: { type: "string", describe: "root URL of the platform's weight store" },
             ...linkSecurityOptions,
             "heartbeat-interval-ms": { type: "number", default: linkDefaults.heartbeatIntervalMs },
             "max-queued-requests": { type: "number", default: sidecarDefaults.maxQueuedRequests },
             "max-queued-bytes": { type: "number", default: sidecarDefaults.maxQueuedBytes },
+            ...claimOptions,
             scheduler: {
                 choices: Object.values(SchedulerName),
                 default: SchedulerName.Fair,
@@ -80,7 +89,9 @@
         applyLogSetting(settings.log);
         const log = createEventLog("sidecar");
         logUnhandledErrors(log);
-        const sidecar = buildSidecar({ ...linkDefaults, ...sidecarDefaults, ...settings }, settings);
+        const timers = createSystemTimerService();
+        const claims = buildClaims(settings, timers, log);
+        const sidecar = buildSidecar({ ...linkDefaults, ...sidecarDefaults, ...settings }, settings, timers, claims);
         const transport = await loadLinkTransport(settings, settings.address, log);
         const server = transport.createServer(
             socket => sidecar.accept(socket),
@@ -91,6 +102,7 @@
         process.stdout.write(`listening on ${settings.address}:${port}\n`);
         const signal = await waitForStopSignal();
         await sidecar.drain();
+        await claims?.drain(claimDrainMs);
         server.close();
         sidecar.dispose();
         log(LogEvent.ProcessStopped, { role: "sidecar", name: settings.endpoint, signal });
@@ -101,12 +113,13 @@
 function buildSidecar(
     settings: SidecarSettings,
     parsed: Pick<ParsedSettings, "engine" | "service" | "scheduler" | "logService" | "weights">,
+    timers: TimerService,
+    claims: ClaimTask | undefined,
 ): Sidecar {
-    const timers = createSystemTimerService();
     const log = createEventLog("sidecar");
     const createScheduler = schedulers[parsed.scheduler];
     if (parsed.service !== undefined) {
-        const runner = createServiceRunner(createHttpPlainService(parsed.service), timers);
+        const runner = createClaimRunner(createHttpPlainService(parsed.service), claims, timers);
         return createSidecar(settings, { timers, log, runner, createScheduler });
     }
     const engineSide = createEngineSide({
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -99,6 +99,7 @@
     const store = createDisposableStore();
     const mailbox = createMailbox<SidecarEvent>();
     let configuration: Configuration | undefined;
+    let configurationMessage: ConfigurationMessage | undefined;
     let engineReport: EngineReport | undefined;
     let announcedVersion: string | undefined;
     let leaving = false;
@@ -183,6 +184,7 @@
             return;
         }
         configuration = { generation: message.generation, digest: message.digest, objects };
+        configurationMessage = message;
         engineSide?.handleConfiguration(configuration);
         updatePolicy();
         links.broadcast(makeHeartbeat());
@@ -218,12 +220,8 @@
                 handleConfiguration(session, message);
                 return;
             case LinkMessageType.ConfigurationRequest:
-                if (configuration) {
-                    links.send(session, {
-                        type: LinkMessageType.Configuration,
-                        foldedOffset: configuration.generation,
-                        ...configuration,
-                    });
+                if (configurationMessage) {
+                    links.send(session, configurationMessage);
                 }
                 return;
             case LinkMessageType.Drain:
--- a/test/scheduling/virtualEndpoint.ts
+++ b/test/scheduling/virtualEndpoint.ts
@@ -22,6 +22,8 @@
     completed: number;
     /** Tokens of completed requests, prompt and output. */
     tokens: number;
+    /** Prompt tokens that the engine computed for the stream in the measured time. */
+    prefilled: number;
     readonly firstTokenMs: number[];
     longestWaitMs: number;
 }
@@ -84,7 +86,9 @@
         readonly capacity?: typeof engineCapacity;
     },
 ): RunResult {
-    const random = createSeededRandomSource(seed);
+    // Each stream has its own source, so that its requests are the same whatever else is sent.
+    const seeds = createSeededRandomSource(seed);
+    const sources = new Map(streams.map(stream => [stream, createSeededRandomSource(Math.floor(seeds() * 2 ** 30))]));
     const results = new Map<string, StreamResult>();
     const queued = new Map<string, { readonly item: WorkItem; readonly stream: Stream }>();
     let running: Running[] = [];
@@ -100,13 +104,14 @@
             failed: 0,
             completed: 0,
             tokens: 0,
+            prefilled: 0,
             firstTokenMs: [],
             longestWaitMs: 0,
         });
     }
 
     function makeGap(stream: Stream) {
-        return -Math.log(1 - random()) * 1000 / stream.requestsPerSecond;
+        return -Math.log(1 - sources.get(stream)!()) * 1000 / stream.requestsPerSecond;
     }
 
     function getResult(stream: Stream, item: WorkItem): StreamResult | undefined {
@@ -114,7 +119,11 @@
     }
 
     function start(nowMs: number) {
-        for (const item of scheduler.takeNext(nowMs)) {
+        const started = scheduler.takeNext(nowMs);
+        if (started.length === 0) {
+            return;
+        }
+        for (const item of started) {
             const found = queued.get(item.id);
             if (!found) {
                 throw new Error(`${item.id} was started twice or after it left the queue`);
@@ -128,12 +137,12 @@
                 produced: 0,
             });
         }
-        running.sort((left, right) => left.priority - right.priority || left.order - right.order);
         peakReservedTokens = Math.max(peakReservedTokens, scheduler.report().reservedTokens);
+        running.sort((left, right) => left.priority - right.priority || left.order - right.order);
     }
 
     function arrive(stream: Stream, nowMs: number) {
-        const promptTokens = Math.round(stream.promptTokens(random));
+        const promptTokens = Math.round(stream.promptTokens(sources.get(stream)!));
         const item: WorkItem = {
             id: `${stream.name}-${nextId++}`,
             rank: stream.rank,
@@ -179,6 +188,9 @@
                 const step = Math.min(sequence.prefillLeft, budget);
                 sequence.prefillLeft -= step;
                 budget -= step;
+                if (nowMs >= warmUpMs) {
+                    results.get(sequence.stream.name)!.prefilled += step;
+                }
                 if (sequence.prefillLeft === 0) {
                     sequence.produced = 1;
                     firstTokens.push(sequence);
@@ -202,8 +214,8 @@
 
     function end(sequence: Running, nowMs: number, isWhole: boolean) {
         const { item, stream } = sequence;
-        const result = getResult(stream, item);
-        if (result) {
+        if (nowMs >= warmUpMs) {
+            const result = results.get(stream.name)!;
             result.completed += isWhole ? 1 : 0;
             result.failed += isWhole ? 0 : 1;
             result.tokens += isWhole ? item.promptTokens + item.maxOutputTokens : 0;
@@ -268,9 +280,10 @@
 
 /** One line of figures per stream. */
 export function formatResult(name: string, result: RunResult): string {
-    const lines = [...result.streams].map(([stream, { offered, refused, failed, completed, firstTokenMs, tokens }]) =>
-        `${name} ${stream}: offered ${offered} refused ${refused} failed ${failed} completed ${completed}`
-        + ` tokens ${tokens} first token p50 ${computePercentile(firstTokenMs, 0.5)} p95 ${
+    const lines = [...result.streams].map((
+        [stream, { offered, refused, failed, completed, firstTokenMs, prefilled }],
+    ) => `${name} ${stream}: offered ${offered} refused ${refused} failed ${failed} completed ${completed}`
+        + ` prefilled ${Math.round(prefilled)} first token p50 ${computePercentile(firstTokenMs, 0.5)} p95 ${
             computePercentile(firstTokenMs, 0.95)
         } ms`
     );
