--- /dev/null
+++ b/test/system/quarantine.test.ts
@@ -0,0 +1,108 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createManualTimerService } from "../../src/base/manualTimerService.js";
+import { ErrorCode } from "../../src/base/requestError.js";
+import { createSystemTimerService } from "../../src/base/systemTimerService.js";
+import { makeExpectedOutput } from "../../src/emulator/engine/tokens.js";
+import { createLogModel, defaultLogModelSettings } from "../../src/emulator/log/logModel.js";
+import { createMemoryLogService } from "../../src/emulator/log/memoryLogService.js";
+import { createCrashGuard } from "../../src/entry/crashGuard.js";
+import { LinkMessageType, QuarantineMessage } from "../../src/link/messages.js";
+import { startSystem, TestSystem } from "./system.js";
+
+const poison = "POISON";
+const poisoned = `please ${poison} all`;
+const innocents = 6;
+
+function countCrashes(system: TestSystem): number {
+    return system.endpoints.reduce((sum, endpoint) => sum + endpoint.engine!.faults.countCrashes(), 0);
+}
+
+async function ask(system: TestSystem, prompt: string, origin: string) {
+    const response = await system.send("/v1/completions", { model: "demo", prompt, max_tokens: 60 }, {}, origin);
+    return { status: response.status, text: await response.text() };
+}
+
+interface PoisonCase {
+    readonly name: string;
+    /** Milliseconds between the sends of the caller. */
+    readonly pauseMs: number;
+    /** Whether the log is down throughout. */
+    readonly logDown: boolean;
+}
+
+const cases: readonly PoisonCase[] = [
+    { name: "sent again at once", pauseMs: 0, logDown: false },
+    { name: "sent again after a while", pauseMs: 400, logDown: false },
+    { name: "sent again with the log down", pauseMs: 100, logDown: true },
+];
+
+for (const { name, pauseMs, logDown } of cases) {
+    test(`a request that crashes endpoints costs at most two and innocent requests finish: ${name}`, async () => {
+        const timers = createSystemTimerService();
+        const logModel = createLogModel(defaultLogModelSettings, timers);
+        logModel.updateFaults({ unavailable: logDown });
+        const logService = createMemoryLogService(logModel, timers);
+        const system = await startSystem({ engines: 4, entries: 2, engine: { poison }, logService });
+        const origins = [system.url, system.others[0]!.url];
+        try {
+            const answers = Array.from({ length: innocents }, async (unused, index) => {
+                const prompt = `innocent ${index}`;
+                return { prompt, ...await ask(system, prompt, origins[index % 2]!) };
+            });
+            const codes: string[] = [];
+            for (let attempt = 0; attempt < 6; attempt++) {
+                const { status, text } = await ask(system, poisoned, origins[attempt % 2]!);
+                assert.ok(status >= 400, text);
+                codes.push((JSON.parse(text) as { error: { code: string } }).error.code);
+                await new Promise(resolve => setTimeout(resolve, pauseMs));
+            }
+            assert.ok(countCrashes(system) <= 2, `${countCrashes(system)} endpoints crashed`);
+            assert.deepEqual(codes.slice(1), Array.from({ length: 5 }, () => ErrorCode.Quarantined));
+            for (const { prompt, status, text } of await Promise.all(answers)) {
+                assert.equal(status, 200, text);
+                assert.ok(text.includes(makeExpectedOutput(prompt, 60)), text);
+            }
+            const after = await ask(system, "after", origins[0]!);
+            assert.equal(after.status, 200);
+        }
+        finally {
+            await system.close();
+        }
+    });
+}
+
+test("entries that share no sidecar learn of each other's crashes through the log, and from its start", async () => {
+    const timers = createManualTimerService();
+    const model = createLogModel(defaultLogModelSettings, timers);
+    const logService = createMemoryLogService(model, timers);
+    const sent: QuarantineMessage[] = [];
+    const parts = { timers, log: () => undefined, logService };
+    const wait = async () => {
+        for (let round = 0; round < 20; round++) {
+            timers.advance(100);
+            await new Promise(resolve => setImmediate(resolve));
+        }
+    };
+    const first = createCrashGuard({ ...parts, broadcast: () => undefined });
+    const second = createCrashGuard({ ...parts, broadcast: message => sent.push(message) });
+    const report = (crash: string) =>
+        ({
+            type: LinkMessageType.CrashReport,
+            crash,
+            fingerprints: ["a", "b"].slice(0, crash === "1" ? 2 : 1),
+        }) as const;
+    first.handleCrashReport(report("1"));
+    await wait();
+    assert.equal(second.check("a"), undefined);
+    assert.deepEqual(sent.map(message => [message.fingerprint, message.isolated]), [["a", true], ["b", true]]);
+    second.handleCrashReport(report("2"));
+    await wait();
+    const late = createCrashGuard({ ...parts, broadcast: () => undefined });
+    await wait();
+    for (const guard of [first, second, late]) {
+        assert.equal(guard.check("a")?.code, ErrorCode.Quarantined);
+        assert.equal(guard.check("b"), undefined);
+        guard.dispose();
+    }
+});
