Prove at most one run with killed and paused processes

The claim tests drive the decisions in virtual time; they cannot show what a signal, a broken socket or a restarted process does. Eleven tests start two entries, two sidecars, a log and one service as processes and take the service's own count of runs as the witness: sidecar killed and stopped (SIGSTOP, SIGCONT) while it claims and while the call runs, entry killed at both moments, service killed, one key through both routes at once, claim appends answered late, lost and duplicated, log killed and restarted empty, a call without a key.

Each moment is reached by looking (append counter, run count), not by waiting for a fixed time.

--- /dev/null
+++ b/test/path/atMostOnce.test.ts
@@ -0,0 +1,345 @@
+import assert from "node:assert/strict";
+import { mkdtemp, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, before, test } from "node:test";
+import { computeDigest, makeId } from "../../src/base/ids.js";
+import { StartedProcess, startProcess } from "./processes.js";
+
+const place = "larissa";
+const apiKey = "test-key";
+const serviceDelayMs = 400;
+const limitMs = 2_500;
+const settleMs = 10_000;
+
+/** One route from callers to the shared service: an entry that links to one sidecar only. */
+interface Route {
+    readonly endpoint: string;
+    entry: StartedProcess;
+    sidecar: StartedProcess;
+    startEntry(): Promise<void>;
+    startSidecar(): Promise<void>;
+}
+
+interface Answer {
+    readonly status: number;
+    readonly verdict: string | null;
+    readonly replayed: boolean;
+    readonly body: string;
+}
+
+const processes = new Set<StartedProcess>();
+let log: StartedProcess;
+let service: StartedProcess;
+let routes: readonly [Route, Route];
+
+async function start(...args: string[]): Promise<StartedProcess> {
+    const started = await startProcess(...args);
+    processes.add(started);
+    return started;
+}
+
+async function kill(started: StartedProcess): Promise<void> {
+    processes.delete(started);
+    await started.kill();
+}
+
+function getPort(started: StartedProcess): string {
+    return /:(\d+)$/.exec(started.address)?.[1] ?? "0";
+}
+
+function makeConfiguration(endpoint: string): string {
+    return `
+ranks: { urgent: { urgency: 0, timeLimitMs: 10000 } }
+kinds: { booking: { rank: urgent } }
+callers: { kiosk: { keyDigests: ["${computeDigest(apiKey)}"], defaultKind: booking } }
+services: { bookings: { rank: urgent, repeatable: false, timeLimitMs: ${limitMs} } }
+endpoints:
+  ${endpoint}: { host: ${endpoint}, place: ${place}, service: bookings, checksFencing: false }
+`;
+}
+
+const startLog = (port = "0") => start("emulate", "log", "--port", port);
+const startService = (port = "0") => start("emulate", "service", "--port", port, "--delay-ms", `${serviceDelayMs}`);
+
+async function startRoute(endpoint: string, hosts: StartedProcess, directory: string): Promise<Route> {
+    const file = join(directory, `${endpoint}.yaml`);
+    await writeFile(file, makeConfiguration(endpoint));
+    const common = ["--place", place, "--link-key", "k"];
+    const startSidecar = (port: string) =>
+        start("sidecar", ...common, "--port", port, "--endpoint", endpoint, "--service", service.address, ...[
+            ...["--log-service", log.address, "--claim-partitions", "2"],
+            ...["--claim-window-ms", "3600000", "--claim-key-ahead-ms", "0"],
+        ]);
+    const startEntry = (port: string) =>
+        start("entry", ...common, "--port", port, "--hosts", hosts.address, "--config", file, "--name", endpoint);
+    const sidecar = await startSidecar("0");
+    const host = { name: endpoint, place, address: "127.0.0.1", port: Number(getPort(sidecar)), state: "live" };
+    await fetch(`${hosts.address}/hosts/${endpoint}`, { method: "PUT", body: JSON.stringify(host) });
+    const route: Route = {
+        endpoint,
+        sidecar,
+        entry: await startEntry("0"),
+        async startEntry() {
+            route.entry = await startEntry(getPort(route.entry));
+        },
+        async startSidecar() {
+            route.sidecar = await startSidecar(getPort(route.sidecar));
+        },
+    };
+    return route;
+}
+
+before(async () => {
+    const directory = await mkdtemp(join(tmpdir(), "jujubelane-"));
+    const hosts = await start("emulate", "hosts");
+    [log, service] = await Promise.all([startLog(), startService()]);
+    routes = await Promise.all([startRoute("booking-1", hosts, directory), startRoute("booking-2", hosts, directory)]);
+});
+
+after(async () => {
+    await Promise.all([...processes].map(started => started.kill()));
+});
+
+const wait = (durationMs: number) => new Promise(resolve => setTimeout(resolve, durationMs));
+
+/** Sends a booking. A connection that breaks is an answer without a verdict, as a caller sees it. */
+async function send(route: Route, key: string | undefined, body = key): Promise<Answer> {
+    try {
+        const response = await fetch(`${route.entry.address}/v1/services/bookings/crews`, {
+            method: "POST",
+            headers: { "authorization": `Bearer ${apiKey}`, ...(key && { "idempotency-key": key }) },
+            body,
+            signal: AbortSignal.timeout(settleMs),
+        });
+        return {
+            status: response.status,
+            verdict: response.headers.get("jujubelane-verdict"),
+            replayed: response.headers.get("jujubelane-replayed") === "true",
+            body: await response.text(),
+        };
+    }
+    catch (error) {
+        return { status: 0, verdict: null, replayed: false, body: String(error) };
+    }
+}
+
+/** Sends until the answer is final: as a caller does that needs to know. */
+async function sendUntil(route: Route, key: string, isFinal: (answer: Answer) => boolean): Promise<Answer> {
+    const endMs = performance.now() + settleMs;
+    for (;;) {
+        const answer = await send(route, key);
+        if (isFinal(answer) || performance.now() > endMs) {
+            return answer;
+        }
+        await wait(50);
+    }
+}
+
+async function countRuns(key: string): Promise<number> {
+    const runs = await (await fetch(`${service.address}/emulator/runs`)).json() as { body: string }[];
+    return runs.filter(run => run.body === key).length;
+}
+
+async function waitForRun(key: string): Promise<void> {
+    const endMs = performance.now() + settleMs;
+    while (await countRuns(key) === 0) {
+        assert.ok(performance.now() < endMs, "the call did not reach the service");
+        await wait(10);
+    }
+}
+
+function setLogFaults(faults: Record<string, unknown>): Promise<Response> {
+    return fetch(`${log.address}/emulator/faults`, { method: "PUT", body: JSON.stringify(faults) });
+}
+
+/** Sends a key of its own until it runs, so that a restarted process is in service again. */
+async function waitForService(route: Route): Promise<void> {
+    const endMs = performance.now() + settleMs;
+    while ((await send(route, makeId())).status !== 200) {
+        assert.ok(performance.now() < endMs, `${route.endpoint} does not serve`);
+        await wait(100);
+    }
+}
+
+/** When the fault strikes: while the claim waits for the log, or while the service runs the call. */
+enum Moment {
+    Claim = "claim",
+    Call = "call",
+}
+
+async function countAppends(): Promise<number> {
+    const counters = await (await fetch(`${log.address}/emulator/counters`)).json() as { appends: number };
+    return counters.appends;
+}
+
+async function reach(moment: Moment, key: string, appendsBefore: number): Promise<void> {
+    if (moment === Moment.Call) {
+        return waitForRun(key);
+    }
+    const endMs = performance.now() + settleMs;
+    while (await countAppends() === appendsBefore) {
+        assert.ok(performance.now() < endMs, "the claim did not reach the log");
+        await wait(10);
+    }
+}
+
+interface ProcessCase {
+    readonly name: string;
+    readonly moment: Moment;
+    readonly strike: (route: Route) => Promise<void> | void;
+    /** Undoes the fault after the second send. */
+    readonly repair: (route: Route) => Promise<void> | void;
+    /** Verdicts that the second send, at the other sidecar and during the fault, may have. */
+    readonly during: readonly string[];
+    /** Runs in the end, and the verdict that the other sidecar then gives. */
+    readonly runs: readonly number[];
+    readonly verdict: readonly string[];
+}
+
+const cases: readonly ProcessCase[] = [
+    {
+        name: "the sidecar is killed while it claims",
+        moment: Moment.Claim,
+        strike: route => kill(route.sidecar),
+        repair: route => route.startSidecar(),
+        during: ["may-have-run"],
+        runs: [0],
+        verdict: ["may-have-run"],
+    },
+    {
+        name: "the sidecar is killed while the call runs",
+        moment: Moment.Call,
+        strike: route => kill(route.sidecar),
+        repair: route => route.startSidecar(),
+        during: ["may-have-run"],
+        runs: [1],
+        verdict: ["may-have-run"],
+    },
+    {
+        name: "the sidecar is stopped while it claims and goes on after the limit",
+        moment: Moment.Claim,
+        strike: route => void route.sidecar.child.kill("SIGSTOP"),
+        repair: route => void route.sidecar.child.kill("SIGCONT"),
+        during: ["may-have-run"],
+        // The resumed holder frees the key, and the caller's next send runs.
+        runs: [1],
+        verdict: ["ran"],
+    },
+    {
+        name: "the sidecar is stopped while the call runs and goes on after the limit",
+        moment: Moment.Call,
+        strike: route => void route.sidecar.child.kill("SIGSTOP"),
+        repair: route => void route.sidecar.child.kill("SIGCONT"),
+        during: ["may-have-run"],
+        runs: [1],
+        verdict: ["ran", "may-have-run"],
+    },
+    {
+        name: "the entry is killed while the sidecar claims",
+        moment: Moment.Claim,
+        strike: route => kill(route.entry),
+        repair: route => route.startEntry(),
+        during: ["ran"],
+        runs: [1],
+        verdict: ["ran"],
+    },
+    {
+        name: "the entry is killed while the call runs",
+        moment: Moment.Call,
+        strike: route => kill(route.entry),
+        repair: route => route.startEntry(),
+        during: ["ran"],
+        runs: [1],
+        verdict: ["ran"],
+    },
+];
+
+for (const { name, moment, strike, repair, during, runs, verdict } of cases) {
+    test(`a booking runs at most once when ${name} and the caller sends again elsewhere`, async () => {
+        const [struck, other] = routes;
+        const key = makeId();
+        await setLogFaults({ answerDelayMs: moment === Moment.Claim ? 400 : 0 });
+        const appendsBefore = await countAppends();
+        const first = send(struck, key);
+        await reach(moment, key, appendsBefore);
+        await strike(struck);
+        await setLogFaults({ answerDelayMs: 0 });
+        const second = await send(other, key);
+        await repair(struck);
+        const firstEnd = await first;
+        const last = await sendUntil(other, key, answer => answer.verdict === verdict[0]);
+        await waitForService(struck);
+        assert.ok(during.includes(second.verdict ?? ""), `during the fault: ${JSON.stringify(second)}`);
+        assert.ok(verdict.includes(last.verdict ?? ""), `in the end: ${JSON.stringify(last)}`);
+        const count = await countRuns(key);
+        assert.ok(runs.includes(count), `${count} runs`);
+        assert.ok(firstEnd.verdict !== "not-run" || second.verdict !== "not-run" || count === 0);
+    });
+}
+
+test("one key through two entries and sidecars at once runs once and both callers get the answer", async () => {
+    const key = makeId();
+    const answers = await Promise.all([send(routes[0], key), send(routes[1], key), send(routes[0], key)]);
+    assert.equal(await countRuns(key), 1);
+    assert.deepEqual(answers.map(answer => answer.status), [200, 200, 200]);
+    assert.equal(new Set(answers.map(answer => answer.body)).size, 1);
+    assert.equal(answers.filter(answer => !answer.replayed).length, 1);
+});
+
+test("a claim append that is answered late, lost or duplicated leads to one run", async () => {
+    for (const faults of [{ lostAnswers: 1 }, { lostAppends: 1 }, { duplicatedAppends: 2 }, { answerDelayMs: 300 }]) {
+        const key = makeId();
+        await setLogFaults(faults);
+        const answers = await Promise.all([send(routes[0], key), send(routes[1], key)]);
+        await setLogFaults({ lostAnswers: 0, lostAppends: 0, duplicatedAppends: 0, answerDelayMs: 0 });
+        const label = `${JSON.stringify(faults)}: ${JSON.stringify(answers)}`;
+        assert.deepEqual(answers.map(answer => answer.verdict), ["ran", "ran"], label);
+        assert.equal(await countRuns(key), 1, label);
+    }
+});
+
+test("a booking whose service is killed while it runs is not run again by the restarted one", async () => {
+    const key = makeId();
+    const first = send(routes[0], key);
+    await waitForRun(key);
+    await kill(service);
+    assert.equal((await first).verdict, "may-have-run");
+    service = await startService(getPort(service));
+    assert.equal((await send(routes[0], key)).verdict, "may-have-run");
+    assert.equal((await send(routes[1], key)).verdict, "may-have-run");
+    assert.equal(await countRuns(key), 0);
+    await waitForService(routes[0]);
+});
+
+test("a booking without a key is dispatched once, also when its sidecar is killed while it runs", async () => {
+    const body = makeId();
+    const sent = send(routes[0], undefined, body);
+    await waitForRun(body);
+    await kill(routes[0].sidecar);
+    await routes[0].startSidecar();
+    assert.equal((await sent).verdict, "may-have-run");
+    await waitForService(routes[0]);
+    assert.equal(await countRuns(body), 1);
+});
+
+test("with the log down a booking is refused as not run, and what ran stays replayed after an empty log", async () => {
+    const known = makeId();
+    assert.equal((await send(routes[0], known)).verdict, "ran");
+    await kill(log);
+    const refused = makeId();
+    const startedMs = performance.now();
+    const answer = await send(routes[0], refused);
+    assert.deepEqual([answer.status, answer.verdict], [503, "not-run"]);
+    assert.ok(performance.now() - startedMs < limitMs);
+    assert.equal((await send(routes[0], known)).replayed, true);
+    // The new log is empty and begins at offset 0.
+    log = await startLog(getPort(log));
+    const elsewhere = await sendUntil(routes[1], known, end => end.body.includes("key_expired"));
+    assert.equal(elsewhere.verdict, "not-run");
+    assert.equal((await send(routes[0], known)).replayed, true);
+    assert.equal(await countRuns(known), 1);
+    assert.equal(await countRuns(refused), 0);
+    await waitForService(routes[0]);
+    await waitForService(routes[1]);
+});
