--- a/src/cli/devCommand.ts
+++ b/src/cli/devCommand.ts
@@ -18,16 +18,18 @@
 import { defaultLogModelSettings } from "../emulator/log/logModel.js";
 import { startEmulatedLog } from "../emulator/log/logServer.js";
 import { startEmulatedService } from "../emulator/serviceServer.js";
-import { createFixedConfigurationSource } from "../entry/configurationSource.js";
 import { createEntry } from "../entry/entry.js";
+import { createOperatorRoute } from "../entry/operatorRoute.js";
 import { HostState } from "../ports/hostList.js";
 import { chooseLeastConnections } from "../routing/baselinePolicies.js";
 import { createFairScheduler } from "../scheduling/fairScheduler.js";
 import { createClaimRunner } from "../sidecar/claims/claimRunner.js";
 import { defaultClaimTaskSettings, startClaims } from "../sidecar/claims/startClaims.js";
+import { createEngineSide } from "../sidecar/engineSide.js";
 import { createModelRunner, defaultModelRunnerSettings } from "../sidecar/modelRunner.js";
 import { createSidecar, Sidecar, SidecarParts } from "../sidecar/sidecar.js";
 import { entryDefaults, linkDefaults, sidecarDefaults } from "./defaults.js";
+import { startDevConfiguration } from "./devConfiguration.js";
 import { closeServer, listen } from "./listen.js";
 import { logUnhandledErrors, waitForStopSignal } from "./process.js";
 import { applyLogSetting, logOption, parseSettings, portSchema } from "./settings.js";
@@ -36,6 +38,7 @@
     port: portSchema,
     engines: z.number().int().min(1).max(16),
     key: z.string().min(1),
+    logUrl: z.boolean(),
     log: z.string(),
 });
 
@@ -86,9 +89,13 @@
             { ...engineSpeed, port: 0, model: "demo", version: "demo-v1", checksFencing: true },
             timers,
         );
+        const endpoint = `engine-${index}`;
         const engine = createHttpModelEngine(emulated.url);
-        const runner = createModelRunner(engine, timers, work => work.priority, defaultModelRunnerSettings);
-        started.push(await startSidecar(`engine-${index}`, { timers, runner, readReport: () => engine.report() }));
+        const random = createSystemRandomSource();
+        const log = createEventLog("sidecar");
+        const engineSide = createEngineSide({ endpoint, timers, random, log, engine });
+        const runner = createModelRunner(engineSide.engine, timers, work => work.priority, defaultModelRunnerSettings);
+        started.push(await startSidecar(endpoint, { timers, runner, engineSide }));
     }
     const service = await startEmulatedService({ port: 0, delayMs: 5 }, timers);
     const log = await startEmulatedLog({ ...defaultLogModelSettings, port: 0 }, timers);
@@ -125,6 +132,11 @@
             port: { type: "number", default: 8080, describe: "port for callers; 0 takes a free one" },
             engines: { type: "number", default: 2, describe: "number of emulated engines" },
             key: { type: "string", default: "dev-key", describe: "API key of the one caller" },
+            "log-url": {
+                type: "boolean",
+                default: false,
+                describe: "print the URL of the embedded log on a second line",
+            },
             log: { ...logOption, default: "" },
         }),
     handler: async argv => {
@@ -136,20 +148,26 @@
         const hosts = await startEmulatedHostList({ port: 0, lagMs: 0 }, timers);
         const endpoints = await startEndpoints(settings.engines, timers);
         await registerHosts(hosts.url, endpoints.map(endpoint => endpoint.host));
+        const random = createSystemRandomSource();
+        const objects = buildDevObjects(settings.engines, settings.key);
+        const configuration = await startDevConfiguration(objects, { timers, random, log });
         const entry = createEntry({ ...linkDefaults, ...entryDefaults, name: "dev", place, linkKey }, {
             timers,
-            random: createSystemRandomSource(),
+            random,
             log,
             hostList: createHttpHostList(hosts.url),
-            configuration: createFixedConfigurationSource(buildDevObjects(settings.engines, settings.key)),
+            configuration: configuration.source,
             policy: chooseLeastConnections,
             selectAperture: all => all,
             connect: host => net.connect(host.port, host.address),
-            createOperatorRoute: () => () => Promise.resolve(false),
+            createOperatorRoute: state => createOperatorRoute(state, configuration.source, log),
         });
         const server = http.createServer(entry.handler);
         const port = await listen(server, settings.port, loopback);
         process.stdout.write(`listening on http://${loopback}:${port}\n`);
+        if (settings.logUrl) {
+            process.stdout.write(`log service on ${configuration.logUrl}\n`);
+        }
         await waitForStopSignal();
         await entry.drain();
         await closeServer(server, closeTimeoutMs);
--- a/src/entry/linkDirectory.ts
+++ b/src/entry/linkDirectory.ts
@@ -118,12 +118,15 @@
     function makeView(name: string, entry: DirectoryEntry): EndpointView {
         const { link, object } = entry;
         const outstanding = link.getOutstanding();
+        const load = link.getLoad();
+        // A sidecar reports no version while its engine takes no requests.
+        const isServing = object.model === undefined || load === undefined || load.version !== undefined;
         const isListedLeaving = hosts.get(object.host)?.state === HostState.Leaving;
         return {
             name,
             place: object.place,
-            available: link.getState() === LinkState.Open && !link.isLeaving() && !isListedLeaving,
-            load: link.getLoad(),
+            available: link.getState() === LinkState.Open && !link.isLeaving() && !isListedLeaving && isServing,
+            load,
             loadAgeMs: link.getLoadAgeMs(),
             outstandingRequests: outstanding.requests,
             outstandingPrefillTokens: outstanding.prefillTokens,
--- a/src/entry/requestTask.ts
+++ b/src/entry/requestTask.ts
@@ -48,6 +48,8 @@
     readonly policy: RoutingPolicy;
     readonly place: string;
     readonly retryBudget: RetryBudget;
+    /** Returns the refusal of a request that must not run. */
+    checkFingerprint(fingerprint: string): RequestError | undefined;
     /** Counts decisions, for policies that take turns. */
     countDecision(): number;
 }
@@ -70,6 +72,7 @@
     const { timers, log } = context;
     const startedMs = timers.now();
     const deadlineMs = startedMs + plan.limitMs;
+    const isRepeatable = plan.service?.repeatable ?? true;
     const excluded = new Set<string>();
     const verdicts: Verdict[] = [];
     let attempts = 0;
@@ -156,7 +159,7 @@
         const decision = decideRetry({
             code: error.code,
             verdict: error.verdict,
-            repeatable: plan.service?.repeatable ?? true,
+            repeatable: isRepeatable,
             delivered,
             remainingMs: deadlineMs - timers.now(),
             attempts,
@@ -203,6 +206,11 @@
     }
 
     function attempt(lastError: RequestError | undefined) {
+        const refusal = context.checkFingerprint(plan.fingerprint);
+        if (refusal) {
+            fail(refusal);
+            return;
+        }
         const candidates = context.directory.listViews({ model: plan.model?.model, service: plan.service?.service });
         const remainingMs = deadlineMs - timers.now();
         const affinityKey = computeAffinityKey(plan);
@@ -238,18 +246,22 @@
             candidates: candidates.length,
         });
         current = { link, id };
-        link.dispatch({
-            request: id,
-            caller: plan.caller,
-            rank: plan.rank,
-            kind: plan.kind,
-            remainingMs,
-            waitedMs: plan.waitedMs + (timers.now() - startedMs),
-            fingerprint: plan.fingerprint,
-            attempt: attempts,
-            model: plan.model,
-            service: plan.service,
-        }, event => handleEvent(choice.endpoint, event));
+        link.dispatch(
+            {
+                request: id,
+                caller: plan.caller,
+                rank: plan.rank,
+                kind: plan.kind,
+                remainingMs,
+                waitedMs: plan.waitedMs + (timers.now() - startedMs),
+                fingerprint: plan.fingerprint,
+                attempt: attempts,
+                model: plan.model,
+                service: plan.service,
+            },
+            event => handleEvent(choice.endpoint, event),
+            () => isRepeatable && !delivered,
+        );
     }
 
     timer = timers.schedule(plan.limitMs, () => stop(ErrorCode.TimedOut, "the time limit passed"));
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,11 +1,14 @@
 #!/usr/bin/env node
 import yargs from "yargs";
+import { configCommand } from "./cli/configCommand.js";
 import { devCommand } from "./cli/devCommand.js";
+import { drainCommand } from "./cli/drainCommand.js";
 import { emulateCommand } from "./cli/emulateCommand.js";
 import { entryCommand } from "./cli/entryCommand.js";
 import { loadCommand } from "./cli/loadCommand.js";
 import { SettingsError } from "./cli/settings.js";
 import { sidecarCommand } from "./cli/sidecarCommand.js";
+import { statusCommand } from "./cli/statusCommand.js";
 
 const usageExitCode = 2;
 
@@ -20,6 +23,9 @@
     .command(emulateCommand)
     .command(loadCommand)
     .command(devCommand)
+    .command(configCommand)
+    .command(statusCommand)
+    .command(drainCommand)
     .demandCommand(1, "expected a command")
     .strict()
     .help()
