Answer overload with tickets, early refusals and permitted splits

A refused caller lost its place in line. A refusal for overload now carries a signed ticket with the first arrival; the header jujubelane-ticket brings it back as waitedMs, so that the request goes before the caller's later ones and counts only the work before it. A forged, expired or foreign ticket is ignored and logged (1020).

A body that no endpoint of the model can hold or compute in time is refused by its content length before it is read; jujubelane-model names the model for that. Only more urgent ranks count as ahead in this check: counting the own rank would refuse a small caller for a large caller's backlog.

A prompt above the largest endpoint is refused with the size that fits, or with Jujubelane-Split: allow cut at lines, run as ordinary requests of the caller and merged within the one time limit (log event 1021).

--- a/src/base/logEvents.ts
+++ b/src/base/logEvents.ts
@@ -9,6 +9,8 @@
     EndpointChosen = 1003,
     RequestRetried = 1004,
     RequestEnded = 1005,
+    TicketIgnored = 1020,
+    RequestSplit = 1021,
     WorkQueued = 2001,
     WorkRefused = 2002,
     WorkStarted = 2003,
--- a/src/cli/routingSettings.ts
+++ b/src/cli/routingSettings.ts
@@ -16,6 +16,7 @@
     policy: z.enum(PolicyName),
     apertureOwnPlace: z.number().int().positive(),
     apertureOtherPlaces: z.number().int().min(0),
+    ticketKey: z.string(),
 };
 
 /** Flags of routing. */
@@ -35,6 +36,11 @@
         default: defaultApertureSettings.otherPlaces,
         describe: "endpoints of each model or service in other places that it links to",
     },
+    "ticket-key": {
+        type: "string",
+        default: "",
+        describe: "key that signs tickets of refused callers, shared by all entries; the link key when empty",
+    },
 } as const;
 
 /** Default values of the routing flags. */
@@ -42,6 +48,7 @@
     policy: PolicyName.Predictive,
     apertureOwnPlace: defaultApertureSettings.ownPlace,
     apertureOtherPlaces: defaultApertureSettings.otherPlaces,
+    ticketKey: "",
 };
 
 type Routing = Pick<EntryParts, "policy" | "selectAperture" | "recordUsage">;
--- a/src/entry/admission.ts
+++ b/src/entry/admission.ts
@@ -4,7 +4,7 @@
 import { Verdict } from "../base/verdict.js";
 import { Configuration } from "../config/objects.js";
 import { AuthenticatedCaller } from "./callerIndex.js";
-import { HeaderName } from "./httpAnswer.js";
+import { getHeader, HeaderName } from "./httpAnswer.js";
 
 /** Rank, kind and time limit of a request. */
 export interface RequestTerms {
@@ -20,11 +20,6 @@
     return makeFailure(buildRequestError(code, message, Verdict.NotRun));
 }
 
-function getHeader(headers: http.IncomingHttpHeaders, name: HeaderName): string | undefined {
-    const value = headers[name];
-    return Array.isArray(value) ? value[0] : value;
-}
-
 /**
  * Reads rank, kind and time limit from a request's headers, with the caller's defaults for what they leave out.
  *
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -16,19 +16,22 @@
 import { createRetryBudget, defaultRetryBudgetSettings } from "../retries/retryBudget.js";
 import { RoutingPolicy } from "../routing/routing.js";
 import { createTokenEstimate } from "../routing/tokenEstimate.js";
-import { AttemptEventKind } from "./attempt.js";
+import { AttemptEvent, AttemptEventKind } from "./attempt.js";
 import { createCallerHandler, OperatorRoute } from "./callerServer.js";
 import { ConfigurationSource } from "./configurationSource.js";
 import { createCrashGuard } from "./crashGuard.js";
 import { EndpointLink } from "./endpointLink.js";
 import { ApertureFunction, createLinkDirectory, LinkDirectory } from "./linkDirectory.js";
 import { RequestListener, RequestPlan, RequestTask, startRequest } from "./requestTask.js";
+import { createTicketDesk } from "./ticketDesk.js";
 
 /** Settings of an entry. */
 export interface EntrySettings {
     readonly name: string;
     readonly place: string;
     readonly linkKey: string;
+    /** Key that signs tickets, shared by the entries; the link key when empty. */
+    readonly ticketKey?: string;
     readonly heartbeatIntervalMs: number;
     readonly maxFrameBytes: number;
     readonly resumeGraceMs: number;
@@ -91,6 +94,8 @@
     const metrics = createMetrics();
     const retryBudget = createRetryBudget(defaultRetryBudgetSettings);
     const tokens = createTokenEstimate();
+    // Without any key tickets are honoured by this entry alone, until it ends.
+    const tickets = createTicketDesk(settings.ticketKey || settings.linkKey || makeId(), timers, log);
     const requests = new Set<RequestTask>();
     let draining = false;
     let decision = 0;
@@ -131,7 +136,8 @@
 
     function observe(plan: RequestPlan, listener: RequestListener, startedMs: number): RequestListener {
         let isFirst = true;
-        return event => {
+        return received => {
+            const event = appendTicket(plan, received, startedMs);
             if (event.kind === AttemptEventKind.Items && isFirst) {
                 isFirst = false;
                 const elapsedMs = timers.now() - startedMs;
@@ -150,6 +156,14 @@
         };
     }
 
+    function appendTicket(plan: RequestPlan, event: AttemptEvent, startedMs: number): AttemptEvent {
+        if (event.kind !== AttemptEventKind.Failed) {
+            return event;
+        }
+        const waitedMs = plan.waitedMs + timers.now() - startedMs;
+        return { ...event, error: tickets.appendTicket(event.error, plan, waitedMs) };
+    }
+
     function refuse(plan: RequestPlan, listener: RequestListener): RequestTask {
         log(LogEvent.RequestRefused, { request: plan.id, caller: plan.caller, code: ErrorCode.Overloaded });
         const message = "the entry has too many requests in progress";
@@ -229,7 +243,11 @@
         handler: createCallerHandler({
             maxBodyBytes: settings.maxBodyBytes,
             maxUnsentBytes: settings.maxUnsentBytes,
+            timers,
             tokens,
+            tickets,
+            log,
+            listViews: target => directory.listViews(target),
             wallNow: () => timers.wallNow(),
             start,
             getConfiguration: () => configuration.getCurrent(),
--- a/src/entry/httpAnswer.ts
+++ b/src/entry/httpAnswer.ts
@@ -12,6 +12,8 @@
     Kind = "jujubelane-kind",
     TimeLimit = "jujubelane-time-limit-ms",
     Ticket = "jujubelane-ticket",
+    /** Names the model before the body is read, so that a request can be refused by its length. */
+    Model = "jujubelane-model",
     Split = "jujubelane-split",
     Replayed = "jujubelane-replayed",
     IdempotencyKey = "idempotency-key",
@@ -19,6 +21,12 @@
 
 const millisecondsPerSecond = 1000;
 
+/** Returns a header of a request; of several values the first. */
+export function getHeader(headers: http.IncomingHttpHeaders, name: HeaderName): string | undefined {
+    const value = headers[name];
+    return Array.isArray(value) ? value[0] : value;
+}
+
 /** Sends an error in the published JSON form. */
 export function sendError(response: http.ServerResponse, error: RequestError): void {
     const body = JSON.stringify(formatError(error));
--- /dev/null
+++ b/src/entry/lengthCheck.ts
@@ -0,0 +1,85 @@
+import * as http from "node:http";
+import { buildRequestError, ErrorCode, RequestError } from "../base/requestError.js";
+import { Verdict } from "../base/verdict.js";
+import { Configuration } from "../config/objects.js";
+import { computeLargestReservation, computeLateness } from "../routing/modelCapacity.js";
+import { EndpointView } from "../routing/routing.js";
+import { TokenEstimate } from "../routing/tokenEstimate.js";
+import { maxPromptParts } from "../scheduling/splitPrompt.js";
+import { RequestTerms } from "./admission.js";
+import { getHeader, HeaderName } from "./httpAnswer.js";
+
+/** What the check reads of the entry. */
+export interface LengthCheckContext {
+    readonly tokens: TokenEstimate;
+    listViews(target: { readonly model: string }): readonly EndpointView[];
+}
+
+/** Part of a body that is prompt at least; the rest is its JSON frame and escapes. */
+const leastPromptPart = 0.7;
+const minRetryAfterMs = 1_000;
+
+/** Whether the caller permits that a prompt is split. */
+export function isSplitAllowed(headers: http.IncomingHttpHeaders): boolean {
+    return getHeader(headers, HeaderName.Split)?.trim().toLowerCase() === "allow";
+}
+
+/**
+ * Refuses a request by its content length, before its body is read, if no endpoint of the model can take it: its prompt
+ * exceeds the largest memory, or cannot be computed within the time limit. Without the header `jujubelane-model` the model is
+ * not known yet, and the request is refused only if every model would refuse it.
+ */
+export function checkContentLength(
+    headers: http.IncomingHttpHeaders,
+    terms: RequestTerms,
+    configuration: Configuration,
+    context: LengthCheckContext,
+): RequestError | undefined {
+    const bytes = Number(headers["content-length"] ?? 0) * leastPromptPart;
+    const named = getHeader(headers, HeaderName.Model);
+    const models = Object.entries(configuration.objects.models)
+        .filter(([name]) => named === undefined || name === named);
+    const allowedParts = isSplitAllowed(headers) ? maxPromptParts : 1;
+    let refusal: RequestError | undefined;
+    for (const [name, model] of models) {
+        const views = context.listViews({ model: name });
+        const promptTokens = context.tokens.compute(name, bytes, model.bytesPerToken);
+        refusal = checkMemory(promptTokens, allowedParts, views)
+            ?? checkTime(promptTokens / allowedParts, terms, configuration, views);
+        if (!refusal) {
+            return undefined;
+        }
+    }
+    return refusal;
+}
+
+function checkMemory(promptTokens: number, parts: number, views: readonly EndpointView[]): RequestError | undefined {
+    const largest = computeLargestReservation(views);
+    return largest === undefined || promptTokens <= largest * parts ? undefined : buildTooLarge(largest * parts);
+}
+
+/** Builds the refusal of a prompt that no endpoint can hold. */
+export function buildTooLarge(largestPromptTokens: number): RequestError {
+    return buildRequestError(
+        ErrorCode.PromptTooLarge,
+        `the prompt exceeds the ${largestPromptTokens} tokens that the largest endpoint of the model can hold`,
+        Verdict.NotRun,
+        { largestPromptTokens },
+    );
+}
+
+function checkTime(
+    promptTokens: number,
+    { rank, limitMs }: RequestTerms,
+    configuration: Configuration,
+    views: readonly EndpointView[],
+): RequestError | undefined {
+    const rankShare = configuration.objects.ranks[rank]?.share ?? 0;
+    const lateMs = computeLateness({ rank, rankShare, promptTokens, limitMs }, views);
+    return lateMs === 0 ? undefined : buildRequestError(
+        ErrorCode.Overloaded,
+        "the time limit cannot be met at any endpoint of the model",
+        Verdict.NotRun,
+        { retryAfterMs: Math.max(minRetryAfterMs, Math.ceil(lateMs)) },
+    );
+}
--- a/src/entry/modelRoute.ts
+++ b/src/entry/modelRoute.ts
@@ -1,10 +1,13 @@
 import * as http from "node:http";
 import { computeDigest, makeId } from "../base/ids.js";
+import { EventLog } from "../base/log.js";
+import { LogEvent } from "../base/logEvents.js";
 import { buildRequestError, ErrorCode, RequestError } from "../base/requestError.js";
 import { ResultKind } from "../base/result.js";
+import { TimerService } from "../base/timerService.js";
 import { Verdict } from "../base/verdict.js";
 import { Configuration } from "../config/objects.js";
-import { TokenEstimate } from "../routing/tokenEstimate.js";
+import { computeLargestReservation } from "../routing/modelCapacity.js";
 import { readTerms } from "./admission.js";
 import { AttemptEvent, AttemptEventKind } from "./attempt.js";
 import { AuthenticatedCaller } from "./callerIndex.js";
@@ -17,14 +20,19 @@
     parseCompletion,
 } from "./completionFormat.js";
 import { HeaderName, readBoundedBody, sendError, sendText } from "./httpAnswer.js";
+import { buildTooLarge, checkContentLength, isSplitAllowed, LengthCheckContext } from "./lengthCheck.js";
 import { RequestListener, RequestPlan, RequestTask } from "./requestTask.js";
+import { buildSplitPlan, SplitContext, startSplitRequest } from "./splitRequest.js";
+import { TicketDesk } from "./ticketDesk.js";
 
 /** What the routes of callers need from the entry. */
-export interface RouteContext {
+export interface RouteContext extends LengthCheckContext {
+    readonly timers: TimerService;
+    readonly tickets: TicketDesk;
+    readonly log: EventLog;
     readonly maxBodyBytes: number;
     /** Answer bytes that may wait for a caller that reads too slowly. */
     readonly maxUnsentBytes: number;
-    readonly tokens: TokenEstimate;
     wallNow(): number;
     start(plan: RequestPlan, listener: RequestListener): RequestTask;
 }
@@ -45,6 +53,13 @@
     if (terms.kind === ResultKind.Failure) {
         return sendError(response, terms.error);
     }
+    const unreadable = checkContentLength(request.headers, terms.value, configuration, context);
+    if (unreadable) {
+        request.resume();
+        const holder = { caller: caller.name, rank: terms.value.rank };
+        const waitedMs = context.tickets.readWaitedMs(request.headers, holder);
+        return sendError(response, context.tickets.appendTicket(unreadable, holder, waitedMs));
+    }
     const body = await readBoundedBody(request, context.maxBodyBytes);
     if (body.kind === ResultKind.Failure) {
         return sendError(response, body.error);
@@ -63,7 +78,7 @@
         id,
         caller: caller.name,
         ...terms.value,
-        waitedMs: 0,
+        waitedMs: context.tickets.readWaitedMs(request.headers, { caller: caller.name, rank: terms.value.rank }),
         fingerprint: computeDigest(`${caller.name}\n${completion.prompt}`),
         streamed: completion.stream,
         model: {
@@ -85,7 +100,7 @@
     const listener = completion.stream
         ? createStreamListener(response, identity, completion, context, () => task.cancel())
         : createAnswerListener(response, identity);
-    const task = context.start(plan, listener);
+    const task = startPlan(plan, isSplitAllowed(request.headers), context, listener);
     response.on("close", () => {
         if (!response.writableFinished) {
             task.cancel();
@@ -93,6 +108,36 @@
     });
 }
 
+/** Starts a request whole, or in parts if no endpoint can hold it and the caller permits that. */
+function startPlan(
+    plan: RequestPlan,
+    maySplit: boolean,
+    context: RouteContext,
+    listener: RequestListener,
+): RequestTask {
+    const work = plan.model!;
+    const largestReservation = computeLargestReservation(context.listViews({ model: work.model }));
+    if (largestReservation === undefined || work.promptTokens + work.maxOutputTokens <= largestReservation) {
+        return context.start(plan, listener);
+    }
+    const splitContext: SplitContext = {
+        timers: context.timers,
+        bytesPerToken: Buffer.byteLength(work.prompt) / work.promptTokens,
+        largestReservation,
+        start: (part, partListener) => context.start(part, partListener),
+    };
+    const split = maySplit
+        ? buildSplitPlan(plan, splitContext)
+        : buildTooLarge(Math.max(0, largestReservation - work.maxOutputTokens));
+    if ("code" in split) {
+        context.log(LogEvent.RequestRefused, { request: plan.id, caller: plan.caller, code: split.code });
+        listener({ kind: AttemptEventKind.Failed, error: split });
+        return { cancel: () => undefined };
+    }
+    context.log(LogEvent.RequestSplit, { request: plan.id, caller: plan.caller, parts: split.prompts.length });
+    return startSplitRequest(plan, split, splitContext, listener);
+}
+
 function refuseModel(name: string, configuration: Configuration): RequestError {
     const names = Object.keys(configuration.objects.models).join(", ");
     return buildRequestError(ErrorCode.UnknownModel, `unknown model "${name}"; configured: ${names}`, Verdict.NotRun);
--- a/src/entry/serviceRoute.ts
+++ b/src/entry/serviceRoute.ts
@@ -71,7 +71,7 @@
         id,
         caller: caller.name,
         ...terms.value,
-        waitedMs: 0,
+        waitedMs: context.tickets.readWaitedMs(request.headers, { caller: caller.name, rank: terms.value.rank }),
         fingerprint: computeDigest(`${caller.name}\n${method} ${target.path}\n${computeDigest(body.value)}`),
         streamed: false,
         service: {
--- /dev/null
+++ b/src/entry/ticketDesk.ts
@@ -0,0 +1,53 @@
+import * as http from "node:http";
+import { EventLog } from "../base/log.js";
+import { LogEvent } from "../base/logEvents.js";
+import { ErrorCode, RequestError } from "../base/requestError.js";
+import { ResultKind } from "../base/result.js";
+import { TimerService } from "../base/timerService.js";
+import { createTicketSigner } from "../scheduling/ticket.js";
+import { getHeader, HeaderName } from "./httpAnswer.js";
+
+/** Who asks, in which rank. */
+export interface TicketHolder {
+    readonly caller: string;
+    readonly rank: string;
+}
+
+/** Issues tickets with refusals and honours those that come back. */
+export interface TicketDesk {
+    /** Returns how long the caller has waited by its ticket, in milliseconds; 0 without a valid one. */
+    readWaitedMs(headers: http.IncomingHttpHeaders, holder: TicketHolder): number;
+    /** Adds a ticket to a refusal for overload. `waitedMs` is what the caller has waited so far. */
+    appendTicket(error: RequestError, holder: TicketHolder, waitedMs: number): RequestError;
+}
+
+/**
+ * Creates the ticket desk of an entry.
+ *
+ * @example
+ * const desk = createTicketDesk("key", timers, log);
+ */
+export function createTicketDesk(key: string, timers: TimerService, log: EventLog): TicketDesk {
+    const signer = createTicketSigner(key);
+    return {
+        readWaitedMs(headers, holder) {
+            const text = getHeader(headers, HeaderName.Ticket);
+            if (text === undefined) {
+                return 0;
+            }
+            const verified = signer.verify(text, holder, timers.wallNow());
+            if (verified.kind === ResultKind.Failure) {
+                log(LogEvent.TicketIgnored, { caller: holder.caller, rank: holder.rank, reason: verified.error });
+                return 0;
+            }
+            return verified.value.waitedMs;
+        },
+        appendTicket(error, { caller, rank }, waitedMs) {
+            if (error.code !== ErrorCode.Overloaded) {
+                return error;
+            }
+            const nowMs = timers.wallNow();
+            return { ...error, ticket: signer.sign({ firstArrivalMs: nowMs - waitedMs, caller, rank }, nowMs) };
+        },
+    };
+}
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -2,6 +2,7 @@
 export * from "./aperture.js";
 export * from "./baselinePolicies.js";
 export * from "./loadReport.js";
+export * from "./modelCapacity.js";
 export * from "./predictFirstToken.js";
 export * from "./predictivePolicy.js";
 export * from "./rendezvous.js";
--- /dev/null
+++ b/src/routing/modelCapacity.ts
@@ -0,0 +1,52 @@
+import { EndpointView } from "./routing.js";
+
+/** Part of an engine's memory that a long prompt may use; the rest is kept for short ones by the scheduler. */
+const longPromptShare = 0.9;
+
+/**
+ * Returns the largest prompt and output, in tokens, that one endpoint can hold, or `undefined` while no endpoint has
+ * reported its memory.
+ */
+export function computeLargestReservation(views: readonly EndpointView[]): number | undefined {
+    let largest: number | undefined;
+    for (const { load } of views) {
+        if (load && load.memoryTokens > 0) {
+            largest = Math.max(largest ?? 0, Math.floor(load.memoryTokens * longPromptShare));
+        }
+    }
+    return largest;
+}
+
+/** A request whose body has not been read. */
+export interface UnreadRequest {
+    readonly rank: string;
+    /** Guaranteed share of the rank, from 0 to 1. */
+    readonly rankShare: number;
+    readonly promptTokens: number;
+    readonly limitMs: number;
+}
+
+const millisecondsPerSecond = 1000;
+
+/**
+ * Returns by how much a prompt passes its time limit at the best endpoint, in milliseconds; 0 if one can be in time or none
+ * has reported. Only more urgent ranks count as ahead: inside a rank a caller without backlog is served next, whatever
+ * other callers have queued. The guaranteed share of the rank bounds what more urgent ranks can delay.
+ */
+export function computeLateness(request: UnreadRequest, views: readonly EndpointView[]): number {
+    let least = Number.POSITIVE_INFINITY;
+    for (const { available, load } of views) {
+        if (!available || !load || load.prefillTokensPerSecond <= 0) {
+            return 0;
+        }
+        const own = load.ranks.findIndex(rank => rank.rank === request.rank);
+        const aheadTokens = load.ranks.slice(0, Math.max(0, own))
+            .reduce((sum, rank) => sum + (rank.pendingShortTokens ?? 0) + (rank.pendingLongTokens ?? 0), 0);
+        const tokens = Math.min(
+            aheadTokens + request.promptTokens,
+            request.rankShare > 0 ? request.promptTokens / request.rankShare : Number.POSITIVE_INFINITY,
+        );
+        least = Math.min(least, tokens / load.prefillTokensPerSecond * millisecondsPerSecond - request.limitMs);
+    }
+    return Number.isFinite(least) ? Math.max(0, least) : 0;
+}
--- a/src/scheduling/admissionEstimate.ts
+++ b/src/scheduling/admissionEstimate.ts
@@ -36,7 +36,7 @@
     for (let other = firstLane; other < lane; other++) {
         shorterMs += lanes[other]!.getQueuedMs();
     }
-    const aheadMs = lanes[lane]!.computeAheadMs(entry.item.caller, entry.endpointMs);
+    const aheadMs = lanes[lane]!.computeAheadMs(entry);
     const ownMs = Math.min(shorterMs + aheadMs, aheadMs / classShares[entry.lengthClass]);
     const runningMs = state.prefill.computePendingTokens(0, lane)
         / Math.max(1, state.prefillTokensPerSecond) * millisecondsPerSecond;
--- a/src/scheduling/callerQueue.ts
+++ b/src/scheduling/callerQueue.ts
@@ -18,7 +18,7 @@
     /** Prompt tokens of all queued work that the engine has to compute. */
     getQueuedTokens(): number;
     /** Endpoint time that is served before a new item of a caller, in milliseconds. */
-    computeAheadMs(caller: string, itemMs: number): number;
+    computeAheadMs(entry: QueueEntry): number;
 }
 
 interface Flow {
@@ -29,6 +29,8 @@
     /** Virtual time at which the caller's last started item ends. */
     finishTag: number;
     queuedMs: number;
+    /** Latest arrival of an entry since the caller had none queued. */
+    newestMs: number;
 }
 
 /**
@@ -75,6 +77,7 @@
                 startTag: 0,
                 finishTag: Number.NEGATIVE_INFINITY,
                 queuedMs: 0,
+                newestMs: Number.NEGATIVE_INFINITY,
             };
             flows.set(caller, flow);
         }
@@ -88,6 +91,19 @@
         }
     }
 
+    /** Queued work of a caller that arrived before a time; between its first and its newest it is taken as even. */
+    function computeEarlierMs(flow: Flow | undefined, arrivedMs: number): number {
+        const first = flow?.entries.getFirst();
+        if (!flow || !first) {
+            return 0;
+        }
+        if (arrivedMs >= flow.newestMs) {
+            return flow.queuedMs;
+        }
+        const part = (arrivedMs - first.item.arrivedMs) / (flow.newestMs - first.item.arrivedMs);
+        return flow.queuedMs * Math.max(0, part);
+    }
+
     function releaseEntry(flow: Flow, entry: QueueEntry) {
         // The heap of callers compares first entries, so the caller leaves it while its entries change.
         backlogged.remove(flow);
@@ -111,7 +127,9 @@
             idle.remove(flow);
             if (!backlogged.remove(flow)) {
                 flow.startTag = computeStartTag(flow);
+                flow.newestMs = Number.NEGATIVE_INFINITY;
             }
+            flow.newestMs = Math.max(flow.newestMs, entry.item.arrivedMs);
             flow.entries.enqueue(entry);
             flow.queuedMs += entry.endpointMs;
             size++;
@@ -160,14 +178,14 @@
         getSize: () => size,
         getQueuedMs: () => queuedMs,
         getQueuedTokens: () => queuedTokens,
-        computeAheadMs(caller, itemMs) {
+        computeAheadMs({ item: { caller, arrivedMs }, endpointMs }) {
             const weight = getWeight(caller);
-            const ownMs = flows.get(caller)?.queuedMs ?? 0;
+            const ownMs = computeEarlierMs(flows.get(caller), arrivedMs);
             let aheadMs = ownMs;
             // While this caller's backlog is served, each other one receives as much for its weight.
             for (const flow of backlogged.list()) {
                 if (flow.caller !== caller) {
-                    aheadMs += Math.min(flow.queuedMs, (ownMs + itemMs) * getWeight(flow.caller) / weight);
+                    aheadMs += Math.min(flow.queuedMs, (ownMs + endpointMs) * getWeight(flow.caller) / weight);
                 }
             }
             return aheadMs;
--- /dev/null
+++ b/test/scheduling/ticket.test.ts
@@ -0,0 +1,62 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { suite, test } from "node:test";
+import { makeFailure, makeSuccess } from "../../src/base/result.js";
+import { formatMerge, formatPart, splitPrompt } from "../../src/scheduling/splitPrompt.js";
+import { createTicketSigner, TicketFault, ticketLifetimeMs } from "../../src/scheduling/ticket.js";
+
+suite("queue-position tickets", () => {
+    const signer = createTicketSigner("key");
+    const holder = { caller: "planner", rank: "bulk" };
+    const issuedMs = 1_000_000;
+    const ticket = signer.sign({ ...holder, firstArrivalMs: issuedMs - 5_000 }, issuedMs);
+    const [payload, proof] = ticket.split(".");
+    const otherPayload = Buffer.from(JSON.stringify({ ...holder, firstArrivalMs: 0, expiresMs: 1e15 }))
+        .toString("base64url");
+    const cases: readonly (readonly [string, string, typeof holder, number, TicketFault | undefined])[] = [
+        ["a ticket keeps the first arrival", ticket, holder, issuedMs + 2_000, undefined],
+        [
+            "a ticket of another key",
+            createTicketSigner("other").sign({ ...holder, firstArrivalMs: 0 }, issuedMs),
+            holder,
+            issuedMs,
+            TicketFault.Forged,
+        ],
+        ["an earlier arrival under a copied proof", `${otherPayload}.${proof}`, holder, issuedMs, TicketFault.Forged],
+        ["a cut ticket", payload!, holder, issuedMs, TicketFault.Malformed],
+        ["bytes that are no ticket", "x".repeat(5_000), holder, issuedMs, TicketFault.Malformed],
+        ["another caller's ticket", ticket, { ...holder, caller: "other" }, issuedMs, TicketFault.OtherCaller],
+        ["a ticket for a less urgent rank", ticket, { ...holder, rank: "urgent" }, issuedMs, TicketFault.OtherRank],
+        ["an old ticket", ticket, holder, issuedMs + ticketLifetimeMs, TicketFault.Expired],
+    ];
+    for (const [name, text, request, nowMs, fault] of cases) {
+        test(`${name}: ${fault ?? "honoured"}`, () => {
+            const expected = fault === undefined
+                ? makeSuccess({ firstArrivalMs: issuedMs - 5_000, waitedMs: 7_000 })
+                : makeFailure(fault);
+            assert.deepEqual(signer.verify(text, request, nowMs), expected);
+        });
+    }
+});
+
+test("a split loses and repeats no character, keeps lines whole where they fit and stays within the size", () => {
+    const text = fc.array(fc.oneof(fc.string({ unit: "binary", maxLength: 30 }), fc.constant("\n")), { maxLength: 60 })
+        .map(parts => parts.join(""));
+    fc.assert(
+        fc.property(text, fc.integer({ min: 4, max: 64 }), (prompt, maxBytes) => {
+            const parts = splitPrompt(prompt, maxBytes);
+            assert.equal(parts.join(""), prompt);
+            parts.forEach(part => assert.ok(Buffer.byteLength(part) <= maxBytes));
+            let cut = 0;
+            for (const part of parts.slice(0, -1)) {
+                cut += part.length;
+                const end = prompt.indexOf("\n", cut);
+                const line = prompt.slice(prompt.lastIndexOf("\n", cut - 1) + 1, end < 0 ? undefined : end + 1);
+                assert.ok(part.endsWith("\n") || Buffer.byteLength(line) > maxBytes, "a line was cut");
+            }
+        }),
+        { seed: 4, numRuns: 500 },
+    );
+    assert.match(formatPart("b\n", 1, 2, "begin"), /part 2 of 2[^]*begin[^]*b\n$/);
+    assert.match(formatMerge(["one", "two"], "begin"), /begin[^]*one[^]*two/);
+});
