--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -1,4 +1,5 @@
 /** Decisions about which endpoint receives a request. */
+export * from "./affinityPolicy.js";
 export * from "./aperture.js";
 export * from "./baselinePolicies.js";
 export * from "./loadReport.js";
