Bound what an entry holds by rank, caller and bytes

Cause: an entry's one bound of 10,000 requests could be filled by a flood of the least urgent work; bodies had no bound in bytes, and connections none at all.

--- a/src/cli/defaults.ts
+++ b/src/cli/defaults.ts
@@ -13,6 +13,8 @@
     maxBodyBytes: 8 * 1024 * 1024,
     maxUnsentBytes: 1024 * 1024,
     maxRequests: 10_000,
+    maxHeldBytes: 64 * 1024 * 1024,
+    maxConnections: 20_000,
     drainDelayMs: 500,
 } as const;
 
@@ -21,4 +23,5 @@
     maxQueuedRequests: 1_000,
     maxQueuedBytes: 32 * 1024 * 1024,
     retainEndedMs: 10_000,
+    maxConnections: 2_000,
 } as const;
--- a/src/cli/entryCommand.ts
+++ b/src/cli/entryCommand.ts
@@ -29,11 +29,14 @@
     heartbeatIntervalMs: durationSchema,
     maxBodyBytes: z.number().int().positive(),
     maxRequests: z.number().int().positive(),
+    maxHeldBytes: z.number().int().positive(),
+    maxConnections: z.number().int().positive(),
     drainDelayMs: z.number().min(0),
     log: z.string(),
 });
 
 const closeTimeoutMs = 2_000;
+const maxHeaderBytes = 16 * 1024;
 
 /** `jujubelane entry` */
 export const entryCommand: CommandModule = {
@@ -50,8 +53,26 @@
             ...linkSecurityOptions,
             ...routingOptions,
             "heartbeat-interval-ms": { type: "number", default: linkDefaults.heartbeatIntervalMs },
-            "max-body-bytes": { type: "number", default: entryDefaults.maxBodyBytes },
-            "max-requests": { type: "number", default: entryDefaults.maxRequests },
+            "max-body-bytes": {
+                type: "number",
+                default: entryDefaults.maxBodyBytes,
+                describe: "largest request body",
+            },
+            "max-requests": {
+                type: "number",
+                default: entryDefaults.maxRequests,
+                describe: "requests in progress; a part is kept for urgent ranks",
+            },
+            "max-held-bytes": {
+                type: "number",
+                default: entryDefaults.maxHeldBytes,
+                describe: "bytes of the bodies of all requests in progress",
+            },
+            "max-connections": {
+                type: "number",
+                default: entryDefaults.maxConnections,
+                describe: "connections of callers",
+            },
             "drain-delay-ms": { type: "number", default: entryDefaults.drainDelayMs },
             log: logOption,
         }),
@@ -75,7 +96,8 @@
             ...createRouting(settings),
             createOperatorRoute: state => createOperatorRoute(state, configuration, log),
         });
-        const server = http.createServer(entry.handler);
+        const server = http.createServer({ maxHeaderSize: maxHeaderBytes }, entry.handler);
+        server.maxConnections = settings.maxConnections;
         const port = await listen(server, settings.port, settings.address);
         log(LogEvent.ProcessStarted, { role: "entry", name: settings.name, port });
         process.stdout.write(`listening on http://${settings.address}:${port}\n`);
--- a/src/cli/sidecarCommand.ts
+++ b/src/cli/sidecarCommand.ts
@@ -43,6 +43,7 @@
     heartbeatIntervalMs: durationSchema,
     maxQueuedRequests: z.number().int().positive(),
     maxQueuedBytes: z.number().int().positive(),
+    maxConnections: z.number().int().positive(),
     ...claimSettingsSchema,
     scheduler: z.enum(SchedulerName),
     log: z.string(),
@@ -76,6 +77,11 @@
             "heartbeat-interval-ms": { type: "number", default: linkDefaults.heartbeatIntervalMs },
             "max-queued-requests": { type: "number", default: sidecarDefaults.maxQueuedRequests },
             "max-queued-bytes": { type: "number", default: sidecarDefaults.maxQueuedBytes },
+            "max-connections": {
+                type: "number",
+                default: sidecarDefaults.maxConnections,
+                describe: "connections of entries",
+            },
             ...claimOptions,
             scheduler: {
                 choices: Object.values(SchedulerName),
@@ -97,6 +103,7 @@
             socket => sidecar.accept(socket),
             error => log(LogEvent.LinkRefused, { message: error.message }),
         );
+        server.maxConnections = settings.maxConnections;
         const port = await listen(server, settings.port, settings.address);
         log(LogEvent.ProcessStarted, { role: "sidecar", name: settings.endpoint, port });
         process.stdout.write(`listening on ${settings.address}:${port}\n`);
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -1,12 +1,13 @@
 import * as http from "node:http";
 import * as net from "node:net";
-import { createDisposableStore, Disposable } from "../base/disposable.js";
+import { createDisposable, createDisposableStore, Disposable } from "../base/disposable.js";
 import { makeId } from "../base/ids.js";
 import { EventLog } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
 import { createMetrics, Metrics } from "../base/metrics.js";
 import { RandomSource } from "../base/randomSource.js";
-import { buildRequestError, ErrorCode } from "../base/requestError.js";
+import { buildRequestError, ErrorCode, RequestError } from "../base/requestError.js";
+import { makeFailure, makeSuccess, Result } from "../base/result.js";
 import { TimerService, waitFor } from "../base/timerService.js";
 import { Verdict } from "../base/verdict.js";
 import { Configuration } from "../config/objects.js";
@@ -16,6 +17,7 @@
 import { createRetryBudget, defaultRetryBudgetSettings } from "../retries/retryBudget.js";
 import { RoutingPolicy } from "../routing/routing.js";
 import { createTokenEstimate } from "../routing/tokenEstimate.js";
+import { createRequestLimits, HeldRequest } from "../scheduling/requestLimits.js";
 import { AttemptEvent, AttemptEventKind } from "./attempt.js";
 import { createCallerHandler, OperatorRoute } from "./callerServer.js";
 import { ConfigurationSource } from "./configurationSource.js";
@@ -38,6 +40,8 @@
     readonly maxBodyBytes: number;
     readonly maxUnsentBytes: number;
     readonly maxRequests: number;
+    /** Bytes of request bodies that the entry holds. */
+    readonly maxHeldBytes: number;
     /** Time for which a draining entry still accepts requests after its health check fails, in milliseconds. */
     readonly drainDelayMs: number;
 }
@@ -96,6 +100,7 @@
     const tokens = createTokenEstimate();
     // Without any key tickets are honoured by this entry alone, until it ends.
     const tickets = createTicketDesk(settings.ticketKey || settings.linkKey || makeId(), timers, log);
+    const limits = createRequestLimits({ maxRequests: settings.maxRequests, maxBytes: settings.maxHeldBytes });
     const requests = new Set<RequestTask>();
     let draining = false;
     let decision = 0;
@@ -164,20 +169,20 @@
         return { ...event, error: tickets.appendTicket(event.error, plan, waitedMs) };
     }
 
-    function refuse(plan: RequestPlan, listener: RequestListener): RequestTask {
-        log(LogEvent.RequestRefused, { request: plan.id, caller: plan.caller, code: ErrorCode.Overloaded });
-        const message = "the entry has too many requests in progress";
+    function acquireRoom(request: HeldRequest): Result<Disposable, RequestError> {
+        const refusal = limits.acquire(request);
+        if (refusal === undefined) {
+            return makeSuccess(createDisposable(() => limits.release(request)));
+        }
+        const { rank, caller } = request;
+        log(LogEvent.RequestRefused, { caller, rank, code: ErrorCode.Overloaded, limit: refusal });
+        const message = `the entry holds too much work of this ${refusal}`;
         const details = { retryAfterMs: overloadRetryAfterMs };
-        const error = buildRequestError(ErrorCode.Overloaded, message, Verdict.NotRun, details);
-        listener({ kind: AttemptEventKind.Failed, error });
-        return { cancel: () => undefined };
+        return makeFailure(buildRequestError(ErrorCode.Overloaded, message, Verdict.NotRun, details));
     }
 
     function start(plan: RequestPlan, listener: RequestListener): RequestTask {
         const observed = observe(plan, listener, timers.now());
-        if (requests.size >= settings.maxRequests) {
-            return refuse(plan, observed);
-        }
         log(LogEvent.RequestAdmitted, {
             request: plan.id,
             caller: plan.caller,
@@ -232,6 +237,7 @@
     store.register(directory);
     store.register(configuration.subscribe(current => {
         directory.update(current);
+        limits.update(listRanks(current));
         directory.list().forEach(syncConfiguration);
     }));
 
@@ -249,6 +255,7 @@
             log,
             listViews: target => directory.listViews(target),
             wallNow: () => timers.wallNow(),
+            acquireRoom,
             start,
             getConfiguration: () => configuration.getCurrent(),
             isHealthy: () => !draining && configuration.getCurrent() !== undefined,
@@ -269,3 +276,10 @@
         dispose: () => store.dispose(),
     };
 }
+
+/** Names of the configured ranks, most urgent first. */
+function listRanks(configuration: Configuration): string[] {
+    return Object.entries(configuration.objects.ranks)
+        .sort(([, left], [, right]) => left.urgency - right.urgency)
+        .map(([name]) => name);
+}
--- a/src/entry/modelRoute.ts
+++ b/src/entry/modelRoute.ts
@@ -19,18 +19,16 @@
     formatAnswer,
     parseCompletion,
 } from "./completionFormat.js";
-import { HeaderName, readBoundedBody, sendError, sendText } from "./httpAnswer.js";
+import { HeaderName, sendError, sendText } from "./httpAnswer.js";
 import { buildTooLarge, checkContentLength, isSplitAllowed, LengthCheckContext } from "./lengthCheck.js";
+import { BodyContext, receiveBody } from "./receiveBody.js";
 import { RequestListener, RequestPlan, RequestTask } from "./requestTask.js";
 import { buildSplitPlan, SplitContext, startSplitRequest } from "./splitRequest.js";
-import { TicketDesk } from "./ticketDesk.js";
 
 /** What the routes of callers need from the entry. */
-export interface RouteContext extends LengthCheckContext {
+export interface RouteContext extends LengthCheckContext, BodyContext {
     readonly timers: TimerService;
-    readonly tickets: TicketDesk;
     readonly log: EventLog;
-    readonly maxBodyBytes: number;
     /** Answer bytes that may wait for a caller that reads too slowly. */
     readonly maxUnsentBytes: number;
     wallNow(): number;
@@ -53,14 +51,14 @@
     if (terms.kind === ResultKind.Failure) {
         return sendError(response, terms.error);
     }
+    const holder = { caller: caller.name, rank: terms.value.rank };
     const unreadable = checkContentLength(request.headers, terms.value, configuration, context);
     if (unreadable) {
         request.resume();
-        const holder = { caller: caller.name, rank: terms.value.rank };
         const waitedMs = context.tickets.readWaitedMs(request.headers, holder);
         return sendError(response, context.tickets.appendTicket(unreadable, holder, waitedMs));
     }
-    const body = await readBoundedBody(request, context.maxBodyBytes);
+    const body = await receiveBody(request, response, holder, context);
     if (body.kind === ResultKind.Failure) {
         return sendError(response, body.error);
     }
@@ -78,7 +76,7 @@
         id,
         caller: caller.name,
         ...terms.value,
-        waitedMs: context.tickets.readWaitedMs(request.headers, { caller: caller.name, rank: terms.value.rank }),
+        waitedMs: context.tickets.readWaitedMs(request.headers, holder),
         fingerprint: computeDigest(`${caller.name}\n${completion.prompt}`),
         streamed: completion.stream,
         model: {
--- a/src/entry/serviceRoute.ts
+++ b/src/entry/serviceRoute.ts
@@ -7,8 +7,9 @@
 import { readTerms } from "./admission.js";
 import { AttemptEventKind } from "./attempt.js";
 import { AuthenticatedCaller } from "./callerIndex.js";
-import { HeaderName, readBoundedBody, sendError } from "./httpAnswer.js";
+import { HeaderName, sendError } from "./httpAnswer.js";
 import { RouteContext } from "./modelRoute.js";
+import { receiveBody } from "./receiveBody.js";
 import { RequestListener } from "./requestTask.js";
 
 /** Methods that HTTP defines as safe: they change nothing and may always be repeated. */
@@ -34,9 +35,16 @@
  */
 export function parseServiceTarget(url: string): ServiceTarget | undefined {
     const match = servicePathPattern.exec(url);
-    return match?.[1] === undefined
-        ? undefined
-        : { service: decodeURIComponent(match[1]), path: `${match[2] ?? "/"}${match[3] ?? ""}` };
+    if (match?.[1] === undefined) {
+        return undefined;
+    }
+    try {
+        return { service: decodeURIComponent(match[1]), path: `${match[2] ?? "/"}${match[3] ?? ""}` };
+    }
+    catch {
+        // The name holds a malformed escape sequence and so names no service.
+        return undefined;
+    }
 }
 
 /** Serves `/v1/services/NAME/...` with any method and body. */
@@ -59,7 +67,8 @@
     if (terms.kind === ResultKind.Failure) {
         return sendError(response, terms.error);
     }
-    const body = await readBoundedBody(request, context.maxBodyBytes);
+    const holder = { caller: caller.name, rank: terms.value.rank };
+    const body = await receiveBody(request, response, holder, context);
     if (body.kind === ResultKind.Failure) {
         return sendError(response, body.error);
     }
@@ -71,7 +80,7 @@
         id,
         caller: caller.name,
         ...terms.value,
-        waitedMs: context.tickets.readWaitedMs(request.headers, { caller: caller.name, rank: terms.value.rank }),
+        waitedMs: context.tickets.readWaitedMs(request.headers, holder),
         fingerprint: computeDigest(`${caller.name}\n${method} ${target.path}\n${computeDigest(body.value)}`),
         streamed: false,
         service: {
--- a/test/system/system.ts
+++ b/test/system/system.ts
@@ -272,6 +272,7 @@
         maxBodyBytes: 500_000,
         maxUnsentBytes: 1_000_000,
         maxRequests: 1_000,
+        maxHeldBytes: 10_000_000,
         drainDelayMs: 50,
         ...settings.entry,
     }, {
