Report the largest request that an endpoint accepts

The entry assumed that a tenth of the memory is kept for short prompts, which holds for the fair scheduler only. The load report now says what the scheduler accepts.

--- a/src/entry/modelRoute.ts
+++ b/src/entry/modelRoute.ts
@@ -58,6 +58,11 @@
         request.resume();
         const holder = { caller: caller.name, rank: terms.value.rank };
         const waitedMs = context.tickets.readWaitedMs(request.headers, holder);
+        context.log(LogEvent.RequestRefused, {
+            ...holder,
+            code: unreadable.code,
+            bytes: request.headers["content-length"],
+        });
         return sendError(response, context.tickets.appendTicket(unreadable, holder, waitedMs));
     }
     const body = await readBoundedBody(request, context.maxBodyBytes);
--- a/src/routing/loadReport.ts
+++ b/src/routing/loadReport.ts
@@ -17,6 +17,8 @@
     readonly pendingPrefillTokens: number;
     readonly reservedTokens: number;
     readonly memoryTokens: number;
+    /** Largest prompt with its output that the endpoint accepts, in tokens; 0 before the engine has reported. */
+    readonly largestRequestTokens?: number;
     readonly prefillTokensPerSecond: number;
     readonly decodeTokensPerSecond: number;
     readonly ranks: readonly RankLoad[];
--- a/src/routing/modelCapacity.ts
+++ b/src/routing/modelCapacity.ts
@@ -1,8 +1,5 @@
 import { EndpointView } from "./routing.js";
 
-/** Part of an engine's memory that a long prompt may use; the rest is kept for short ones by the scheduler. */
-const longPromptShare = 0.9;
-
 /**
  * Returns the largest prompt and output, in tokens, that one endpoint can hold, or `undefined` while no endpoint has
  * reported its memory.
@@ -10,8 +7,9 @@
 export function computeLargestReservation(views: readonly EndpointView[]): number | undefined {
     let largest: number | undefined;
     for (const { load } of views) {
-        if (load && load.memoryTokens > 0) {
-            largest = Math.max(largest ?? 0, Math.floor(load.memoryTokens * longPromptShare));
+        const accepted = load?.largestRequestTokens ?? 0;
+        if (accepted > 0) {
+            largest = Math.max(largest ?? 0, accepted);
         }
     }
     return largest;
--- a/src/scheduling/fairScheduler.ts
+++ b/src/scheduling/fairScheduler.ts
@@ -402,6 +402,7 @@
                 queuedBytes: backlog.getBytes(),
                 pendingPrefillTokens: tokens(0, lanes.length - 1),
                 reservedTokens: ledger.getReservedTokens(),
+                largestRequestTokens: ledger.getLargestReservation(LengthClass.Long),
                 ranks: ranks.map((rank, rankIndex) => {
                     const first = rankIndex * lengthClassCount;
                     return {
--- a/src/scheduling/firstComeScheduler.ts
+++ b/src/scheduling/firstComeScheduler.ts
@@ -94,6 +94,7 @@
                 queuedBytes,
                 pendingPrefillTokens: pending.reduce((sum, item) => sum + item.promptTokens - item.cachedTokens, 0),
                 reservedTokens,
+                largestRequestTokens: policy.capacity.memoryTokens,
                 ranks: policy.ranks.map(rank => {
                     const items = queue.filter(item => item.rank === rank.name);
                     return {
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -70,6 +70,8 @@
     readonly queuedBytes: number;
     readonly pendingPrefillTokens: number;
     readonly reservedTokens: number;
+    /** Largest prompt with its output that is accepted, in tokens. */
+    readonly largestRequestTokens: number;
     readonly ranks: readonly RankLoad[];
     readonly acceptsLongPrompts: boolean;
 }
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -117,6 +117,7 @@
             queued: report.queued,
             pendingPrefillTokens: report.pendingPrefillTokens,
             reservedTokens: report.reservedTokens,
+            largestRequestTokens: report.largestRequestTokens,
             memoryTokens: engineReport?.memoryTokens ?? 0,
             prefillTokensPerSecond: engineReport?.prefillTokensPerSecond ?? 0,
             decodeTokensPerSecond: engineReport?.decodeTokensPerSecond ?? 0,
