--- a/src/entry/modelRoute.ts
+++ b/src/entry/modelRoute.ts
@@ -56,6 +56,11 @@
     if (unreadable) {
         request.resume();
         const waitedMs = context.tickets.readWaitedMs(request.headers, holder);
+        context.log(LogEvent.RequestRefused, {
+            ...holder,
+            code: unreadable.code,
+            bytes: request.headers["content-length"],
+        });
         return sendError(response, context.tickets.appendTicket(unreadable, holder, waitedMs));
     }
     const body = await receiveBody(request, response, holder, context);
