Accept environment variables of other commands

With JUJUBELANE_LINK_KEY set, every command without that flag failed with 'Unknown argument: linkKey', because the strict check counts values from the environment. Values that the command does not know are now dropped before that check, unless the same flag stands on the command line.

--- a/src/main.ts
+++ b/src/main.ts
@@ -1,10 +1,11 @@
 #!/usr/bin/env node
-import yargs from "yargs";
+import yargs, { MiddlewareFunction } from "yargs";
 import { configCommand } from "./cli/configCommand.js";
 import { devCommand } from "./cli/devCommand.js";
 import { drainCommand } from "./cli/drainCommand.js";
 import { emulateCommand } from "./cli/emulateCommand.js";
 import { entryCommand } from "./cli/entryCommand.js";
+import { dropUnknownVariables, environmentPrefix } from "./cli/environment.js";
 import { loadCommand } from "./cli/loadCommand.js";
 import { SettingsError } from "./cli/settings.js";
 import { sidecarCommand } from "./cli/sidecarCommand.js";
@@ -15,9 +16,15 @@
 // A single executable has the path of the binary in both of the first two arguments.
 const args = process.argv.slice(2);
 
+/** Runs before the check of unknown flags. The declared type of a middleware lacks the parser, its second argument. */
+function dropForeignVariables(values: Record<string, unknown>, parser: { getOptions(): { key: object } }): void {
+    dropUnknownVariables(values, Object.keys(parser.getOptions().key), process.env, args);
+}
+
 yargs(args)
     .scriptName("jujubelane")
-    .env("JUJUBELANE")
+    .env(environmentPrefix)
+    .middleware(dropForeignVariables as unknown as MiddlewareFunction, true)
     .command(entryCommand)
     .command(sidecarCommand)
     .command(emulateCommand)
--- a/test/cli/configCommand.test.ts
+++ b/test/cli/configCommand.test.ts
@@ -9,9 +9,9 @@
 
 const mainPath = fileURLToPath(new URL("../../src/main.js", import.meta.url));
 
-function run(...args: string[]): Promise<{ readonly code: number; readonly output: string }> {
+function run(args: readonly string[], env = process.env): Promise<{ readonly code: number; readonly output: string }> {
     return new Promise(resolve => {
-        execFile(process.execPath, [mainPath, ...args], { timeout: 20_000 }, (error, stdout, stderr) => {
+        execFile(process.execPath, [mainPath, ...args], { timeout: 20_000, env }, (error, stdout, stderr) => {
             resolve({ code: typeof error?.code === "number" ? error.code : 0, output: stdout + stderr });
         });
     });
@@ -54,7 +54,7 @@
 
 for (const [name, files, code, expected] of fileCases) {
     test(`config check: ${name}`, async () => {
-        const told = await run("config", "check", ...await writeFiles(files));
+        const told = await run(["config", "check", ...await writeFiles(files)]);
         assert.match(told.output, expected);
         assert.equal(told.code, code);
     });
@@ -70,9 +70,18 @@
             await new Promise(resolve => setTimeout(resolve, 20));
         }
         const url = dev.outputLines[1]!.replace("log service on ", "");
-        const told = await run("config", "publish", file!, "--log-service", url, "--author", "test");
+        const told = await run(["config", "publish", file!, "--log-service", url, "--author", "test"]);
         assert.match(told.output, /^accepted at offset \d+ \(1 changes/);
-        const status = await run("config", "status", "--entry", dev.address, "--key", "dev-key", "--log-service", url);
+        const status = await run([
+            "config",
+            "status",
+            "--entry",
+            dev.address,
+            "--key",
+            "dev-key",
+            "--log-service",
+            url,
+        ]);
         assert.match(status.output, /all 4 are on generation \d+/);
         assert.equal(status.code, 0);
     }
@@ -82,10 +91,19 @@
     }
 });
 
+test("one environment serves all commands, but an unknown flag is an error", async () => {
+    const environment = { ...process.env, JUJUBELANE_LINK_KEY: "k", JUJUBELANE_KEY: "k" };
+    const files = await writeFiles([rank]);
+    assert.equal((await run(["config", "check", ...files], environment)).code, 0);
+    const told = await run(["config", "check", ...files, "--link-key", "k"], environment);
+    assert.match(told.output, /Unknown arguments: link-key/);
+    assert.equal(told.code, 2);
+});
+
 test("no command hides a flag or an exit code from its help", async () => {
     const commands = ["check", "publish", "status", "diff", "history", "rollback"].map(name => ["config", name]);
     for (const command of [...commands, ["status"], ["drain"]]) {
-        const told = await run(...command, "--help");
+        const told = await run([...command, "--help"]);
         assert.equal(told.code, 0);
         assert.match(told.output, /--json/);
         assert.match(told.output, /Exit codes: 0 success/);
