--- /dev/null
+++ b/bench/lib/engineSampler.ts
@@ -0,0 +1,55 @@
+/** Share of samples in which engines worked. */
+export interface EngineSample {
+    /** Time since the start of the sampler, in milliseconds. */
+    readonly atMs: number;
+    /** Engines with at least one running request. */
+    readonly busy: number;
+    readonly engines: number;
+}
+
+/** Samples the load of engines. */
+export interface EngineSampler {
+    /** Share of engine time with running work between two times, from 0 to 1. */
+    computeBusyShare(fromMs: number, toMs: number): number;
+    stop(): void;
+}
+
+const sampleIntervalMs = 250;
+
+/** Starts sampling `GET /v1/load` of each engine. */
+export function startEngineSampler(urls: readonly string[]): EngineSampler {
+    const startedMs = performance.now();
+    const samples: EngineSample[] = [];
+    let sampling = false;
+
+    async function takeSample() {
+        if (sampling) {
+            return;
+        }
+        sampling = true;
+        const reports = await Promise.all(urls.map(async url => {
+            try {
+                return await (await fetch(`${url}/v1/load`)).json() as { readonly running: number };
+            }
+            catch {
+                return { running: 0 };
+            }
+        }));
+        samples.push({
+            atMs: performance.now() - startedMs,
+            busy: reports.filter(report => report.running > 0).length,
+            engines: reports.length,
+        });
+        sampling = false;
+    }
+
+    const timer = setInterval(() => void takeSample(), sampleIntervalMs);
+    return {
+        computeBusyShare(fromMs, toMs) {
+            const inside = samples.filter(sample => sample.atMs >= fromMs && sample.atMs < toMs);
+            const engines = inside.reduce((sum, sample) => sum + sample.engines, 0);
+            return engines === 0 ? 0 : inside.reduce((sum, sample) => sum + sample.busy, 0) / engines;
+        },
+        stop: () => clearInterval(timer),
+    };
+}
--- /dev/null
+++ b/bench/lib/measures.ts
@@ -0,0 +1,325 @@
+import { LoadRun } from "../../src/load/loadRunner.js";
+import { getLengthClass, LengthClass, Outcome, OutcomeKind } from "../../src/load/outcome.js";
+import { computeDurationSummary, isWithinLimit } from "../../src/load/summary.js";
+import { EngineSampler } from "./engineSampler.js";
+import { CostMeasure, Experiment } from "./experiment.js";
+import { computeAllocation, computeFairnessIndex } from "./fairness.js";
+
+/** How a value compares with its target. */
+export enum TargetKind {
+    AtMost = "<=",
+    AtLeast = ">=",
+    /** Shown for comparison, without a target. */
+    Shown = "",
+}
+
+/** One measured figure of a run. */
+export interface Measure {
+    readonly name: string;
+    readonly unit: string;
+    readonly kind: TargetKind;
+    readonly target: number | undefined;
+    /** `undefined` if the run had no request that it could be computed from. */
+    readonly value: number | undefined;
+}
+
+const millisecondsPerSecond = 1000;
+const firstTokenLimitMs = 320;
+const betweenTokensLimitMs = 42;
+const shortClasses: readonly LengthClass[] = [LengthClass.UpTo1K, LengthClass.UpTo4K];
+
+/** Whether a measure meets its target; `undefined` if it has none or no value. */
+export function isMet(measure: Measure): boolean | undefined {
+    if (measure.target === undefined || measure.kind === TargetKind.Shown) {
+        return undefined;
+    }
+    if (measure.value === undefined) {
+        return false;
+    }
+    return measure.kind === TargetKind.AtMost ? measure.value <= measure.target : measure.value >= measure.target;
+}
+
+/** Computes the measures of the design from one run of an experiment under one policy. */
+export function computeMeasures(experiment: Experiment, run: LoadRun, sampler: EngineSampler): readonly Measure[] {
+    const { comparison } = experiment;
+    const windows = computePhaseWindows(experiment);
+    const inPhase = (phase: string | undefined) => run.outcomes.filter(outcome => outcome.arrival.phase === phase);
+    const isShort = (outcome: Outcome) =>
+        comparison.shortStreams.includes(outcome.arrival.stream)
+        && shortClasses.includes(getLengthClass(outcome.arrival.promptTokens));
+    const isSmall = (outcome: Outcome) => !experiment.callers[outcome.arrival.caller]!.isLarge;
+    const alone = inPhase(comparison.shortAlonePhase).filter(isShort);
+    const beside = inPhase(comparison.shortBesidePhase).filter(isShort);
+    const measures: Measure[] = [
+        make(
+            "short prompts beside long ones: p95 first token against alone",
+            "",
+            TargetKind.AtMost,
+            1.2,
+            divide(p95FirstToken(beside), p95FirstToken(alone)),
+        ),
+        make("short prompts alone: p95 first token", "ms", TargetKind.Shown, undefined, p95FirstToken(alone)),
+        make(
+            "short prompts beside long ones: p95 first token",
+            "ms",
+            TargetKind.Shown,
+            undefined,
+            p95FirstToken(beside),
+        ),
+        make(
+            "short prompts beside long ones: first token within 0.32 s",
+            "",
+            TargetKind.AtLeast,
+            0.95,
+            shareOfSent(beside, outcome => (outcome.firstTokenMs ?? Infinity) <= firstTokenLimitMs),
+        ),
+        make("short prompts beside long ones: 42 ms between tokens", "", TargetKind.AtLeast, 0.95, shareOfGaps(beside)),
+    ];
+
+    if (comparison.bulkFloodPhase !== undefined) {
+        measures.push(...computeBulkFlood(experiment, run, sampler, windows));
+    }
+    if (comparison.urgentFloodPhase !== undefined) {
+        measures.push(...computeUrgentFlood(experiment, run, windows));
+    }
+    if (comparison.withLargePhase !== undefined) {
+        const without = inPhase(comparison.withoutLargePhase).filter(isShort).filter(isSmall);
+        const beside = inPhase(comparison.withLargePhase).filter(isShort).filter(isSmall);
+        measures.push(
+            make(
+                "small callers beside large ones: p95 first token against without them",
+                "",
+                TargetKind.AtMost,
+                1.3,
+                divide(p95FirstToken(beside), p95FirstToken(without)),
+            ),
+            make(
+                "small callers beside large ones: completed within limit",
+                "",
+                TargetKind.AtLeast,
+                0.95,
+                shareOfSent(beside, isWithinLimit),
+            ),
+            make(
+                `Jain's index of normalised service by ${comparison.costMeasure}`,
+                "",
+                TargetKind.AtLeast,
+                0.95,
+                computeJain(experiment, inPhase(comparison.withLargePhase)),
+            ),
+        );
+    }
+    const count = (kind: OutcomeKind) => run.outcomes.filter(outcome => outcome.kind === kind).length;
+    measures.push(
+        make("wrong answers", "", TargetKind.AtMost, 0, count(OutcomeKind.Wrong)),
+        make("requests without an end", "", TargetKind.AtMost, 0, count(OutcomeKind.Hung)),
+    );
+    return measures;
+}
+
+function computeBulkFlood(
+    experiment: Experiment,
+    run: LoadRun,
+    sampler: EngineSampler,
+    windows: ReadonlyMap<string, PhaseWindow>,
+): Measure[] {
+    const { comparison } = experiment;
+    const flood = run.outcomes.filter(outcome => outcome.arrival.phase === comparison.bulkFloodPhase);
+    const usual = run.outcomes.filter(outcome => outcome.arrival.phase === comparison.shortBesidePhase);
+    const hasRank = (rank: string) => (outcome: Outcome) => outcome.rank === rank;
+    const urgent = flood.filter(hasRank(comparison.urgentRank));
+    const bulk = flood.filter(outcome => outcome.arrival.stream === comparison.bulkFloodStream);
+    const refused = bulk.filter(outcome => outcome.kind === OutcomeKind.Refused);
+    const window = windows.get(comparison.bulkFloodPhase!)!;
+    const capacity = experiment.engines.reduce((sum, group) => sum + group.count * group.prefillTokensPerSecond, 0);
+    const offered = bulk.reduce((sum, outcome) => sum + outcome.arrival.promptTokens, 0)
+        / ((window.endMs - window.startMs) / millisecondsPerSecond);
+    const middleShare = (outcomes: readonly Outcome[]) =>
+        shareOfSent(outcomes.filter(hasRank(comparison.middleRank)), isWithinLimit);
+    // Without the first second, in which the flood reaches the engines.
+    const busy = sampler.computeBusyShare(window.startMs + millisecondsPerSecond, window.endMs);
+    return [
+        make(
+            "bulk flood: offered prompt tokens against prefill capacity",
+            "",
+            TargetKind.Shown,
+            undefined,
+            offered / capacity,
+        ),
+        make("bulk flood: urgent within limit", "", TargetKind.AtLeast, 0.99, shareOfSent(urgent, isWithinLimit)),
+        make(
+            "bulk flood: urgent p95 first token against without the flood",
+            "",
+            TargetKind.AtMost,
+            1.2,
+            divide(p95FirstToken(urgent), p95FirstToken(usual.filter(hasRank(comparison.urgentRank)))),
+        ),
+        make("bulk flood: urgent p95 first token", "ms", TargetKind.Shown, undefined, p95FirstToken(urgent)),
+        make(
+            "bulk flood: middle rank's throughput against without the flood",
+            "",
+            TargetKind.AtLeast,
+            0.9,
+            divide(middleShare(flood), middleShare(usual)),
+        ),
+        make("bulk flood: engines busy", "", TargetKind.AtLeast, 0.9, busy),
+        make(
+            "bulk flood: refused of the flood",
+            "",
+            TargetKind.Shown,
+            undefined,
+            bulk.length === 0 ? undefined : refused.length / bulk.length,
+        ),
+        make(
+            "bulk flood: refusals with Retry-After",
+            "",
+            TargetKind.AtLeast,
+            0.99,
+            refused.length === 0
+                ? undefined
+                : refused.filter(outcome => outcome.retryAfterSeconds !== undefined).length / refused.length,
+        ),
+        make(
+            "bulk flood: refusals with a queue position (ticket)",
+            "",
+            TargetKind.AtLeast,
+            0.99,
+            refused.length === 0 ? undefined : refused.filter(outcome => outcome.hasTicket).length / refused.length,
+        ),
+        make(
+            "bulk flood: p95 time to a refusal",
+            "ms",
+            TargetKind.Shown,
+            undefined,
+            computeDurationSummary(refused.map(outcome => outcome.totalMs)).p95,
+        ),
+    ];
+}
+
+function computeUrgentFlood(
+    experiment: Experiment,
+    run: LoadRun,
+    windows: ReadonlyMap<string, PhaseWindow>,
+): Measure[] {
+    const { comparison } = experiment;
+    const flood = run.outcomes.filter(outcome => outcome.arrival.phase === comparison.urgentFloodPhase);
+    const window = windows.get(comparison.urgentFloodPhase!)!;
+    const getEndMs = (outcome: Outcome) => outcome.arrival.atMs + outcome.totalMs;
+    const served = run.outcomes.filter(outcome =>
+        outcome.kind === OutcomeKind.Completed && getEndMs(outcome) >= window.startMs
+        && getEndMs(outcome) < window.endMs
+    );
+    const sumTokens = (outcomes: readonly Outcome[]) =>
+        outcomes.reduce((sum, { arrival }) => sum + arrival.promptTokens + arrival.outputTokens, 0);
+    const urgent = flood.filter(outcome => outcome.rank === comparison.urgentRank);
+    const admitted = urgent.filter(outcome =>
+        outcome.kind !== OutcomeKind.Refused && outcome.kind !== OutcomeKind.NotSent
+    );
+    const others = Object.keys(experiment.ranks).filter(rank => rank !== comparison.urgentRank);
+    const totalServed = sumTokens(served);
+    const capacity = experiment.engines.reduce((sum, group) => sum + group.count * group.prefillTokensPerSecond, 0);
+    const seconds = (window.endMs - window.startMs) / millisecondsPerSecond;
+    return [
+        make(
+            "urgent flood: offered urgent prompt tokens against prefill capacity",
+            "",
+            TargetKind.Shown,
+            undefined,
+            sumTokens(urgent) / seconds / capacity,
+        ),
+        make(
+            "urgent flood: admitted urgent within limit",
+            "",
+            TargetKind.AtLeast,
+            0.99,
+            shareOfSent(admitted, isWithinLimit),
+        ),
+        make(
+            "urgent flood: admitted of urgent",
+            "",
+            TargetKind.Shown,
+            undefined,
+            urgent.length === 0 ? undefined : admitted.length / urgent.length,
+        ),
+        ...others.map(rank => {
+            const demand = sumTokens(flood.filter(outcome => outcome.rank === rank)) / seconds / capacity;
+            const share = divide(sumTokens(served.filter(outcome => outcome.rank === rank)), totalServed);
+            return make(
+                `urgent flood: share of service of rank ${rank} (offers ${demand.toFixed(3)} of capacity)`,
+                "",
+                TargetKind.AtLeast,
+                Math.min(0.05, demand * 0.9),
+                share,
+            );
+        }),
+    ];
+}
+
+/** Jain's index over callers of the service received, each divided by its fair allocation. */
+function computeJain(experiment: Experiment, outcomes: readonly Outcome[]): number | undefined {
+    const getCost = (outcome: Outcome) => {
+        const { promptTokens, outputTokens, stream } = outcome.arrival;
+        if (experiment.comparison.costMeasure === CostMeasure.Tokens) {
+            return promptTokens + outputTokens;
+        }
+        return experiment.kinds[experiment.plan.streams[stream]!.kind ?? ""]?.costWeight ?? 1;
+    };
+    const callers = [...new Set(outcomes.map(outcome => outcome.arrival.caller))];
+    const sum = (selected: readonly Outcome[]) => selected.reduce((total, outcome) => total + getCost(outcome), 0);
+    const rows = callers.map(caller => {
+        const own = outcomes.filter(outcome => outcome.arrival.caller === caller);
+        return {
+            weight: experiment.callers[caller]!.weight,
+            demand: sum(own),
+            served: sum(own.filter(outcome => outcome.kind === OutcomeKind.Completed)),
+        };
+    });
+    const allocations = computeAllocation(rows, rows.reduce((total, row) => total + row.served, 0));
+    return computeFairnessIndex(rows.map((row, index) => row.served / allocations[index]!));
+}
+
+interface PhaseWindow {
+    readonly startMs: number;
+    readonly endMs: number;
+}
+
+function computePhaseWindows(experiment: Experiment): ReadonlyMap<string, PhaseWindow> {
+    const windows = new Map<string, PhaseWindow>();
+    let startMs = 0;
+    for (const phase of experiment.plan.phases) {
+        const endMs = startMs + phase.seconds * millisecondsPerSecond;
+        windows.set(phase.name, { startMs, endMs });
+        startMs = endMs;
+    }
+    return windows;
+}
+
+function make(
+    name: string,
+    unit: string,
+    kind: TargetKind,
+    target: number | undefined,
+    value: number | undefined,
+): Measure {
+    return { name, unit, kind, target, value };
+}
+
+function divide(numerator: number | undefined, denominator: number | undefined): number | undefined {
+    return numerator === undefined || !denominator ? undefined : numerator / denominator;
+}
+
+function p95FirstToken(outcomes: readonly Outcome[]): number | undefined {
+    const times = outcomes.filter(outcome => outcome.kind === OutcomeKind.Completed)
+        .map(outcome => outcome.firstTokenMs).filter(value => value !== undefined);
+    return times.length === 0 ? undefined : computeDurationSummary(times).p95;
+}
+
+/** Share of all sent requests, whether answered or not, that satisfy a condition. */
+function shareOfSent(outcomes: readonly Outcome[], condition: (outcome: Outcome) => boolean): number | undefined {
+    return outcomes.length === 0 ? undefined : outcomes.filter(condition).length / outcomes.length;
+}
+
+function shareOfGaps(outcomes: readonly Outcome[]): number | undefined {
+    const gaps = outcomes.flatMap(outcome => outcome.gapsMs);
+    return gaps.length === 0 ? undefined : gaps.filter(gap => gap <= betweenTokensLimitMs).length / gaps.length;
+}
--- /dev/null
+++ b/bench/run.ts
@@ -0,0 +1,148 @@
+// Runs the experiments and the measurement of the entry's own cost, and writes bench/results.
+import { execFileSync } from "node:child_process";
+import { mkdir, writeFile } from "node:fs/promises";
+import { loadavg } from "node:os";
+import { join } from "node:path";
+import { parseArgs } from "node:util";
+import { createSystemTimerService } from "../src/base/systemTimerService.js";
+import { formatLoadSummary, formatMs } from "../src/load/loadReport.js";
+import { LoadRun, runLoad } from "../src/load/loadRunner.js";
+import { computeLoadSummary } from "../src/load/summary.js";
+import { startEngineSampler } from "./lib/engineSampler.js";
+import { Experiment, readExperiment } from "./lib/experiment.js";
+import { Fleet, startFleet } from "./lib/fleet.js";
+import { computeMeasures } from "./lib/measures.js";
+import { PlotRow, renderPlot } from "./lib/plot.js";
+import { readUsage } from "./lib/processes.js";
+import { formatComparison, PolicyResult } from "./lib/results.js";
+
+const quickPhaseScale = 0.2;
+const quickPolicies = 2;
+const experimentNames = ["kalamokopi", "comhar"];
+
+const { values: options } = parseArgs({
+    options: {
+        quick: { type: "boolean", default: false },
+        only: { type: "string" },
+        policy: { type: "string" },
+        out: { type: "string", default: "bench/results" },
+    },
+});
+
+interface PolicyRun extends PolicyResult {
+    readonly run: LoadRun;
+    readonly details: string;
+}
+
+function describeFleetUsage(fleet: Fleet): string {
+    const mean = (label: string, processes: Fleet["entries"]) => {
+        const usages = processes.map(process => readUsage(process.processId));
+        const seconds = usages.reduce((sum, usage) => sum + usage.processorSeconds, 0);
+        const largest = Math.max(...usages.map(usage => usage.residentBytes)) / 2 ** 20;
+        return `${label} ${seconds.toFixed(1)} s of processor time, at most ${largest.toFixed(0)} MiB resident`;
+    };
+    return [mean("entries", fleet.entries), mean("sidecars", fleet.sidecars), mean("engines", fleet.engines)].join(
+        "; ",
+    );
+}
+
+async function runPolicy(experiment: Experiment, policy: Experiment["policies"][number]): Promise<PolicyRun> {
+    const fleet = await startFleet(experiment, policy);
+    const sampler = startEngineSampler(fleet.engines.map(engine => engine.address));
+    try {
+        const named = [...fleet.engines, ...fleet.services, ...fleet.sidecars, ...fleet.entries];
+        const run = await runLoad(experiment.plan, experiment.seed, fleet.entries.map(entry => entry.address), {
+            processes: Object.fromEntries(named.map(process => [process.name, process.processId])),
+            controls: Object.fromEntries(
+                [...fleet.engines, ...fleet.services].map(process => [process.name, process.address]),
+            ),
+        }, createSystemTimerService());
+        const summary = computeLoadSummary(run);
+        const { lag, eventLoopBusy } = summary.overhead;
+        return {
+            policy: policy.name,
+            run,
+            measures: computeMeasures(experiment, run, sampler),
+            details: formatLoadSummary(summary),
+            tool: `load tool late by p99 ${formatMs(lag.p99)} ms, its event loop busy ${
+                (eventLoopBusy * 100).toFixed(0)
+            }%; ${describeFleetUsage(fleet)}; load average ${loadavg()[0]!.toFixed(1)}`,
+        };
+    }
+    finally {
+        sampler.stop();
+        await fleet.stop();
+    }
+}
+
+function makePlotRows(experiment: Experiment, result: PolicyRun): PlotRow[] {
+    return computeLoadSummary(result.run).byPhaseAndLength
+        .filter(group => group.firstToken.count > 0)
+        .map(group => {
+            const [phase, length] = group.name.split(" / ") as [string, string];
+            return {
+                experiment: experiment.name,
+                policy: result.policy,
+                phase,
+                length,
+                firstTokenP95Ms: group.firstToken.p95,
+            };
+        });
+}
+
+const names = experimentNames.filter(name => options.only === undefined || name === options.only);
+const command = `npm run bench${process.argv.length > 2 ? ` -- ${process.argv.slice(2).join(" ")}` : ""}`;
+const commit = execFileSync("git", ["rev-parse", "--short", "HEAD"], { encoding: "utf8" }).trim();
+const startedMs = Date.now();
+const sections: string[] = [];
+const details: string[] = [];
+const plotRows: PlotRow[] = [];
+const json: unknown[] = [];
+let problems = 0;
+
+for (const name of names) {
+    const path = `bench/experiments/${name}.yaml`;
+    const experiment = await readExperiment(path, options.quick ? quickPhaseScale : 1);
+    const policies = experiment.policies
+        .filter(policy => options.policy === undefined || policy.name === options.policy)
+        .slice(0, options.quick ? quickPolicies : undefined);
+    const results: PolicyRun[] = [];
+    for (const policy of policies) {
+        console.error(`${name}: ${policy.name}`);
+        const result = await runPolicy(experiment, policy);
+        results.push(result);
+        plotRows.push(...makePlotRows(experiment, result));
+        details.push(`# ${name}, ${policy.name}\n\n${result.details}`);
+        problems += result.measures.filter(measure => measure.name === "wrong answers" && measure.value !== 0).length;
+    }
+    const section = formatComparison(experiment, results);
+    console.log(section);
+    sections.push(section);
+    json.push({
+        experiment: name,
+        seed: experiment.seed,
+        scale: experiment.scale,
+        results: results.map(({ policy, measures, tool, run }) => ({
+            policy,
+            measures,
+            tool,
+            summary: computeLoadSummary(run),
+        })),
+    });
+}
+
+const head = `Command \`${command}\`, commit ${commit}, ${((Date.now() - startedMs) / 1000).toFixed(0)} s. `
+    + "The machine is shared with other work; the load average beside each policy is the machine's.";
+const title = options.quick ? "Benchmark, quick" : "Benchmark";
+const prefix = options.quick ? "quick" : "full";
+const suffix = options.only === undefined ? "" : `-${options.only}`;
+await mkdir(options.out, { recursive: true });
+await writeFile(join(options.out, `${prefix}${suffix}.md`), `# ${title}\n\n${head}\n\n${sections.join("\n\n")}\n`);
+await writeFile(join(options.out, `${prefix}${suffix}-details.md`), details.join("\n"));
+await writeFile(
+    join(options.out, `${prefix}${suffix}.json`),
+    JSON.stringify({ command, commit, json }, undefined, 1) + "\n",
+);
+await writeFile(join(options.out, `${prefix}${suffix}.svg`), await renderPlot(plotRows, "Time to the first token"));
+console.error(`finished in ${((Date.now() - startedMs) / 1000).toFixed(0)} s; results in ${options.out}`);
+process.exit(problems === 0 ? 0 : 1);
--- a/src/load/loadRunner.ts
+++ b/src/load/loadRunner.ts
@@ -81,6 +81,7 @@
             code,
             verdict,
             retryAfterSeconds,
+            hasTicket: result.ticket !== undefined,
             repeats,
             message,
         });
@@ -153,6 +154,7 @@
         code: undefined,
         verdict: undefined,
         retryAfterSeconds: undefined,
+        hasTicket: false,
         repeats: 0,
         message: undefined,
     }));
--- a/src/load/outcome.ts
+++ b/src/load/outcome.ts
@@ -38,6 +38,8 @@
     readonly code: string | undefined;
     readonly verdict: string | undefined;
     readonly retryAfterSeconds: number | undefined;
+    /** Whether the refusal came with a ticket that keeps the place in line. */
+    readonly hasTicket: boolean;
     /** Times that it was sent again after a refusal. */
     readonly repeats: number;
     readonly message: string | undefined;
