--- a/src/sidecar/workTable.ts
+++ b/src/sidecar/workTable.ts
@@ -15,6 +15,7 @@
 export interface DispatchRefusal {
     readonly code: ErrorCode;
     readonly message: string;
+    readonly retryAfterMs?: number;
 }
 
 /** What a work table is built from. */
@@ -98,6 +99,7 @@
             item,
             session,
             state: WorkState.Queued,
+            priority: 0,
             output: [],
             final: [],
             run: undefined,
@@ -107,7 +109,8 @@
         log(LogEvent.WorkQueued, { request: item.id, rank, caller, position: decision.position });
         send(session, { type: LinkMessageType.Queued, request: item.id, position: decision.position });
         for (const dropped of decision.dropped) {
-            refuseQueued(dropped, { code: ErrorCode.Overloaded, message: "dropped from a full queue" });
+            const retryAfterMs = decision.droppedRetryAfterMs;
+            refuseQueued(dropped, { code: ErrorCode.Overloaded, message: "dropped from a full queue", retryAfterMs });
         }
         startWork();
     }
@@ -132,6 +135,7 @@
             started.record(item.id);
             const waitedMs = timers.now() - item.arrivedMs;
             log(LogEvent.WorkStarted, { request: item.id, rank: item.rank, caller: item.caller, waitedMs });
+            work.priority = scheduler.getPriority(item);
             work.run = parts.runner(work, parts.makeListener(work));
         }
     }
@@ -140,12 +144,13 @@
         if (work.state !== WorkState.Running) {
             return;
         }
-        if (work.output.length === 0) {
-            scheduler.markFirstToken(work.item.id, timers.now());
-        }
         const sequence = work.output.length;
         work.output.push(...items);
         send(work.session, { type: LinkMessageType.Chunk, request: work.item.id, sequence, items });
+        if (sequence === 0) {
+            scheduler.markFirstToken(work.item.id, timers.now());
+            startWork();
+        }
     }
 
     function handleEnd(work: Work, messages: readonly SidecarMessage[], outputTokens: number) {
