--- /dev/null
+++ b/bench/lib/entryCost.ts
@@ -0,0 +1,300 @@
+import { fileURLToPath } from "node:url";
+import { createSystemTimerService } from "../../src/base/systemTimerService.js";
+import { LoadPlan, loadPlanSchema } from "../../src/load/loadPlan.js";
+import { runLoad } from "../../src/load/loadRunner.js";
+import { Outcome, OutcomeKind } from "../../src/load/outcome.js";
+import { computeDurationSummary, DurationSummary, LoadSummary } from "../../src/load/summary.js";
+import { experimentModel, makeCallerKey } from "./experiment.js";
+import { runLoadProcesses } from "./loadProcesses.js";
+import { Measure, TargetKind } from "./measures.js";
+import { pathCaller, PathFleet, startPathFleet } from "./pathFleet.js";
+import { FleetProcess, readUsage } from "./processes.js";
+
+/** Result of the measurement of the entry's own cost. */
+export interface EntryCost {
+    readonly measures: readonly Measure[];
+    readonly notes: readonly string[];
+}
+
+const timers = createSystemTimerService();
+const noFaults = { processes: {}, controls: {} };
+const fastEnginePath = fileURLToPath(new URL("./fastEngine.js", import.meta.url));
+const bytesPerMiB = 2 ** 20;
+const memoryBudgetMiB = 128;
+const processorBudget = 0.033;
+const trafficBudgetBytes = 2_048;
+
+/** Path requests go through the entry, direct ones to the engine. */
+const pathStream = "path";
+const directStream = "direct";
+
+function makePlan(streams: object, rates: object, seconds: number, seed: number): LoadPlan {
+    return loadPlanSchema.parse({
+        name: "entry cost",
+        model: experimentModel,
+        seed,
+        keys: { [pathCaller]: makeCallerKey(pathCaller) },
+        streams,
+        phases: [{ name: "load", seconds, rates }],
+        drainSeconds: 5,
+    });
+}
+
+/**
+ * Measures the time to first token that the entry's path adds at 60 requests/s: two load runs at the same time, one
+ * through the entry and one straight to the same engine, so that both see the same machine.
+ */
+async function measureAddedTime(seconds: number, seed: number): Promise<EntryCost> {
+    const fleet = await startPathFleet({
+        engines: 1,
+        engineScript: { path: fastEnginePath, args: ["0", "100"] },
+    });
+    try {
+        const stream = {
+            rank: "normal",
+            callers: { [pathCaller]: 1 },
+            prompt: [{ weight: 1, minTokens: 1000, maxTokens: 4000 }],
+            maxOutputTokens: 16,
+        };
+        const path = makePlan({ [pathStream]: stream }, { [pathStream]: 60 }, seconds, seed);
+        const direct = makePlan({ [directStream]: stream }, { [directStream]: 60 }, seconds, seed + 1);
+        const [pathRun, directRun] = await Promise.all([
+            runLoad(path, seed, [fleet.entry.address], noFaults, timers),
+            runLoad(direct, seed + 1, fleet.engineUrls, noFaults, timers),
+        ]);
+        const pathSummary = summarizeFirstToken(pathRun.outcomes);
+        const directSummary = summarizeFirstToken(directRun.outcomes);
+        return {
+            measures: [
+                makeMeasure(
+                    "60 requests/s: first token added by the path, p50",
+                    "ms",
+                    1,
+                    pathSummary.p50 - directSummary.p50,
+                ),
+                makeMeasure(
+                    "60 requests/s: first token added by the path, p99",
+                    "ms",
+                    5,
+                    pathSummary.p99 - directSummary.p99,
+                ),
+            ],
+            notes: [
+                `through the path p50 ${pathSummary.p50.toFixed(2)} ms, p99 ${pathSummary.p99.toFixed(2)} ms `
+                + `(${pathSummary.count} requests); direct p50 ${directSummary.p50.toFixed(2)} ms, `
+                + `p99 ${directSummary.p99.toFixed(2)} ms (${directSummary.count} requests)`,
+            ],
+        };
+    }
+    finally {
+        await fleet.stop();
+    }
+}
+
+/** First token from the real time of sending, because both runs share the tool's own delay. */
+function summarizeFirstToken(outcomes: readonly Outcome[]): DurationSummary {
+    return computeDurationSummary(
+        outcomes.filter(outcome => outcome.kind === OutcomeKind.Completed && outcome.firstTokenMs !== undefined)
+            .map(outcome => outcome.firstTokenMs! - outcome.lagMs),
+    );
+}
+
+/**
+ * Measures one entry at rest and with streams. The cost of a token depends on how many tokens a chunk carries, and so on
+ * the rate of one stream.
+ */
+export async function measureStreams(
+    requestsPerSecond: number,
+    streamRate: number,
+    seconds: number,
+    seed: number,
+    nodeArgs: readonly string[] = [],
+): Promise<EntryCost> {
+    const tokensPerRequest = 267;
+    const label = `${requestsPerSecond} requests/s, ${streamRate} tokens/s a stream`;
+    const loadProcesses = 4;
+    const fleet = await startPathFleet({
+        engines: 6,
+        engineScript: { path: fastEnginePath, args: ["5", String(streamRate)] },
+        nodeArgs,
+    });
+    try {
+        const rest = await measureRest(fleet);
+        const plan = makePlan(
+            {
+                [pathStream]: {
+                    rank: "normal",
+                    callers: { [pathCaller]: 1 },
+                    prompt: [{ weight: 1, minTokens: 1000, maxTokens: 4000 }],
+                    minOutputTokens: tokensPerRequest,
+                    maxOutputTokens: tokensPerRequest,
+                },
+            },
+            { [pathStream]: requestsPerSecond / loadProcesses },
+            seconds,
+            seed,
+        );
+        const before = readUsages(fleet);
+        const startedMs = timers.now();
+        const largest = watchMemory(fleet);
+        const summaries = await runLoadProcesses(plan, seed, fleet.entry.address, loadProcesses);
+        const elapsedSeconds = (timers.now() - startedMs) / 1000;
+        const peak = largest.stop();
+        const after = readUsages(fleet);
+        const sum = (read: (summary: LoadSummary) => number) => summaries.reduce((total, one) => total + read(one), 0);
+        const worst = (read: (summary: LoadSummary) => number) => Math.max(...summaries.map(read));
+        const sent = sum(summary => summary.all.sent);
+        const tokens = sum(summary => summary.all.outputTokens);
+        return {
+            measures: [
+                ...rest,
+                makeMeasure(
+                    `${label}: completed and verified`,
+                    "",
+                    0.999,
+                    sum(summary => summary.all.completed) / sent,
+                    TargetKind.AtLeast,
+                ),
+                makeMeasure(
+                    `${label}: streamed tokens verified`,
+                    "1/s",
+                    tokensPerRequest * requestsPerSecond * 0.95,
+                    tokens / seconds,
+                    TargetKind.AtLeast,
+                ),
+                makeMeasure(
+                    `${label}: p95 first token (engine takes 5 ms)`,
+                    "ms",
+                    320,
+                    worst(summary => summary.all.firstToken.p95),
+                ),
+                makeMeasure(
+                    `${label}: p95 between events `,
+                    "ms",
+                    42,
+                    worst(summary => summary.all.betweenTokens.p95),
+                ),
+                makeMeasure(
+                    `${label}: entry resident memory, largest`,
+                    "MiB",
+                    memoryBudgetMiB,
+                    peak.entry / bytesPerMiB,
+                ),
+                makeMeasure(
+                    `${label}: sidecar resident memory, largest`,
+                    "MiB",
+                    memoryBudgetMiB,
+                    peak.sidecar / bytesPerMiB,
+                ),
+            ],
+            notes: [
+                `${label}: ${sent} requests and ${tokens} tokens by ${loadProcesses} load processes; entry ${
+                    (after.entry - before.entry).toFixed(1)
+                } s of processor time in ${seconds} s of load, the ${fleet.sidecars.length} sidecars together ${
+                    (after.sidecars - before.sidecars).toFixed(1)
+                } s (whole run ${elapsedSeconds.toFixed(1)} s); load tools late by p99 at most ${
+                    worst(summary => summary.overhead.lag.p99).toFixed(1)
+                } ms, busy at most ${(worst(summary => summary.overhead.eventLoopBusy) * 100).toFixed(0)}%; problems: ${
+                    summaries.flatMap(summary =>
+                        summary.problems.slice(0, 2).map(({ problem, count }) => `${count} x ${problem}`)
+                    )
+                        .join("; ") || "none"
+                }`,
+            ],
+        };
+    }
+    finally {
+        await fleet.stop();
+    }
+}
+
+const restSeconds = 8;
+
+/** Control overhead: what entry and sidecar use without any request. */
+async function measureRest(fleet: PathFleet): Promise<Measure[]> {
+    await waitMs(1_000);
+    const before = readUsages(fleet);
+    const trafficBefore = await readTraffic(fleet.entry);
+    await waitMs(restSeconds * 1000);
+    const after = readUsages(fleet);
+    const trafficAfter = await readTraffic(fleet.entry);
+    const entryMiB = readUsage(fleet.entry.processId).residentBytes / bytesPerMiB;
+    const sidecarMiB = readUsage(fleet.sidecars[0]!.processId).residentBytes / bytesPerMiB;
+    return [
+        makeMeasure(
+            "at rest: entry processor share of a core",
+            "",
+            processorBudget,
+            (after.entry - before.entry) / restSeconds,
+        ),
+        makeMeasure(
+            "at rest: sidecar processor share of a core",
+            "",
+            processorBudget,
+            (after.sidecars - before.sidecars) / fleet.sidecars.length / restSeconds,
+        ),
+        makeMeasure("at rest: entry resident memory", "MiB", memoryBudgetMiB, entryMiB),
+        makeMeasure("at rest: sidecar resident memory", "MiB", memoryBudgetMiB, sidecarMiB),
+        ...(trafficBefore === undefined || trafficAfter === undefined ? [] : [
+            makeMeasure(
+                "at rest: link bytes of one sidecar, both directions",
+                "B/s",
+                trafficBudgetBytes,
+                (trafficAfter - trafficBefore) / fleet.sidecars.length / restSeconds,
+            ),
+        ]),
+    ];
+}
+
+/** Bytes on the entry's links so far, from its metrics; `undefined` if it does not report them. */
+async function readTraffic(entry: FleetProcess): Promise<number | undefined> {
+    const text = await (await fetch(`${entry.address}/metrics`)).text();
+    const values = [...text.matchAll(/^jujubelane_link_(?:sent|received)_bytes(?:\{[^}]*\})? (\S+)$/gm)];
+    return values.length === 0 ? undefined : values.reduce((sum, match) => sum + Number(match[1]), 0);
+}
+
+function readUsages(fleet: PathFleet) {
+    return {
+        entry: readUsage(fleet.entry.processId).processorSeconds,
+        sidecars: fleet.sidecars.reduce((sum, sidecar) => sum + readUsage(sidecar.processId).processorSeconds, 0),
+    };
+}
+
+function watchMemory(fleet: PathFleet) {
+    const peak = { entry: 0, sidecar: 0 };
+    const timer = setInterval(() => {
+        peak.entry = Math.max(peak.entry, readUsage(fleet.entry.processId).residentBytes);
+        peak.sidecar = Math.max(
+            peak.sidecar,
+            ...fleet.sidecars.map(({ processId }) => readUsage(processId).residentBytes),
+        );
+    }, 250);
+    return {
+        stop() {
+            clearInterval(timer);
+            return peak;
+        },
+    };
+}
+
+function waitMs(durationMs: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, durationMs));
+}
+
+function makeMeasure(name: string, unit: string, target: number, value: number, kind = TargetKind.AtMost): Measure {
+    return { name, unit, kind, target, value };
+}
+
+/** Measures the entry's own cost against the targets of the design. */
+export async function measureEntryCost(
+    isQuick: boolean,
+    seed: number,
+    nodeArgs: readonly string[] = [],
+): Promise<EntryCost> {
+    const added = await measureAddedTime(isQuick ? 5 : 20, seed);
+    const parts = [added];
+    for (const streamRate of isQuick ? [200] : [200, 60]) {
+        parts.push(await measureStreams(300, streamRate, isQuick ? 6 : 12, seed, nodeArgs));
+    }
+    return { measures: parts.flatMap(part => part.measures), notes: parts.flatMap(part => part.notes) };
+}
--- /dev/null
+++ b/bench/lib/fastEngine.ts
@@ -0,0 +1,105 @@
+// An engine for load tests of the entry: it streams tokens at a fixed rate for any number of requests and does no
+// batching, prefill or accounting, so that it costs little beside the processes under test.
+import * as http from "node:http";
+import { AddressInfo } from "node:net";
+import { computePromptHash, countTokens, makeOutputToken } from "../../src/emulator/engine/tokens.js";
+
+const [firstTokenMs, tokensPerSecond] = process.argv.slice(2).map(Number) as [number, number];
+const millisecondsPerSecond = 1000;
+const tickMs = 10;
+const defaultMaxTokens = 16;
+
+interface Stream {
+    readonly id: string;
+    readonly hash: number;
+    readonly promptTokens: number;
+    readonly maxTokens: number;
+    readonly response: http.ServerResponse;
+    readonly startMs: number;
+    sent: number;
+}
+
+const streams = new Set<Stream>();
+
+function writeTokens(stream: Stream, nowMs: number) {
+    const elapsedMs = nowMs - stream.startMs - firstTokenMs;
+    if (elapsedMs < 0) {
+        return;
+    }
+    const due = Math.min(stream.maxTokens, 1 + Math.floor(elapsedMs * tokensPerSecond / millisecondsPerSecond));
+    let text = "";
+    for (; stream.sent < due; stream.sent++) {
+        const token = makeOutputToken(stream.hash, stream.sent);
+        text += `data: {"id":"${stream.id}","sequence":${stream.sent},"choices":[{"text":"${token}"}]}\n\n`;
+    }
+    if (stream.sent >= stream.maxTokens) {
+        streams.delete(stream);
+        const end = JSON.stringify({
+            id: stream.id,
+            sequence: stream.sent,
+            choices: [{ text: "", finish_reason: "length" }],
+            usage: { prompt_tokens: stream.promptTokens, cached_tokens: 0, completion_tokens: stream.sent },
+        });
+        stream.response.end(`${text}data: ${end}\n\ndata: [DONE]\n\n`);
+    }
+    else if (text.length > 0) {
+        stream.response.write(text);
+    }
+}
+
+setInterval(() => {
+    const nowMs = performance.now();
+    for (const stream of streams) {
+        writeTokens(stream, nowMs);
+    }
+}, tickMs);
+
+const report = {
+    model: "main",
+    version: "main-v1",
+    adapters: [],
+    role: "general",
+    incarnation: "fast",
+    memoryTokens: 100_000_000,
+    usedTokens: 0,
+    running: 0,
+    waiting: 0,
+    prefillTokensPerSecond: 10_000_000,
+    decodeTokensPerSecond: tokensPerSecond,
+};
+
+const server = http.createServer((request, response) => {
+    const parts: Buffer[] = [];
+    request.on("data", (part: Buffer) => parts.push(part));
+    request.on("end", () => {
+        if (request.method !== "POST" || request.url !== "/v1/completions") {
+            response.setHeader("content-type", "application/json");
+            response.end(
+                request.url === "/v1/load" ? JSON.stringify(report) : request.url === "/v1/requests" ? "[]" : "{}",
+            );
+            return;
+        }
+        const body = JSON.parse(Buffer.concat(parts).toString()) as {
+            request_id?: string;
+            prompt: string;
+            max_tokens?: number;
+        };
+        response.writeHead(200, { "content-type": "text/event-stream" });
+        const stream: Stream = {
+            id: body.request_id ?? "",
+            hash: computePromptHash(body.prompt),
+            promptTokens: countTokens(body.prompt),
+            maxTokens: body.max_tokens ?? defaultMaxTokens,
+            response,
+            startMs: performance.now(),
+            sent: 0,
+        };
+        response.on("close", () => streams.delete(stream));
+        streams.add(stream);
+        writeTokens(stream, stream.startMs);
+    });
+});
+server.listen(0, "127.0.0.1", () => {
+    process.stdout.write(`listening on http://127.0.0.1:${(server.address() as AddressInfo).port}\n`);
+});
+process.on("SIGTERM", () => process.exit(0));
--- /dev/null
+++ b/bench/lib/pathFleet.ts
@@ -0,0 +1,118 @@
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { stringify } from "yaml";
+import { computeDigest } from "../../src/base/ids.js";
+import { experimentModel, makeCallerKey } from "./experiment.js";
+import { waitUntilReady } from "./fleet.js";
+import { FleetProcess, startProcess } from "./processes.js";
+
+/** The smallest fleet that has the whole path: one entry, and engines with a sidecar each. */
+export interface PathFleet {
+    readonly entry: FleetProcess;
+    readonly sidecars: readonly FleetProcess[];
+    readonly engineUrls: readonly string[];
+    stop(): Promise<void>;
+}
+
+/** What a path fleet consists of. */
+export interface PathFleetOptions {
+    readonly engines: number;
+    /** Callers in the configuration besides the one that sends. */
+    readonly idleCallers?: number;
+    /** Arguments of node for the entry and the first sidecar, for profiles. */
+    readonly nodeArgs?: readonly string[];
+    /** Script that plays the engine instead of the emulator, and its arguments. */
+    readonly engineScript?: { readonly path: string; readonly args: readonly string[] };
+    readonly engineArgs?: readonly string[];
+}
+
+/** Caller of path fleets. */
+export const pathCaller = "bench";
+
+const version = "main-v1";
+const place = "here";
+const settleMs = 1_500;
+const linkKey = "bench";
+const memoryTokens = 100_000_000;
+const maxRunning = 10_000;
+
+/** Starts a path fleet. */
+export async function startPathFleet(options: PathFleetOptions): Promise<PathFleet> {
+    const directory = await mkdtemp(join(tmpdir(), "jujubelane-path-"));
+    const started: FleetProcess[] = [];
+    async function keep(starting: Promise<FleetProcess>): Promise<FleetProcess> {
+        const fleetProcess = await starting;
+        started.push(fleetProcess);
+        return fleetProcess;
+    }
+    async function stop() {
+        await Promise.all(started.map(fleetProcess => fleetProcess.stop()));
+        await rm(directory, { recursive: true, force: true });
+    }
+
+    try {
+        const names = Array.from({ length: options.engines }, (_, index) => `engine-${index + 1}`);
+        const callers: Record<string, unknown> = {};
+        for (let index = 0; index <= (options.idleCallers ?? 0); index++) {
+            const caller = index === 0 ? pathCaller : `caller-${index}`;
+            callers[caller] = { keyDigests: [computeDigest(makeCallerKey(caller))], defaultKind: "question" };
+        }
+        const file = join(directory, "configuration.yaml");
+        await writeFile(
+            file,
+            stringify({
+                models: { [experimentModel]: { version, maxOutputTokens: 100_000 } },
+                versions: { [version]: { model: experimentModel, weights: version } },
+                ranks: { normal: { urgency: 0, timeLimitMs: 60_000 } },
+                kinds: { question: { rank: "normal" } },
+                callers,
+                endpoints: Object.fromEntries(names.map(name => [
+                    name,
+                    {
+                        host: `host-${name}`,
+                        place,
+                        model: experimentModel,
+                        checksFencing: true,
+                        memoryTokens,
+                        maxRunning,
+                    },
+                ])),
+            }),
+        );
+        const hosts = await keep(startProcess("hosts", ["emulate", "hosts"]));
+        const engineUrls: string[] = [];
+        const sidecars: FleetProcess[] = [];
+        for (const [index, name] of names.entries()) {
+            const engine = await keep(
+                options.engineScript
+                    ? startProcess(name, options.engineScript.args, [], options.engineScript.path)
+                    : startProcess(name, [
+                        ...["emulate", "engine", "--model", experimentModel, "--model-version", version],
+                        ...["--memory-tokens", String(memoryTokens), ...options.engineArgs ?? []],
+                    ]),
+            );
+            engineUrls.push(engine.address);
+            const sidecar = await keep(startProcess(`sidecar-${name}`, [
+                ...["sidecar", "--endpoint", name, "--place", place, "--port", "0", "--engine", engine.address],
+                ...["--link-key", linkKey, "--log", ""],
+            ], index === 0 ? options.nodeArgs : []));
+            sidecars.push(sidecar);
+            const [address, port] = sidecar.address.split(":");
+            const host = { place, address, port: Number(port), state: "live" };
+            await fetch(`${hosts.address}/hosts/host-${name}`, { method: "PUT", body: JSON.stringify(host) });
+        }
+        const entry = await keep(startProcess("entry", [
+            ...["entry", "--place", place, "--port", "0", "--hosts", hosts.address, "--config", file],
+            ...["--link-key", linkKey, "--log", ""],
+        ], options.nodeArgs));
+        await waitUntilReady(entry.address, pathCaller);
+        await sleep(settleMs);
+        return { entry, sidecars, engineUrls, stop };
+    }
+    catch (error) {
+        await stop();
+        throw error;
+    }
+}
--- a/bench/lib/results.ts
+++ b/bench/lib/results.ts
@@ -13,7 +13,9 @@
     if (measure?.value === undefined) {
         return "no data";
     }
-    return measure.unit === "ms" ? `${formatMs(measure.value)} ms` : measure.value.toFixed(3);
+    return measure.unit === "ms"
+        ? `${formatMs(measure.value)} ms`
+        : `${measure.value.toFixed(3)} ${measure.unit}`.trim();
 }
 
 function formatVerdict(measure: Measure): string {
@@ -50,3 +52,16 @@
         ...results.map(result => `${result.policy}: ${result.tool}`),
     ].join("\n\n");
 }
+
+/** Formats measures that have no baseline. */
+export function formatMeasures(measures: readonly Measure[]): string {
+    return formatTable(
+        ["measure", "target", "measured", ""],
+        measures.map(measure => [
+            measure.name,
+            measure.kind === TargetKind.Shown ? "" : `${measure.kind} ${measure.target} ${measure.unit}`,
+            formatValue(measure),
+            formatVerdict(measure),
+        ]),
+    );
+}
