--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -12,11 +12,13 @@
 import { Configuration } from "../config/objects.js";
 import { LinkMessageType } from "../link/messages.js";
 import { HostList, HostRecord } from "../ports/hostList.js";
+import { LogService } from "../ports/logService.js";
 import { createRetryBudget, defaultRetryBudgetSettings } from "../retries/retryBudget.js";
 import { RoutingPolicy } from "../routing/routing.js";
 import { AttemptEventKind } from "./attempt.js";
 import { createCallerHandler, OperatorRoute } from "./callerServer.js";
 import { ConfigurationSource } from "./configurationSource.js";
+import { createCrashGuard } from "./crashGuard.js";
 import { EndpointLink } from "./endpointLink.js";
 import { ApertureFunction, createLinkDirectory, LinkDirectory } from "./linkDirectory.js";
 import { RequestListener, RequestPlan, RequestTask, startRequest } from "./requestTask.js";
@@ -43,6 +45,8 @@
     readonly log: EventLog;
     readonly hostList: HostList;
     readonly configuration: ConfigurationSource;
+    /** Where entries share crashes of endpoints; absent where no log is set up. */
+    readonly logService?: LogService;
     readonly policy: RoutingPolicy;
     readonly selectAperture: ApertureFunction;
     readonly connect: (host: HostRecord) => net.Socket;
@@ -69,6 +73,7 @@
 }
 
 const overloadRetryAfterMs = 1_000;
+const configurationSyncIntervalMs = 1_000;
 
 /**
  * Creates an entry from its ports.
@@ -87,17 +92,23 @@
     let decision = 0;
     let handleIdle: (() => void) | undefined;
 
-    function sendConfiguration(link: EndpointLink) {
-        const current = configuration.getCurrent();
-        if (!current) {
+    function syncConfiguration(link: EndpointLink) {
+        const generation = configuration.getCurrent()?.generation ?? -1;
+        if (link.getGeneration() > generation) {
             link.send({ type: LinkMessageType.ConfigurationRequest });
         }
-        else if (link.getGeneration() < current.generation) {
-            link.send({ type: LinkMessageType.Configuration, foldedOffset: current.generation, ...current });
+        else if (link.getGeneration() < generation) {
+            link.send(configuration.buildMessage()!);
         }
     }
 
-    const directory = createLinkDirectory({ ...settings, entry: settings.name, incarnation: makeId() }, {
+    const crashGuard = store.register(createCrashGuard({
+        timers,
+        log,
+        logService: parts.logService,
+        broadcast: message => directory.list().forEach(link => link.send(message)),
+    }));
+    const directory: LinkDirectory = createLinkDirectory({ ...settings, entry: settings.name, incarnation: makeId() }, {
         timers,
         random: parts.random,
         log,
@@ -105,9 +116,12 @@
         selectAperture: parts.selectAperture,
         connect: parts.connect,
         listener: {
-            handleOpened: sendConfiguration,
+            handleOpened(link) {
+                syncConfiguration(link);
+                crashGuard.listMessages().forEach(message => link.send(message));
+            },
             handleConfiguration: message => configuration.offer(message),
-            handleCrashReport: () => undefined,
+            handleCrashReport: (unused, message) => crashGuard.handleCrashReport(message),
         },
     });
 
@@ -158,6 +172,7 @@
             policy: parts.policy,
             place: settings.place,
             retryBudget,
+            checkFingerprint: fingerprint => crashGuard.check(fingerprint),
             countDecision: () => decision++,
         }, event => {
             if (event.kind === AttemptEventKind.Completed || event.kind === AttemptEventKind.Failed) {
@@ -195,9 +210,12 @@
     store.register(directory);
     store.register(configuration.subscribe(current => {
         directory.update(current);
-        directory.list().forEach(sendConfiguration);
+        directory.list().forEach(syncConfiguration);
     }));
 
+    // Repairs a configuration message that was lost with its connection, in either direction.
+    store.register(timers.subscribe(configurationSyncIntervalMs, () => directory.list().forEach(syncConfiguration)));
+
     return {
         state,
         handler: createCallerHandler({
--- a/src/entry/requestTask.ts
+++ b/src/entry/requestTask.ts
@@ -5,9 +5,11 @@
 import { buildRequestError, ErrorCode, RequestError } from "../base/requestError.js";
 import { TimerService } from "../base/timerService.js";
 import { mergeVerdicts, Verdict } from "../base/verdict.js";
+import { computePartition, defaultClaimPartitions, formatClaimStream } from "../idempotency/index.js";
 import { ModelWork, ServiceWork } from "../link/messages.js";
 import { RetryBudget } from "../retries/retryBudget.js";
 import { decideRetry, RetryDecision } from "../retries/retryPolicy.js";
+import { chooseByAffinity } from "../routing/affinityPolicy.js";
 import { RoutingPolicy } from "../routing/routing.js";
 import { AttemptEvent, AttemptEventKind } from "./attempt.js";
 import { EndpointLink } from "./endpointLink.js";
@@ -46,6 +48,8 @@
     readonly policy: RoutingPolicy;
     readonly place: string;
     readonly retryBudget: RetryBudget;
+    /** Returns the refusal of a request that must not run. */
+    checkFingerprint(fingerprint: string): RequestError | undefined;
     /** Counts decisions, for policies that take turns. */
     countDecision(): number;
 }
@@ -68,6 +72,7 @@
     const { timers, log } = context;
     const startedMs = timers.now();
     const deadlineMs = startedMs + plan.limitMs;
+    const isRepeatable = plan.service?.repeatable ?? true;
     const excluded = new Set<string>();
     const verdicts: Verdict[] = [];
     let attempts = 0;
@@ -154,7 +159,7 @@
         const decision = decideRetry({
             code: error.code,
             verdict: error.verdict,
-            repeatable: plan.service?.repeatable ?? true,
+            repeatable: isRepeatable,
             delivered,
             remainingMs: deadlineMs - timers.now(),
             attempts,
@@ -201,9 +206,16 @@
     }
 
     function attempt(lastError: RequestError | undefined) {
+        const refusal = context.checkFingerprint(plan.fingerprint);
+        if (refusal) {
+            fail(refusal);
+            return;
+        }
         const candidates = context.directory.listViews({ model: plan.model?.model, service: plan.service?.service });
         const remainingMs = deadlineMs - timers.now();
-        const choice = context.policy(
+        const affinityKey = computeAffinityKey(plan);
+        const policy = affinityKey === undefined ? context.policy : chooseByAffinity;
+        const choice = policy(
             {
                 id: plan.id,
                 caller: plan.caller,
@@ -213,7 +225,7 @@
                 prefixDigest: plan.model?.prefixDigest ?? "",
                 remainingMs,
                 excluded,
-                affinityKey: plan.service?.idempotencyKey,
+                affinityKey,
             },
             candidates,
             { place: context.place, random: context.random, decision: context.countDecision() },
@@ -234,18 +246,22 @@
             candidates: candidates.length,
         });
         current = { link, id };
-        link.dispatch({
-            request: id,
-            caller: plan.caller,
-            rank: plan.rank,
-            kind: plan.kind,
-            remainingMs,
-            waitedMs: plan.waitedMs + (timers.now() - startedMs),
-            fingerprint: plan.fingerprint,
-            attempt: attempts,
-            model: plan.model,
-            service: plan.service,
-        }, event => handleEvent(choice.endpoint, event));
+        link.dispatch(
+            {
+                request: id,
+                caller: plan.caller,
+                rank: plan.rank,
+                kind: plan.kind,
+                remainingMs,
+                waitedMs: plan.waitedMs + (timers.now() - startedMs),
+                fingerprint: plan.fingerprint,
+                attempt: attempts,
+                model: plan.model,
+                service: plan.service,
+            },
+            event => handleEvent(choice.endpoint, event),
+            () => isRepeatable && !delivered,
+        );
     }
 
     timer = timers.schedule(plan.limitMs, () => stop(ErrorCode.TimedOut, "the time limit passed"));
@@ -253,3 +269,11 @@
     attempt(undefined);
     return { cancel: () => stop(ErrorCode.Cancelled, "the caller closed its connection") };
 }
+
+/** A repeated call with a key goes to the sidecar that has probably folded the key's partition already. */
+function computeAffinityKey(plan: RequestPlan): string | undefined {
+    const key = plan.service?.idempotencyKey;
+    return key === undefined
+        ? undefined
+        : formatClaimStream(computePartition(plan.caller, key, defaultClaimPartitions));
+}
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -225,6 +225,17 @@
     readonly objects: unknown;
     /** Offset of the log up to which the sender had folded. */
     readonly foldedOffset: number;
+    /** What later folds need, with a digest over the whole; a sidecar keeps it for entries that start without a log. */
+    readonly fold?: ConfigurationFold;
+}
+
+/** The part of a checkpoint that is not the objects themselves. */
+export interface ConfigurationFold {
+    readonly shift: number;
+    readonly changed: unknown;
+    readonly deleted: unknown;
+    readonly ids: unknown;
+    readonly digest: string;
 }
 
 /** Entry → sidecar: asks for the configuration that the sidecar holds. */
@@ -232,16 +243,21 @@
     readonly type: LinkMessageType.ConfigurationRequest;
 }
 
-/** Entry → sidecar: a fingerprint that must not run. */
+/** Entry → sidecar: a fingerprint that must not run, or only alone. */
 export interface QuarantineMessage {
     readonly type: LinkMessageType.Quarantine;
     readonly fingerprint: string;
+    /** Wall-clock time at which this ends, in milliseconds since the Unix epoch. */
     readonly untilMs: number;
+    /** Whether it may run while nothing else runs on the endpoint. */
+    readonly isolated?: boolean;
 }
 
 /** Sidecar → entry: the endpoint died while these fingerprints ran. */
 export interface CrashReportMessage {
     readonly type: LinkMessageType.CrashReport;
+    /** Names the crash; every entry receives the same name. */
+    readonly crash: string;
     readonly fingerprints: readonly string[];
 }
 
