--- a/bench/lib/fleet.ts
+++ b/bench/lib/fleet.ts
@@ -1,3 +1,4 @@
+import { execFileSync } from "node:child_process";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -5,7 +6,7 @@
 import { stringify } from "yaml";
 import { computeDigest } from "../../src/base/ids.js";
 import { Experiment, experimentModel, makeCallerKey } from "./experiment.js";
-import { FleetProcess, runLimited, startProcess } from "./processes.js";
+import { FleetProcess, mainPath, runLimited, startProcess } from "./processes.js";
 
 /** A running fleet of real processes. */
 export interface Fleet {
@@ -34,6 +35,22 @@
 /** Time after the first answers in which every link opens and every sidecar reports its load. */
 const settleMs = 2_000;
 
+/** Routing of an entry that has no `--policy` flag. */
+const builtInRouting = "least-connections";
+let routingFlag: boolean | undefined;
+
+function hasRoutingFlag(): boolean {
+    routingFlag ??= execFileSync(process.execPath, [mainPath, "entry", "--help"], { encoding: "utf8" }).includes(
+        "--policy",
+    );
+    return routingFlag;
+}
+
+/** The routing that a policy really gets. */
+export function getRealRouting(policy: Policy): string {
+    return hasRoutingFlag() ? policy.routing : builtInRouting;
+}
+
 function planEndpoints(experiment: Experiment): readonly PlannedEndpoint[] {
     const endpoints: PlannedEndpoint[] = [];
     for (const group of experiment.engines) {
@@ -138,7 +155,7 @@
                 start(`entry-${index + 1}`, [
                     ...["entry", "--name", `entry-${index + 1}`, "--place", place, "--port", "0"],
                     ...["--hosts", hosts.address, "--config", file, "--link-key", linkKey, "--log", ""],
-                    ...(process.env.BENCH_NO_POLICY ? [] : ["--policy", policy.routing]),
+                    ...(hasRoutingFlag() ? ["--policy", policy.routing] : []),
                 ])
             ),
         );
--- a/bench/lib/loadProcesses.ts
+++ b/bench/lib/loadProcesses.ts
@@ -19,7 +19,7 @@
     const directory = await mkdtemp(join(tmpdir(), "jujubelane-load-"));
     const planFile = join(directory, "plan.yaml");
     await writeFile(planFile, stringify(plan));
-    const summaries = await Promise.all(Array.from({ length: count }, async (_, index) => {
+    const summaries = await Promise.all([...Array(count).keys()].map(async index => {
         const out = join(directory, String(index));
         const args = [
             mainPath,
--- a/bench/lib/pathFleet.ts
+++ b/bench/lib/pathFleet.ts
@@ -53,7 +53,7 @@
     }
 
     try {
-        const names = Array.from({ length: options.engines }, (_, index) => `engine-${index + 1}`);
+        const names = [...Array(options.engines).keys()].map(index => `engine-${index + 1}`);
         const callers: Record<string, unknown> = {};
         for (let index = 0; index <= (options.idleCallers ?? 0); index++) {
             const caller = index === 0 ? pathCaller : `caller-${index}`;
--- a/bench/lib/processes.ts
+++ b/bench/lib/processes.ts
@@ -3,7 +3,8 @@
 import { createInterface } from "node:readline";
 import { fileURLToPath } from "node:url";
 
-const mainPath = fileURLToPath(new URL("../../src/main.js", import.meta.url));
+/** The compiled command line. */
+export const mainPath = fileURLToPath(new URL("../../src/main.js", import.meta.url));
 const startTimeoutMs = 30_000;
 const stopTimeoutMs = 15_000;
 const keptLogLines = 50;
--- a/bench/run.ts
+++ b/bench/run.ts
@@ -9,12 +9,13 @@
 import { LoadRun, runLoad } from "../src/load/loadRunner.js";
 import { computeLoadSummary } from "../src/load/summary.js";
 import { startEngineSampler } from "./lib/engineSampler.js";
+import { measureEntryCost } from "./lib/entryCost.js";
 import { Experiment, readExperiment } from "./lib/experiment.js";
-import { Fleet, startFleet } from "./lib/fleet.js";
+import { Fleet, getRealRouting, startFleet } from "./lib/fleet.js";
 import { computeMeasures } from "./lib/measures.js";
 import { PlotRow, renderPlot } from "./lib/plot.js";
 import { readUsage } from "./lib/processes.js";
-import { formatComparison, PolicyResult } from "./lib/results.js";
+import { formatComparison, formatMeasures, PolicyResult } from "./lib/results.js";
 
 const quickPhaseScale = 0.2;
 const quickPolicies = 2;
@@ -60,7 +61,7 @@
         const summary = computeLoadSummary(run);
         const { lag, eventLoopBusy } = summary.overhead;
         return {
-            policy: policy.name,
+            policy: `${policy.name} (${policy.scheduler}, ${getRealRouting(policy)})`,
             run,
             measures: computeMeasures(experiment, run, sampler),
             details: formatLoadSummary(summary),
@@ -95,6 +96,8 @@
 const commit = execFileSync("git", ["rev-parse", "--short", "HEAD"], { encoding: "utf8" }).trim();
 const startedMs = Date.now();
 const sections: string[] = [];
+const entryCostName = "entry-cost";
+const entryCostSeed = 44;
 const details: string[] = [];
 const plotRows: PlotRow[] = [];
 const json: unknown[] = [];
@@ -104,6 +107,11 @@
     const path = `bench/experiments/${name}.yaml`;
     const experiment = await readExperiment(path, options.quick ? quickPhaseScale : 1);
     const policies = experiment.policies
+        .filter((policy, index, all) => {
+            const isSame = (other: typeof policy) =>
+                other.scheduler === policy.scheduler && getRealRouting(other) === getRealRouting(policy);
+            return all.findIndex(isSame) === index;
+        })
         .filter(policy => options.policy === undefined || policy.name === options.policy)
         .slice(0, options.quick ? quickPolicies : undefined);
     const results: PolicyRun[] = [];
@@ -131,6 +139,21 @@
     });
 }
 
+if (options.only === undefined || options.only === entryCostName) {
+    console.error(entryCostName);
+    const cost = await measureEntryCost(options.quick, entryCostSeed);
+    const load = `load average ${loadavg()[0]!.toFixed(1)}`;
+    const section = [
+        `## Entry's own cost, seed ${entryCostSeed}`,
+        formatMeasures(cost.measures),
+        ...cost.notes,
+        load,
+    ].join("\n\n");
+    console.log(section);
+    sections.push(section);
+    json.push({ experiment: entryCostName, seed: entryCostSeed, ...cost, load });
+}
+
 const head = `Command \`${command}\`, commit ${commit}, ${((Date.now() - startedMs) / 1000).toFixed(0)} s. `
     + "The machine is shared with other work; the load average beside each policy is the machine's.";
 const title = options.quick ? "Benchmark, quick" : "Benchmark";
@@ -143,6 +166,11 @@
     join(options.out, `${prefix}${suffix}.json`),
     JSON.stringify({ command, commit, json }, undefined, 1) + "\n",
 );
-await writeFile(join(options.out, `${prefix}${suffix}.svg`), await renderPlot(plotRows, "Time to the first token"));
+if (plotRows.length > 0) {
+    await writeFile(
+        join(options.out, `${prefix}${suffix}.svg`),
+        await renderPlot(plotRows, `Time to the first token, seeds in ${prefix}${suffix}.json`),
+    );
+}
 console.error(`finished in ${((Date.now() - startedMs) / 1000).toFixed(0)} s; results in ${options.out}`);
 process.exit(problems === 0 ? 0 : 1);
