--- /dev/null
+++ b/bench/capacity.ts
@@ -0,0 +1,59 @@
+// Measures how the costs of entry, sidecar and log grow, each at four sizes or more, and fits a line to each.
+// node --expose-gc out/bench/capacity.js [--only GROUP]
+import { execFileSync } from "node:child_process";
+import { mkdir, writeFile } from "node:fs/promises";
+import { loadavg } from "node:os";
+import { parseArgs } from "node:util";
+import { formatEvenness } from "./lib/evenness.js";
+import { formatSlopes, Slope } from "./lib/fit.js";
+import {
+    measureCallers,
+    measureClaims,
+    measureConfiguration,
+    measureLogGroups,
+    measureQueue,
+} from "./lib/slopesInProcess.js";
+import { measureEntryAtRest, measureInFlight, measureTokens } from "./lib/slopesProcess.js";
+
+const seed = 45;
+const resultsDirectory = "bench/results";
+const groups: Readonly<Record<string, () => readonly Slope[] | Promise<readonly Slope[]>>> = {
+    "configuration": measureConfiguration,
+    "callers": measureCallers,
+    "queue": measureQueue,
+    "claims": measureClaims,
+    "log": measureLogGroups,
+    "in-flight": measureInFlight,
+    "rest": measureEntryAtRest,
+    "tokens": () => measureTokens(seed),
+};
+
+const { values: options } = parseArgs({ options: { only: { type: "string", multiple: true } } });
+const commit = execFileSync("git", ["rev-parse", "--short", "HEAD"], { encoding: "utf8" }).trim();
+const evennessName = "evenness";
+const isSelected = (name: string) => options.only === undefined || options.only.includes(name);
+await mkdir(resultsDirectory, { recursive: true });
+
+for (const [name, measure] of Object.entries(groups)) {
+    if (!isSelected(name)) {
+        continue;
+    }
+    const slopes = await measure();
+    const head = `Command \`npm run capacity -- --only ${name}\`, seed ${seed}, commit ${commit}, `
+        + `load average ${loadavg()[0]!.toFixed(1)} on ${execFileSync("nproc", { encoding: "utf8" }).trim()} cores.`;
+    const text = `## Slopes: ${name}\n\n${head}\n\n${formatSlopes(slopes)}\n`;
+    console.log(text);
+    await writeFile(`${resultsDirectory}/capacity-${name}.md`, text);
+    await writeFile(
+        `${resultsDirectory}/capacity-${name}.json`,
+        JSON.stringify({ commit, seed, slopes }, undefined, 1) + "\n",
+    );
+}
+if (isSelected(evennessName)) {
+    const text =
+        `## Aperture at full size\n\nCommand \`npm run capacity -- --only ${evennessName}\`, commit ${commit}. `
+        + `610 entries, 7,700 endpoints of 7 models in 6 data centres.\n\n${formatEvenness()}\n`;
+    console.log(text);
+    await writeFile(`${resultsDirectory}/capacity-${evennessName}.md`, text);
+}
+process.exit(0);
--- /dev/null
+++ b/bench/lib/fit.ts
@@ -0,0 +1,53 @@
+import { formatTable } from "../../src/load/loadReport.js";
+
+/** One measurement at one size. */
+export interface SlopePoint {
+    readonly size: number;
+    readonly value: number;
+}
+
+/** A measured slope: cost as a linear function of a size. */
+export interface Slope {
+    readonly name: string;
+    /** What the size counts. */
+    readonly per: string;
+    readonly unit: string;
+    readonly points: readonly SlopePoint[];
+    readonly slope: number;
+    readonly intercept: number;
+    /** Share of the variance that the line explains; 1 for an exact line. */
+    readonly fitQuality: number;
+}
+
+/** Fits a line through points by least squares. */
+export function fitSlope(name: string, per: string, unit: string, points: readonly SlopePoint[]): Slope {
+    const mean = (values: readonly number[]) => values.reduce((sum, value) => sum + value, 0) / values.length;
+    const meanSize = mean(points.map(point => point.size));
+    const meanValue = mean(points.map(point => point.value));
+    const sum = (read: (point: SlopePoint) => number) => points.reduce((total, point) => total + read(point), 0);
+    const sizeVariance = sum(point => (point.size - meanSize) ** 2);
+    const slope = sum(point => (point.size - meanSize) * (point.value - meanValue)) / sizeVariance;
+    const intercept = meanValue - slope * meanSize;
+    const total = sum(point => (point.value - meanValue) ** 2);
+    const rest = sum(point => (point.value - intercept - slope * point.size) ** 2);
+    return { name, per, unit, points, slope, intercept, fitQuality: total === 0 ? 1 : 1 - rest / total };
+}
+
+function formatNumber(value: number): string {
+    return value === 0 ? "0" : Number(value.toPrecision(3)).toString();
+}
+
+/** Formats slopes as a Markdown table. */
+export function formatSlopes(slopes: readonly Slope[]): string {
+    return formatTable(
+        ["cost", "per", "slope", "at size 0", "R²", "points (size: value)"],
+        slopes.map(slope => [
+            slope.name,
+            slope.per,
+            `${formatNumber(slope.slope)} ${slope.unit}`,
+            `${formatNumber(slope.intercept)} ${slope.unit}`,
+            slope.fitQuality.toFixed(3),
+            slope.points.map(point => `${point.size}: ${formatNumber(point.value)}`).join(", "),
+        ]),
+    );
+}
--- /dev/null
+++ b/bench/lib/slopesProcess.ts
@@ -0,0 +1,242 @@
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import * as http from "node:http";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { fileURLToPath } from "node:url";
+import { stringify } from "yaml";
+import { computeDigest } from "../../src/base/ids.js";
+import { loadPlanSchema } from "../../src/load/loadPlan.js";
+import { experimentModel, makeCallerKey } from "./experiment.js";
+import { fitSlope, Slope, SlopePoint } from "./fit.js";
+import { runLoadProcesses } from "./loadProcesses.js";
+import { pathCaller, startPathFleet } from "./pathFleet.js";
+import { FleetProcess, readUsage, startProcess } from "./processes.js";
+
+const farmPath = fileURLToPath(new URL("./sidecarFarm.js", import.meta.url));
+const fastEnginePath = fileURLToPath(new URL("./fastEngine.js", import.meta.url));
+const bytesPerKiB = 1024;
+const millisecondsPerSecond = 1000;
+const settleMs = 2_500;
+const measureSeconds = 6;
+
+interface FarmOptions {
+    readonly links: number;
+    readonly knownEndpoints?: number;
+    readonly listedHosts?: number;
+}
+
+interface FarmStats {
+    readonly linkBytes: number;
+    readonly links: number;
+    readonly pollBytes: number;
+}
+
+async function withFarm<Value>(
+    options: FarmOptions,
+    measure: (entry: FleetProcess, readStats: () => Promise<FarmStats>) => Promise<Value>,
+): Promise<Value> {
+    const directory = await mkdtemp(join(tmpdir(), "jujubelane-farm-"));
+    const farm = await startProcess("farm", [String(options.links), String(options.listedHosts ?? 0)], [], farmPath);
+    let entry: FleetProcess | undefined;
+    try {
+        const names = [...Array(options.links + (options.knownEndpoints ?? 0)).keys()].map(index =>
+            `engine-${index + 1}`
+        );
+        const file = join(directory, "configuration.yaml");
+        await writeFile(
+            file,
+            stringify({
+                models: { [experimentModel]: { version: "main-v1" } },
+                versions: { "main-v1": { model: experimentModel, weights: "main-v1" } },
+                ranks: { normal: { urgency: 0, timeLimitMs: 120_000 } },
+                kinds: { question: { rank: "normal" } },
+                callers: {
+                    [pathCaller]: { keyDigests: [computeDigest(makeCallerKey(pathCaller))], defaultKind: "question" },
+                },
+                endpoints: Object.fromEntries(names.map(name => [
+                    name,
+                    {
+                        host: `host-${name}`,
+                        place: "here",
+                        model: experimentModel,
+                        checksFencing: true,
+                        memoryTokens: 100_000_000,
+                        maxRunning: 10_000,
+                    },
+                ])),
+            }),
+        );
+        entry = await startProcess("entry", [
+            ...["entry", "--place", "here", "--port", "0", "--hosts", farm.address, "--config", file],
+            ...["--link-key", "bench", "--log", ""],
+        ]);
+        const readStats = async () => await (await fetch(`${farm.address}/stats`)).json() as FarmStats;
+        for (let tries = 0; tries < 100 && (await readStats()).links < options.links; tries++) {
+            await sleep(100);
+        }
+        await sleep(settleMs);
+        return await measure(entry, readStats);
+    }
+    finally {
+        await entry?.stop();
+        await farm.stop();
+        await rm(directory, { recursive: true, force: true });
+    }
+}
+
+interface RestUsage {
+    /** Processor time as a share of a core. */
+    readonly processor: number;
+    readonly residentKiB: number;
+    readonly linkBytesPerSecond: number;
+    readonly pollBytesPerSecond: number;
+}
+
+async function measureRest(entry: FleetProcess, readStats: () => Promise<FarmStats>): Promise<RestUsage> {
+    const before = readUsage(entry.processId);
+    const statsBefore = await readStats();
+    await sleep(measureSeconds * millisecondsPerSecond);
+    const after = readUsage(entry.processId);
+    const statsAfter = await readStats();
+    return {
+        processor: (after.processorSeconds - before.processorSeconds) / measureSeconds,
+        residentKiB: after.residentBytes / bytesPerKiB,
+        linkBytesPerSecond: (statsAfter.linkBytes - statsBefore.linkBytes) / measureSeconds,
+        pollBytesPerSecond: (statsAfter.pollBytes - statsBefore.pollBytes) / measureSeconds,
+    };
+}
+
+async function measureRestSlopes(
+    per: string,
+    sizes: readonly number[],
+    makeOptions: (size: number) => FarmOptions,
+    traffic: "linkBytesPerSecond" | "pollBytesPerSecond",
+): Promise<readonly Slope[]> {
+    const points: { readonly size: number; readonly usage: RestUsage }[] = [];
+    for (const size of sizes) {
+        points.push({ size, usage: await withFarm(makeOptions(size), measureRest) });
+    }
+    const select = (read: (usage: RestUsage) => number) =>
+        points.map(({ size, usage }) => ({ size, value: read(usage) }));
+    return [
+        fitSlope("entry: processor share of a core at rest", per, "cores", select(usage => usage.processor)),
+        fitSlope("entry: resident memory", per, "KiB", select(usage => usage.residentKiB)),
+        fitSlope(
+            `entry: ${traffic === "linkBytesPerSecond" ? "link" : "host list"} traffic`,
+            per,
+            "B/s",
+            select(usage => usage[traffic]),
+        ),
+    ];
+}
+
+/** Cost of an idle link, of an endpoint that is configured without a link, and of a listed host. */
+export async function measureEntryAtRest(): Promise<readonly Slope[]> {
+    return [
+        ...await measureRestSlopes("idle link", [20, 80, 160, 336], links => ({ links }), "linkBytesPerSecond"),
+        ...await measureRestSlopes(
+            "endpoint known without a link",
+            [500, 2_000, 4_000, 7_700],
+            knownEndpoints => ({ links: 4, knownEndpoints }),
+            "linkBytesPerSecond",
+        ),
+        ...await measureRestSlopes(
+            "host in the host list",
+            [500, 2_000, 4_000, 7_700],
+            listedHosts => ({ links: 4, listedHosts }),
+            "pollBytesPerSecond",
+        ),
+    ];
+}
+
+function holdRequest(url: string, prompt: string, agent: http.Agent): http.ClientRequest {
+    const request = http.request(`${url}/v1/completions`, {
+        agent,
+        method: "POST",
+        headers: { "authorization": `Bearer ${makeCallerKey(pathCaller)}`, "content-type": "application/json" },
+    });
+    request.on("error", () => undefined);
+    request.end(JSON.stringify({ model: experimentModel, prompt, max_tokens: 100, stream: true }));
+    return request;
+}
+
+/** Memory of a request of 2,000 tokens that waits for its first token. */
+export async function measureInFlight(): Promise<readonly Slope[]> {
+    const promptBytes = 8_000;
+    const sizes = [250, 500, 1_000, 2_000];
+    const points = await withFarm({ links: 4 }, async entry => {
+        const agent = new http.Agent({ maxSockets: Infinity });
+        const found: SlopePoint[] = [];
+        let held = 0;
+        const requests: http.ClientRequest[] = [];
+        for (const size of sizes) {
+            for (; held < size; held++) {
+                requests.push(holdRequest(entry.address, `${held} ${"x".repeat(promptBytes)}`, agent));
+                if (held % 50 === 0) {
+                    await sleep(50);
+                }
+            }
+            await sleep(settleMs);
+            found.push({ size, value: readUsage(entry.processId).residentBytes / bytesPerKiB });
+        }
+        requests.forEach(request => request.destroy());
+        return found;
+    });
+    return [fitSlope("entry: resident memory", "request in flight (8 kB prompt)", "KiB", points)];
+}
+
+/** Processor time of entry and sidecars by streamed tokens, at two rates of one stream. */
+export async function measureTokens(seed: number): Promise<readonly Slope[]> {
+    const tokensPerRequest = 250;
+    const seconds = 5;
+    const slopes: Slope[] = [];
+    for (const streamRate of [60, 200]) {
+        const entryPoints: SlopePoint[] = [];
+        const sidecarPoints: SlopePoint[] = [];
+        const fleet = await startPathFleet({
+            engines: 4,
+            engineScript: { path: fastEnginePath, args: ["5", String(streamRate)] },
+        });
+        try {
+            for (const rate of [10, 30, 60, 100]) {
+                const plan = loadPlanSchema.parse({
+                    name: "tokens",
+                    model: experimentModel,
+                    keys: { [pathCaller]: makeCallerKey(pathCaller) },
+                    streams: {
+                        path: {
+                            rank: "normal",
+                            callers: { [pathCaller]: 1 },
+                            prompt: [{ weight: 1, minTokens: 1_000, maxTokens: 4_000 }],
+                            minOutputTokens: tokensPerRequest,
+                            maxOutputTokens: tokensPerRequest,
+                        },
+                    },
+                    phases: [{ name: "load", seconds, rates: { path: rate / 2 } }],
+                });
+                const before = readUsage(fleet.entry.processId).processorSeconds;
+                const sidecarsBefore = sumProcessor(fleet.sidecars);
+                const summaries = await runLoadProcesses(plan, seed, fleet.entry.address, 2);
+                const tokens = summaries.reduce((sum, summary) => sum + summary.all.outputTokens, 0);
+                const size = Math.round(tokens / seconds);
+                entryPoints.push({
+                    size,
+                    value: (readUsage(fleet.entry.processId).processorSeconds - before) / seconds,
+                });
+                sidecarPoints.push({ size, value: (sumProcessor(fleet.sidecars) - sidecarsBefore) / seconds });
+            }
+        }
+        finally {
+            await fleet.stop();
+        }
+        const per = `streamed token a second (streams of ${streamRate} tokens/s, 250 tokens a request)`;
+        slopes.push(fitSlope("entry: processor share of a core", per, "cores", entryPoints));
+        slopes.push(fitSlope("sidecars: processor share of a core", per, "cores", sidecarPoints));
+    }
+    return slopes;
+}
+
+function sumProcessor(processes: readonly FleetProcess[]): number {
+    return processes.reduce((sum, { processId }) => sum + readUsage(processId).processorSeconds, 0);
+}
