--- a/src/emulator/log/logModel.ts
+++ b/src/emulator/log/logModel.ts
@@ -100,10 +100,12 @@
         return offset;
     }
 
+    /** Never resolves while the service does not answer. */
+    function holdCall(): Promise<void> | undefined {
+        return faults.unresponsive ? new Promise(() => undefined) : undefined;
+    }
+
     function checkCall(stream: string): Exclude<LogReply<never>, { kind: LogReplyKind.Answered }> | undefined {
-        if (faults.unresponsive) {
-            return { kind: LogReplyKind.Lost, message: "the service does not answer" };
-        }
         if (faults.unavailable) {
             return { kind: LogReplyKind.Unavailable, message: "the service is unavailable" };
         }
@@ -134,6 +136,7 @@
 
     return {
         async append(stream, values) {
+            await holdCall();
             const failure = checkCall(stream);
             if (failure) {
                 return failure;
@@ -158,6 +161,7 @@
         async read(stream, fromOffset, limit, waitMs) {
             const endMs = timers.now() + waitMs;
             for (;;) {
+                await holdCall();
                 const failure = checkCall(stream);
                 if (failure) {
                     return failure;
--- a/src/idempotency/claimFold.ts
+++ b/src/idempotency/claimFold.ts
@@ -222,12 +222,17 @@
         }
     }
 
+    /** Whether the page shows another record where this fold has seen its last one. */
     function isStartedAnew(page: LogPage): boolean {
-        const overlap = page.records.find(record => record.offset === last?.offset);
+        const overlap = findOverlap(page);
         return page.endOffset < nextOffset
             || (last !== undefined && overlap !== undefined && !isSameRecord(last, overlap));
     }
 
+    function findOverlap(page: LogPage): LogRecord | undefined {
+        return page.records.find(record => record.offset === last?.offset);
+    }
+
     return {
         getReadOffset: () => last?.offset ?? nextOffset,
         getNextOffset: () => nextOffset,
@@ -238,9 +243,12 @@
                 knownFromMs = undefined;
                 return false;
             }
-            if (page.firstOffset > nextOffset || knownFromMs === undefined) {
+            // Without the last record at its offset nothing shows that the records after it are the same stream's.
+            const isContinuous = last === undefined || findOverlap(page) !== undefined;
+            if (!isContinuous || page.firstOffset > nextOffset || knownFromMs === undefined) {
                 knownFromMs = page.records[0]?.timeMs;
                 nextOffset = Math.max(nextOffset, page.firstOffset);
+                last = undefined;
             }
             for (const record of page.records) {
                 if (record.offset >= nextOffset) {
--- a/src/sidecar/claims/claimPartition.ts
+++ b/src/sidecar/claims/claimPartition.ts
@@ -45,6 +45,7 @@
     let isPolling = false;
 
     async function readToEnd(): Promise<boolean> {
+        const startOffset = fold.getNextOffset();
         try {
             for (;;) {
                 const fromOffset = fold.getReadOffset();
@@ -60,16 +61,18 @@
                 }
                 const last = page.records.at(-1);
                 if (!last || last.offset + 1 >= page.endOffset) {
-                    return true;
+                    break;
                 }
             }
         }
         catch {
             return false;
         }
-        finally {
+        // Sends that wait read again after a change; a read without news must not wake them, or they wake each other.
+        if (fold.getNextOffset() !== startOffset) {
             emitChange();
         }
+        return true;
     }
 
     function emitChange() {
--- a/test/sidecar/claims/atMostOnce.test.ts
+++ b/test/sidecar/claims/atMostOnce.test.ts
@@ -367,3 +367,18 @@
         );
     });
 }
+
+test("sends that wait for a holder while the log is down read at a bounded rate and do not wake each other", async () => {
+    const { world, first, second, key } = await createScene();
+    world.onStep = (node, step) => node === first && step === Step.CallSent && node.crash();
+    first.send(key);
+    await world.advance(200);
+    await world.settle(second.send(key, { limitMs: 300 }).end);
+    world.model.updateFaults({ unavailable: true });
+    world.trace.length = 0;
+    const sends = [second.send(key), second.send(key)];
+    await world.settle(Promise.all(sends.map(send => send.end)));
+    const reads = world.trace.filter(entry => entry.endsWith(Step.ReadSent)).length;
+    assert.ok(reads < 100, `${reads} reads in 5 s`);
+    checkRuns(world, sends);
+});
--- a/test/sidecar/claims/world.ts
+++ b/test/sidecar/claims/world.ts
@@ -62,9 +62,12 @@
     readonly runs: readonly ServiceCall[];
     /** What the service does with calls. */
     readonly service: { delayMs: number; lostAnswers: number; refusedConnections: number };
+    /** Steps of all nodes so far, in order: one interleaving. */
+    readonly trace: string[];
     /** Called at each step of each node. */
     onStep: (node: TestNode, step: Step) => void;
-    addNode(name: string): TestNode;
+    /** Adds a node whose wall clock differs from the log's by `clockOffsetMs`. */
+    addNode(name: string, clockOffsetMs?: number): TestNode;
     /** Moves time forward in small steps and lets everything that is due happen. */
     advance(durationMs: number): Promise<void>;
     /** Moves time forward until a promise is settled. */
@@ -238,10 +241,14 @@
             : { kind: ServiceResultKind.Answered, status: 201, headers: {}, body: Buffer.from(`run ${count}`) };
     }
 
-    function addNode(name: string): TestNode {
-        const gate = createGate(timers);
+    function addNode(name: string, clockOffsetMs = 0): TestNode {
+        const gate = createGate({ ...timers, wallNow: () => timers.wallNow() + clockOffsetMs });
         const shared = createMemoryLogService(model, timers, answerTimeoutMs);
-        const step = (at: Step) => world.onStep(node, at);
+
+        function step(at: Step) {
+            world.trace.push(`${name} ${at}`);
+            world.onStep(node, at);
+        }
 
         async function observe<Value>(sent: Step, answered: Step, call: () => Promise<Value>): Promise<Value> {
             step(sent);
@@ -328,6 +335,7 @@
         model,
         runs,
         service,
+        trace: [],
         onStep: () => undefined,
         addNode,
         advance,
