--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -15,19 +15,23 @@
 import { LogService } from "../ports/logService.js";
 import { createRetryBudget, defaultRetryBudgetSettings } from "../retries/retryBudget.js";
 import { RoutingPolicy } from "../routing/routing.js";
-import { AttemptEventKind } from "./attempt.js";
+import { createTokenEstimate } from "../routing/tokenEstimate.js";
+import { AttemptEvent, AttemptEventKind } from "./attempt.js";
 import { createCallerHandler, OperatorRoute } from "./callerServer.js";
 import { ConfigurationSource } from "./configurationSource.js";
 import { createCrashGuard } from "./crashGuard.js";
 import { EndpointLink } from "./endpointLink.js";
 import { ApertureFunction, createLinkDirectory, LinkDirectory } from "./linkDirectory.js";
 import { RequestListener, RequestPlan, RequestTask, startRequest } from "./requestTask.js";
+import { createTicketDesk } from "./ticketDesk.js";
 
 /** Settings of an entry. */
 export interface EntrySettings {
     readonly name: string;
     readonly place: string;
     readonly linkKey: string;
+    /** Key that signs tickets, shared by the entries; the link key when empty. */
+    readonly ticketKey?: string;
     readonly heartbeatIntervalMs: number;
     readonly maxFrameBytes: number;
     readonly resumeGraceMs: number;
@@ -49,6 +53,8 @@
     readonly logService?: LogService;
     readonly policy: RoutingPolicy;
     readonly selectAperture: ApertureFunction;
+    /** Tells the policy how many tokens of a prefix an engine found in its cache. */
+    readonly recordUsage?: (prefixDigest: string, cachedTokens: number) => void;
     readonly connect: (host: HostRecord) => net.Socket;
     /** Builds the operators' routes from the parts that they report on. */
     readonly createOperatorRoute: (state: EntryState) => OperatorRoute;
@@ -87,6 +93,9 @@
     const store = createDisposableStore();
     const metrics = createMetrics();
     const retryBudget = createRetryBudget(defaultRetryBudgetSettings);
+    const tokens = createTokenEstimate();
+    // Without any key tickets are honoured by this entry alone, until it ends.
+    const tickets = createTicketDesk(settings.ticketKey || settings.linkKey || makeId(), timers, log);
     const requests = new Set<RequestTask>();
     let draining = false;
     let decision = 0;
@@ -127,7 +136,8 @@
 
     function observe(plan: RequestPlan, listener: RequestListener, startedMs: number): RequestListener {
         let isFirst = true;
-        return event => {
+        return received => {
+            const event = appendTicket(plan, received, startedMs);
             if (event.kind === AttemptEventKind.Items && isFirst) {
                 isFirst = false;
                 const elapsedMs = timers.now() - startedMs;
@@ -135,6 +145,10 @@
                 metrics.recordDuration("jujubelane_first_token_seconds", help, elapsedMs, { rank: plan.rank });
             }
             listener(event);
+            if (event.kind === AttemptEventKind.Completed && plan.model && event.usage) {
+                tokens.record(plan.model.model, Buffer.byteLength(plan.model.prompt), event.usage.promptTokens);
+                parts.recordUsage?.(plan.model.prefixDigest, event.usage.cachedTokens);
+            }
             if (event.kind === AttemptEventKind.Completed || event.kind === AttemptEventKind.Failed) {
                 const result = event.kind === AttemptEventKind.Failed ? event.error.code : "completed";
                 metrics.count("jujubelane_requests_total", "Requests by rank and result.", { rank: plan.rank, result });
@@ -142,6 +156,14 @@
         };
     }
 
+    function appendTicket(plan: RequestPlan, event: AttemptEvent, startedMs: number): AttemptEvent {
+        if (event.kind !== AttemptEventKind.Failed) {
+            return event;
+        }
+        const waitedMs = plan.waitedMs + timers.now() - startedMs;
+        return { ...event, error: tickets.appendTicket(event.error, plan, waitedMs) };
+    }
+
     function refuse(plan: RequestPlan, listener: RequestListener): RequestTask {
         log(LogEvent.RequestRefused, { request: plan.id, caller: plan.caller, code: ErrorCode.Overloaded });
         const message = "the entry has too many requests in progress";
@@ -221,6 +243,11 @@
         handler: createCallerHandler({
             maxBodyBytes: settings.maxBodyBytes,
             maxUnsentBytes: settings.maxUnsentBytes,
+            timers,
+            tokens,
+            tickets,
+            log,
+            listViews: target => directory.listViews(target),
             wallNow: () => timers.wallNow(),
             start,
             getConfiguration: () => configuration.getCurrent(),
--- a/src/entry/linkDirectory.ts
+++ b/src/entry/linkDirectory.ts
@@ -45,6 +45,8 @@
     readonly link: EndpointLink;
     readonly address: string;
     object: EndpointObject;
+    /** Set when the configuration names the endpoint no more: it gets no new work and closes when its last request ends. */
+    retired: boolean;
 }
 
 const hostListIntervalMs = 1_000;
@@ -61,7 +63,7 @@
     const store = createDisposableStore();
     const entries = new Map<string, DirectoryEntry>();
     let hosts = new Map<string, HostRecord>();
-    let configuration: Configuration | undefined;
+    let wanted: ReadonlyMap<string, EndpointObject> = new Map();
 
     function openLink(name: string, object: EndpointObject, host: HostRecord) {
         const link = createEndpointLink(
@@ -73,7 +75,7 @@
             parts.log,
             parts.listener,
         );
-        entries.set(name, { link, address: `${host.address}:${host.port}`, object });
+        entries.set(name, { link, address: `${host.address}:${host.port}`, object, retired: false });
     }
 
     function closeLink(name: string) {
@@ -83,13 +85,14 @@
     }
 
     function reconcile() {
-        const wanted = new Map(parts.selectAperture(Object.entries(configuration?.objects.endpoints ?? {})));
         for (const [name, entry] of entries) {
             const host = hosts.get(wanted.get(name)?.host ?? "");
             const moved = host && `${host.address}:${host.port}` !== entry.address;
             // A host that is missing from the list is not believed dead while its link answers or holds requests.
-            const isIdle = entry.link.getState() !== LinkState.Open && entry.link.getOutstanding().requests === 0;
-            if (!wanted.has(name) || (isIdle && (moved || !host))) {
+            const isUnused = entry.link.getOutstanding().requests === 0;
+            const isIdle = isUnused && entry.link.getState() !== LinkState.Open;
+            entry.retired = !wanted.has(name);
+            if ((entry.retired && isUnused) || (isIdle && (moved || !host))) {
                 closeLink(name);
             }
         }
@@ -125,11 +128,12 @@
         return {
             name,
             place: object.place,
-            available: link.getState() === LinkState.Open && !link.isLeaving() && !isListedLeaving && isServing,
+            available: isServing && !entry.retired && !link.isLeaving() && !isListedLeaving
+                && link.getState() === LinkState.Open,
             load,
             loadAgeMs: link.getLoadAgeMs(),
             outstandingRequests: outstanding.requests,
-            outstandingPrefillTokens: outstanding.prefillTokens,
+            dispatched: outstanding.dispatched,
             latencyMs: link.getLatencyMs(),
             warmPrefixes: noPrefixes,
         };
@@ -140,7 +144,7 @@
 
     return {
         update(next) {
-            configuration = next;
+            wanted = new Map(parts.selectAperture(Object.entries(next.objects.endpoints)));
             reconcile();
         },
         get: endpoint => entries.get(endpoint)?.link,
