--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -24,6 +24,7 @@
 import { OrphanState } from "./engineAudit.js";
 import { createEngineScheduler } from "./engineScheduler.js";
 import { EngineSide } from "./engineSide.js";
+import { chunkIntervalMs, createBatchingRunner } from "./itemBatcher.js";
 import { createLinkServer, LinkServerSettings } from "./linkServer.js";
 import { buildSchedulerPolicy } from "./schedulerPolicy.js";
 import { Work, WorkRunner, WorkState } from "./work.js";
@@ -116,6 +117,7 @@
             queued: report.queued,
             pendingPrefillTokens: report.pendingPrefillTokens,
             reservedTokens: report.reservedTokens,
+            largestRequestTokens: report.largestRequestTokens,
             memoryTokens: engineReport?.memoryTokens ?? 0,
             prefillTokensPerSecond: engineReport?.prefillTokensPerSecond ?? 0,
             decodeTokensPerSecond: engineReport?.decodeTokensPerSecond ?? 0,
@@ -148,7 +150,7 @@
         timers,
         log,
         scheduler,
-        runner: parts.runner,
+        runner: createBatchingRunner(parts.runner, timers, chunkIntervalMs),
         retainEndedMs: settings.retainEndedMs,
         send: (session, message) => links.send(session, message),
         makeLoad,
