Let crash suspects share an engine from their first token on

Cause: every request that ran on an engine that died is a suspect, also when the engine was killed.

A suspect now passes its prefill apart from other suspects and shares the engine afterwards.

--- a/src/sidecar/engineScheduler.ts
+++ b/src/sidecar/engineScheduler.ts
@@ -2,18 +2,42 @@
 
 /** What the order of work takes from the engine's state. */
 export interface EngineSchedulerParts {
-    /** Whether a fingerprint must run alone now. */
+    /** Whether a fingerprint ran when an engine crashed. */
     isSuspect(fingerprint: string): boolean;
     /** Tokens of the engine's memory that no scheduled request accounts for. */
     getForeignTokens(): number;
 }
 
+/** Longest time that a suspect waits for an idle engine, in milliseconds, and as a share of its remaining time. */
+const maxIdleWaitMs = 500;
+const idleWaitShare = 0.1;
+/** Time for which nothing else starts beside a suspect unless its first token comes earlier, in milliseconds. */
+const aloneMs = 250;
+
+interface WaitingSuspect {
+    readonly item: WorkItem;
+    /** When it starts although the engine is busy. */
+    readonly dueMs: number;
+}
+
+interface RunningSuspect {
+    readonly item: WorkItem;
+    readonly aloneUntilMs: number;
+}
+
+function computeReservation(item: WorkItem): number {
+    return item.promptTokens + item.maxOutputTokens;
+}
+
 /**
  * Wraps a scheduler for an engine.
  *
- * A suspect of a crash runs alone: it starts once nothing else runs, and nothing else starts before it has ended. A
- * crash then shows whether the suspect caused it, and costs no other request. Memory that others use delays starts but
- * refuses no prompt, because the audit gives it back.
+ * Suspects of a crash pass their prefill one at a time, so that another crash shows which of them caused it. A suspect
+ * prefers an idle engine, and nothing starts beside it at first, because a crash costs what runs beside it; but it
+ * waits only a part of its time and shares the engine from its first token on, because all that ran on an engine that
+ * died of another cause are suspects too. Running them alone to their ends made two of 6 s time out after such a death.
+ *
+ * Memory that nobody scheduled delays starts but refuses no prompt, because the audit gives it back.
  *
  * @example
  * const scheduler = createEngineScheduler(createFirstComeScheduler(policy), policy, engineSide);
@@ -24,31 +48,54 @@
     parts: EngineSchedulerParts,
 ): Scheduler {
     let policy = initialPolicy;
-    let waiting: WorkItem[] = [];
-    let alone: WorkItem | undefined;
+    let waiting: WaitingSuspect[] = [];
+    /** The suspect that has not produced a token yet. */
+    let suspect: RunningSuspect | undefined;
+    const passedSuspects = new Map<string, WorkItem>();
 
-    function takeSuspect(): readonly WorkItem[] {
-        if (inner.report().running === 0) {
-            alone = waiting.shift();
-        }
-        return alone ? [alone] : [];
+    function addSuspect(item: WorkItem, nowMs: number) {
+        const waitMs = Math.min(maxIdleWaitMs, (item.deadlineMs - nowMs) * idleWaitShare);
+        waiting.push({ item, dueMs: nowMs + waitMs });
+    }
+
+    function getSuspectTokens(): number {
+        const running = [...passedSuspects.values(), ...(suspect ? [suspect.item] : [])];
+        return running.reduce((sum, item) => sum + computeReservation(item), 0);
+    }
+
+    function isRoomFor(item: WorkItem): boolean {
+        const running = countRunning();
+        const usedTokens = inner.report().reservedTokens + getSuspectTokens() + parts.getForeignTokens();
+        const { memoryTokens, maxRunning } = policy.capacity;
+        return running === 0 || (running < maxRunning && usedTokens + computeReservation(item) <= memoryTokens);
+    }
+
+    function countRunning(): number {
+        return inner.report().running + passedSuspects.size + (suspect ? 1 : 0);
     }
 
-    /** Starts what the inner scheduler allows, but for items that have become suspects in its queue. */
+    function takeSuspect(nowMs: number): readonly WorkItem[] {
+        const { item } = waiting.shift()!;
+        suspect = { item, aloneUntilMs: nowMs + aloneMs };
+        return [item];
+    }
+
+    /** Starts what the inner scheduler allows beside the memory that it does not know of. */
     function takeOthers(nowMs: number): readonly WorkItem[] {
-        const foreignTokens = parts.getForeignTokens();
-        if (foreignTokens > 0) {
-            const memoryTokens = Math.max(0, policy.capacity.memoryTokens - foreignTokens);
+        const unknownTokens = parts.getForeignTokens() + getSuspectTokens();
+        if (unknownTokens > 0) {
+            const memoryTokens = Math.max(0, policy.capacity.memoryTokens - unknownTokens);
             inner.update({ ...policy, capacity: { ...policy.capacity, memoryTokens } });
         }
         const items = inner.takeNext(nowMs);
-        if (foreignTokens > 0) {
+        if (unknownTokens > 0) {
             inner.update(policy);
         }
         const suspects = items.filter(item => parts.isSuspect(item.fingerprint));
         for (const item of suspects) {
+            // It became a suspect while it was queued.
             inner.complete(item.id, 0, nowMs);
-            waiting.push(item);
+            addSuspect(item, nowMs);
         }
         return items.filter(item => !suspects.includes(item));
     }
@@ -58,42 +105,47 @@
             const decision = inner.admit(item, nowMs);
             if (decision.kind === AdmitKind.Queued && parts.isSuspect(item.fingerprint)) {
                 inner.remove(item.id);
-                waiting.push(item);
+                addSuspect(item, nowMs);
             }
             return decision;
         },
         takeNext(nowMs) {
-            if (alone) {
+            if (suspect && nowMs < suspect.aloneUntilMs) {
                 return [];
             }
-            if (waiting.length > 0) {
-                return takeSuspect();
+            const next = suspect ? undefined : waiting[0];
+            if (next && (countRunning() === 0 || nowMs >= next.dueMs)) {
+                // Nothing else starts until there is room for a suspect that is due.
+                return isRoomFor(next.item) ? takeSuspect(nowMs) : [];
             }
-            const items = takeOthers(nowMs);
-            return items.length === 0 && waiting.length > 0 ? takeSuspect() : items;
+            return takeOthers(nowMs);
         },
         markFirstToken(id, nowMs) {
-            if (alone?.id !== id) {
+            if (suspect?.item.id === id) {
+                passedSuspects.set(id, suspect.item);
+                suspect = undefined;
+            }
+            else {
                 inner.markFirstToken(id, nowMs);
             }
         },
         complete(id, outputTokens, nowMs) {
-            if (alone?.id === id) {
-                alone = undefined;
+            if (suspect?.item.id === id) {
+                suspect = undefined;
             }
-            else {
+            else if (!passedSuspects.delete(id)) {
                 inner.complete(id, outputTokens, nowMs);
             }
         },
         remove(id) {
-            const isWaiting = waiting.some(item => item.id === id);
-            waiting = waiting.filter(item => item.id !== id);
+            const isWaiting = waiting.some(({ item }) => item.id === id);
+            waiting = waiting.filter(({ item }) => item.id !== id);
             return isWaiting || inner.remove(id);
         },
         expire(nowMs) {
-            const expired = waiting.filter(item => item.deadlineMs <= nowMs);
-            waiting = waiting.filter(item => item.deadlineMs > nowMs);
-            return [...expired, ...inner.expire(nowMs)];
+            const expired = waiting.filter(({ item }) => item.deadlineMs <= nowMs);
+            waiting = waiting.filter(({ item }) => item.deadlineMs > nowMs);
+            return [...expired.map(({ item }) => item), ...inner.expire(nowMs)];
         },
         update(next) {
             policy = next;
@@ -102,12 +154,11 @@
         getPriority: item => inner.getPriority(item),
         report() {
             const report = inner.report();
-            const reserved = alone ? alone.promptTokens + alone.maxOutputTokens : 0;
             return {
                 ...report,
-                running: report.running + (alone ? 1 : 0),
+                running: countRunning(),
                 queued: report.queued + waiting.length,
-                reservedTokens: report.reservedTokens + reserved,
+                reservedTokens: report.reservedTokens + getSuspectTokens(),
             };
         },
     };
