--- a/src/cli/entryCommand.ts
+++ b/src/cli/entryCommand.ts
@@ -9,12 +9,12 @@
 import { createEntry } from "../entry/entry.js";
 import { createOperatorRoute } from "../entry/operatorRoute.js";
 import { HostRecord } from "../ports/hostList.js";
-import { chooseLeastConnections } from "../routing/baselinePolicies.js";
 import { entryDefaults, linkDefaults } from "./defaults.js";
 import { createEntryConfiguration, entryConfigurationOptions, entryConfigurationSchema } from "./entryConfiguration.js";
 import { linkSecurityOptions, linkSecuritySchema, loadLinkTransport } from "./linkSecurity.js";
 import { closeServer, listen } from "./listen.js";
 import { logUnhandledErrors, waitForStopSignal } from "./process.js";
+import { createRouting, routingOptions, routingSchema } from "./routingSettings.js";
 import { applyLogSetting, durationSchema, logOption, parseSettings, portSchema, urlSchema } from "./settings.js";
 
 const settingsSchema = z.object({
@@ -25,14 +25,18 @@
     hosts: urlSchema,
     ...entryConfigurationSchema,
     ...linkSecuritySchema,
+    ...routingSchema,
     heartbeatIntervalMs: durationSchema,
     maxBodyBytes: z.number().int().positive(),
     maxRequests: z.number().int().positive(),
+    maxHeldBytes: z.number().int().positive(),
+    maxConnections: z.number().int().positive(),
     drainDelayMs: z.number().min(0),
     log: z.string(),
 });
 
 const closeTimeoutMs = 2_000;
+const maxHeaderBytes = 16 * 1024;
 
 /** `jujubelane entry` */
 export const entryCommand: CommandModule = {
@@ -47,9 +51,28 @@
             hosts: { type: "string", demandOption: true, describe: "root URL of the platform's host list" },
             ...entryConfigurationOptions,
             ...linkSecurityOptions,
+            ...routingOptions,
             "heartbeat-interval-ms": { type: "number", default: linkDefaults.heartbeatIntervalMs },
-            "max-body-bytes": { type: "number", default: entryDefaults.maxBodyBytes },
-            "max-requests": { type: "number", default: entryDefaults.maxRequests },
+            "max-body-bytes": {
+                type: "number",
+                default: entryDefaults.maxBodyBytes,
+                describe: "largest request body",
+            },
+            "max-requests": {
+                type: "number",
+                default: entryDefaults.maxRequests,
+                describe: "requests in progress; a part is kept for urgent ranks",
+            },
+            "max-held-bytes": {
+                type: "number",
+                default: entryDefaults.maxHeldBytes,
+                describe: "bytes of the bodies of all requests in progress",
+            },
+            "max-connections": {
+                type: "number",
+                default: entryDefaults.maxConnections,
+                describe: "connections of callers",
+            },
             "drain-delay-ms": { type: "number", default: entryDefaults.drainDelayMs },
             log: logOption,
         }),
@@ -70,11 +93,11 @@
         const entry = createEntry({ ...linkDefaults, ...entryDefaults, ...settings }, {
             ...shared,
             configuration,
-            policy: chooseLeastConnections,
-            selectAperture: endpoints => endpoints,
+            ...createRouting(settings),
             createOperatorRoute: state => createOperatorRoute(state, configuration, log),
         });
-        const server = http.createServer(entry.handler);
+        const server = http.createServer({ maxHeaderSize: maxHeaderBytes }, entry.handler);
+        server.maxConnections = settings.maxConnections;
         const port = await listen(server, settings.port, settings.address);
         log(LogEvent.ProcessStarted, { role: "entry", name: settings.name, port });
         process.stdout.write(`listening on http://${settings.address}:${port}\n`);
