Check the length of long bodies only, and test the check

Looking at every endpoint of every model costs an entry with 336 links more than reading a body under 64 KiB does; such prompts are checked after the body is read.

--- a/src/entry/lengthCheck.ts
+++ b/src/entry/lengthCheck.ts
@@ -18,6 +18,8 @@
 /** Part of a body that is prompt at least; the rest is its JSON frame and escapes. */
 const leastPromptPart = 0.7;
 const minRetryAfterMs = 1_000;
+/** Shorter bodies are read without a check: reading them costs less than looking at every endpoint. */
+const minCheckedBytes = 64 * 1024;
 
 /** Whether the caller permits that a prompt is split. */
 export function isSplitAllowed(headers: http.IncomingHttpHeaders): boolean {
@@ -35,7 +37,11 @@
     configuration: Configuration,
     context: LengthCheckContext,
 ): RequestError | undefined {
-    const bytes = Number(headers["content-length"] ?? 0) * leastPromptPart;
+    const bodyBytes = Number(headers["content-length"] ?? 0);
+    if (bodyBytes < minCheckedBytes) {
+        return undefined;
+    }
+    const bytes = bodyBytes * leastPromptPart;
     const named = getHeader(headers, HeaderName.Model);
     const models = Object.entries(configuration.objects.models)
         .filter(([name]) => named === undefined || name === named);
--- a/test/routing/routing.test.ts
+++ b/test/routing/routing.test.ts
@@ -3,6 +3,7 @@
 import { createSeededRandomSource } from "../../src/base/randomSource.js";
 import { computeApertureCoverage, defaultApertureSettings, selectAperture } from "../../src/routing/aperture.js";
 import { LoadReport } from "../../src/routing/loadReport.js";
+import { computeLateness } from "../../src/routing/modelCapacity.js";
 import { predictFirstTokenMs } from "../../src/routing/predictFirstToken.js";
 import { createPredictivePolicy, defaultPredictiveSettings } from "../../src/routing/predictivePolicy.js";
 import { EndpointView, RouteRequest } from "../../src/routing/routing.js";
@@ -184,6 +185,28 @@
     });
 });
 
+suite("refusal before the body is read", () => {
+    const busy = makeLoad({ urgent: [30_000, 0], normal: [500_000, 500_000] });
+    const cases: readonly (readonly [string, string, number, readonly Partial<EndpointView>[], number])[] = [
+        ["a prompt that an idle endpoint computes in time", "normal", 40_000, [{}], 0],
+        ["a prompt that no endpoint computes in time", "normal", 240_000, [{}, {}], 2_000],
+        ["the backlog of other callers in the rank does not count", "normal", 40_000, [{ load: busy }], 0],
+        ["more urgent work counts", "normal", 180_000, [{ load: busy }], 500],
+        ["the guaranteed share bounds what more urgent work delays", "normal", 5_000, [
+            { load: makeLoad({ urgent: [900_000, 0] }) },
+        ], 0],
+        ["one free endpoint is enough", "normal", 180_000, [{ load: busy }, {}], 0],
+        ["an endpoint without a report may be in time", "normal", 900_000, [{ load: undefined }], 0],
+        ["no endpoint is no reason", "normal", 900_000, [], 0],
+    ];
+    for (const [name, rank, promptTokens, views, expectedMs] of cases) {
+        test(name, () => {
+            const request = { rank, rankShare: 0.05, promptTokens, limitMs: 10_000 };
+            assert.equal(computeLateness(request, views.map((view, index) => makeView(`e${index}`, view))), expectedMs);
+        });
+    }
+});
+
 test("the token estimate follows an engine's usage figures", () => {
     const estimate = createTokenEstimate();
     assert.equal(estimate.compute("demo", 4_000, 4), 1_000);
