--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -13,7 +13,7 @@
     measureLogGroups,
     measureQueue,
 } from "./lib/slopesInProcess.js";
-import { measureEntryAtRest, measureInFlight, measureTokens } from "./lib/slopesProcess.js";
+import { measureEntryAtRest, measureInFlight, measureLinks, measureTokens } from "./lib/slopesProcess.js";
 
 const seed = 45;
 const resultsDirectory = "bench/results";
@@ -24,6 +24,7 @@
     "claims": measureClaims,
     "log": measureLogGroups,
     "in-flight": measureInFlight,
+    "links": measureLinks,
     "rest": measureEntryAtRest,
     "tokens": () => measureTokens(seed),
 };
--- a/bench/lib/slopesProcess.ts
+++ b/bench/lib/slopesProcess.ts
@@ -17,6 +17,8 @@
 const fastEnginePath = fileURLToPath(new URL("./fastEngine.js", import.meta.url));
 const bytesPerKiB = 1024;
 const millisecondsPerSecond = 1000;
+/** The aperture takes 48 endpoints of a model, so 336 links need 7 models. */
+const farmModels = [experimentModel, "m2", "m3", "m4", "m5", "m6", "m7"];
 const settleMs = 2_500;
 const measureSeconds = 6;
 
@@ -47,19 +49,19 @@
         await writeFile(
             file,
             stringify({
-                models: { [experimentModel]: { version: "main-v1" } },
-                versions: { "main-v1": { model: experimentModel, weights: "main-v1" } },
+                models: Object.fromEntries(farmModels.map(model => [model, { version: `${model}-v1` }])),
+                versions: Object.fromEntries(farmModels.map(model => [`${model}-v1`, { model, weights: model }])),
                 ranks: { normal: { urgency: 0, timeLimitMs: 120_000 } },
                 kinds: { question: { rank: "normal" } },
                 callers: {
                     [pathCaller]: { keyDigests: [computeDigest(makeCallerKey(pathCaller))], defaultKind: "question" },
                 },
-                endpoints: Object.fromEntries(names.map(name => [
+                endpoints: Object.fromEntries(names.map((name, index) => [
                     name,
                     {
                         host: `host-${name}`,
                         place: "here",
-                        model: experimentModel,
+                        model: farmModels[index % farmModels.length],
                         checksFencing: true,
                         memoryTokens: 100_000_000,
                         maxRunning: 10_000,
@@ -131,10 +133,14 @@
     ];
 }
 
-/** Cost of an idle link, of an endpoint that is configured without a link, and of a listed host. */
+/** Cost of an idle link. */
+export function measureLinks(): Promise<readonly Slope[]> {
+    return measureRestSlopes("idle link", [20, 80, 160, 336], links => ({ links }), "linkBytesPerSecond");
+}
+
+/** Cost of an endpoint that is configured without a link, and of a listed host. */
 export async function measureEntryAtRest(): Promise<readonly Slope[]> {
     return [
-        ...await measureRestSlopes("idle link", [20, 80, 160, 336], links => ({ links }), "linkBytesPerSecond"),
         ...await measureRestSlopes(
             "endpoint known without a link",
             [500, 2_000, 4_000, 7_700],
