Lead sidecars on by the changed records instead of the whole configuration

Cause: each change sent the whole configuration to each sidecar.

Change: an entry sends the records between the sidecar's generation and its own; the sidecar folds them and uses the result only if generation and digest match, else the whole configuration follows at the next look (1 s).

The reference check after a change looks only at the sections that the change can break. Checkpoints are now written after 250 records, before 1,000, so that a start without peers folds at most about 250 changes.

--- a/src/config/applyChanges.ts
+++ b/src/config/applyChanges.ts
@@ -1,13 +1,14 @@
 import { makeFailure, makeSuccess, Result } from "../base/result.js";
 import { Change, ChangeOperation } from "./changeSet.js";
-import { ConfigurationObjects } from "./objects.js";
+import { ConfigurationObjects, ObjectType } from "./objects.js";
 import { ConfigurationProblem } from "./problems.js";
-import { findReferenceProblems } from "./references.js";
+import { findReferenceProblems, listAffectedSections } from "./references.js";
 import { parseObject } from "./validate.js";
 
 /**
  * Applies changes to a valid set and checks the whole result. Sections without a change are shared with the old set,
- * and only changed objects are checked against their schema.
+ * only changed objects are checked against their schema, and only
+ * references that the changed sections can break are checked again.
  *
  * @example
  * const result = applyChanges(objects, changeSet.changes);
@@ -18,7 +19,7 @@
 ): Result<ConfigurationObjects, readonly ConfigurationProblem[]> {
     const problems: ConfigurationProblem[] = [];
     const next = { ...objects } as unknown as Record<string, Record<string, unknown>>;
-    const touched = new Set<string>();
+    const touched = new Set<ObjectType>();
     for (const change of changes) {
         if (!touched.has(change.kind)) {
             touched.add(change.kind);
@@ -43,7 +44,7 @@
     }
     const result = next as unknown as ConfigurationObjects;
     if (problems.length === 0) {
-        problems.push(...findReferenceProblems(result));
+        problems.push(...findReferenceProblems(result, result, listAffectedSections(touched)));
     }
     return problems.length === 0 ? makeSuccess(result) : makeFailure(problems);
 }
--- a/src/config/references.ts
+++ b/src/config/references.ts
@@ -1,8 +1,23 @@
 import { AdapterObject, ConfigurationObjects, EndpointObject, ObjectType } from "./objects.js";
 import { ConfigurationProblem, formatFound, formatNames } from "./problems.js";
 
-/** Names that exist, by type. Contains objects that fail their schema, so that one mistake is reported once. */
-export type ConfigurationNames = Readonly<Record<ObjectType, ReadonlySet<string>>>;
+/**
+ * Objects whose keys are the names that exist, by type. Contains objects that fail their schema, so that one mistake is
+ * reported once.
+ */
+export type ConfigurationNames = Readonly<Record<ObjectType, object>>;
+
+/** Sections that hold references into a section, and so must be checked again when it changes. */
+const referringSections: Readonly<Record<ObjectType, readonly ObjectType[]>> = {
+    [ObjectType.Model]: [ObjectType.Version, ObjectType.Adapter, ObjectType.Endpoint],
+    [ObjectType.Version]: [ObjectType.Model],
+    [ObjectType.Adapter]: [ObjectType.Endpoint],
+    [ObjectType.Rank]: [ObjectType.Kind, ObjectType.Caller, ObjectType.Service],
+    [ObjectType.Kind]: [ObjectType.Caller],
+    [ObjectType.Caller]: [],
+    [ObjectType.Endpoint]: [],
+    [ObjectType.Service]: [ObjectType.Endpoint],
+};
 
 /** Sums of shares such as 0.1 + 0.2 exceed the exact sum by less than this. */
 const shareTolerance = 1e-9;
@@ -10,54 +25,66 @@
 type Report = (problem: ConfigurationProblem) => void;
 type Expect = (object: string, field: string, type: ObjectType, name: string) => boolean;
 
-/** Returns the names of all objects of a set. */
-export function collectNames(objects: ConfigurationObjects): ConfigurationNames {
-    const names = {} as Record<ObjectType, ReadonlySet<string>>;
-    for (const type of Object.values(ObjectType)) {
-        names[type] = new Set(Object.keys(objects[type]));
-    }
-    return names;
+/** Lists the sections whose references a change of some sections can break. */
+export function listAffectedSections(changed: Iterable<ObjectType>): ReadonlySet<ObjectType> {
+    return new Set([...changed].flatMap(type => [type, ...referringSections[type]]));
 }
 
 /**
  * Finds every reference of a set that does not hold, and rules that concern several objects.
  *
+ * @param sections sections to check; the others must be known to hold
+ *
  * @example
  * findReferenceProblems(objects).map(formatProblem);
  */
 export function findReferenceProblems(
     objects: ConfigurationObjects,
-    names: ConfigurationNames = collectNames(objects),
+    names: ConfigurationNames = objects,
+    sections: ReadonlySet<ObjectType> = new Set(Object.values(ObjectType)),
 ): readonly ConfigurationProblem[] {
     const problems: ConfigurationProblem[] = [];
     const report: Report = problem => problems.push(problem);
 
     function checkName(object: string, field: string, type: ObjectType, name: string): boolean {
-        if (names[type].has(name)) {
+        if (Object.hasOwn(names[type], name)) {
             return true;
         }
-        report({ object, field, found: formatFound(name), allowed: `a name in ${type}: ${formatNames(names[type])}` });
+        const allowed = `a name in ${type}: ${formatNames(Object.keys(names[type]))}`;
+        report({ object, field, found: formatFound(name), allowed });
         return false;
     }
 
-    checkModels(objects, checkName, report);
-    for (const type of [ObjectType.Version, ObjectType.Adapter] as const) {
-        for (const [name, object] of Object.entries(objects[type])) {
-            checkName(`${type}.${name}`, "model", ObjectType.Model, object.model);
-        }
-    }
-    for (const [name, kind] of Object.entries(objects.kinds)) {
-        checkName(`${ObjectType.Kind}.${name}`, "rank", ObjectType.Rank, kind.rank);
+    const checks: Readonly<Record<ObjectType, () => void>> = {
+        [ObjectType.Model]: () => checkModels(objects, checkName, report),
+        [ObjectType.Version]: () => checkOwners(objects, ObjectType.Version, checkName),
+        [ObjectType.Adapter]: () => checkOwners(objects, ObjectType.Adapter, checkName),
+        [ObjectType.Rank]: () => checkShares(objects, report),
+        [ObjectType.Kind]: () => checkRanks(objects, ObjectType.Kind, checkName),
+        [ObjectType.Caller]: () => checkCallers(objects, checkName, report),
+        [ObjectType.Endpoint]: () => checkEndpoints(objects, checkName, report),
+        [ObjectType.Service]: () => checkRanks(objects, ObjectType.Service, checkName),
+    };
+    sections.forEach(section => checks[section]());
+    return problems;
+}
+
+function checkOwners(objects: ConfigurationObjects, type: ObjectType.Version | ObjectType.Adapter, checkName: Expect) {
+    for (const [name, object] of Object.entries(objects[type])) {
+        checkName(`${type}.${name}`, "model", ObjectType.Model, object.model);
     }
-    for (const [name, service] of Object.entries(objects.services)) {
-        checkName(`${ObjectType.Service}.${name}`, "rank", ObjectType.Rank, service.rank);
+}
+
+function checkRanks(objects: ConfigurationObjects, type: ObjectType.Kind | ObjectType.Service, checkName: Expect) {
+    for (const [name, object] of Object.entries<{ readonly rank: string }>(objects[type])) {
+        checkName(`${type}.${name}`, "rank", ObjectType.Rank, object.rank);
     }
-    checkShares(objects, report);
-    checkCallers(objects, checkName, report);
+}
+
+function checkEndpoints(objects: ConfigurationObjects, checkName: Expect, report: Report) {
     for (const [name, endpoint] of Object.entries(objects.endpoints)) {
         checkEndpoint(`${ObjectType.Endpoint}.${name}`, endpoint, objects.adapters, checkName, report);
     }
-    return problems;
 }
 
 function checkModels(objects: ConfigurationObjects, checkName: Expect, report: Report) {
--- a/src/config/validate.ts
+++ b/src/config/validate.ts
@@ -39,10 +39,7 @@
     }
     const problems: ConfigurationProblem[] = [];
     const parsed = makeEmptyObjects() as unknown as Record<ObjectType, Record<string, unknown>>;
-    const names = {} as Record<ObjectType, ReadonlySet<string>>;
-    for (const type of Object.values(ObjectType)) {
-        names[type] = new Set();
-    }
+    const names = makeEmptyObjects() as Record<ObjectType, object>;
     for (const [section, objects] of Object.entries(sections)) {
         if (!isObjectType(section)) {
             problems.push({ object: section, found: "this section", allowed: formatNames(Object.values(ObjectType)) });
@@ -51,7 +48,7 @@
             problems.push({ object: section, found: formatFound(objects), allowed: "a map from names to objects" });
         }
         else {
-            names[section] = new Set(Object.keys(objects));
+            names[section] = objects;
             parsed[section] = parseSection(section, objects, problems);
         }
     }
--- /dev/null
+++ b/src/entry/changeLog.ts
@@ -0,0 +1,59 @@
+import { FoldOutcomeKind } from "../config/fold.js";
+import { Configuration } from "../config/objects.js";
+import { ConfigurationReader, ReadResult } from "../config/reader.js";
+import { ConfigurationChangeMessage, LinkMessageType } from "../link/messages.js";
+import { LogRecord } from "../ports/logService.js";
+
+/** The newest change sets, from which peers that are a little behind are led on. */
+export interface ChangeLog {
+    /** Records what a read added to a reader. */
+    accept(before: ConfigurationReader, result: ReadResult): void;
+    /** Builds the message for a peer at a generation; `undefined` if not all records after it are at hand. */
+    buildMessage(base: number, current: Configuration): ConfigurationChangeMessage | undefined;
+}
+
+/** A peer that is further behind receives the whole configuration. */
+const maxRecords = 100;
+
+/**
+ * Creates an empty change log. Whole configurations are large (about 200 bytes for each caller and endpoint), so a peer
+ * that only lacks the last change receives that change alone.
+ *
+ * @example
+ * const changes = createChangeLog();
+ */
+export function createChangeLog(): ChangeLog {
+    let records: LogRecord[] = [];
+    let fromOffset = Infinity;
+    return {
+        accept(before, result) {
+            const { reader, outcomes } = result;
+            const isFolded = reader.state.generation === before.state.generation
+                || outcomes.some(outcome => outcome.kind === FoldOutcomeKind.Accepted);
+            const isContinued = isFolded && !before.gap && !reader.gap && before.state.shift === reader.state.shift;
+            if (!isContinued || fromOffset === Infinity) {
+                records = [];
+                fromOffset = isContinued
+                    ? before.state.foldedOffset
+                    : reader.gap
+                    ? Infinity
+                    : reader.state.foldedOffset;
+            }
+            for (const { kind, record } of isContinued ? outcomes : []) {
+                if (kind === FoldOutcomeKind.Accepted || kind === FoldOutcomeKind.Rejected) {
+                    records.push(record);
+                }
+            }
+            const dropped = records.splice(0, Math.max(0, records.length - maxRecords));
+            fromOffset = dropped.at(-1)?.offset ?? fromOffset;
+        },
+        buildMessage(base, current) {
+            const later = records.filter(record => record.offset > base);
+            if (base < fromOffset || later.length === 0) {
+                return undefined;
+            }
+            const { generation, digest } = current;
+            return { type: LinkMessageType.ConfigurationChange, base, generation, digest, records: later };
+        },
+    };
+}
--- a/src/entry/configurationSource.ts
+++ b/src/entry/configurationSource.ts
@@ -1,7 +1,7 @@
 import { Disposable } from "../base/disposable.js";
 import { computeConfigurationDigest } from "../config/digest.js";
 import { Configuration, ConfigurationObjects } from "../config/objects.js";
-import { ConfigurationMessage, LinkMessageType } from "../link/messages.js";
+import { ConfigurationChangeMessage, ConfigurationMessage, LinkMessageType } from "../link/messages.js";
 
 /** How a source stands with the log, for operators. */
 export interface ConfigurationSourceStatus {
@@ -25,6 +25,8 @@
     offer(message: ConfigurationMessage): void;
     /** Builds the message that gives the current configuration to a peer, with what later folds need. */
     buildMessage(): ConfigurationMessage | undefined;
+    /** Builds the message that leads a peer on from a generation; `undefined` if it needs the whole configuration. */
+    buildChange(base: number): ConfigurationChangeMessage | undefined;
     describe(): ConfigurationSourceStatus;
 }
 
@@ -44,6 +46,7 @@
         },
         offer: () => undefined,
         buildMessage: () => ({ type: LinkMessageType.Configuration, foldedOffset: 0, ...configuration }),
+        buildChange: () => undefined,
         describe: () => ({ foldedOffset: 0, alarms: [], rejections: [] }),
         dispose: () => undefined,
     };
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -20,7 +20,7 @@
 import { createCallerHandler, OperatorRoute } from "./callerServer.js";
 import { ConfigurationSource } from "./configurationSource.js";
 import { createCrashGuard } from "./crashGuard.js";
-import { EndpointLink } from "./endpointLink.js";
+import { EndpointLink, LinkState } from "./endpointLink.js";
 import { ApertureFunction, createLinkDirectory, LinkDirectory } from "./linkDirectory.js";
 import { RequestListener, RequestPlan, RequestTask, startRequest } from "./requestTask.js";
 
@@ -96,13 +96,20 @@
     let decision = 0;
     let handleIdle: (() => void) | undefined;
 
+    const changesSent = new WeakMap<EndpointLink, number>();
+
     function syncConfiguration(link: EndpointLink) {
         const generation = configuration.getCurrent()?.generation ?? -1;
         if (link.getGeneration() > generation) {
             link.send({ type: LinkMessageType.ConfigurationRequest });
         }
-        else if (link.getGeneration() < generation) {
-            link.send(configuration.buildMessage()!);
+        else if (link.getGeneration() < generation && link.getState() === LinkState.Open) {
+            // A change that has not led to the generation by the next look is followed by the whole configuration.
+            const change = changesSent.get(link) === generation
+                ? undefined
+                : configuration.buildChange(link.getGeneration());
+            changesSent.set(link, generation);
+            link.send(change ?? configuration.buildMessage()!);
         }
     }
 
--- a/src/entry/logConfigurationSource.ts
+++ b/src/entry/logConfigurationSource.ts
@@ -17,10 +17,11 @@
     ReadResult,
     skipGap,
 } from "../config/reader.js";
+import { buildConfigurationMessage, parseConfigurationMessage } from "../link/configurationMessage.js";
 import { ConfigurationMessage } from "../link/messages.js";
 import { LogPage, LogService } from "../ports/logService.js";
+import { createChangeLog } from "./changeLog.js";
 import { createCheckpointWriter } from "./checkpointWriter.js";
-import { buildConfigurationMessage, parseConfigurationMessage } from "./configurationMessage.js";
 import { ConfigurationSource } from "./configurationSource.js";
 
 /** Settings of a source that follows the log. */
@@ -47,7 +48,7 @@
     maxRetryDelayMs: 1_000,
     pageRecords: 500,
     retentionMs: 24 * 60 * 60 * 1_000,
-    checkpointRecords: 1_000,
+    checkpointRecords: 250,
     checkpointJitterMs: 5_000,
     gapPatienceMs: 2_000,
 };
@@ -121,6 +122,7 @@
     let gapTimer: Disposable | undefined;
     let readTimer: Disposable | undefined;
 
+    const changes = createChangeLog();
     const checkpoints = createCheckpointWriter(settings, parts, () => reader);
 
     function read(isProbe: boolean) {
@@ -165,6 +167,7 @@
 
     function accept(result: ReadResult) {
         const hadGap = reader.gap !== undefined;
+        changes.accept(reader, result);
         reader = result.reader;
         result.outcomes.forEach(handleOutcome);
         if (reader.gap && !hadGap) {
@@ -339,6 +342,7 @@
             }
             return message?.value;
         },
+        buildChange: base => current && changes.buildMessage(base, current),
         describe: () => ({
             logReachable: isLogReachable,
             logAgeMs: timers.now() - lastReadMs,
--- a/src/entry/configurationMessage.ts
+++ b/src/link/configurationMessage.ts
@@ -3,7 +3,7 @@
 import { computeConfigurationDigest } from "../config/digest.js";
 import { FoldState } from "../config/fold.js";
 import { Configuration } from "../config/objects.js";
-import { ConfigurationMessage, LinkMessageType } from "../link/messages.js";
+import { ConfigurationMessage, LinkMessageType } from "./messages.js";
 
 /** Builds the message that gives a folded state to a peer. */
 export function buildConfigurationMessage(state: FoldState, current: Configuration): ConfigurationMessage {
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -1,5 +1,6 @@
 import { ErrorCode } from "../base/requestError.js";
 import { Verdict } from "../base/verdict.js";
+import { LogRecord } from "../ports/logService.js";
 import { EngineFinish, EngineUsage } from "../ports/modelEngine.js";
 import { LoadReport } from "../routing/loadReport.js";
 
@@ -27,6 +28,7 @@
     Leaving = 30,
     Drain = 31,
     Configuration = 32,
+    ConfigurationChange = 33,
     ConfigurationRequest = 34,
     Quarantine = 35,
     CrashReport = 36,
@@ -238,6 +240,20 @@
     readonly digest: string;
 }
 
+/**
+ * Entry → sidecar: the records between two generations. A sidecar that cannot fold them to the digest ignores them and
+ * then receives the whole configuration.
+ */
+export interface ConfigurationChangeMessage {
+    readonly type: LinkMessageType.ConfigurationChange;
+    /** Generation at the sidecar to which the records apply. */
+    readonly base: number;
+    readonly generation: number;
+    /** Digest of the objects that result. */
+    readonly digest: string;
+    readonly records: readonly LogRecord[];
+}
+
 /** Entry → sidecar: asks for the configuration that the sidecar holds. */
 export interface ConfigurationRequestMessage {
     readonly type: LinkMessageType.ConfigurationRequest;
@@ -271,6 +287,7 @@
     | AcknowledgeMessage
     | DrainMessage
     | ConfigurationMessage
+    | ConfigurationChangeMessage
     | ConfigurationRequestMessage
     | QuarantineMessage
     | RefusalMessage;
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -6,11 +6,9 @@
 import { createMailbox, runTask } from "../base/mailbox.js";
 import { ErrorCode } from "../base/requestError.js";
 import { TimerService } from "../base/timerService.js";
-import { computeConfigurationDigest } from "../config/digest.js";
-import { Configuration, ConfigurationObjects } from "../config/objects.js";
+import { Configuration } from "../config/objects.js";
 import {
     CancelMessage,
-    ConfigurationMessage,
     DispatchMessage,
     EntryMessage,
     LinkMessageType,
@@ -24,6 +22,7 @@
 import { OrphanState } from "./engineAudit.js";
 import { createEngineScheduler } from "./engineScheduler.js";
 import { EngineSide } from "./engineSide.js";
+import { createHeldConfiguration } from "./heldConfiguration.js";
 import { createLinkServer, LinkServerSettings } from "./linkServer.js";
 import { buildSchedulerPolicy } from "./schedulerPolicy.js";
 import { Work, WorkRunner, WorkState } from "./work.js";
@@ -99,7 +98,7 @@
     const store = createDisposableStore();
     const mailbox = createMailbox<SidecarEvent>();
     let configuration: Configuration | undefined;
-    let configurationMessage: ConfigurationMessage | undefined;
+    const held = createHeldConfiguration();
     let engineReport: EngineReport | undefined;
     let announcedVersion: string | undefined;
     let leaving = false;
@@ -174,20 +173,16 @@
         return engineSide?.checkDispatch(dispatch);
     }
 
-    function handleConfiguration(session: string, message: ConfigurationMessage) {
-        const objects = message.objects as ConfigurationObjects;
-        if (configuration && message.generation <= configuration.generation) {
-            return;
+    function handleConfiguration(session: string, result: boolean | string) {
+        if (typeof result === "string") {
+            log(LogEvent.PeerConfigurationRefused, { session, message: result });
         }
-        if (computeConfigurationDigest(objects) !== message.digest) {
-            log(LogEvent.LinkRefused, { session, message: "the configuration does not match its digest" });
-            return;
+        else if (result) {
+            configuration = held.getCurrent();
+            engineSide?.handleConfiguration(configuration!);
+            updatePolicy();
+            links.broadcast(makeHeartbeat());
         }
-        configuration = { generation: message.generation, digest: message.digest, objects };
-        configurationMessage = message;
-        engineSide?.handleConfiguration(configuration);
-        updatePolicy();
-        links.broadcast(makeHeartbeat());
     }
 
     function updatePolicy() {
@@ -217,11 +212,14 @@
                 table.handleAcknowledge(message.request);
                 return;
             case LinkMessageType.Configuration:
-                handleConfiguration(session, message);
+                handleConfiguration(session, held.accept(message));
+                return;
+            case LinkMessageType.ConfigurationChange:
+                handleConfiguration(session, held.acceptChange(message));
                 return;
             case LinkMessageType.ConfigurationRequest:
-                if (configurationMessage) {
-                    links.send(session, configurationMessage);
+                if (configuration) {
+                    links.send(session, held.buildMessage()!);
                 }
                 return;
             case LinkMessageType.Drain:
--- a/test/entry/logConfigurationSource.test.ts
+++ b/test/entry/logConfigurationSource.test.ts
@@ -2,6 +2,8 @@
 import { test } from "node:test";
 import { configurationStream } from "../../src/config/changeSet.js";
 import { LogPage, LogService, LogServiceError, LogServiceErrorKind } from "../../src/ports/logService.js";
+import { createHeldConfiguration } from "../../src/sidecar/heldConfiguration.js";
+import { makeRankRecord } from "../config/samples.js";
 import { createSourceHarness, retentionMs, SourceHarness } from "./logSourceHarness.js";
 
 const inForceMs = 3_000;
@@ -166,6 +168,35 @@
     harness.sources.forEach(source => source.dispose());
 });
 
+test("a sidecar that is led on by changes holds the same as one that received the whole configuration", async () => {
+    const harness = createSourceHarness();
+    await startWithTwo(harness);
+    const source = harness.sources[0]!;
+    const held = createHeldConfiguration();
+    assert.equal(held.accept(source.buildMessage()!), true);
+    for (let round = 1; round <= 5; round++) {
+        const base = source.getCurrent()!.generation;
+        // A rejected change set between two accepted ones is part of what later folds need.
+        await harness.logService.append(configurationStream, [makeRankRecord(`old-${round}`, 0, "x", 9)]);
+        await harness.publishRank(`round-${round}`, "z", round);
+        await harness.advance(500);
+        const change = source.buildChange(base)!;
+        assert.equal(change.records.length, 2);
+        assert.equal(typeof held.acceptChange({ ...change, records: change.records.slice(0, 1) }), "string");
+        assert.equal(held.acceptChange({ ...change, base: base - 1 }), false);
+        assert.equal(held.acceptChange(change), true);
+        assert.equal(held.acceptChange(change), false, "a repeated change has no effect");
+        assert.deepEqual(held.getCurrent(), source.getCurrent());
+        const { foldedOffset, fold, ...whole } = held.buildMessage()!;
+        const { foldedOffset: expectedOffset, fold: expectedFold, ...expected } = source.buildMessage()!;
+        assert.deepEqual(whole, expected);
+        assert.deepEqual(fold?.ids, expectedFold?.ids);
+        assert.equal(foldedOffset, expectedOffset);
+    }
+    assert.equal(source.buildChange(-5), undefined, "a peer that is far behind receives the whole");
+    harness.sources.forEach(each => each.dispose());
+});
+
 test("checkpoints are few: one process of many writes each, at half of the retention", async () => {
     const harness = createSourceHarness();
     for (let index = 0; index < 8; index++) {
