--- a/src/cli/entryCommand.ts
+++ b/src/cli/entryCommand.ts
@@ -2,6 +2,7 @@
 import { CommandModule } from "yargs";
 import { z } from "zod";
 import { createHttpHostList } from "../adapters/httpHostList.js";
+import { createHttpLogService } from "../adapters/httpLogService.js";
 import { createEventLog } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
 import { createSystemRandomSource } from "../base/systemRandomSource.js";
@@ -93,6 +94,9 @@
         const entry = createEntry({ ...linkDefaults, ...entryDefaults, ...settings }, {
             ...shared,
             configuration,
+            logService: settings.logService === undefined
+                ? undefined
+                : createHttpLogService(settings.logService, shared.timers),
             ...createRouting(settings),
             createOperatorRoute: state => createOperatorRoute(state, configuration, log),
         });
