--- a/src/config/objects.ts
+++ b/src/config/objects.ts
@@ -123,3 +123,13 @@
         services: {},
     };
 }
+
+/**
+ * Finds an object by a name that comes from outside. Names such as "constructor" do not find what every object inherits.
+ *
+ * @example
+ * findObject(configuration.objects.models, "demo")?.version;
+ */
+export function findObject<Value>(objects: Readonly<Record<string, Value>>, name: string): Value | undefined {
+    return Object.hasOwn(objects, name) ? objects[name] : undefined;
+}
--- a/src/entry/admission.ts
+++ b/src/entry/admission.ts
@@ -2,7 +2,7 @@
 import { buildRequestError, ErrorCode, RequestError } from "../base/requestError.js";
 import { makeFailure, makeSuccess, Result } from "../base/result.js";
 import { Verdict } from "../base/verdict.js";
-import { Configuration } from "../config/objects.js";
+import { Configuration, findObject } from "../config/objects.js";
 import { AuthenticatedCaller } from "./callerIndex.js";
 import { getHeader, HeaderName } from "./httpAnswer.js";
 
@@ -34,12 +34,12 @@
 ): Result<RequestTerms, RequestError> {
     const { kinds, ranks } = configuration.objects;
     const kind = getHeader(headers, HeaderName.Kind) ?? caller.object.defaultKind;
-    const kindObject = kinds[kind];
+    const kindObject = findObject(kinds, kind);
     if (!kindObject) {
         return refuse(ErrorCode.BadRequest, `unknown kind "${kind}"; configured: ${Object.keys(kinds).join(", ")}`);
     }
     const rank = getHeader(headers, HeaderName.Rank) ?? defaults.rank ?? kindObject.rank;
-    const rankObject = ranks[rank];
+    const rankObject = findObject(ranks, rank);
     if (!rankObject) {
         return refuse(ErrorCode.UnknownRank, `unknown rank "${rank}"; configured: ${Object.keys(ranks).join(", ")}`);
     }
--- a/src/entry/modelRoute.ts
+++ b/src/entry/modelRoute.ts
@@ -6,7 +6,7 @@
 import { ResultKind } from "../base/result.js";
 import { TimerService } from "../base/timerService.js";
 import { Verdict } from "../base/verdict.js";
-import { Configuration } from "../config/objects.js";
+import { Configuration, findObject } from "../config/objects.js";
 import { computeLargestReservation } from "../routing/modelCapacity.js";
 import { readTerms } from "./admission.js";
 import { AttemptEvent, AttemptEventKind } from "./attempt.js";
@@ -72,7 +72,7 @@
         return sendError(response, parsed.error);
     }
     const completion = parsed.value;
-    const model = configuration.objects.models[completion.model];
+    const model = findObject(configuration.objects.models, completion.model);
     if (!model) {
         return sendError(response, refuseModel(completion.model, configuration));
     }
--- a/src/entry/serviceRoute.ts
+++ b/src/entry/serviceRoute.ts
@@ -3,7 +3,7 @@
 import { buildRequestError, ErrorCode } from "../base/requestError.js";
 import { ResultKind } from "../base/result.js";
 import { Verdict } from "../base/verdict.js";
-import { Configuration } from "../config/objects.js";
+import { Configuration, findObject } from "../config/objects.js";
 import { readTerms } from "./admission.js";
 import { AttemptEventKind } from "./attempt.js";
 import { AuthenticatedCaller } from "./callerIndex.js";
@@ -56,7 +56,7 @@
     configuration: Configuration,
     context: RouteContext,
 ): Promise<void> {
-    const service = configuration.objects.services[target.service];
+    const service = findObject(configuration.objects.services, target.service);
     if (!service) {
         const names = Object.keys(configuration.objects.services).join(", ");
         const message = `unknown service "${target.service}"; configured: ${names}`;
--- a/test/system/callerContract.test.ts
+++ b/test/system/callerContract.test.ts
@@ -111,6 +111,30 @@
         code: "forbidden",
     },
     { name: "unknown kind", headers: { "jujubelane-kind": "none" }, status: 400, code: "bad_request" },
+    {
+        name: "kind with an inherited name",
+        headers: { "jujubelane-kind": "constructor" },
+        status: 400,
+        code: "bad_request",
+    },
+    {
+        name: "rank with an inherited name",
+        headers: { "jujubelane-rank": "constructor" },
+        status: 400,
+        code: "unknown_rank",
+    },
+    {
+        name: "model with an inherited name",
+        body: { ...completion, model: "toString" },
+        status: 404,
+        code: "unknown_model",
+    },
+    {
+        name: "service with an inherited name",
+        path: "/v1/services/constructor/x",
+        status: 404,
+        code: "unknown_service",
+    },
     { name: "time limit of zero", headers: { "jujubelane-time-limit-ms": "0" }, status: 400, code: "bad_request" },
     {
         name: "time limit that is no number",
