Let the tests of an entry's limits fail without the urgent reserve

Cause: with the reserve off, three of the flood cases still passed, because one caller alone was stopped by its fair share. Change: several callers flood together. Conclusion: the cases now guard the reserve.

--- a/test/scheduling/requestLimits.test.ts
+++ b/test/scheduling/requestLimits.test.ts
@@ -36,8 +36,11 @@
         test(name, () => {
             const limits = createRequestLimits(settings);
             limits.update(ranks);
-            limits.acquire({ rank: "bulk", caller: "small", bytes: 1 });
-            assert.ok(fill(limits, flood) > 0);
+            // Several callers together can fill the whole part of a rank.
+            for (const caller of [flood.caller, "large-2", "large-3", "large-4"]) {
+                fill(limits, { ...flood, caller });
+            }
+            assert.notEqual(limits.acquire(flood), undefined);
             assert.equal(limits.acquire(other), undefined);
         });
     }
