--- a/bench/lib/results.ts
+++ b/bench/lib/results.ts
@@ -7,8 +7,13 @@
     readonly policy: string;
     readonly measures: readonly Measure[];
     readonly tool: string;
+    /** How late the load tool sent, p99, in milliseconds. */
+    readonly toolLagMs: number;
 }
 
+/** Lateness of the load tool above which the times of a run say more about the machine than about the product. */
+const disturbedLagMs = 50;
+
 function formatValue(measure: Measure | undefined): string {
     if (measure?.value === undefined) {
         return "no data";
@@ -49,7 +54,10 @@
         `Scale: ${experiment.scale.join("; ")}.`,
         "The ratio is the product's value divided by the baseline's.",
         formatTable(headings, rows),
-        ...results.map(result => `${result.policy}: ${result.tool}`),
+        ...results.map(result => {
+            const warning = result.toolLagMs > disturbedLagMs ? "**Disturbed run:** the machine was too busy. " : "";
+            return `${result.policy}: ${warning}${result.tool}`;
+        }),
     ].join("\n\n");
 }
 
--- a/bench/run.ts
+++ b/bench/run.ts
@@ -65,6 +65,7 @@
             run,
             measures: computeMeasures(experiment, run, sampler),
             details: formatLoadSummary(summary),
+            toolLagMs: lag.p99,
             tool: `load tool late by p99 ${formatMs(lag.p99)} ms, its event loop busy ${
                 (eventLoopBusy * 100).toFixed(0)
             }%; ${describeFleetUsage(fleet)}; load average ${loadavg()[0]!.toFixed(1)}`,
--- a/src/cli/sidecarCommand.ts
+++ b/src/cli/sidecarCommand.ts
@@ -43,6 +43,7 @@
     heartbeatIntervalMs: durationSchema,
     maxQueuedRequests: z.number().int().positive(),
     maxQueuedBytes: z.number().int().positive(),
+    chunkIntervalMs: z.number().min(0),
     maxConnections: z.number().int().positive(),
     ...claimSettingsSchema,
     scheduler: z.enum(SchedulerName),
@@ -77,6 +78,11 @@
             "heartbeat-interval-ms": { type: "number", default: linkDefaults.heartbeatIntervalMs },
             "max-queued-requests": { type: "number", default: sidecarDefaults.maxQueuedRequests },
             "max-queued-bytes": { type: "number", default: sidecarDefaults.maxQueuedBytes },
+            "chunk-interval-ms": {
+                type: "number",
+                default: sidecarDefaults.chunkIntervalMs,
+                describe: "least time between two chunks of a stream; 0 sends each token as it comes",
+            },
             "max-connections": {
                 type: "number",
                 default: sidecarDefaults.maxConnections,
--- a/src/sidecar/itemBatcher.ts
+++ b/src/sidecar/itemBatcher.ts
@@ -3,17 +3,13 @@
 import { WorkListener, WorkRunner } from "./work.js";
 
 /**
- * Least time between two chunks of one stream, in milliseconds. A token costs the entry a frame and a write to its
- * caller, so a fast stream is sent in chunks of several tokens. The interval stays below the 42 ms between tokens that
- * callers are promised, and an engine that is slower than the interval is not delayed at all.
- */
-export const chunkIntervalMs = 25;
-
-/**
- * Wraps a runner so that the items of a stream come at most once an interval. The first items are never held back.
+ * Wraps a runner so that the items of a stream come at most once an interval. The first items are never held back. A
+ * chunk costs the entry a frame and a write to its caller, so a fast stream is sent in chunks of several tokens.
+ *
+ * @param intervalMs least time between two chunks of one stream, in milliseconds; 0 sends each token as it comes
  *
  * @example
- * const runner = createBatchingRunner(createModelRunner(engine, timers, getPriority, settings), timers, chunkIntervalMs);
+ * const runner = createBatchingRunner(createModelRunner(engine, timers, getPriority, settings), timers, 25);
  */
 export function createBatchingRunner(runner: WorkRunner, timers: TimerService, intervalMs: number): WorkRunner {
     return (work, listener) => runner(work, createItemBatcher(listener, timers, intervalMs));
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -24,7 +24,7 @@
 import { OrphanState } from "./engineAudit.js";
 import { createEngineScheduler } from "./engineScheduler.js";
 import { EngineSide } from "./engineSide.js";
-import { chunkIntervalMs, createBatchingRunner } from "./itemBatcher.js";
+import { createBatchingRunner } from "./itemBatcher.js";
 import { createLinkServer, LinkServerSettings } from "./linkServer.js";
 import { buildSchedulerPolicy } from "./schedulerPolicy.js";
 import { Work, WorkRunner, WorkState } from "./work.js";
@@ -37,6 +37,8 @@
     readonly place: string;
     readonly maxQueuedRequests: number;
     readonly maxQueuedBytes: number;
+    /** Least time between two chunks of one stream, in milliseconds; 0 or absent sends each token as it comes. */
+    readonly chunkIntervalMs?: number;
     /** Time that an ended request is kept for an entry that has not acknowledged its end, in milliseconds. */
     readonly retainEndedMs: number;
 }
@@ -150,7 +152,7 @@
         timers,
         log,
         scheduler,
-        runner: createBatchingRunner(parts.runner, timers, chunkIntervalMs),
+        runner: createBatchingRunner(parts.runner, timers, settings.chunkIntervalMs ?? 0),
         retainEndedMs: settings.retainEndedMs,
         send: (session, message) => links.send(session, message),
         makeLoad,
