Do not blame a connection for a stall of this process

Cause: an entry that was busy for over a second found the acknowledgement timers of three links expired before it had read their sockets, dropped the links and retried every request on them; urgent ones lost 1.8 s.

Ruled out: a longer timeout alone; a stall can be longer than any.

Change: the check looks at what has arrived since the dispatch, runs again if it is late by over 100 ms or if bytes are still unsent.

--- a/src/entry/endpointLink.ts
+++ b/src/entry/endpointLink.ts
@@ -102,6 +102,8 @@
 const handshakeOneWayTrips = 4;
 /** A sidecar acknowledges a dispatch at once; only a dead connection or a stopped process takes this long. */
 const acknowledgeTimeoutMs = 1_000;
+/** Lateness of a timer that shows that this process was busy or paused. */
+const lateCheckMs = 100;
 
 /**
  * Creates the link to one endpoint and keeps it open until disposed.
@@ -144,15 +146,33 @@
         }
     }
 
-    /** Gives up a connection on which a dispatch is not acknowledged: it may be open and yet deliver nothing. */
+    /**
+     * Gives up a connection on which nothing arrives after a dispatch: it may be open and yet deliver nothing. A check
+     * that runs late says nothing about the connection, because this process did not read from it either.
+     */
     function watchAcknowledgement(attempt: Attempt) {
         const used = connection;
-        attempt.acknowledgeTimer = timers.schedule(acknowledgeTimeoutMs, () => {
-            if (connection === used) {
-                log(LogEvent.LinkUnresponsive, { endpoint, request: attempt.request });
-                used?.dispose();
+        const dispatchedMs = timers.now();
+
+        function check(dueMs: number) {
+            if (connection !== used || lastReceivedMs > dispatchedMs) {
+                return;
             }
-        });
+            const isLate = timers.now() - dueMs > lateCheckMs;
+            if (isLate || (used && used.getUnsentBytes() > 0)) {
+                arm();
+                return;
+            }
+            log(LogEvent.LinkUnresponsive, { endpoint, request: attempt.request });
+            used?.dispose();
+        }
+
+        function arm() {
+            const dueMs = timers.now() + acknowledgeTimeoutMs;
+            attempt.acknowledgeTimer = timers.schedule(acknowledgeTimeoutMs, () => check(dueMs));
+        }
+
+        arm();
     }
 
     function recordLoad(report: LoadReport) {
