--- a/src/cli/entryCommand.ts
+++ b/src/cli/entryCommand.ts
@@ -53,7 +53,11 @@
             ...entryConfigurationOptions,
             ...linkSecurityOptions,
             ...routingOptions,
-            "heartbeat-interval-ms": { type: "number", default: linkDefaults.heartbeatIntervalMs },
+            "heartbeat-interval-ms": {
+                type: "number",
+                default: linkDefaults.heartbeatIntervalMs,
+                describe: "interval of heartbeats on links; after three missed ones a link is opened anew",
+            },
             "max-body-bytes": {
                 type: "number",
                 default: entryDefaults.maxBodyBytes,
@@ -74,7 +78,11 @@
                 default: entryDefaults.maxConnections,
                 describe: "connections of callers",
             },
-            "drain-delay-ms": { type: "number", default: entryDefaults.drainDelayMs },
+            "drain-delay-ms": {
+                type: "number",
+                default: entryDefaults.drainDelayMs,
+                describe: "time for which a stopping entry still accepts requests",
+            },
             log: logOption,
         }),
     handler: async argv => {
--- a/src/cli/sidecarCommand.ts
+++ b/src/cli/sidecarCommand.ts
@@ -75,9 +75,21 @@
             service: { type: "string", describe: "root URL of the plain service beside this process" },
             weights: { type: "string", describe: "root URL of the platform's weight store" },
             ...linkSecurityOptions,
-            "heartbeat-interval-ms": { type: "number", default: linkDefaults.heartbeatIntervalMs },
-            "max-queued-requests": { type: "number", default: sidecarDefaults.maxQueuedRequests },
-            "max-queued-bytes": { type: "number", default: sidecarDefaults.maxQueuedBytes },
+            "heartbeat-interval-ms": {
+                type: "number",
+                default: linkDefaults.heartbeatIntervalMs,
+                describe: "interval of heartbeats on links; after three missed ones a link is closed",
+            },
+            "max-queued-requests": {
+                type: "number",
+                default: sidecarDefaults.maxQueuedRequests,
+                describe: "requests that wait for the endpoint",
+            },
+            "max-queued-bytes": {
+                type: "number",
+                default: sidecarDefaults.maxQueuedBytes,
+                describe: "bytes of the requests that wait for the endpoint",
+            },
             "chunk-interval-ms": {
                 type: "number",
                 default: sidecarDefaults.chunkIntervalMs,
--- a/src/entry/endpointLink.ts
+++ b/src/entry/endpointLink.ts
@@ -160,19 +160,19 @@
             }
             const isLate = timers.now() - dueMs > lateCheckMs;
             if (isLate || (used && used.getUnsentBytes() > 0)) {
-                arm();
+                scheduleCheck();
                 return;
             }
             log(LogEvent.LinkUnresponsive, { endpoint, request: attempt.request });
             used?.dispose();
         }
 
-        function arm() {
+        function scheduleCheck() {
             const dueMs = timers.now() + acknowledgeTimeoutMs;
             attempt.acknowledgeTimer = timers.schedule(acknowledgeTimeoutMs, () => check(dueMs));
         }
 
-        arm();
+        scheduleCheck();
     }
 
     function recordLoad(report: LoadReport) {
--- a/test/docs/documents.test.ts
+++ b/test/docs/documents.test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
+import { execFileSync } from "node:child_process";
 import { readdirSync, readFileSync } from "node:fs";
 import { describe, test } from "node:test";
+import { fileURLToPath } from "node:url";
 import { LogEvent } from "../../src/base/logEvents.js";
 import { ErrorCode } from "../../src/base/requestError.js";
 
@@ -36,6 +38,21 @@
         assert.deepEqual(Object.values(ErrorCode).filter(code => !page.includes(`\`${code}\``)), []);
     });
 
+    for (const command of ["entry", "sidecar"]) {
+        test(`the operators' page lists each flag of ${command} and each has a description`, () => {
+            const main = fileURLToPath(new URL("../../src/main.js", import.meta.url));
+            const help = execFileSync(process.execPath, [main, command, "--help"], { encoding: "utf8" });
+            const flags = [...help.matchAll(/^ +(--[a-z-]+)(.*)$/gm)].filter(match => match[1] !== "--version");
+            const page = read("docs/operators.md");
+            assert.ok(flags.length > 10);
+            assert.deepEqual(
+                flags.map(match => match[1]!).filter(flag => flag !== "--help" && !page.includes(flag)),
+                [],
+            );
+            assert.deepEqual(flags.filter(match => /^\s*(\[|$)/.test(match[2]!)).map(match => match[1]), []);
+        });
+    }
+
     test("functions begin with a verb of the list", () => {
         const verbs = new Set([...read("docs/verbs.md").matchAll(/^\| `(\w+)` \|/gm)].map(match => match[1]));
         const wrong: string[] = [];
