Separate the link's interface, its task and the watch of a dispatch

Change: the interface, the task that owns the connection and the watch after a dispatch are modules of their own; the watch has a table of cases.

--- a/src/entry/linkDirectory.ts
+++ b/src/entry/linkDirectory.ts
@@ -7,13 +7,8 @@
 import { Configuration, EndpointObject } from "../config/objects.js";
 import { HostList, HostRecord, HostState } from "../ports/hostList.js";
 import { EndpointView } from "../routing/routing.js";
-import {
-    createEndpointLink,
-    EndpointLink,
-    EndpointLinkListener,
-    EndpointLinkSettings,
-    LinkState,
-} from "./endpointLink.js";
+import { EndpointLink, EndpointLinkListener, EndpointLinkSettings, LinkState } from "./endpointLink.js";
+import { createEndpointLink } from "./endpointLinkTask.js";
 
 /** Chooses the endpoints that this entry links to, of all endpoints that the configuration names. */
 export type ApertureFunction = (
