--- a/bench/lib/experiment.ts
+++ b/bench/lib/experiment.ts
@@ -92,6 +92,9 @@
     return `key-of-${caller}`;
 }
 
+/** Part of the wait for late answers that a shortened run keeps. */
+const leastDrainShare = 0.4;
+
 /**
  * Reads an experiment file.
  *
@@ -117,5 +120,6 @@
             overSeconds: surge.overSeconds * phaseScale,
         })),
     }));
-    return { ...experiment, plan: { ...plan, phases } };
+    const drainSeconds = plan.drainSeconds * Math.max(phaseScale, leastDrainShare);
+    return { ...experiment, plan: { ...plan, phases, drainSeconds } };
 }
