Send no request to a sidecar without a configuration

Cause: 'npm run setup' from a fresh clone failed at its demonstration: the first request after the start was answered 503, because an entry chose sidecars whose first configuration had not arrived and gave up when they had refused.

Conclusion: a start no longer refuses its first requests.

--- a/src/entry/linkDirectory.ts
+++ b/src/entry/linkDirectory.ts
@@ -117,13 +117,15 @@
         const { link, object } = entry;
         const outstanding = link.getOutstanding();
         const load = link.getLoad();
+        // Until its first configuration has arrived a sidecar refuses every request.
+        const isConfigured = link.getGeneration() >= 0;
         // A sidecar reports no version while its engine takes no requests.
         const isServing = object.model === undefined || load === undefined || load.version !== undefined;
         const isListedLeaving = hosts.get(object.host)?.state === HostState.Leaving;
         return {
             name,
             place: object.place,
-            available: isServing && !entry.retired && !link.isLeaving() && !isListedLeaving
+            available: isConfigured && isServing && !entry.retired && !link.isLeaving() && !isListedLeaving
                 && link.getState() === LinkState.Open,
             load,
             loadAgeMs: link.getLoadAgeMs(),
--- a/src/entry/requestTask.ts
+++ b/src/entry/requestTask.ts
@@ -58,8 +58,11 @@
 const verdictWaitMs = 400;
 /** Delay before a request without any available endpoint looks again, in milliseconds. */
 const noEndpointDelayMs = 50;
-/** Time that a request waits for an endpoint to appear, in milliseconds; a link takes this long to come back. */
-const noEndpointPatienceMs = 1_000;
+/**
+ * Time that a request waits for an endpoint to appear, in milliseconds: a link comes back in less, and a configuration
+ * that a sidecar could not use is sent again after a second.
+ */
+const noEndpointPatienceMs = 2_500;
 
 /**
  * Starts a request: chooses an endpoint, dispatches, and follows failed attempts by others as the retry policy allows.
