--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -1,5 +1,4 @@
 import { RequestError } from "../base/requestError.js";
-import { Verdict } from "../base/verdict.js";
 import { EngineFinish, EngineUsage } from "../ports/modelEngine.js";
 
 /** Tag of an {@link AttemptEvent}. */
@@ -32,8 +31,3 @@
 
 /** Receives the events of one attempt. */
 export type AttemptListener = (event: AttemptEvent) => void;
-
-/** Whether a failed attempt certainly did not run. */
-export function isNotRun(error: RequestError): boolean {
-    return error.verdict === Verdict.NotRun;
-}
