--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -6,7 +6,7 @@
     ["ports"],
     ["config", "routing", "scheduling", "idempotency", "membership", "rollout", "quarantine", "retries"],
     ["link", "adapters"],
-    ["entry", "sidecar"],
+    ["entry", "sidecar", "gateway"],
     ["emulator", "load"],
     ["cli"],
 ];
--- /dev/null
+++ b/src/gateway/endpointConnections.ts
@@ -0,0 +1,171 @@
+import { Dispatcher, Pool } from "undici";
+import { RawHeaders } from "../ports/exchange.js";
+
+/** A request as it goes to an endpoint. */
+export interface OutgoingRequest {
+    readonly method: string;
+    readonly path: string;
+    readonly headers: string[];
+    readonly body: Buffer | undefined;
+    /**
+     * Whether a connection of its own carries the request. Nothing that an earlier request left behind, such as a late
+     * answer or a half-closed connection, can then meet a request that must not run twice.
+     */
+    readonly isSingleUse: boolean;
+}
+
+/** Why an exchange ended without a whole answer. */
+export enum SendFailureKind {
+    /** No connection was made, so nothing was sent. */
+    NotSent = "not-sent",
+    /** The connection broke after the request may have been sent. */
+    Broken = "broken",
+}
+
+/** Receives the answer to one request. */
+export interface AnswerListener {
+    onHead(status: number, headers: RawHeaders): void;
+    onData(bytes: Buffer): void;
+    onEnd(): void;
+    /** Not called after `Exchange.abort`. */
+    onFailure(kind: SendFailureKind, reason: string): void;
+}
+
+/** One request that has been sent. */
+export interface Exchange {
+    /** Closes the connection, which tells the endpoint to stop. */
+    abort(): void;
+    pause(): void;
+    resume(): void;
+}
+
+/** Connections to endpoints, kept and reused. */
+export interface EndpointConnections {
+    send(address: string, request: OutgoingRequest, listener: AnswerListener): Exchange;
+    /** Replaces the kept connections of an address, for example because one of them was silent. */
+    replace(address: string): void;
+    /** Closes the connections of addresses that are no longer in use. */
+    keepOnly(addresses: ReadonlySet<string>): void;
+    close(): Promise<void>;
+}
+
+/** Connections to a live host take two round trips at most; a lost opening packet is sent again after a second. */
+const connectTimeoutMs = 400;
+/** Idle connections are closed before endpoints usually do. */
+const keepAliveTimeoutMs = 4_000;
+
+interface EndpointPools {
+    readonly kept: Pool;
+    readonly single: Pool;
+}
+
+/**
+ * Creates the connections of one process.
+ *
+ * @example
+ * const exchange = connections.send("10.2.64.3:8080", request, listener);
+ * exchange.abort();
+ */
+export function createEndpointConnections(): EndpointConnections {
+    const pools = new Map<string, EndpointPools>();
+
+    function getPools(address: string): EndpointPools {
+        let found = pools.get(address);
+        if (!found) {
+            found = { kept: createPool(address, 1), single: createPool(address, 0) };
+            pools.set(address, found);
+        }
+        return found;
+    }
+
+    function closeGently({ kept, single }: EndpointPools): void {
+        // Requests that are under way finish; an error of a closing connection concerns nobody.
+        kept.close().catch(() => undefined);
+        single.close().catch(() => undefined);
+    }
+
+    function replace(address: string): void {
+        const found = pools.get(address);
+        if (found) {
+            pools.delete(address);
+            closeGently(found);
+        }
+    }
+
+    return {
+        send(address, request, listener) {
+            const { kept, single } = getPools(address);
+            return dispatchRequest(request.isSingleUse ? single : kept, request, listener);
+        },
+        replace,
+        keepOnly(addresses) {
+            [...pools.keys()].filter(address => !addresses.has(address)).forEach(replace);
+        },
+        async close() {
+            const all = [...pools.values()];
+            pools.clear();
+            await Promise.all(all.flatMap(({ kept, single }) => [kept.destroy(), single.destroy()]));
+        },
+    };
+}
+
+function createPool(address: string, pipelining: number): Pool {
+    return new Pool(`http://${address}`, {
+        pipelining,
+        connectTimeout: connectTimeoutMs,
+        keepAliveTimeout: keepAliveTimeoutMs,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+    });
+}
+
+function dispatchRequest(pool: Pool, request: OutgoingRequest, listener: AnswerListener): Exchange {
+    let controller: Dispatcher.DispatchController | undefined;
+    let isAborted = false;
+    pool.dispatch({
+        method: request.method as Dispatcher.HttpMethod,
+        path: request.path,
+        headers: request.headers,
+        body: request.body ?? null,
+    }, {
+        onRequestStart(started) {
+            controller = started;
+            if (isAborted) {
+                started.abort(new Error("aborted"));
+            }
+        },
+        onResponseStart(started, status) {
+            if (!isAborted && status >= 200) {
+                listener.onHead(status, decodeRawHeaders(started));
+            }
+        },
+        onResponseData(_, bytes) {
+            if (!isAborted) {
+                listener.onData(bytes);
+            }
+        },
+        onResponseEnd() {
+            if (!isAborted) {
+                listener.onEnd();
+            }
+        },
+        onResponseError(_, error) {
+            if (!isAborted) {
+                listener.onFailure(controller ? SendFailureKind.Broken : SendFailureKind.NotSent, error.message);
+            }
+        },
+    });
+    return {
+        abort() {
+            isAborted = true;
+            controller?.abort(new Error("aborted"));
+        },
+        pause: () => controller?.pause(),
+        resume: () => controller?.resume(),
+    };
+}
+
+function decodeRawHeaders(controller: Dispatcher.DispatchController): string[] {
+    const raw = (controller as { rawHeaders?: readonly Buffer[] }).rawHeaders ?? [];
+    return raw.map(part => part.toString("latin1"));
+}
--- /dev/null
+++ b/src/gateway/exchangeMessages.ts
@@ -0,0 +1,109 @@
+import { Decoder, Encoder } from "cbor-x";
+import { WorkItem, WorkPhase } from "../routing/loadLedger.js";
+
+/** What one gateway tells the others of the work that it has dispatched. */
+export interface LoadMessage {
+    readonly host: string;
+    /** Address for messages to the sender. */
+    readonly address: string;
+    /** Changes with each start of the sender. */
+    readonly incarnation: string;
+    /** Number of the message within the incarnation. */
+    readonly sequence: number;
+    /** Whether `items` is all of the sender's work; otherwise only what has changed since the message before. */
+    readonly isWhole: boolean;
+    readonly items: readonly WorkItem[];
+    readonly removed: readonly string[];
+    /** Recent crashes of endpoints with the fingerprints of the requests that ran there. */
+    readonly crashes: readonly CrashNotice[];
+}
+
+/** A crash of an endpoint. */
+export interface CrashNotice {
+    readonly crash: string;
+    readonly fingerprints: readonly string[];
+}
+
+const messageVersion = 1;
+const options = { useRecords: false, tagUint8Array: false } as const;
+const encoder = new Encoder(options);
+const decoder = new Decoder(options);
+
+type WireItem = [string, string, number, number, number, number, boolean, number, number, boolean];
+type WireMessage = [number, string, string, string, number, boolean, WireItem[], string[], [string, string[]][]];
+
+/**
+ * Encodes a message. Times go as durations from now, because the clocks of hosts differ.
+ *
+ * @example
+ * socket.send(encodeLoadMessage(message, timers.now()), port, ip);
+ */
+export function encodeLoadMessage(message: LoadMessage, nowMs: number): Buffer {
+    const wire: WireMessage = [
+        messageVersion,
+        message.host,
+        message.address,
+        message.incarnation,
+        message.sequence,
+        message.isWhole,
+        message.items.map(item => encodeItem(item, nowMs)),
+        [...message.removed],
+        message.crashes.map(item => [item.crash, [...item.fingerprints]]),
+    ];
+    return encoder.encode(wire);
+}
+
+function encodeItem(item: WorkItem, nowMs: number): WireItem {
+    return [
+        item.key,
+        item.endpoint,
+        Math.round(item.readMs),
+        Math.round(item.tokens),
+        item.pauseAimMs ?? 0,
+        Math.round(item.dueAtMs - nowMs),
+        item.phase === WorkPhase.Writing,
+        Math.round(nowMs - item.phaseSinceMs),
+        Math.round(item.endsAtMs - nowMs),
+        item.isSuspect,
+    ];
+}
+
+/** Decodes a message; `undefined` for anything else that arrives at the port. */
+export function decodeLoadMessage(bytes: Buffer, nowMs: number): LoadMessage | undefined {
+    try {
+        const wire = decoder.decode(bytes) as WireMessage;
+        if (!Array.isArray(wire) || wire[0] !== messageVersion) {
+            return undefined;
+        }
+        const [, host, address, incarnation, sequence, isWhole, items, removed, crashes] = wire;
+        return {
+            host,
+            address,
+            incarnation,
+            sequence,
+            isWhole,
+            items: items.map(item => decodeItem(item, nowMs)),
+            removed,
+            crashes: crashes.map(([crash, fingerprints]) => ({ crash, fingerprints })),
+        };
+    }
+    catch {
+        return undefined;
+    }
+}
+
+function decodeItem(item: WireItem, nowMs: number): WorkItem {
+    const [key, endpoint, readMs, tokens, pauseAimMs, dueInMs, isWriting, phaseAgeMs, endsInMs, isSuspect] = item;
+    return {
+        key,
+        endpoint,
+        readMs,
+        tokens,
+        pauseAimMs: pauseAimMs > 0 ? pauseAimMs : undefined,
+        dueAtMs: nowMs + dueInMs,
+        phase: isWriting ? WorkPhase.Writing : WorkPhase.Reading,
+        phaseSinceMs: nowMs - phaseAgeMs,
+        endsAtMs: nowMs + endsInMs,
+        isSuspect,
+    };
+}
--- /dev/null
+++ b/src/gateway/gateway.ts
@@ -0,0 +1,308 @@
+import { createServer } from "node:http";
+import { createDisposableStore, Disposable, DisposableStore } from "../base/disposable.js";
+import { EventLog } from "../base/log.js";
+import { LogEvent } from "../base/logEvents.js";
+import { createMetrics, Metrics } from "../base/metrics.js";
+import { TimerService, waitFor } from "../base/timerService.js";
+import {
+    createEndpointDirectory,
+    defaultDirectorySettings,
+    EndpointChange,
+    EndpointChangeKind,
+} from "../membership/endpointDirectory.js";
+import { createEndpointHealth, ExchangeResult } from "../membership/endpointHealth.js";
+import { EndpointRecord } from "../ports/endpointRecord.js";
+import { ExchangeCodec } from "../ports/exchange.js";
+import { MemoryOrders } from "../ports/memoryOrders.js";
+import { KeyedRecord, RecordFeed, WritableFeed } from "../ports/recordFeed.js";
+import { ServingConfiguration } from "../ports/servingConfiguration.js";
+import { createRetryBudget } from "../retries/retryBudget.js";
+import { createLoadLedger } from "../routing/loadLedger.js";
+import { createPaceEstimate } from "../routing/paceEstimate.js";
+import { buildRouteTable, RouteTable } from "../routing/routeTable.js";
+import { createCrashRegistry } from "./crashRegistry.js";
+import { createCustomerServer } from "./customerServer.js";
+import { createEndpointConnections } from "./endpointConnections.js";
+import { GatewaySettings, ListenAddress } from "./gatewaySettings.js";
+import { createLoadExchange } from "./loadExchange.js";
+import { followPeers } from "./peerDiscovery.js";
+import { createPlacementDesk } from "./placementDesk.js";
+import { createRequestIntake } from "./requestIntake.js";
+import { createReservations } from "./reservations.js";
+import { followFeed, FollowPace } from "./storeFollower.js";
+
+/** What a gateway meets outside: the store, the endpoints' protocol, time and chance. */
+export interface GatewayPorts {
+    readonly configurationFeed: RecordFeed;
+    readonly endpointFeed: RecordFeed;
+    readonly gatewayFeed: WritableFeed;
+    decodeConfiguration(record: KeyedRecord): ServingConfiguration | undefined;
+    decodeEndpoint(record: KeyedRecord): EndpointRecord | undefined;
+    readonly codec: ExchangeCodec;
+    readonly memoryOrders: MemoryOrders;
+    readonly timers: TimerService;
+    readonly log: EventLog;
+    readonly random: () => number;
+    /** Unique id of this life of the process. */
+    readonly incarnation: string;
+}
+
+/** A running gateway. */
+export interface Gateway {
+    /** Finishes what it has and ends; resolves when nothing is left. */
+    drain(): Promise<void>;
+}
+
+/** A change of configuration is in force within two seconds; a read that waits longer could hide a silent connection. */
+const configurationPace: FollowPace = { waitMs: 900, pauseMs: 0 };
+/** Endpoints renew every second or so; one read collects what many of them write. Leaving counts after two seconds. */
+const endpointPace: FollowPace = { waitMs: 400, pauseMs: 500 };
+const lapseCheckMs = 100;
+/** Share of the memory limit that request bodies may hold; the rest is for the heap and for buffers of connections. */
+const bodyMemoryShare = 0.25;
+/** Share of descriptors for customers; the rest is for endpoints and the store. */
+const customerDescriptorShare = 0.6;
+/** Share of the retry budget that is used, which leaves room for processes that have just started. */
+const budgetShare = 0.8;
+/** Gateways that share the budget of retries, where fewer are known: some of them may be out of reach. */
+const leastBudgetSharers = 4;
+/** Time after SIGTERM in which the balancer notices and customers move, in milliseconds. */
+const acceptWhileDrainingMs = 3_000;
+/** Time before SIGKILL at which what is left is broken off, in milliseconds. */
+const closeBeforeKillMs = 400;
+const drainCheckMs = 50;
+
+/**
+ * Starts a gateway: the process between customers and endpoints. It keeps nothing that outlives it.
+ *
+ * @example
+ * const gateway = await startGateway(settings, ports);
+ * process.on("SIGTERM", () => void gateway.drain());
+ */
+export async function startGateway(settings: GatewaySettings, ports: GatewayPorts): Promise<Gateway> {
+    const { timers, log } = ports;
+    const disposables = createDisposableStore();
+    const metrics = createMetrics();
+    const directory = createEndpointDirectory(defaultDirectorySettings);
+    const health = createEndpointHealth();
+    const pace = createPaceEstimate();
+    const ledger = createLoadLedger();
+    const connections = createEndpointConnections();
+    const keyPrefix = ports.incarnation.slice(-8);
+    let table: RouteTable | undefined;
+    let areEndpointsKnown = false;
+
+    const exchange = disposables.register(createLoadExchange({
+        host: settings.host,
+        ip: settings.ip,
+        port: settings.exchangePort,
+        incarnation: ports.incarnation,
+        timers,
+        ledger,
+        log,
+        onChange: () => desk.run(),
+        onCrash: notice => crashes.applyNotice(notice),
+    }));
+    const crashes = createCrashRegistry({
+        host: `${settings.host}/${keyPrefix}`,
+        timers,
+        log,
+        reportCrash: exchange.reportCrash,
+    });
+    const desk = disposables.register(createPlacementDesk({
+        timers,
+        directory,
+        health,
+        pace,
+        ledger,
+        dataCentre: settings.dataCentre,
+        keyPrefix,
+        reportChange: exchange.reportChange,
+    }));
+    const budget = createRetryBudget({
+        ratio: settings.retryRatio * budgetShare,
+        burst: Math.floor((settings.retrySlack * budgetShare) / leastBudgetSharers),
+    });
+    const reservations = createReservations({
+        orders: ports.memoryOrders,
+        timers,
+        log,
+        maxHoldMs: settings.maxHoldMs,
+        idPrefix: keyPrefix,
+    });
+
+    function applyConfiguration(records: readonly KeyedRecord[]): void {
+        for (const record of records) {
+            const configuration = ports.decodeConfiguration(record);
+            if (!configuration) {
+                continue;
+            }
+            const previous = table?.version;
+            if (previous !== undefined && configuration.version <= previous) {
+                continue;
+            }
+            table = buildRouteTable(configuration);
+            customers.setLimits(configuration.limits);
+            log(LogEvent.ServingConfigurationInForce, {
+                version: configuration.version,
+                previous,
+                routes: configuration.routes.length,
+                customers: configuration.customers?.length,
+            });
+        }
+    }
+
+    function applyChanges(changes: readonly EndpointChange[]): void {
+        for (const { kind, record } of changes) {
+            log(LogEvent.EndpointChanged, {
+                change: kind,
+                endpoint: record.id,
+                service: record.service,
+                address: record.address,
+                dataCentre: record.dataCentre,
+            });
+            if (kind === EndpointChangeKind.Restarted || kind === EndpointChangeKind.Left) {
+                health.forget(record.id);
+                pace.forget(record.id);
+                ledger.forgetEndpoint(record.id);
+                connections.replace(record.address);
+            }
+        }
+        if (changes.length > 0) {
+            connections.keepOnly(new Set(directory.listAll().map(item => item.record.address)));
+            desk.run();
+        }
+    }
+
+    function decodeEndpoints(records: readonly KeyedRecord[]): EndpointRecord[] {
+        return records.map(ports.decodeEndpoint).filter(record => record !== undefined);
+    }
+
+    function applyEndpointRecord(record: KeyedRecord): readonly EndpointChange[] {
+        const nowMs = timers.now();
+        const endpoint = ports.decodeEndpoint(record);
+        return endpoint ? directory.applyRecord(endpoint, nowMs) : directory.applyRemoval(record.key, nowMs);
+    }
+
+    const customers = createCustomerServer(
+        settings.customerAddress,
+        Math.floor(settings.maxDescriptors * customerDescriptorShare),
+        createRequestIntake({
+            services: {
+                timers,
+                log,
+                metrics,
+                codec: ports.codec,
+                connections,
+                desk,
+                health,
+                pace,
+                reservations,
+                crashes,
+                budget,
+                random: ports.random,
+                onMisdirected(endpointId) {
+                    health.record(endpointId, ExchangeResult.Unreachable, timers.now());
+                },
+            },
+            getTable: () => table,
+            isDraining: () => customers.isDraining(),
+            maxHeldBytes: settings.memoryBytes * bodyMemoryShare,
+        }),
+    );
+
+    disposables.register(followFeed({
+        name: "configuration",
+        feed: ports.configurationFeed,
+        pace: configurationPace,
+        timers,
+        log,
+        listener: { onWhole: applyConfiguration, onRecords: applyConfiguration, onLost() {}, onBack() {} },
+    }));
+    disposables.register(followFeed({
+        name: "endpoints",
+        feed: ports.endpointFeed,
+        pace: endpointPace,
+        timers,
+        log,
+        listener: {
+            onWhole(records) {
+                areEndpointsKnown = true;
+                applyChanges(directory.applyAll(decodeEndpoints(records), timers.now()));
+            },
+            onRecords: records => applyChanges(records.flatMap(applyEndpointRecord)),
+            onLost: () => directory.markStoreLost(),
+            onBack: () => directory.markStoreBack(timers.now()),
+        },
+    }));
+    disposables.register(timers.subscribe(lapseCheckMs, () => applyChanges(directory.expireLapses(timers.now()))));
+    disposables.register(followPeers({
+        feed: ports.gatewayFeed,
+        host: settings.host,
+        address: `${settings.ip}:${settings.exchangePort}`,
+        timers,
+        log,
+        onPeers: exchange.setPeers,
+    }));
+
+    metrics.registerGauge("jujubelane_waiting_requests", "Requests that wait for a place.", desk.countWaiting);
+    metrics.registerGauge("jujubelane_reservations", "Memory reservations held.", reservations.countHeld);
+    metrics.registerGauge("jujubelane_gateways", "Gateways heard of, this one included.", exchange.countGateways);
+    metrics.registerGauge("jujubelane_connections", "Customers' connections.", customers.countConnections);
+    metrics.registerGauge("jujubelane_configuration_version", "Version in force.", () => table?.version ?? 0);
+
+    const isReady = () => table !== undefined && areEndpointsKnown && !customers.isDraining();
+    await customers.listen();
+    await serveReadiness(settings.readyAddress, isReady, disposables);
+    await serveMetrics({ ip: settings.ip, port: settings.metricsPort }, metrics, disposables);
+
+    async function drain(): Promise<void> {
+        const endAtMs = timers.now() + settings.graceMs - closeBeforeKillMs;
+        log(LogEvent.ProcessDraining, { requests: customers.countRequests() });
+        customers.startDraining();
+        await waitFor(timers, acceptWhileDrainingMs);
+        customers.stopAccepting();
+        while (customers.countRequests() > 0 && timers.now() < endAtMs) {
+            await waitFor(timers, drainCheckMs);
+        }
+        log(LogEvent.ProcessStopped, { brokenOff: customers.countRequests() });
+        customers.close();
+        disposables.dispose();
+        await connections.close();
+    }
+
+    return { drain };
+}
+
+function serveReadiness(address: ListenAddress, isReady: () => boolean, disposables: DisposableStore): Promise<void> {
+    return serveText(address, () => ({ status: isReady() ? 200 : 503, text: "" }), disposables);
+}
+
+function serveMetrics(address: ListenAddress, metrics: Metrics, disposables: DisposableStore): Promise<void> {
+    return serveText(address, () => ({ status: 200, text: metrics.render() }), disposables);
+}
+
+/** Serves the same text for every path. */
+function serveText(
+    address: ListenAddress,
+    render: () => { readonly status: number; readonly text: string },
+    disposables: DisposableStore,
+): Promise<void> {
+    const server = createServer((request, response) => {
+        request.resume();
+        const { status, text } = render();
+        response.writeHead(status, { "Content-Type": "text/plain", "Content-Length": Buffer.byteLength(text) });
+        response.end(text);
+    });
+    const closing: Disposable = {
+        dispose() {
+            server.close();
+            server.closeAllConnections();
+        },
+    };
+    disposables.register(closing);
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(address.port, address.ip, () => resolve());
+    });
+}
--- /dev/null
+++ b/src/gateway/loadExchange.ts
@@ -0,0 +1,203 @@
+import { createSocket } from "node:dgram";
+import { Disposable } from "../base/disposable.js";
+import { EventLog } from "../base/log.js";
+import { LogEvent } from "../base/logEvents.js";
+import { TimerService } from "../base/timerService.js";
+import { LoadLedger, WorkItem } from "../routing/loadLedger.js";
+import { CrashNotice, decodeLoadMessage, encodeLoadMessage, LoadMessage } from "./exchangeMessages.js";
+
+/** Changes within this time go in one message. */
+const batchMs = 4;
+/** All work is sent this often, which repairs lost messages. */
+const wholeIntervalMs = 500;
+/** A gateway that has sent nothing for this long is not sent changes any more; its work ends as predicted. */
+const peerTimeoutMs = 3_000;
+/** Time for which a crash is repeated in messages, against their loss. */
+const crashRepeatMs = 2_000;
+/** Messages stay within one datagram of a usual network. */
+const itemsPerMessage = 20;
+
+/** Address of another gateway. */
+export interface PeerAddress {
+    readonly ip: string;
+    readonly port: number;
+}
+
+/** Tells other gateways of this one's work, and the ledger of theirs. */
+export interface LoadExchange extends Disposable {
+    /** Sets the gateways that the store lists. */
+    setPeers(addresses: readonly string[]): void;
+    /** Reports that an item of the own work was added or changed. */
+    reportChange(key: string, item: WorkItem | undefined): void;
+    reportCrash(notice: CrashNotice): void;
+    /** Gateways, this one included, that were heard of lately. */
+    countGateways(): number;
+}
+
+/** What the exchange needs. */
+export interface LoadExchangeOptions {
+    readonly host: string;
+    readonly ip: string;
+    readonly port: number;
+    readonly incarnation: string;
+    readonly timers: TimerService;
+    readonly ledger: LoadLedger;
+    readonly log: EventLog;
+    /** Called when another gateway's work has changed. */
+    readonly onChange: () => void;
+    readonly onCrash: (notice: CrashNotice) => void;
+}
+
+interface Peer {
+    incarnation: string;
+    sequence: number;
+    heardAtMs: number;
+}
+
+/**
+ * Starts the exchange on a UDP port. Datagrams fit because each message replaces what an earlier one said: a lost one is
+ * repaired by the next, and no connection can stay silent.
+ *
+ * @example
+ * const exchange = createLoadExchange(options);
+ * exchange.reportChange(item.key, item);
+ */
+export function createLoadExchange(options: LoadExchangeOptions): LoadExchange {
+    const { timers, ledger, log } = options;
+    const ownAddress = `${options.ip}:${options.port}`;
+    const socket = createSocket("udp4");
+    const peers = new Map<string, Peer>();
+    const changes = new Map<string, WorkItem | undefined>();
+    const crashes: { readonly notice: CrashNotice; readonly untilMs: number }[] = [];
+    let listed: readonly string[] = [];
+    let sequence = 0;
+    let batch: Disposable | undefined;
+    let wasSendRefused = false;
+
+    function listTargets(): string[] {
+        return [...new Set([...listed, ...peers.keys()])].filter(address => address !== ownAddress);
+    }
+
+    function send(isWhole: boolean, items: readonly WorkItem[], removed: readonly string[]): void {
+        const nowMs = timers.now();
+        sequence += 1;
+        const message: LoadMessage = {
+            host: options.host,
+            address: ownAddress,
+            incarnation: options.incarnation,
+            sequence,
+            isWhole,
+            items,
+            removed,
+            crashes: crashes.filter(item => nowMs < item.untilMs).map(item => item.notice),
+        };
+        const bytes = encodeLoadMessage(message, nowMs);
+        for (const target of listTargets()) {
+            const [ip, port] = target.split(":");
+            socket.send(bytes, Number(port), ip, handleSendResult);
+        }
+    }
+
+    /** A refused datagram is like a lost one; the state of the refusal is logged once. */
+    function handleSendResult(error: Error | null): void {
+        const isRefused = error !== null;
+        if (isRefused && !wasSendRefused) {
+            log(LogEvent.PeerMessageNotSent, { reason: error.message });
+        }
+        wasSendRefused = isRefused;
+    }
+
+    function sendWhole(): void {
+        const items = ledger.listOwn();
+        changes.clear();
+        send(true, items.slice(0, itemsPerMessage), []);
+        for (let start = itemsPerMessage; start < items.length; start += itemsPerMessage) {
+            send(false, items.slice(start, start + itemsPerMessage), []);
+        }
+    }
+
+    function sendChanges(): void {
+        batch = undefined;
+        const changed = [...changes.values()].filter(item => item !== undefined);
+        const removed = [...changes].filter(([, item]) => item === undefined).map(([key]) => key);
+        changes.clear();
+        for (let start = 0; start === 0 || start < changed.length; start += itemsPerMessage) {
+            send(false, changed.slice(start, start + itemsPerMessage), start === 0 ? removed : []);
+        }
+    }
+
+    function scheduleBatch(): void {
+        batch ??= timers.schedule(batchMs, sendChanges);
+    }
+
+    function receive(bytes: Buffer): void {
+        const message = decodeLoadMessage(bytes, timers.now());
+        if (!message || message.address === ownAddress) {
+            return;
+        }
+        const known = peers.get(message.address);
+        const isNew = known?.incarnation !== message.incarnation;
+        if (!isNew && message.sequence <= known.sequence) {
+            return;
+        }
+        if (isNew) {
+            log(LogEvent.PeerFound, { host: message.host, address: message.address });
+            ledger.removePeer(message.address);
+        }
+        peers.set(message.address, {
+            incarnation: message.incarnation,
+            sequence: message.sequence,
+            heardAtMs: timers.now(),
+        });
+        if (message.isWhole) {
+            ledger.replacePeer(message.address, message.items);
+        }
+        else {
+            ledger.updatePeer(message.address, message.items, message.removed);
+        }
+        message.crashes.forEach(options.onCrash);
+        options.onChange();
+    }
+
+    function expirePeers(): void {
+        const nowMs = timers.now();
+        ledger.expire(nowMs);
+        while (crashes[0] && crashes[0].untilMs <= nowMs) {
+            crashes.shift();
+        }
+        for (const [address, peer] of peers) {
+            if (nowMs - peer.heardAtMs > peerTimeoutMs) {
+                peers.delete(address);
+                log(LogEvent.PeerLost, { address, silentMs: nowMs - peer.heardAtMs });
+            }
+        }
+    }
+
+    socket.on("message", receive);
+    socket.on("error", error => log(LogEvent.PeerMessageNotSent, { reason: error.message }));
+    socket.bind(options.port, options.ip);
+    const whole = timers.subscribe(wholeIntervalMs, () => {
+        sendWhole();
+        expirePeers();
+    });
+
+    return {
+        setPeers(addresses) {
+            listed = addresses;
+        },
+        reportChange(key, item) {
+            changes.set(key, item);
+            scheduleBatch();
+        },
+        reportCrash(notice) {
+            crashes.push({ notice, untilMs: timers.now() + crashRepeatMs });
+            scheduleBatch();
+        },
+        countGateways: () => 1 + peers.size,
+        dispose() {
+            whole.dispose();
+            batch?.dispose();
+            socket.close();
+        },
+    };
+}
--- /dev/null
+++ b/src/gateway/peerDiscovery.ts
@@ -0,0 +1,79 @@
+import { Disposable } from "../base/disposable.js";
+import { EventLog } from "../base/log.js";
+import { LogEvent } from "../base/logEvents.js";
+import { ResultKind } from "../base/result.js";
+import { TimerService } from "../base/timerService.js";
+import { KeyedRecord, WritableFeed } from "../ports/recordFeed.js";
+
+/** What finding the other gateways needs. */
+export interface PeerDiscoveryOptions {
+    readonly feed: WritableFeed;
+    readonly host: string;
+    /** Address for messages to this gateway. */
+    readonly address: string;
+    readonly timers: TimerService;
+    readonly log: EventLog;
+    readonly onPeers: (addresses: readonly string[]) => void;
+}
+
+/** Calls to the store cost, and gateways that run know each other from their messages. */
+const refreshMs = 5_000;
+const retryMs = 500;
+/** Registrations that were not renewed for this many refreshes belong to hosts that are gone. */
+const refreshesKept = 4;
+
+/**
+ * Registers this gateway in the store and reads the others' addresses, until disposed.
+ *
+ * @example
+ * const following = followPeers({ feed, host, address, timers, log, onPeers: exchange.setPeers });
+ */
+export function followPeers(options: PeerDiscoveryOptions): Disposable {
+    const { feed, timers, log } = options;
+    const renewals = new Map<string, { readonly value: string; readonly refreshes: number }>();
+    let renewal = 0;
+    let isDisposed = false;
+    let next: Disposable | undefined;
+
+    /** A registration that has not changed since the last read was not renewed meanwhile. */
+    function listLive(records: readonly KeyedRecord[]): string[] {
+        const live: string[] = [];
+        for (const { key, value } of records) {
+            const text = Buffer.from(value ?? []).toString("utf8");
+            const known = renewals.get(key);
+            const refreshes = known?.value === text ? known.refreshes + 1 : 0;
+            renewals.set(key, { value: text, refreshes });
+            const address = text.split(" ")[0]!;
+            if (refreshes < refreshesKept && /^\d+\.\d+\.\d+\.\d+:\d+$/.test(address)) {
+                live.push(address);
+            }
+        }
+        return live;
+    }
+
+    async function refresh(): Promise<void> {
+        renewal += 1;
+        const written = await feed.write(options.host, Buffer.from(`${options.address} ${renewal}`));
+        const read = await feed.readNewest();
+        if (isDisposed) {
+            return;
+        }
+        if (read.kind === ResultKind.Success) {
+            options.onPeers(listLive(read.value.records));
+        }
+        const hasFailed = written.kind === ResultKind.Failure || read.kind === ResultKind.Failure;
+        next = timers.schedule(hasFailed ? retryMs : refreshMs, start);
+    }
+
+    function start(): void {
+        refresh().catch((error: unknown) => log(LogEvent.TaskFailed, { task: "peers", error: String(error) }));
+    }
+
+    start();
+    return {
+        dispose() {
+            isDisposed = true;
+            next?.dispose();
+        },
+    };
+}
--- /dev/null
+++ b/src/gateway/placementDesk.ts
@@ -0,0 +1,390 @@
+import murmurhash from "murmurhash";
+import { createDisposable, Disposable } from "../base/disposable.js";
+import { TimerService } from "../base/timerService.js";
+import { EndpointDirectory } from "../membership/endpointDirectory.js";
+import { EndpointHealth, Standing } from "../membership/endpointHealth.js";
+import { EndpointRecord } from "../ports/endpointRecord.js";
+import { EngineModel, Service } from "../ports/servingConfiguration.js";
+import {
+    defaultPlacementSettings,
+    Placement,
+    PlacementRequest,
+    placeOnEngines,
+    Protection,
+} from "../routing/enginePlacement.js";
+import { buildEngineView, EngineView } from "../routing/engineView.js";
+import { LoadLedger, WorkItem, WorkPhase } from "../routing/loadLedger.js";
+import { PaceEstimate } from "../routing/paceEstimate.js";
+import { placeOnPlainService, PlainView } from "../routing/plainPlacement.js";
+import { compareWaiting } from "../scheduling/waitingOrder.js";
+
+/** What a model request needs of an engine. */
+export interface EngineNeeds {
+    readonly readMs: number;
+    readonly promptTokens: number;
+    readonly outputTokens: number;
+    readonly pauseAimMs: number;
+}
+
+/** Work that asks for a place. Times are on the steady clock. */
+export interface PlacementOrder {
+    readonly service: Service;
+    readonly rank: number;
+    readonly arrivedAtMs: number;
+    /** When the first byte is due. */
+    readonly dueAtMs: number;
+    /** When the customer will have left without a first byte. */
+    readonly giveUpAtMs: number;
+    /** Absent for a plain service. */
+    readonly needs?: EngineNeeds;
+    readonly isUnsafe: boolean;
+    readonly avoid: ReadonlySet<string>;
+    readonly isSuspect: boolean;
+    onPlaced(place: Place): void;
+    /** The work has waited and can no longer be served in its time. */
+    onHopeless(reason: string): void;
+}
+
+/** A place on an endpoint, held until released. */
+export interface Place {
+    readonly endpoint: EndpointRecord;
+    readonly helpers: readonly EndpointRecord[];
+    /** Memory to reserve at each helper, in tokens. */
+    readonly reservedTokens: number;
+    /** Predicted time until the first byte, in milliseconds. */
+    readonly firstByteMs: number;
+    /** Inputs of the decision, for the log. */
+    readonly reason: string;
+    /** Marks that the first event has come. */
+    startWriting(): void;
+    /** Predicted duration of a pass of the endpoint at its own speed, without reads, in milliseconds. */
+    predictPassMs(): number;
+    release(): void;
+}
+
+/** Gives places on endpoints to requests, and keeps those waiting that find none. */
+export interface PlacementDesk extends Disposable {
+    submit(order: PlacementOrder): Disposable;
+    /** Looks for places for what waits; called when something has changed. */
+    run(): void;
+    countWaiting(): number;
+    /** Estimates when the service has room for another request of this size, in milliseconds from now. */
+    predictRoomMs(service: Service, needs: EngineNeeds | undefined): number;
+}
+
+/** What the desk needs. */
+export interface PlacementDeskOptions {
+    readonly timers: TimerService;
+    readonly directory: EndpointDirectory;
+    readonly health: EndpointHealth;
+    readonly pace: PaceEstimate;
+    readonly ledger: LoadLedger;
+    readonly dataCentre: string;
+    /** Prefix of the keys of this process's work, unique among all gateways. */
+    readonly keyPrefix: string;
+    readonly reportChange: (key: string, item: WorkItem | undefined) => void;
+}
+
+/** Waiting work looks for a place at least this often: room grows as engines read on, without any event here. */
+const retryIntervalMs = 10;
+/** Changes within this time are looked at together. */
+const runDelayMs = 3;
+/** Work that is tried in one run, which bounds the time that a long queue takes from everything else. */
+const triedPerRun = 40;
+/** Time that a plain service needs at least, in milliseconds. */
+const plainAnswerMs = 20;
+/** Parts in which a long prompt is read as a rule; tells when waiting makes it late. */
+const usualParts = 4;
+/** Part of the time until the customer leaves that late work waits for a harmless place. */
+const patienceShare = 0.5;
+
+/** Engines of each service, while nothing has changed there. */
+type ViewCache = Map<string, readonly EngineView[]>;
+
+interface Waiting {
+    readonly order: PlacementOrder;
+    readonly rank: number;
+    readonly arrivedAtMs: number;
+    readonly latestStartMs: number;
+    readonly lastStartMs: number;
+    /** From then on the work takes the place where it does the least harm. */
+    readonly patienceEndsMs: number;
+}
+
+/**
+ * Creates a desk without waiting work.
+ *
+ * @example
+ * const waiting = desk.submit(order);
+ * waiting.dispose(); // the customer has left
+ */
+export function createPlacementDesk(options: PlacementDeskOptions): PlacementDesk {
+    const { timers, directory, health, pace, ledger } = options;
+    let waiting: Waiting[] = [];
+    let nextKey = 0;
+    let nextRun: Disposable | undefined;
+
+    function listEngineViews(service: Service, engine: EngineModel, nowMs: number): EngineView[] {
+        return directory.listUsable(service.name).flatMap(record => {
+            const standing = health.getStanding(record.id, nowMs);
+            if (standing === Standing.Down) {
+                return [];
+            }
+            const facts = {
+                id: record.id,
+                address: record.address,
+                order: murmurhash.v3(record.id),
+                isTrial: standing === Standing.Trial,
+                pace: pace.getPace(record.id, nowMs),
+            };
+            return [buildEngineView(facts, engine, ledger.listAt(record.id, nowMs), nowMs)];
+        });
+    }
+
+    function listPlainViews(service: Service, nowMs: number): PlainView[] {
+        return directory.listUsable(service.name).flatMap(record => {
+            const standing = health.getStanding(record.id, nowMs);
+            return standing === Standing.Down ? [] : [{
+                id: record.id,
+                address: record.address,
+                dataCentre: record.dataCentre,
+                isTrial: standing === Standing.Trial,
+                running: ledger.listAt(record.id, nowMs).length,
+                slots: record.slots,
+            }];
+        });
+    }
+
+    function addWork(item: Omit<WorkItem, "key" | "phase" | "phaseSinceMs">, nowMs: number): string {
+        const key = `${options.keyPrefix}/${nextKey++}`;
+        const whole: WorkItem = { ...item, key, phase: WorkPhase.Reading, phaseSinceMs: nowMs };
+        ledger.add(whole);
+        options.reportChange(key, whole);
+        return key;
+    }
+
+    function removeWork(key: string): void {
+        ledger.remove(key);
+        options.reportChange(key, undefined);
+    }
+
+    function holdEngines(order: PlacementOrder, engine: EngineModel, placement: Placement, nowMs: number): Place {
+        const needs = order.needs!;
+        const { endpoint, helpers, partMs, reservedTokens } = placement;
+        const passes = needs.outputTokens / engine.stepsPerPass + 1;
+        const endsAtMs = nowMs + placement.firstEventMs + passes * endpoint.passMs;
+        const shared = { readMs: partMs, dueAtMs: order.dueAtMs, isSuspect: order.isSuspect };
+        const mainTokens = needs.promptTokens + needs.outputTokens - helpers.length * reservedTokens;
+        const mainKey = addWork({
+            ...shared,
+            endpoint: endpoint.id,
+            tokens: Math.max(0, mainTokens),
+            pauseAimMs: needs.pauseAimMs,
+            endsAtMs,
+        }, nowMs);
+        const helperKeys = helpers.map(helper =>
+            addWork({
+                ...shared,
+                endpoint: helper.id,
+                tokens: reservedTokens,
+                endsAtMs: reservedTokens > 0 ? endsAtMs : nowMs + placement.firstEventMs,
+            }, nowMs)
+        );
+        const freeHelpers = () => helperKeys.splice(0).forEach(removeWork);
+        return {
+            endpoint: directory.find(endpoint.id)!.record,
+            helpers: helpers.map(helper => directory.find(helper.id)!.record),
+            reservedTokens,
+            firstByteMs: placement.firstEventMs,
+            reason: `running=${endpoint.running} unreadMs=${Math.round(endpoint.unreadMs)} pace=${
+                endpoint.pace.toFixed(1)
+            }`,
+            startWriting() {
+                ledger.startWriting(mainKey, timers.now());
+                options.reportChange(mainKey, ledger.listOwn().find(item => item.key === mainKey));
+                if (reservedTokens === 0) {
+                    freeHelpers();
+                }
+                run();
+            },
+            predictPassMs() {
+                const facts = { id: endpoint.id, address: endpoint.address, order: 0, isTrial: false, pace: 1 };
+                const items = ledger.listAt(endpoint.id, timers.now());
+                return buildEngineView(facts, engine, items, timers.now()).passMs;
+            },
+            release() {
+                removeWork(mainKey);
+                freeHelpers();
+                run();
+            },
+        };
+    }
+
+    function holdPlain(order: PlacementOrder, view: PlainView, nowMs: number): Place {
+        const key = addWork({
+            endpoint: view.id,
+            readMs: 0,
+            tokens: 0,
+            dueAtMs: order.dueAtMs,
+            endsAtMs: order.giveUpAtMs,
+            isSuspect: order.isSuspect,
+        }, nowMs);
+        return {
+            endpoint: directory.find(view.id)!.record,
+            helpers: [],
+            reservedTokens: 0,
+            firstByteMs: plainAnswerMs,
+            reason: `running=${view.running}`,
+            startWriting: () => undefined,
+            predictPassMs: () => 0,
+            release() {
+                removeWork(key);
+                run();
+            },
+        };
+    }
+
+    function decideProtection(item: Waiting, nowMs: number): Protection {
+        if (nowMs >= item.patienceEndsMs) {
+            return Protection.LeastHarm;
+        }
+        return nowMs >= item.latestStartMs ? Protection.Stricter : Protection.All;
+    }
+
+    function findPlace(item: Waiting, views: ViewCache, nowMs: number): Place | undefined {
+        const { order } = item;
+        const { engine } = order.service;
+        if (!engine || !order.needs) {
+            const request = { avoid: order.avoid, dataCentre: options.dataCentre, isUnsafe: order.isUnsafe };
+            const view = placeOnPlainService(request, listPlainViews(order.service, nowMs));
+            if (view?.isTrial) {
+                health.startTrial(view.id, nowMs);
+            }
+            return view && holdPlain(order, view, nowMs);
+        }
+        const request: PlacementRequest = {
+            readMs: order.needs.readMs,
+            tokens: order.needs.promptTokens + order.needs.outputTokens,
+            dueAtMs: order.dueAtMs,
+            pauseAimMs: order.needs.pauseAimMs,
+            avoid: order.avoid,
+            isSuspect: order.isSuspect,
+        };
+        const placement = placeOnEngines(
+            request,
+            getEngineViews(views, order.service, engine, nowMs),
+            engine.slots,
+            nowMs,
+            decideProtection(item, nowMs),
+            defaultPlacementSettings,
+        );
+        if (!placement) {
+            return undefined;
+        }
+        views.delete(order.service.name);
+        [placement.endpoint, ...placement.helpers].filter(view => view.isTrial)
+            .forEach(view => health.startTrial(view.id, nowMs));
+        return holdEngines(order, engine, placement, nowMs);
+    }
+
+    function getEngineViews(
+        views: ViewCache,
+        service: Service,
+        engine: EngineModel,
+        nowMs: number,
+    ): readonly EngineView[] {
+        const known = views.get(service.name) ?? listEngineViews(service, engine, nowMs);
+        views.set(service.name, known);
+        return known;
+    }
+
+    /** Places what waits soon; several changes at about the same time need one look. */
+    function run(): void {
+        if (waiting.length > 0) {
+            nextRun ??= timers.schedule(runDelayMs, runNow);
+        }
+    }
+
+    function runNow(): void {
+        nextRun?.dispose();
+        nextRun = undefined;
+        placeWaiting();
+        if (waiting.length > 0) {
+            nextRun ??= timers.schedule(retryIntervalMs, runNow);
+        }
+    }
+
+    function placeWaiting(): void {
+        const nowMs = timers.now();
+        const views: ViewCache = new Map();
+        waiting.sort((left, right) => compareWaiting(left, right, nowMs));
+        for (const item of waiting.slice(0, triedPerRun)) {
+            const place = findPlace(item, views, nowMs);
+            if (place) {
+                waiting = waiting.filter(other => other !== item);
+                item.order.onPlaced(place);
+            }
+        }
+        const hopeless = waiting.filter(item => nowMs > item.lastStartMs);
+        waiting = waiting.filter(item => !hopeless.includes(item));
+        hopeless.forEach(item => item.order.onHopeless("no room in time"));
+    }
+
+    function makeWaiting(order: PlacementOrder): Waiting {
+        const { engine } = order.service;
+        const answerMs = engine && order.needs
+            ? order.needs.readMs / (order.needs.readMs > defaultPlacementSettings.shortReadMs ? usualParts : 1)
+                + 2 * engine.stepsPerPass * engine.stepMs
+            : plainAnswerMs;
+        const latestStartMs = order.dueAtMs - answerMs;
+        const lastStartMs = order.giveUpAtMs - answerMs;
+        return {
+            order,
+            rank: order.rank,
+            arrivedAtMs: order.arrivedAtMs,
+            latestStartMs,
+            lastStartMs,
+            patienceEndsMs: latestStartMs + patienceShare * Math.max(0, lastStartMs - latestStartMs),
+        };
+    }
+
+    return {
+        run,
+        submit(order) {
+            const item = makeWaiting(order);
+            const place = findPlace(item, new Map(), timers.now());
+            if (place) {
+                order.onPlaced(place);
+                return createDisposable(() => undefined);
+            }
+            waiting.push(item);
+            run();
+            return {
+                dispose() {
+                    waiting = waiting.filter(other => other !== item);
+                },
+            };
+        },
+        countWaiting: () => waiting.length,
+        predictRoomMs(service, needs) {
+            const nowMs = timers.now();
+            const ahead = waiting.filter(item => item.order.service.name === service.name);
+            const endpoints = directory.listUsable(service.name)
+                .filter(record => health.getStanding(record.id, nowMs) !== Standing.Down);
+            if (endpoints.length === 0) {
+                return Number.POSITIVE_INFINITY;
+            }
+            const engine = service.engine;
+            if (!engine || !needs) {
+                return 0;
+            }
+            const waitingMs = ahead.reduce((sum, item) => sum + (item.order.needs?.readMs ?? 0), 0);
+            const unreadMs = listEngineViews(service, engine, nowMs).reduce((sum, view) => sum + view.unreadMs, 0);
+            return (waitingMs + unreadMs + needs.readMs) / endpoints.length;
+        },
+        dispose() {
+            nextRun?.dispose();
+            waiting = [];
+        },
+    };
+}
--- /dev/null
+++ b/src/gateway/requestIntake.ts
@@ -0,0 +1,213 @@
+import { IncomingMessage, ServerResponse } from "node:http";
+import { EventLog } from "../base/log.js";
+import { LogEvent } from "../base/logEvents.js";
+import { Metrics } from "../base/metrics.js";
+import { TimerService } from "../base/timerService.js";
+import { RequestHead } from "../ports/exchange.js";
+import { Customer, Route } from "../ports/servingConfiguration.js";
+import { Treatment } from "../quarantine/quarantine.js";
+import { chooseService, RouteTable } from "../routing/routeTable.js";
+import { computeFingerprint } from "./crashRegistry.js";
+import { createCustomerAnswer } from "./customerAnswer.js";
+import { AcceptedRequest, RequestServices, startRequestTask } from "./requestTask.js";
+
+/** What taking in requests needs. */
+export interface RequestIntakeOptions {
+    readonly services: RequestServices;
+    /** The table of the newest configuration; `undefined` until one is known. */
+    readonly getTable: () => RouteTable | undefined;
+    readonly isDraining: () => boolean;
+    /** Bytes of request bodies that all requests together may hold. */
+    readonly maxHeldBytes: number;
+}
+
+/** A refusal with the status that the customer gets. */
+interface Refusal {
+    readonly status: number;
+    readonly reason: string;
+    readonly retryAfterMs?: number;
+}
+
+/** A request whose head allows it to be served. */
+interface CheckedHead {
+    readonly table: RouteTable;
+    readonly route: Route;
+    readonly head: RequestHead;
+    readonly customer?: Customer;
+    readonly host: string;
+    readonly path: string;
+}
+
+/** Time after which a customer may try again while this process knows no configuration. */
+const unconfiguredRetryMs = 500;
+/** Time after which a customer may try again when bodies fill the memory. */
+const memoryRetryMs = 300;
+const quarantineRetryMs = 5_000;
+const bytesOfHeaderSeparators = 4;
+
+/**
+ * Creates the handler of customers' requests: it checks a request against the configuration, receives its body and
+ * starts its task. The configuration at the arrival decides the request.
+ *
+ * @example
+ * const handle = createRequestIntake(options);
+ * handle(request, response);
+ */
+export function createRequestIntake(
+    options: RequestIntakeOptions,
+): (request: IncomingMessage, response: ServerResponse) => void {
+    const { services } = options;
+    const { timers, log, metrics, codec } = services;
+    let heldBytes = 0;
+
+    function refuse(request: IncomingMessage, response: ServerResponse, refusal: Refusal): void {
+        const head = codec.decodeRequest(request.rawHeaders);
+        logRefusal(log, metrics, head, refusal, options.getTable()?.version);
+        const headers = codec.encodeOwnAnswer(head);
+        if (refusal.retryAfterMs !== undefined) {
+            headers.push("Retry-After", (refusal.retryAfterMs / 1000).toFixed(2));
+        }
+        // The rest of a body that is not wanted would be taken for the next request.
+        const mustClose = options.isDraining() || !request.complete;
+        createCustomerAnswer(response, () => mustClose).sendWhole(refusal.status, headers, Buffer.alloc(0));
+    }
+
+    function checkHead(request: IncomingMessage): CheckedHead | Refusal {
+        const table = options.getTable();
+        if (!table) {
+            return { status: 503, reason: "no configuration yet", retryAfterMs: unconfiguredRetryMs };
+        }
+        const { limits, customers } = table.configuration;
+        if (countHeaderBytes(request.rawHeaders) > limits.maxHeaderBytes) {
+            return { status: 431, reason: "head too large" };
+        }
+        const host = request.headers.host ?? "";
+        const path = request.url ?? "";
+        const route = table.findRoute(host, path);
+        if (!route) {
+            return { status: 404, reason: "no route" };
+        }
+        const head = codec.decodeRequest(request.rawHeaders);
+        const customer = head.key === undefined ? undefined : table.findCustomer(head.key);
+        if (customers && !route.isPublic && !customer) {
+            return { status: 401, reason: "unknown key" };
+        }
+        if (Number(request.headers["content-length"] ?? 0) > limits.maxBodyBytes) {
+            return { status: 413, reason: "body too large" };
+        }
+        if (head.id === undefined) {
+            return { status: 400, reason: "no request id" };
+        }
+        return { table, route, head, customer: route.isPublic ? undefined : customer, host, path };
+    }
+
+    function receiveBody(
+        request: IncomingMessage,
+        response: ServerResponse,
+        checked: CheckedHead,
+        arrivedAtMs: number,
+    ): void {
+        const { maxBodyBytes } = checked.table.configuration.limits;
+        const parts: Buffer[] = [];
+        let bytes = 0;
+        let isRefused = false;
+        response.once("close", () => {
+            heldBytes -= bytes;
+        });
+        request.on("data", (part: Buffer) => {
+            if (isRefused) {
+                return;
+            }
+            bytes += part.length;
+            heldBytes += part.length;
+            parts.push(part);
+            if (bytes > maxBodyBytes) {
+                isRefused = true;
+                refuse(request, response, { status: 413, reason: "body too large" });
+            }
+            else if (heldBytes > options.maxHeldBytes) {
+                isRefused = true;
+                refuse(request, response, { status: 503, reason: "memory full", retryAfterMs: memoryRetryMs });
+            }
+        });
+        request.on("end", () => {
+            if (!isRefused) {
+                accept(request, response, checked, arrivedAtMs, parts.length > 0 ? Buffer.concat(parts) : undefined);
+            }
+        });
+        request.on("error", error => {
+            // The customer left before the request was whole; there is nobody to answer.
+            log(LogEvent.RequestRefused, { request: checked.head.id, reason: error.message });
+        });
+    }
+
+    function accept(
+        request: IncomingMessage,
+        response: ServerResponse,
+        checked: CheckedHead,
+        arrivedAtMs: number,
+        body: Buffer | undefined,
+    ): void {
+        const { route, head, customer, table } = checked;
+        const serviceName = chooseService(route.shares, head.id!);
+        const service = serviceName === undefined ? undefined : table.configuration.services.get(serviceName);
+        if (!service) {
+            refuse(request, response, { status: 503, reason: "no service", retryAfterMs: unconfiguredRetryMs });
+            return;
+        }
+        const fingerprint = computeFingerprint(customer?.name ?? "", checked.path, body);
+        const treatment = services.crashes.decideTreatment(fingerprint);
+        if (treatment === Treatment.Quarantined) {
+            refuse(request, response, { status: 503, reason: "crashes endpoints", retryAfterMs: quarantineRetryMs });
+            return;
+        }
+        const accepted: AcceptedRequest = {
+            head,
+            id: head.id!,
+            method: request.method ?? "GET",
+            path: checked.path,
+            host: checked.host,
+            body,
+            route,
+            service,
+            customer: customer?.name,
+            rank: customer?.rank ?? route.rank,
+            arrivedAtMs,
+            fingerprint,
+            isSuspect: treatment === Treatment.Isolated,
+            configurationVersion: table.version,
+        };
+        startRequestTask(accepted, createCustomerAnswer(response, options.isDraining), services);
+    }
+
+    return (request, response) => {
+        const arrivedAtMs = timers.now();
+        const checked = checkHead(request);
+        if ("status" in checked) {
+            refuse(request, response, checked);
+            return;
+        }
+        receiveBody(request, response, checked, arrivedAtMs);
+    };
+}
+
+function logRefusal(
+    log: EventLog,
+    metrics: Metrics,
+    head: RequestHead,
+    refusal: Refusal,
+    version: number | undefined,
+): void {
+    log(LogEvent.RequestRefused, {
+        request: head.id,
+        status: refusal.status,
+        reason: refusal.reason,
+        config: version,
+        retryAfterMs: refusal.retryAfterMs,
+    });
+    metrics.count("jujubelane_requests_total", "Requests by result.", { result: `refused-${refusal.status}` });
+}
+
+function countHeaderBytes(headers: readonly string[]): number {
+    return headers.reduce((sum, text) => sum + text.length, 0) + (headers.length / 2) * bytesOfHeaderSeparators;
+}
--- /dev/null
+++ b/src/gateway/requestTask.ts
@@ -0,0 +1,506 @@
+import { Disposable } from "../base/disposable.js";
+import { EventLog, LogFields } from "../base/log.js";
+import { LogEvent } from "../base/logEvents.js";
+import { Metrics } from "../base/metrics.js";
+import { TimerService } from "../base/timerService.js";
+import { mergeVerdicts, Verdict } from "../base/verdict.js";
+import { EndpointHealth, ExchangeResult } from "../membership/endpointHealth.js";
+import { AnswerHead, ExchangeCodec, RequestHead } from "../ports/exchange.js";
+import { Route, RouteKind, Service } from "../ports/servingConfiguration.js";
+import { isIdempotent, isRedispatchAllowed } from "../retries/dispatchDecision.js";
+import { RetryBudget } from "../retries/retryBudget.js";
+import { computeReadMs, estimateOutputTokens } from "../routing/engineTiming.js";
+import { PaceEstimate } from "../routing/paceEstimate.js";
+import { computeReturnMs } from "../scheduling/returnTime.js";
+import { AnswerOutcome, AnswerOutcomeKind, createAnswerRelay } from "./answerRelay.js";
+import { CrashRegistry } from "./crashRegistry.js";
+import { CustomerAnswer } from "./customerAnswer.js";
+import { EndpointConnections, Exchange, SendFailureKind } from "./endpointConnections.js";
+import { EngineNeeds, Place, PlacementDesk } from "./placementDesk.js";
+import { Reservations, ReservationSet } from "./reservations.js";
+
+/** A whole request of a customer that may be served. */
+export interface AcceptedRequest {
+    readonly head: RequestHead;
+    readonly id: string;
+    readonly method: string;
+    /** Path with its query, unchanged. */
+    readonly path: string;
+    readonly host: string;
+    readonly body: Buffer | undefined;
+    readonly route: Route;
+    readonly service: Service;
+    readonly customer?: string;
+    readonly rank: number;
+    readonly arrivedAtMs: number;
+    readonly fingerprint: string;
+    readonly isSuspect: boolean;
+    readonly configurationVersion: number;
+}
+
+/** What every request task uses. */
+export interface RequestServices {
+    readonly timers: TimerService;
+    readonly log: EventLog;
+    readonly metrics: Metrics;
+    readonly codec: ExchangeCodec;
+    readonly connections: EndpointConnections;
+    readonly desk: PlacementDesk;
+    readonly health: EndpointHealth;
+    readonly pace: PaceEstimate;
+    readonly reservations: Reservations;
+    readonly crashes: CrashRegistry;
+    readonly budget: RetryBudget;
+    readonly random: () => number;
+    /** Called when an endpoint turns out to be another one than its registration says. */
+    readonly onMisdirected: (endpointId: string) => void;
+}
+
+/** Time that a customer waits where neither it nor the route says, in milliseconds. */
+const defaultDeadlineMs = 10_000;
+/** Customers leave a stream after the longest of: this pause, and multiples of the route's aims. */
+const streamPatienceMs = 2_000;
+const aimsOfPatience = 4;
+const pausesOfPatience = 8;
+/** A first byte that takes this many times its prediction, and the extra beyond it, will not come. */
+const silenceFactor = 2.5;
+const silenceExtraMs = 500;
+/** A stream without an event for this many pause aims, and at least the extra, will not go on. */
+const pauseSilenceFactor = 3;
+const leastPauseSilenceMs = 1_000;
+/** Refused reservations are tried again after this time; other gateways free theirs meanwhile. */
+const reservationRetryMs = 150;
+
+/**
+ * Starts the life of one request: it waits for a place, is sent, and its answer is relayed; failed dispatches are
+ * repeated where that is allowed. It ends with exactly one final answer, or with the customer's leaving.
+ *
+ * @example
+ * startRequestTask(request, answer, services);
+ */
+export function startRequestTask(request: AcceptedRequest, answer: CustomerAnswer, services: RequestServices): void {
+    const { timers, log, metrics, codec, desk, health } = services;
+    const { route, head } = request;
+    const timeLimitMs = Math.min(head.deadlineMs ?? defaultDeadlineMs, route.timeoutMs ?? Number.POSITIVE_INFINITY);
+    const deadlineAtMs = request.arrivedAtMs + timeLimitMs;
+    const aimMs = route.firstByteAimMs ?? timeLimitMs;
+    const needs = computeNeeds(request);
+    const avoid = new Set<string>();
+    const verdicts: Verdict[] = [];
+    const relay = createAnswerRelay({
+        isStream: route.kind === RouteKind.Stream,
+        answer,
+        hasBody: request.method !== "HEAD",
+        resumeAfter: head.lastEventId,
+    });
+    let dispatches = 0;
+    let endpointsRun = 0;
+    let hasEnded = false;
+    let waiting: Disposable | undefined;
+    let place: Place | undefined;
+    let exchange: Exchange | undefined;
+    let reserved: ReservationSet | undefined;
+    let silence: Disposable | undefined;
+    let sentAtMs = 0;
+    let lastEventAtMs: number | undefined;
+    let firstEventAtMs: number | undefined;
+    let longestPauseMs = 0;
+
+    const deadline = timers.schedule(deadlineAtMs - timers.now(), handleDeadline);
+    answer.onLeft(() => end("customer-left", undefined));
+    services.budget.recordRequest();
+    submit();
+
+    function describe(fields: LogFields): LogFields {
+        return { request: request.id, route: route.name, config: request.configurationVersion, ...fields };
+    }
+
+    function submit(): void {
+        const firstByteAtMs = route.kind === RouteKind.Stream && !answer.isStarted()
+            ? request.arrivedAtMs + computePatienceMs(route)
+            : deadlineAtMs;
+        // A place that is free at once is given before `submit` returns.
+        const submitted = desk.submit({
+            service: request.service,
+            rank: request.rank,
+            arrivedAtMs: request.arrivedAtMs,
+            dueAtMs: request.arrivedAtMs + aimMs,
+            giveUpAtMs: Math.min(deadlineAtMs, firstByteAtMs),
+            needs,
+            isUnsafe: !isIdempotent(route.kind, route.isResumable),
+            avoid,
+            isSuspect: request.isSuspect,
+            onPlaced: handlePlaced,
+            onHopeless: reason => finishFailed(reason),
+        });
+        waiting = place || hasEnded ? undefined : submitted;
+    }
+
+    function handlePlaced(found: Place): void {
+        waiting = undefined;
+        if (hasEnded) {
+            found.release();
+            return;
+        }
+        place = found;
+        if (found.reservedTokens === 0) {
+            send(found);
+            return;
+        }
+        const addresses = found.helpers.map(helper => helper.address);
+        services.reservations.reserveAll(addresses, found.reservedTokens).then(
+            set => handleReserved(found, set),
+            () => handleReserved(found, undefined),
+        );
+    }
+
+    function handleReserved(found: Place, set: ReservationSet | undefined): void {
+        if (hasEnded) {
+            set?.dispose();
+            return;
+        }
+        reserved = set;
+        if (set) {
+            send(found);
+            return;
+        }
+        dropDispatch();
+        waiting = timers.schedule(reservationRetryMs, submit);
+    }
+
+    function send(found: Place): void {
+        const nowMs = timers.now();
+        dispatches += 1;
+        sentAtMs = nowMs;
+        lastEventAtMs = undefined;
+        log(
+            LogEvent.EndpointChosen,
+            describe({
+                endpoint: found.endpoint.id,
+                address: found.endpoint.address,
+                helpers: found.helpers.length,
+                waitedMs: Math.round(nowMs - request.arrivedAtMs),
+                predictedMs: Math.round(found.firstByteMs),
+                attempt: dispatches,
+                inputs: found.reason,
+            }),
+        );
+        const headers = codec.encodeDispatch(head, {
+            endpointId: found.endpoint.id,
+            address: found.endpoint.address,
+            remainingMs: deadlineAtMs - nowMs,
+            customer: request.customer,
+            rank: request.rank,
+            lastEventId: relay.getLastEventId(),
+            helpers: found.helpers.map((helper, index) => ({
+                address: helper.address,
+                reservation: reserved?.reservations[index]?.id,
+            })),
+            host: request.host,
+        });
+        relay.startAttempt();
+        let answerHead: AnswerHead | undefined;
+        // What still arrives of a dispatch that was given up concerns nobody.
+        const isCurrent = () => place === found && !hasEnded;
+        exchange = services.connections.send(found.endpoint.address, {
+            method: request.method,
+            path: request.path,
+            headers,
+            body: request.body,
+            isSingleUse: !isIdempotent(route.kind, route.isResumable),
+        }, {
+            onHead(status, rawHeaders) {
+                if (isCurrent()) {
+                    answerHead = codec.decodeAnswer(status, rawHeaders);
+                    handleOutcome(relay.acceptHead(answerHead, request.id), answerHead);
+                }
+            },
+            onData(bytes) {
+                if (isCurrent()) {
+                    handleOutcome(relay.acceptData(bytes, () => exchange?.resume()), answerHead);
+                }
+            },
+            onEnd() {
+                if (isCurrent()) {
+                    handleOutcome(relay.acceptEnd(), answerHead);
+                }
+            },
+            onFailure(kind, reason) {
+                if (isCurrent()) {
+                    handleSendFailure(kind, reason);
+                }
+            },
+        });
+        if (isIdempotent(route.kind, route.isResumable)) {
+            watchSilence(silenceFactor * found.firstByteMs + silenceExtraMs);
+        }
+    }
+
+    function handleOutcome(outcome: AnswerOutcome, answerHead: AnswerHead | undefined): void {
+        if (hasEnded || !place) {
+            return;
+        }
+        switch (outcome.kind) {
+            case AnswerOutcomeKind.Progress:
+                handleEvent(place);
+                break;
+            case AnswerOutcomeKind.Blocked:
+                exchange?.pause();
+                handleEvent(place);
+                break;
+            case AnswerOutcomeKind.Complete:
+                health.record(place.endpoint.id, ExchangeResult.Answered, timers.now());
+                end("answered", answerHead?.status);
+                break;
+            case AnswerOutcomeKind.NotRun:
+                handleNotRun(place, answerHead!);
+                break;
+            case AnswerOutcomeKind.Invalid:
+                exchange?.abort();
+                handleBroken(outcome.reason);
+                break;
+            case AnswerOutcomeKind.Failed:
+                handleFailedAnswer(place, outcome, answerHead!);
+                break;
+            case AnswerOutcomeKind.Pending:
+                break;
+        }
+    }
+
+    function handleEvent(current: Place): void {
+        const nowMs = timers.now();
+        firstEventAtMs ??= nowMs;
+        if (lastEventAtMs === undefined) {
+            metrics.recordDuration(
+                "jujubelane_first_event_seconds",
+                "Time to the first event by route.",
+                nowMs
+                    - request.arrivedAtMs,
+                { rank: String(request.rank) },
+            );
+            current.startWriting();
+        }
+        else {
+            longestPauseMs = Math.max(longestPauseMs, nowMs - lastEventAtMs);
+            services.pace.record(current.endpoint.id, nowMs - lastEventAtMs, current.predictPassMs(), nowMs);
+        }
+        lastEventAtMs = nowMs;
+        if (isIdempotent(route.kind, route.isResumable)) {
+            watchSilence(Math.max(leastPauseSilenceMs, pauseSilenceFactor * (route.pauseAimMs ?? 0)));
+        }
+    }
+
+    function handleNotRun(current: Place, answerHead: AnswerHead): void {
+        const { id } = current.endpoint;
+        const nowMs = timers.now();
+        if (answerHead.isMisdirected) {
+            avoid.add(id);
+            services.onMisdirected(id);
+        }
+        else if (answerHead.faultyEndpoint !== undefined) {
+            const faulty = current.helpers.find(helper =>
+                answerHead.faultyEndpoint!.includes(helper.address)
+                || answerHead.faultyEndpoint!.includes(helper.id)
+            );
+            health.record(faulty?.id ?? id, faulty ? ExchangeResult.Silent : ExchangeResult.Full, nowMs);
+        }
+        else {
+            health.record(id, ExchangeResult.Full, nowMs);
+        }
+        retryOrFail(Verdict.NotRun, `not run, status ${answerHead.status}`);
+    }
+
+    /** The endpoint ran the request and failed; another may do better where the request may run again. */
+    function handleFailedAnswer(current: Place, outcome: AnswerOutcome, answerHead: AnswerHead): void {
+        health.record(current.endpoint.id, ExchangeResult.Failed, timers.now());
+        if (canRetry(Verdict.MayHaveRun, endpointsRun + 1) && services.budget.acquire()) {
+            endpointsRun += 1;
+            avoid.add(current.endpoint.id);
+            retry(`status ${answerHead.status}`, Verdict.MayHaveRun);
+            return;
+        }
+        relay.deliverFailure(outcome);
+        end("answered", answerHead.status);
+    }
+
+    function handleSendFailure(kind: SendFailureKind, reason: string): void {
+        if (hasEnded || !place) {
+            return;
+        }
+        if (kind === SendFailureKind.NotSent) {
+            health.record(place.endpoint.id, ExchangeResult.Unreachable, timers.now());
+            retryOrFail(Verdict.NotRun, reason);
+            return;
+        }
+        services.crashes.recordBreak(place.endpoint.id, request.fingerprint);
+        handleBroken(reason);
+    }
+
+    function handleBroken(reason: string): void {
+        const { id, address } = place!.endpoint;
+        health.record(id, ExchangeResult.Broken, timers.now());
+        services.connections.replace(address);
+        avoid.add(id);
+        endpointsRun += 1;
+        retryOrFail(Verdict.MayHaveRun, reason);
+    }
+
+    function watchSilence(delayMs: number): void {
+        silence?.dispose();
+        silence = timers.schedule(delayMs, () => handleSilence(delayMs));
+    }
+
+    function handleSilence(silentMs: number): void {
+        silence = undefined;
+        if (!place || !canRetry(Verdict.MayHaveRun, endpointsRun + 1)) {
+            return;
+        }
+        health.record(place.endpoint.id, ExchangeResult.Silent, timers.now());
+        exchange?.abort();
+        services.connections.replace(place.endpoint.address);
+        avoid.add(place.endpoint.id);
+        endpointsRun += 1;
+        retryOrFail(Verdict.MayHaveRun, `silent for ${Math.round(silentMs)} ms`);
+    }
+
+    function canRetry(verdict: Verdict, ranOn: number): boolean {
+        return isRedispatchAllowed({
+            kind: route.kind,
+            isResumable: route.isResumable,
+            verdict,
+            endpointsRun: ranOn,
+            maxEndpoints: route.maxEndpoints,
+            dispatches,
+            remainingMs: deadlineAtMs - timers.now(),
+            hasCustomerLeft: hasEnded,
+        });
+    }
+
+    function retryOrFail(verdict: Verdict, reason: string): void {
+        if (canRetry(verdict, endpointsRun) && services.budget.acquire()) {
+            retry(reason, verdict);
+            return;
+        }
+        verdicts.push(verdict);
+        finishFailed(reason);
+    }
+
+    function retry(reason: string, verdict: Verdict): void {
+        verdicts.push(verdict);
+        log(
+            LogEvent.RequestRetried,
+            describe({
+                endpoint: place?.endpoint.id,
+                reason,
+                verdict,
+                afterMs: Math.round(timers.now() - sentAtMs),
+                attempt: dispatches,
+            }),
+        );
+        metrics.count("jujubelane_redispatches_total", "Further dispatches by verdict.", { verdict });
+        dropDispatch();
+        submit();
+    }
+
+    function dropDispatch(): void {
+        silence?.dispose();
+        silence = undefined;
+        exchange = undefined;
+        reserved?.dispose();
+        reserved = undefined;
+        const released = place;
+        place = undefined;
+        released?.release();
+    }
+
+    function handleDeadline(): void {
+        if (exchange) {
+            verdicts.push(Verdict.MayHaveRun);
+        }
+        finishFailed("deadline");
+    }
+
+    /** Ends the request without an endpoint's answer. */
+    function finishFailed(reason: string): void {
+        if (hasEnded) {
+            return;
+        }
+        const verdict = mergeVerdicts(verdicts);
+        if (answer.isStarted()) {
+            answer.breakOff();
+            end(reason, undefined);
+            return;
+        }
+        const isNotRun = verdict === Verdict.NotRun;
+        const status = isNotRun ? 503 : reason === "deadline" ? 504 : 502;
+        const retryAfter = isNotRun ? ["Retry-After", formatSeconds(predictReturnMs())] : [];
+        answer.sendWhole(status, [...codec.encodeOwnAnswer(head), ...retryAfter], Buffer.alloc(0));
+        end(reason, status);
+    }
+
+    function predictReturnMs(): number {
+        const roomMs = desk.predictRoomMs(request.service, needs);
+        return computeReturnMs(roomMs, deadlineAtMs - timers.now(), services.random());
+    }
+
+    function end(reason: string, status: number | undefined): void {
+        if (hasEnded) {
+            return;
+        }
+        hasEnded = true;
+        deadline.dispose();
+        waiting?.dispose();
+        if (reason !== "answered") {
+            exchange?.abort();
+        }
+        const endpoint = place?.endpoint.id;
+        dropDispatch();
+        const tookMs = timers.now() - request.arrivedAtMs;
+        log(
+            LogEvent.RequestEnded,
+            describe({
+                reason,
+                status,
+                endpoint,
+                verdict: verdicts.length > 0 ? mergeVerdicts(verdicts) : undefined,
+                attempts: dispatches,
+                events: relay.countEvents(),
+                firstEventMs: firstEventAtMs && Math.round(firstEventAtMs - request.arrivedAtMs),
+                longestPauseMs: Math.round(longestPauseMs),
+                readMs: needs && Math.round(needs.readMs),
+                tookMs: Math.round(tookMs),
+            }),
+        );
+        const result = reason === "answered" ? `answered-${status}` : reason.split(" ")[0]!;
+        metrics.count("jujubelane_requests_total", "Requests by result.", { result });
+        metrics.recordDuration("jujubelane_request_seconds", "Duration of requests by kind.", tookMs, {
+            kind: route.kind,
+        });
+    }
+}
+
+function computeNeeds(request: AcceptedRequest): EngineNeeds | undefined {
+    const { engine } = request.service;
+    const { prompt } = request.head;
+    if (!engine || !prompt) {
+        return undefined;
+    }
+    return {
+        readMs: computeReadMs(engine, prompt.promptTokens),
+        promptTokens: prompt.promptTokens,
+        outputTokens: estimateOutputTokens(engine, prompt.maxOutputTokens, prompt.outputHint),
+        pauseAimMs: request.route.pauseAimMs ?? streamPatienceMs,
+    };
+}
+
+function computePatienceMs(route: Route): number {
+    return Math.max(
+        streamPatienceMs,
+        aimsOfPatience * (route.firstByteAimMs ?? 0),
+        pausesOfPatience * (route.pauseAimMs ?? 0),
+    );
+}
+
+function formatSeconds(durationMs: number): string {
+    return (durationMs / 1000).toFixed(2);
+}
--- /dev/null
+++ b/src/gateway/reservations.ts
@@ -0,0 +1,125 @@
+import { Disposable } from "../base/disposable.js";
+import { EventLog } from "../base/log.js";
+import { LogEvent } from "../base/logEvents.js";
+import { TimerService } from "../base/timerService.js";
+import { MemoryOrders, OrderOutcome } from "../ports/memoryOrders.js";
+
+/** Memory that is reserved at one endpoint. */
+export interface Reservation {
+    readonly address: string;
+    readonly id: string;
+}
+
+/** Reservations of one request. */
+export interface ReservationSet extends Disposable {
+    readonly reservations: readonly Reservation[];
+}
+
+/** Reserves memory of engines for the parts of one request, renews it while it is used and releases it afterwards. */
+export interface Reservations {
+    /** Reserves at all addresses or, where one refuses, at none. */
+    reserveAll(addresses: readonly string[], tokens: number): Promise<ReservationSet | undefined>;
+    countHeld(): number;
+}
+
+/** What reservations need. */
+export interface ReservationsOptions {
+    readonly orders: MemoryOrders;
+    readonly timers: TimerService;
+    readonly log: EventLog;
+    readonly maxHoldMs: number;
+    /** Prefix of ids, unique among all lives of all gateways. */
+    readonly idPrefix: string;
+}
+
+/** Lease of a reservation. Short, because nothing else frees the memory after a crash of its owner. */
+const holdMs = 3_000;
+const renewIntervalMs = 1_000;
+/** An order without an answer takes effect up to 12 s later; the release is repeated for a little longer. */
+const sweepIntervalMs = 1_500;
+const sweepCount = 10;
+
+interface HeldReservation extends Reservation {
+    /** Whether an order had no answer and may take effect later. */
+    isUncertain: boolean;
+}
+
+/**
+ * Creates the reservations of one process.
+ *
+ * @example
+ * const held = await reservations.reserveAll(["10.2.64.3:8080"], 60_000);
+ * held?.dispose();
+ */
+export function createReservations(options: ReservationsOptions): Reservations {
+    const { orders, timers, log } = options;
+    const leaseMs = Math.min(holdMs, options.maxHoldMs);
+    let nextId = 0;
+    let heldCount = 0;
+
+    async function reserve(held: HeldReservation, tokens: number): Promise<OrderOutcome> {
+        const outcome = await orders.reserve(held.address, held.id, tokens, leaseMs);
+        if (outcome !== OrderOutcome.Done) {
+            log(LogEvent.MemoryOrderFailed, { order: "reserve", address: held.address, id: held.id, outcome });
+        }
+        held.isUncertain ||= outcome === OrderOutcome.Unknown;
+        return outcome;
+    }
+
+    async function release(held: HeldReservation): Promise<void> {
+        const outcome = await orders.release(held.address, held.id);
+        if (outcome === OrderOutcome.Unknown) {
+            log(LogEvent.MemoryOrderFailed, { order: "release", address: held.address, id: held.id, outcome });
+            held.isUncertain = true;
+        }
+        if (held.isUncertain) {
+            sweep(held, sweepCount);
+        }
+    }
+
+    /** Repeats the release, because an order that had no answer may reserve the memory again. */
+    function sweep(held: HeldReservation, remaining: number): void {
+        if (remaining > 0) {
+            timers.schedule(sweepIntervalMs, () => {
+                void orders.release(held.address, held.id);
+                sweep(held, remaining - 1);
+            });
+        }
+    }
+
+    function releaseAll(all: readonly HeldReservation[]): void {
+        heldCount -= all.length;
+        all.forEach(held => void release(held));
+    }
+
+    return {
+        async reserveAll(addresses, tokens) {
+            const all = addresses.map(address => ({
+                address,
+                id: `${options.idPrefix}-${nextId++}`,
+                isUncertain: false,
+            }));
+            heldCount += all.length;
+            const outcomes = await Promise.all(all.map(held => reserve(held, tokens)));
+            if (outcomes.some(outcome => outcome !== OrderOutcome.Done)) {
+                // A refused order holds nothing, so there is nothing to release for it.
+                heldCount -= outcomes.filter(outcome => outcome === OrderOutcome.Refused).length;
+                releaseAll(all.filter((_, index) => outcomes[index] !== OrderOutcome.Refused));
+                return undefined;
+            }
+            const renewal = timers.subscribe(renewIntervalMs, () => all.forEach(held => void reserve(held, tokens)));
+            let isDisposed = false;
+            return {
+                reservations: all,
+                dispose() {
+                    if (!isDisposed) {
+                        isDisposed = true;
+                        renewal.dispose();
+                        releaseAll(all);
+                    }
+                },
+            };
+        },
+        countHeld: () => heldCount,
+    };
+}
--- /dev/null
+++ b/src/membership/endpointDirectory.ts
@@ -0,0 +1,156 @@
+import { EndpointRecord, EndpointState } from "../ports/endpointRecord.js";
+
+/** How far an endpoint may be used. */
+export enum EndpointAvailability {
+    Ready = "ready",
+    /** It said that it leaves; binding from then on. */
+    Draining = "draining",
+    /** Its registration expired while the store was in trouble; it still counts as ready for a short time. */
+    Lapsed = "lapsed",
+}
+
+/** One life of an endpoint as this process knows it. */
+export interface KnownEndpoint {
+    readonly record: EndpointRecord;
+    readonly availability: EndpointAvailability;
+    /** When the record was last confirmed, on the steady clock. */
+    readonly confirmedAtMs: number;
+}
+
+/** What changed in the directory. */
+export enum EndpointChangeKind {
+    Joined = "joined",
+    /** The same id began another life; nothing that was known of the earlier one holds. */
+    Restarted = "restarted",
+    Draining = "draining",
+    Lapsed = "lapsed",
+    Left = "left",
+}
+
+/** A change that others act on. */
+export interface EndpointChange {
+    readonly kind: EndpointChangeKind;
+    readonly record: EndpointRecord;
+}
+
+/** Times of the directory, in milliseconds. */
+export interface DirectorySettings {
+    /**
+     * Time after the store's return within which expired registrations come back; the platform promises about two
+     * seconds.
+     */
+    readonly lapseGraceMs: number;
+}
+
+/** Default times. */
+export const defaultDirectorySettings: DirectorySettings = { lapseGraceMs: 2_000 };
+
+/** Decides which endpoints exist and may be used, from registrations and the store's health. */
+export interface EndpointDirectory {
+    /** Applies a read of all registrations; those that are missing count as removed. */
+    applyAll(records: readonly EndpointRecord[], nowMs: number): readonly EndpointChange[];
+    applyRecord(record: EndpointRecord, nowMs: number): readonly EndpointChange[];
+    applyRemoval(id: string, nowMs: number): readonly EndpointChange[];
+    markStoreLost(): void;
+    markStoreBack(nowMs: number): void;
+    /** Ends lapses whose time has passed. */
+    expireLapses(nowMs: number): readonly EndpointChange[];
+    /** Endpoints that take new work. */
+    listUsable(service: string): readonly EndpointRecord[];
+    listAll(): readonly KnownEndpoint[];
+    find(id: string): KnownEndpoint | undefined;
+}
+
+/**
+ * Creates an empty directory.
+ *
+ * A registration that disappears while the store is away, or shortly after its return, may have expired only because its
+ * owner could not renew it. Such an endpoint stays usable until the grace after the store's return has passed.
+ *
+ * @example
+ * const directory = createEndpointDirectory(defaultDirectorySettings);
+ * directory.applyRecord(record, timers.now());
+ */
+export function createEndpointDirectory(settings: DirectorySettings): EndpointDirectory {
+    const endpoints = new Map<string, KnownEndpoint>();
+    let isStoreAway = false;
+    let storeBackAtMs = Number.NEGATIVE_INFINITY;
+
+    function isStoreTroubled(nowMs: number): boolean {
+        return isStoreAway || nowMs < storeBackAtMs + settings.lapseGraceMs;
+    }
+
+    function applyRecord(record: EndpointRecord, nowMs: number): readonly EndpointChange[] {
+        const known = endpoints.get(record.id);
+        if (known && isOlderLife(record, known.record)) {
+            return [];
+        }
+        const isSameLife = known !== undefined && known.record.bornMs === record.bornMs;
+        const isDraining = record.state === EndpointState.Draining
+            || (isSameLife && known.availability === EndpointAvailability.Draining);
+        const availability = isDraining ? EndpointAvailability.Draining : EndpointAvailability.Ready;
+        endpoints.set(record.id, { record, availability, confirmedAtMs: nowMs });
+        const changes: EndpointChange[] = [];
+        if (!isSameLife) {
+            changes.push({ kind: known ? EndpointChangeKind.Restarted : EndpointChangeKind.Joined, record });
+        }
+        if (isDraining && !(isSameLife && known.availability === EndpointAvailability.Draining)) {
+            changes.push({ kind: EndpointChangeKind.Draining, record });
+        }
+        return changes;
+    }
+
+    function applyRemoval(id: string, nowMs: number): readonly EndpointChange[] {
+        const known = endpoints.get(id);
+        if (!known || known.availability === EndpointAvailability.Lapsed) {
+            return [];
+        }
+        if (known.availability === EndpointAvailability.Ready && isStoreTroubled(nowMs)) {
+            endpoints.set(id, { ...known, availability: EndpointAvailability.Lapsed });
+            return [{ kind: EndpointChangeKind.Lapsed, record: known.record }];
+        }
+        endpoints.delete(id);
+        return [{ kind: EndpointChangeKind.Left, record: known.record }];
+    }
+
+    return {
+        applyRecord,
+        applyRemoval,
+        applyAll(records, nowMs) {
+            const present = new Set(records.map(record => record.id));
+            const missing = [...endpoints.keys()].filter(id => !present.has(id));
+            return [
+                ...records.flatMap(record => applyRecord(record, nowMs)),
+                ...missing.flatMap(id => applyRemoval(id, nowMs)),
+            ];
+        },
+        markStoreLost() {
+            isStoreAway = true;
+        },
+        markStoreBack(nowMs) {
+            if (isStoreAway) {
+                isStoreAway = false;
+                storeBackAtMs = nowMs;
+            }
+        },
+        expireLapses(nowMs) {
+            if (isStoreTroubled(nowMs)) {
+                return [];
+            }
+            const lapsed = [...endpoints.values()].filter(item => item.availability === EndpointAvailability.Lapsed);
+            lapsed.forEach(item => endpoints.delete(item.record.id));
+            return lapsed.map(item => ({ kind: EndpointChangeKind.Left, record: item.record }));
+        },
+        listUsable: service =>
+            [...endpoints.values()]
+                .filter(item => item.record.service === service && item.availability !== EndpointAvailability.Draining)
+                .map(item => item.record),
+        listAll: () => [...endpoints.values()],
+        find: id => endpoints.get(id),
+    };
+}
+
+/** A registration that was written late by an earlier life of the same id. */
+function isOlderLife(record: EndpointRecord, known: EndpointRecord): boolean {
+    return record.bornMs !== undefined && known.bornMs !== undefined && record.bornMs < known.bornMs;
+}
--- /dev/null
+++ b/src/routing/engineView.ts
@@ -0,0 +1,99 @@
+import { EngineModel } from "../ports/servingConfiguration.js";
+import { computePassMs } from "./engineTiming.js";
+import { WorkItem, WorkPhase } from "./loadLedger.js";
+
+/** What placement knows of one engine at one moment. */
+export interface EngineView {
+    readonly id: string;
+    readonly address: string;
+    /** Position in an order of endpoints that is the same at every gateway. */
+    readonly order: number;
+    /** Whether only one request, which tries the endpoint, may be sent. */
+    readonly isTrial: boolean;
+    /** Factor on predicted times; over 1 where the engine is slow. */
+    readonly pace: number;
+    /** Requests that it runs or will run. */
+    readonly running: number;
+    /** Prompt parts that it reads for requests of other engines. */
+    readonly helping: number;
+    /** Predicted time until all prompts that it has are read, in milliseconds. */
+    readonly unreadMs: number;
+    /** Predicted duration of a pass without reads, in milliseconds. */
+    readonly passMs: number;
+    readonly freeTokens: number;
+    /** Pause aims and due times of the work that further reads delay. */
+    readonly constraints: readonly Constraint[];
+    readonly hasSuspect: boolean;
+}
+
+/** A piece of work that further reads must not delay beyond its aim. */
+export interface Constraint {
+    readonly pauseAimMs: number;
+    /** Reads that may still be added before this work is late, in milliseconds. */
+    readonly roomMs: number;
+}
+
+/** Share of a pause aim that predictions may use; the rest covers their error and the network. */
+const pauseMargin = 0.85;
+/** A prompt starts to be read half a pass after it arrives on average, and its first event ends a pass. */
+export const passesToFirstEvent = 1.5;
+
+/** What is known of an engine besides its work. */
+export interface EngineFacts {
+    readonly id: string;
+    readonly address: string;
+    readonly order: number;
+    readonly isTrial: boolean;
+    readonly pace: number;
+}
+
+/**
+ * Builds the view of an engine from the work that it has.
+ *
+ * @example
+ * buildEngineView(facts, engine, ledger.listAt("engine-1", nowMs), nowMs);
+ */
+export function buildEngineView(
+    facts: EngineFacts,
+    engine: EngineModel,
+    items: readonly WorkItem[],
+    nowMs: number,
+): EngineView {
+    const main = items.filter(item => item.pauseAimMs !== undefined);
+    const contextTokens = main.reduce((sum, item) => sum + item.tokens, 0);
+    const passMs = facts.pace * computePassMs(engine, main.length, contextTokens);
+    const unreadMs = computeUnreadMs(items, facts.pace, nowMs);
+    return {
+        ...facts,
+        running: main.length,
+        helping: items.length - main.length,
+        unreadMs,
+        passMs,
+        freeTokens: engine.memoryTokens - items.reduce((sum, item) => sum + item.tokens, 0),
+        constraints: main.map(item => ({
+            pauseAimMs: item.pauseAimMs!,
+            roomMs: computeRoomMs(item, passMs, unreadMs, nowMs),
+        })),
+        hasSuspect: items.some(item => item.isSuspect),
+    };
+}
+
+/** Prompts are read together, so that the oldest unread one tells since when the engine reads. */
+function computeUnreadMs(items: readonly WorkItem[], pace: number, nowMs: number): number {
+    const readers = items.filter(item => item.phase === WorkPhase.Reading);
+    if (readers.length === 0) {
+        return 0;
+    }
+    const totalMs = pace * readers.reduce((sum, item) => sum + item.readMs, 0);
+    const readingSinceMs = Math.min(...readers.map(item => item.phaseSinceMs));
+    return Math.max(0, totalMs - Math.max(0, nowMs - readingSinceMs));
+}
+
+function computeRoomMs(item: WorkItem, passMs: number, unreadMs: number, nowMs: number): number {
+    if (item.phase === WorkPhase.Writing) {
+        return item.pauseAimMs! * pauseMargin - passMs - unreadMs;
+    }
+    // Work that is late already cannot be made late by further reads.
+    const leftMs = item.dueAtMs - nowMs;
+    return leftMs <= 0 ? Number.POSITIVE_INFINITY : leftMs - unreadMs - passesToFirstEvent * passMs;
+}
--- /dev/null
+++ b/src/scheduling/waitingOrder.ts
@@ -0,0 +1,28 @@
+/** Work that waits for a place. Times are on the steady clock, in milliseconds. */
+export interface WaitingWork {
+    /** 0 is the most urgent. */
+    readonly rank: number;
+    readonly arrivedAtMs: number;
+    /** Start after which the first byte is late. */
+    readonly latestStartMs: number;
+    /** Start after which no answer can reach the customer in its time. */
+    readonly lastStartMs: number;
+}
+
+/**
+ * Orders waiting work: first what can still be in time, by how soon it has to start; then what is late, by rank and by
+ * how soon it would be lost. Late work earns little, so it must not make more work late.
+ *
+ * @example
+ * [...waiting].sort((left, right) => compareWaiting(left, right, timers.now()));
+ */
+export function compareWaiting(left: WaitingWork, right: WaitingWork, nowMs: number): number {
+    const isLeftLate = left.latestStartMs < nowMs;
+    const isRightLate = right.latestStartMs < nowMs;
+    if (isLeftLate !== isRightLate) {
+        return Number(isLeftLate) - Number(isRightLate);
+    }
+    return isLeftLate
+        ? left.rank - right.rank || left.lastStartMs - right.lastStartMs
+        : left.latestStartMs - right.latestStartMs;
+}
