Keep long prompts from overlapping on an engine

Cause: engines read parts of others' prompts before their own, so long prompts that overlap block each other; two gateways that look for places at the same moment take the same engines; a request that is late was placed anywhere and made others late.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -117,6 +117,7 @@
         ledger,
         dataCentre: settings.dataCentre,
         keyPrefix,
+        random: ports.random,
         reportChange: exchange.reportChange,
     }));
     const budget = createRetryBudget({
--- a/src/gateway/loadExchange.ts
+++ b/src/gateway/loadExchange.ts
@@ -6,8 +6,8 @@
 import { LoadLedger, WorkItem } from "../routing/loadLedger.js";
 import { CrashNotice, decodeLoadMessage, encodeLoadMessage, LoadMessage } from "./exchangeMessages.js";
 
-/** Changes within this time go in one message. */
-const batchMs = 4;
+/** Changes within this time go in one message. Short, because two gateways that do not know better take the same engine. */
+const batchMs = 1;
 /** All work is sent this often, which repairs lost messages. */
 const wholeIntervalMs = 500;
 /** A gateway that has sent nothing for this long is not sent changes any more; its work ends as predicted. */
--- a/src/gateway/placementDesk.ts
+++ b/src/gateway/placementDesk.ts
@@ -9,8 +9,8 @@
     defaultPlacementSettings,
     Placement,
     PlacementRequest,
+    PlacementStage,
     placeOnEngines,
-    Protection,
 } from "../routing/enginePlacement.js";
 import { buildEngineView, EngineView } from "../routing/engineView.js";
 import { LoadLedger, WorkItem, WorkPhase } from "../routing/loadLedger.js";
@@ -82,21 +82,28 @@
     readonly dataCentre: string;
     /** Prefix of the keys of this process's work, unique among all gateways. */
     readonly keyPrefix: string;
+    readonly random: () => number;
     readonly reportChange: (key: string, item: WorkItem | undefined) => void;
 }
 
 /** Waiting work looks for a place at least this often: room grows as engines read on, without any event here. */
 const retryIntervalMs = 10;
-/** Changes within this time are looked at together. */
-const runDelayMs = 3;
+/**
+ * Time from a change to the look for places. It differs between gateways by more than a message takes, so that two of
+ * them rarely take the same engines that have just become free.
+ */
+const leastRunDelayMs = 2;
+const runSpreadMs = 14;
 /** Work that is tried in one run, which bounds the time that a long queue takes from everything else. */
 const triedPerRun = 40;
 /** Time that a plain service needs at least, in milliseconds. */
 const plainAnswerMs = 20;
 /** Parts in which a long prompt is read as a rule; tells when waiting makes it late. */
 const usualParts = 4;
-/** Part of the time until the customer leaves that late work waits for a harmless place. */
-const patienceShare = 0.5;
+/** Part of the time between being late and being lost in which work waits for a place where it harms nobody. */
+const harmlessShare = 0.3;
+/** Part of that time after which work takes the place where it does the least harm. */
+const urgentShare = 0.6;
 
 /** Engines of each service, while nothing has changed there. */
 type ViewCache = Map<string, readonly EngineView[]>;
@@ -107,8 +114,7 @@
     readonly arrivedAtMs: number;
     readonly latestStartMs: number;
     readonly lastStartMs: number;
-    /** From then on the work takes the place where it does the least harm. */
-    readonly patienceEndsMs: number;
+    readonly readMs: number;
 }
 
 /**
@@ -168,7 +174,13 @@
         options.reportChange(key, undefined);
     }
 
-    function holdEngines(order: PlacementOrder, engine: EngineModel, placement: Placement, nowMs: number): Place {
+    function holdEngines(
+        order: PlacementOrder,
+        engine: EngineModel,
+        placement: Placement,
+        stage: PlacementStage,
+        nowMs: number,
+    ): Place {
         const needs = order.needs!;
         const { endpoint, helpers, partMs, reservedTokens } = placement;
         const passes = needs.outputTokens / engine.stepsPerPass + 1;
@@ -196,7 +208,7 @@
             helpers: helpers.map(helper => directory.find(helper.id)!.record),
             reservedTokens,
             firstByteMs: placement.firstEventMs,
-            reason: `running=${endpoint.running} unreadMs=${Math.round(endpoint.unreadMs)} pace=${
+            reason: `stage=${stage} running=${endpoint.running} unreadMs=${Math.round(endpoint.unreadMs)} pace=${
                 endpoint.pace.toFixed(1)
             }`,
             startWriting() {
@@ -244,11 +256,15 @@
         };
     }
 
-    function decideProtection(item: Waiting, nowMs: number): Protection {
-        if (nowMs >= item.patienceEndsMs) {
-            return Protection.LeastHarm;
+    function decideStage(item: Waiting, nowMs: number): PlacementStage {
+        if (nowMs < item.latestStartMs) {
+            return PlacementStage.InTime;
+        }
+        const waitedShare = (nowMs - item.latestStartMs) / Math.max(1, item.lastStartMs - item.latestStartMs);
+        if (waitedShare < harmlessShare) {
+            return PlacementStage.Harmless;
         }
-        return nowMs >= item.latestStartMs ? Protection.Stricter : Protection.All;
+        return waitedShare < urgentShare ? PlacementStage.Urgent : PlacementStage.LeastHarm;
     }
 
     function findPlace(item: Waiting, views: ViewCache, nowMs: number): Place | undefined {
@@ -266,16 +282,18 @@
             readMs: order.needs.readMs,
             tokens: order.needs.promptTokens + order.needs.outputTokens,
             dueAtMs: order.dueAtMs,
+            giveUpAtMs: order.giveUpAtMs,
             pauseAimMs: order.needs.pauseAimMs,
             avoid: order.avoid,
             isSuspect: order.isSuspect,
         };
+        const stage = decideStage(item, nowMs);
         const placement = placeOnEngines(
             request,
             getEngineViews(views, order.service, engine, nowMs),
             engine.slots,
             nowMs,
-            decideProtection(item, nowMs),
+            stage,
             defaultPlacementSettings,
         );
         if (!placement) {
@@ -284,7 +302,7 @@
         views.delete(order.service.name);
         [placement.endpoint, ...placement.helpers].filter(view => view.isTrial)
             .forEach(view => health.startTrial(view.id, nowMs));
-        return holdEngines(order, engine, placement, nowMs);
+        return holdEngines(order, engine, placement, stage, nowMs);
     }
 
     function getEngineViews(
@@ -301,7 +319,7 @@
     /** Places what waits soon; several changes at about the same time need one look. */
     function run(): void {
         if (waiting.length > 0) {
-            nextRun ??= timers.schedule(runDelayMs, runNow);
+            nextRun ??= timers.schedule(leastRunDelayMs + runSpreadMs * options.random(), runNow);
         }
     }
 
@@ -344,7 +362,7 @@
             arrivedAtMs: order.arrivedAtMs,
             latestStartMs,
             lastStartMs,
-            patienceEndsMs: latestStartMs + patienceShare * Math.max(0, lastStartMs - latestStartMs),
+            readMs: order.needs?.readMs ?? 0,
         };
     }
 
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -65,6 +65,8 @@
 /** A first byte that takes this many times its prediction, and the extra beyond it, will not come. */
 const silenceFactor = 2.5;
 const silenceExtraMs = 500;
+/** Reading a long prompt anew elsewhere costs as much again, so that patience grows with its length. */
+const silenceReadFactor = 1;
 /** A stream without an event for this many pause aims, and at least the extra, will not go on. */
 const pauseSilenceFactor = 3;
 const leastPauseSilenceMs = 1_000;
@@ -232,7 +234,7 @@
             },
         });
         if (isIdempotent(route.kind, route.isResumable)) {
-            watchSilence(silenceFactor * found.firstByteMs + silenceExtraMs);
+            watchSilence(silenceFactor * found.firstByteMs + silenceExtraMs + silenceReadFactor * (needs?.readMs ?? 0));
         }
     }
 
--- a/src/routing/enginePlacement.ts
+++ b/src/routing/enginePlacement.ts
@@ -8,6 +8,8 @@
     readonly tokens: number;
     /** When the first event is due, on the steady clock. */
     readonly dueAtMs: number;
+    /** When the customer will have left without a first event. */
+    readonly giveUpAtMs: number;
     readonly pauseAimMs: number;
     /** Endpoints that this request must not be sent to again. */
     readonly avoid: ReadonlySet<string>;
@@ -15,13 +17,15 @@
     readonly isSuspect: boolean;
 }
 
-/** Whose aims a placement may not spoil. */
-export enum Protection {
-    /** Nobody's, and the request itself must be in time. */
-    All = "all",
-    /** Only those of work with a stricter pause aim than the request's. */
-    Stricter = "stricter",
-    /** The request goes where it does the least harm. */
+/** What a placement may cost; a request that has waited longer may cost more. */
+export enum PlacementStage {
+    /** The request must be in time and delay nobody beyond its aim. */
+    InTime = "in-time",
+    /** The request is late; it must not make others late as well. */
+    Harmless = "harmless",
+    /** The request may delay work whose pause aim is not stricter than its own. */
+    Urgent = "urgent",
+    /** The request would be lost; it goes where it does the least harm. */
     LeastHarm = "least-harm",
 }
 
@@ -62,9 +66,16 @@
 
 /** Share of the free memory that a placement may count on; other gateways may take some meanwhile. */
 const memoryMargin = 0.92;
-/** Empty engines take parts of a huge prompt of up to this share of its whole read. */
-const hugePartShare = 1 / 6;
+/** Parts of a huge prompt may take up to this share of its whole read, so that it need not wait for all engines. */
+const hugePartShare = 1 / 8;
 const longestPartMs = 1_500;
+/**
+ * An engine with more unread prompts than this takes no part of a long one: an engine reads parts of others' prompts
+ * before its own, so that overlapping long prompts delay each other without bound.
+ */
+const busyReadMs = 60;
+/** Share of the time until the customer leaves in which the last parts of a prompt must be read. */
+const lastReadShare = 0.5;
 
 /**
  * Places a request on engines, or returns `undefined` if it should wait.
@@ -81,16 +92,19 @@
     views: readonly EngineView[],
     slots: number,
     nowMs: number,
-    protection: Protection,
+    stage: PlacementStage,
     settings: PlacementSettings,
 ): Placement | undefined {
     const usable = views.filter(view => isUsable(view, request, slots));
-    if (protection === Protection.LeastHarm) {
-        return placeLeastHarm(request, usable, settings);
+    const isShort = request.readMs <= settings.shortReadMs;
+    if (stage === PlacementStage.LeastHarm) {
+        return isShort
+            ? placeShortLeastHarm(request, usable)
+            : placeLongLeastHarm(request, usable, nowMs, settings);
     }
-    return request.readMs <= settings.shortReadMs
-        ? placeShort(request, usable, slots, nowMs, protection, settings)
-        : placeLong(request, usable, nowMs, protection, settings);
+    return isShort
+        ? placeShort(request, usable, slots, nowMs, stage, settings)
+        : placeLong(request, usable, nowMs, stage, settings);
 }
 
 function isUsable(view: EngineView, request: PlacementRequest, slots: number): boolean {
@@ -104,10 +118,10 @@
 }
 
 /** Reads that an engine can take without delaying what is protected, in milliseconds. */
-function computeRoomMs(view: EngineView, request: PlacementRequest, protection: Protection): number {
-    const isProtected = protection === Protection.All
-        ? () => true
-        : (aimMs: number) => aimMs < request.pauseAimMs;
+function computeRoomMs(view: EngineView, request: PlacementRequest, stage: PlacementStage): number {
+    const isProtected = stage === PlacementStage.Urgent
+        ? (aimMs: number) => aimMs < request.pauseAimMs
+        : () => true;
     return view.constraints.filter(item => isProtected(item.pauseAimMs))
         .reduce((room, item) => Math.min(room, item.roomMs), Number.POSITIVE_INFINITY);
 }
@@ -121,13 +135,13 @@
     views: readonly EngineView[],
     slots: number,
     nowMs: number,
-    protection: Protection,
+    stage: PlacementStage,
     settings: PlacementSettings,
 ): Placement | undefined {
     const fitting = views.filter(view =>
         view.freeTokens >= request.tokens
-        && view.pace * request.readMs <= computeRoomMs(view, request, protection)
-        && nowMs + predictFirstEventMs(view, request.readMs) <= request.dueAtMs
+        && view.pace * request.readMs <= computeRoomMs(view, request, stage)
+        && isInTime(request, nowMs + predictFirstEventMs(view, request.readMs), stage)
     );
     const inOrder = [...fitting].sort((left, right) => left.order - right.order);
     const chosen = inOrder.find(view => view.running < slots * settings.fillShare)
@@ -139,14 +153,14 @@
     request: PlacementRequest,
     views: readonly EngineView[],
     nowMs: number,
-    protection: Protection,
+    stage: PlacementStage,
     settings: PlacementSettings,
 ): Placement | undefined {
-    const emptyRoomMs = Math.min(longestPartMs, Math.max(settings.partMs, request.readMs * hugePartShare));
-    const candidates = views.map(view => ({
+    const limitMs = Math.min(longestPartMs, Math.max(settings.partMs, request.readMs * hugePartShare));
+    const candidates = views.filter(view => view.unreadMs <= busyReadMs).map(view => ({
         view,
-        roomMs: Math.min(emptyRoomMs - view.unreadMs, computeRoomMs(view, request, protection)),
-        isBesideStricter: view.constraints.some(item => item.pauseAimMs < request.pauseAimMs),
+        roomMs: Math.min(limitMs, computeRoomMs(view, request, stage)),
+        isBesideStricter: isBesideStricter(view, request),
     }));
     candidates.sort((left, right) =>
         Number(left.isBesideStricter) - Number(right.isBesideStricter) || right.view.order - left.view.order
@@ -158,8 +172,7 @@
             continue;
         }
         const placement = makeParts(chosen.map(item => item.view), request, partMs);
-        const isInTime = protection !== Protection.All || nowMs + (placement?.firstEventMs ?? 0) <= request.dueAtMs;
-        if (placement && isInTime) {
+        if (placement && isInTime(request, nowMs + placement.firstEventMs, stage)) {
             return placement;
         }
     }
@@ -200,24 +213,39 @@
     };
 }
 
-/** Chooses the fewest engines that hold the prompt, those with the least to read first. */
-function placeLeastHarm(
+function isInTime(request: PlacementRequest, firstEventAtMs: number, stage: PlacementStage): boolean {
+    return stage !== PlacementStage.InTime || firstEventAtMs <= request.dueAtMs;
+}
+
+function isBesideStricter(view: EngineView, request: PlacementRequest): boolean {
+    return view.constraints.some(item => item.pauseAimMs < request.pauseAimMs);
+}
+
+function placeShortLeastHarm(request: PlacementRequest, views: readonly EngineView[]): Placement | undefined {
+    const fitting = views.filter(view => view.freeTokens >= request.tokens);
+    const [chosen] = fitting.sort((left, right) => computeHarmMs(left) - computeHarmMs(right));
+    return chosen && makeWhole(chosen, request);
+}
+
+function computeHarmMs(view: EngineView): number {
+    return view.unreadMs + view.passMs * (1 + view.running);
+}
+
+/** Chooses as few engines as can still read the prompt, none of which answers requests with stricter aims. */
+function placeLongLeastHarm(
     request: PlacementRequest,
     views: readonly EngineView[],
+    nowMs: number,
     settings: PlacementSettings,
 ): Placement | undefined {
-    const sorted = [...views].sort((left, right) => computeHarmMs(left) - computeHarmMs(right));
-    const wantedParts = Math.max(1, Math.ceil(request.readMs / longestPartMs));
-    const mostParts = Math.min(sorted.length, settings.maxHelpers + 1);
-    for (let parts = Math.min(wantedParts, mostParts); parts >= 1 && parts <= mostParts; parts++) {
-        const placement = makeParts(sorted.slice(0, parts), request, request.readMs / parts);
-        if (placement) {
+    const free = views.filter(view => view.unreadMs <= busyReadMs && !isBesideStricter(view, request))
+        .sort((left, right) => right.order - left.order);
+    const longestMs = Math.max(settings.partMs, (request.giveUpAtMs - nowMs) * lastReadShare);
+    for (let parts = 1; parts <= Math.min(free.length, settings.maxHelpers + 1); parts++) {
+        const placement = makeParts(free.slice(0, parts), request, request.readMs / parts);
+        if (placement && placement.partMs <= longestMs) {
             return placement;
         }
     }
     return undefined;
 }
-
-function computeHarmMs(view: EngineView): number {
-    return view.unreadMs + view.passMs * (1 + view.running);
-}
--- a/src/routing/engineView.ts
+++ b/src/routing/engineView.ts
@@ -90,10 +90,12 @@
 }
 
 function computeRoomMs(item: WorkItem, passMs: number, unreadMs: number, nowMs: number): number {
+    const pauseRoomMs = item.pauseAimMs! * pauseMargin - passMs;
     if (item.phase === WorkPhase.Writing) {
-        return item.pauseAimMs! * pauseMargin - passMs - unreadMs;
+        return pauseRoomMs - unreadMs;
     }
-    // Work that is late already cannot be made late by further reads.
+    // Further reads may come just after the first event. Work that is late already cannot be made late.
     const leftMs = item.dueAtMs - nowMs;
-    return leftMs <= 0 ? Number.POSITIVE_INFINITY : leftMs - unreadMs - passesToFirstEvent * passMs;
+    const dueRoomMs = leftMs <= 0 ? Number.POSITIVE_INFINITY : leftMs - unreadMs - passesToFirstEvent * passMs;
+    return Math.min(pauseRoomMs, dueRoomMs);
 }
