Count engines behind their prediction as busy

Cause: from the moment at which a prompt should have been read its engine counted as idle, so that further prompts were placed on top of one that was late, and each made the next later.

Change: an engine whose first event is overdue counts as behind; requests that may delay others take the engines with the fewest answers.

--- a/src/gateway/placementDesk.ts
+++ b/src/gateway/placementDesk.ts
@@ -51,6 +51,8 @@
     readonly helpers: readonly EndpointRecord[];
     /** Memory to reserve at each helper, in tokens. */
     readonly reservedTokens: number;
+    /** Predicted read time of each part of the prompt, in milliseconds. */
+    readonly partMs: number;
     /** Predicted time until the first byte, in milliseconds. */
     readonly firstByteMs: number;
     /** Inputs of the decision, for the log. */
@@ -207,6 +209,7 @@
             endpoint: directory.find(endpoint.id)!.record,
             helpers: helpers.map(helper => directory.find(helper.id)!.record),
             reservedTokens,
+            partMs,
             firstByteMs: placement.firstEventMs,
             reason: `stage=${stage} running=${endpoint.running} unreadMs=${Math.round(endpoint.unreadMs)} pace=${
                 endpoint.pace.toFixed(1)
@@ -245,6 +248,7 @@
             endpoint: directory.find(view.id)!.record,
             helpers: [],
             reservedTokens: 0,
+            partMs: 0,
             firstByteMs: plainAnswerMs,
             reason: `running=${view.running}`,
             startWriting: () => undefined,
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -187,7 +187,8 @@
             describe({
                 endpoint: found.endpoint.id,
                 address: found.endpoint.address,
-                helpers: found.helpers.length,
+                helpers: found.helpers.map(helper => helper.id).join(",") || undefined,
+                partMs: Math.round(found.partMs),
                 waitedMs: Math.round(nowMs - request.arrivedAtMs),
                 predictedMs: Math.round(found.firstByteMs),
                 attempt: dispatches,
--- a/src/routing/enginePlacement.ts
+++ b/src/routing/enginePlacement.ts
@@ -162,8 +162,12 @@
         roomMs: Math.min(limitMs, computeRoomMs(view, request, stage)),
         isBesideStricter: isBesideStricter(view, request),
     }));
+    // Whoever may delay equals delays as few as possible.
+    const countDelayed = (view: EngineView) => stage === PlacementStage.Urgent ? view.constraints.length : 0;
     candidates.sort((left, right) =>
-        Number(left.isBesideStricter) - Number(right.isBesideStricter) || right.view.order - left.view.order
+        Number(left.isBesideStricter) - Number(right.isBesideStricter)
+        || countDelayed(left.view) - countDelayed(right.view)
+        || right.view.order - left.view.order
     );
     for (let parts = 1; parts <= Math.min(candidates.length, settings.maxHelpers + 1); parts++) {
         const partMs = request.readMs / parts;
@@ -239,7 +243,7 @@
     settings: PlacementSettings,
 ): Placement | undefined {
     const free = views.filter(view => view.unreadMs <= busyReadMs && !isBesideStricter(view, request))
-        .sort((left, right) => right.order - left.order);
+        .sort((left, right) => left.constraints.length - right.constraints.length || right.order - left.order);
     const longestMs = Math.max(settings.partMs, (request.giveUpAtMs - nowMs) * lastReadShare);
     for (let parts = 1; parts <= Math.min(free.length, settings.maxHelpers + 1); parts++) {
         const placement = makeParts(free.slice(0, parts), request, request.readMs / parts);
--- a/src/routing/engineView.ts
+++ b/src/routing/engineView.ts
@@ -38,6 +38,12 @@
 /** A prompt starts to be read half a pass after it arrives on average, and its first event ends a pass. */
 export const passesToFirstEvent = 1.5;
 
+/** Time by which a first event may exceed its prediction before its engine counts as behind, in milliseconds. */
+const overdueToleranceMs = 40;
+/** Bounds of the time that an engine behind its prediction is taken to need, in milliseconds. */
+const leastBehindMs = 80;
+const longestBehindMs = 1_000;
+
 /** What is known of an engine besides its work. */
 export interface EngineFacts {
     readonly id: string;
@@ -62,7 +68,7 @@
     const main = items.filter(item => item.pauseAimMs !== undefined);
     const contextTokens = main.reduce((sum, item) => sum + item.tokens, 0);
     const passMs = facts.pace * computePassMs(engine, main.length, contextTokens);
-    const unreadMs = computeUnreadMs(items, facts.pace, nowMs);
+    const unreadMs = computeUnreadMs(items, facts.pace, passMs, nowMs);
     return {
         ...facts,
         running: main.length,
@@ -78,15 +84,22 @@
     };
 }
 
-/** Prompts are read together, so that the oldest unread one tells since when the engine reads. */
-function computeUnreadMs(items: readonly WorkItem[], pace: number, nowMs: number): number {
+/**
+ * Prompts are read together, so that the oldest unread one tells since when the engine reads. Where its first event is
+ * overdue, the engine is behind the prediction by an unknown time.
+ */
+function computeUnreadMs(items: readonly WorkItem[], pace: number, passMs: number, nowMs: number): number {
     const readers = items.filter(item => item.phase === WorkPhase.Reading);
     if (readers.length === 0) {
         return 0;
     }
     const totalMs = pace * readers.reduce((sum, item) => sum + item.readMs, 0);
     const readingSinceMs = Math.min(...readers.map(item => item.phaseSinceMs));
-    return Math.max(0, totalMs - Math.max(0, nowMs - readingSinceMs));
+    const remainingMs = totalMs - (nowMs - readingSinceMs);
+    const overdueMs = -remainingMs - passesToFirstEvent * passMs;
+    return overdueMs > overdueToleranceMs
+        ? Math.min(overdueMs, longestBehindMs) + leastBehindMs
+        : Math.max(0, remainingMs);
 }
 
 function computeRoomMs(item: WorkItem, passMs: number, unreadMs: number, nowMs: number): number {
