Do not take an answer that a reset cut for a whole one

Cause: undici ends an answer without a length when its connection is reset.

Change: the pool notes that a connection reports because it was reset. A request whose connection was never made is not run when its time ends.

--- a/src/gateway/endpointConnections.ts
+++ b/src/gateway/endpointConnections.ts
@@ -1,4 +1,5 @@
-import { Dispatcher, Pool } from "undici";
+import { Socket } from "node:net";
+import { buildConnector, Dispatcher, Pool } from "undici";
 import { RawHeaders } from "../ports/exchange.js";
 
 /** A request as it goes to an endpoint. */
@@ -33,6 +34,8 @@
 
 /** One request that has been sent. */
 export interface Exchange {
+    /** Whether the request may have reached the endpoint. */
+    hasStarted(): boolean;
     /** Closes the connection, which tells the endpoint to stop. */
     abort(): void;
     pause(): void;
@@ -54,9 +57,16 @@
 /** Idle connections are closed before endpoints usually do. */
 const keepAliveTimeoutMs = 4_000;
 
+/** Connections of one kind to one endpoint. */
+interface WatchedPool {
+    readonly pool: Pool;
+    /** Whether the connection that reports something now does so because it was reset. */
+    isReset(): boolean;
+}
+
 interface EndpointPools {
-    readonly kept: Pool;
-    readonly single: Pool;
+    readonly kept: WatchedPool;
+    readonly single: WatchedPool;
 }
 
 /**
@@ -80,8 +90,8 @@
 
     function closeGently({ kept, single }: EndpointPools): void {
         // Requests that are under way finish; an error of a closing connection concerns nobody.
-        kept.close().catch(() => undefined);
-        single.close().catch(() => undefined);
+        kept.pool.close().catch(() => undefined);
+        single.pool.close().catch(() => undefined);
     }
 
     function replace(address: string): void {
@@ -104,25 +114,40 @@
         async close() {
             const all = [...pools.values()];
             pools.clear();
-            await Promise.all(all.flatMap(({ kept, single }) => [kept.destroy(), single.destroy()]));
+            await Promise.all(all.flatMap(({ kept, single }) => [kept.pool.destroy(), single.pool.destroy()]));
         },
     };
 }
 
-function createPool(address: string, pipelining: number): Pool {
-    return new Pool(`http://${address}`, {
+/**
+ * Creates a pool that tells resets apart. undici takes an answer without a length for whole when its connection is reset;
+ * its listener runs within the same event as the one added here, which runs first.
+ */
+function createPool(address: string, pipelining: number): WatchedPool {
+    let isResetNow = false;
+    const connect = buildConnector({ timeout: connectTimeoutMs });
+    const pool = new Pool(`http://${address}`, {
+        connect(options, callback) {
+            const socket = connect(options, callback) as unknown as Socket;
+            socket.on("error", () => {
+                isResetNow = true;
+                queueMicrotask(() => {
+                    isResetNow = false;
+                });
+            });
+        },
         pipelining,
-        connectTimeout: connectTimeoutMs,
         keepAliveTimeout: keepAliveTimeoutMs,
         headersTimeout: 0,
         bodyTimeout: 0,
     });
+    return { pool, isReset: () => isResetNow };
 }
 
-function dispatchRequest(pool: Pool, request: OutgoingRequest, listener: AnswerListener): Exchange {
+function dispatchRequest(watched: WatchedPool, request: OutgoingRequest, listener: AnswerListener): Exchange {
     let controller: Dispatcher.DispatchController | undefined;
     let isAborted = false;
-    pool.dispatch({
+    watched.pool.dispatch({
         method: request.method as Dispatcher.HttpMethod,
         path: request.path,
         headers: request.headers,
@@ -145,7 +170,13 @@
             }
         },
         onResponseEnd() {
-            if (!isAborted) {
+            if (isAborted) {
+                return;
+            }
+            if (watched.isReset()) {
+                listener.onFailure(SendFailureKind.Broken, "the connection was reset within the answer");
+            }
+            else {
                 listener.onEnd();
             }
         },
@@ -156,6 +187,7 @@
         },
     });
     return {
+        hasStarted: () => controller !== undefined,
         abort() {
             isAborted = true;
             controller?.abort(new Error("aborted"));
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -386,12 +386,13 @@
             return;
         }
         const silentMs = timers.now() - (lastEventAtMs ?? sentAtMs);
+        const verdict = exchange?.hasStarted() ? Verdict.MayHaveRun : Verdict.NotRun;
         health.record(place.endpoint.id, ExchangeResult.Silent, timers.now());
         exchange?.abort();
         services.connections.replace(place.endpoint.address);
         avoid.add(place.endpoint.id);
-        endpointsRun += 1;
-        retryOrFail(Verdict.MayHaveRun, `silent for ${Math.round(silentMs)} ms`);
+        endpointsRun += verdict === Verdict.MayHaveRun ? 1 : 0;
+        retryOrFail(verdict, `silent for ${Math.round(silentMs)} ms`);
     }
 
     function canRetry(verdict: Verdict, ranOn: number): boolean {
@@ -445,7 +446,7 @@
     }
 
     function handleDeadline(): void {
-        if (exchange) {
+        if (exchange?.hasStarted()) {
             verdicts.push(Verdict.MayHaveRun);
         }
         finishFailed("deadline");
--- a/test/platform/gatewayFaults.test.ts
+++ b/test/platform/gatewayFaults.test.ts
@@ -39,6 +39,7 @@
         [EndpointFault.Full, 503, "it did not run"],
         [EndpointFault.BreakBefore, 502, "it may have run"],
         [EndpointFault.BreakWithin, 502, "it may have run"],
+        [EndpointFault.UnframedReset, 502, "a reset connection does not end an answer"],
         [EndpointFault.ForeignId, 502, "the answer belongs to another request"],
         [EndpointFault.Unsealed, 502, "the answer is not the endpoint's"],
         [EndpointFault.Encoded, 502, "the body is not the endpoint's"],
--- a/test/platform/support/endpointStandIn.ts
+++ b/test/platform/support/endpointStandIn.ts
@@ -24,6 +24,8 @@
     Doubled = "doubled",
     /** Sends an answer without a length that ends with the connection. */
     Unframed = "unframed",
+    /** As `Unframed`, but the connection is reset before the body is whole. */
+    UnframedReset = "unframed-reset",
     /** Answers at once, but the connection of a stream is closed by the customer's side only. */
     Slow = "slow",
 }
@@ -180,6 +182,13 @@
             request.socket.end(`HTTP/1.1 200 OK\r\n${lines}Connection: close\r\n\r\n${body}`);
             return;
         }
+        if (fault === EndpointFault.UnframedReset) {
+            const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
+            request.socket.write(`HTTP/1.1 200 OK\r\n${lines}Connection: close\r\n\r\n${body.slice(0, 3)}`);
+            await wait(20);
+            request.socket.resetAndDestroy();
+            return;
+        }
         response.writeHead(200, { ...headers, "content-length": String(body.length) });
         if (fault === EndpointFault.BreakWithin) {
             response.write(body.slice(0, 3));
