Read long prompts in longer parts when they have waited

Cause: a long prompt waited for as many idle engines as parts of 350 ms need, up to ten seconds, while a few engines were idle all the time; a huge one took seven engines for 2.7 s in a flood of long prompts.

Change: the longest part grows with the wait, more slowly for huge prompts; gateways look for places for long prompts at more different times, and report new work at once.

--- a/src/gateway/loadExchange.ts
+++ b/src/gateway/loadExchange.ts
@@ -6,8 +6,6 @@
 import { LoadLedger, WorkItem, WorkPhase } from "../routing/loadLedger.js";
 import { CrashNotice, decodeLoadMessage, encodeLoadMessage, LoadMessage } from "./exchangeMessages.js";
 
-/** New work is reported at once, since two gateways that do not know of each other's take the same engine. */
-const newWorkDelayMs = 1;
 /** Other changes within this time go in one message. */
 const batchMs = 12;
 /** All work is sent this often, which repairs lost messages. */
@@ -74,7 +72,7 @@
     let listed: readonly string[] = [];
     let sequence = 0;
     let batch: Disposable | undefined;
-    let batchDueAtMs = 0;
+    let isSendingSoon = false;
     let wasSendRefused = false;
 
     function listTargets(): string[] {
@@ -120,6 +118,7 @@
     }
 
     function sendChanges(): void {
+        batch?.dispose();
         batch = undefined;
         const changed = [...changes.values()].filter(item => item !== undefined);
         const removed = [...changes].filter(([, item]) => item === undefined).map(([key]) => key);
@@ -129,14 +128,15 @@
         }
     }
 
-    function scheduleBatch(delayMs: number): void {
-        const dueAtMs = timers.now() + delayMs;
-        if (batch && batchDueAtMs <= dueAtMs) {
-            return;
+    /** Sends what has changed when the current code has run, because all parts of a prompt are added together. */
+    function sendSoon(): void {
+        if (!isSendingSoon) {
+            isSendingSoon = true;
+            queueMicrotask(() => {
+                isSendingSoon = false;
+                sendChanges();
+            });
         }
-        batch?.dispose();
-        batchDueAtMs = dueAtMs;
-        batch = timers.schedule(delayMs, sendChanges);
     }
 
     function receive(bytes: Buffer): void {
@@ -196,11 +196,17 @@
         },
         reportChange(key, item) {
             changes.set(key, item);
-            scheduleBatch(item?.phase === WorkPhase.Reading ? newWorkDelayMs : batchMs);
+            // Two gateways that do not know of each other's new work take the same engine.
+            if (item?.phase === WorkPhase.Reading) {
+                sendSoon();
+            }
+            else {
+                batch ??= timers.schedule(batchMs, sendChanges);
+            }
         },
         reportCrash(notice) {
             crashes.push({ notice, untilMs: timers.now() + crashRepeatMs });
-            scheduleBatch(newWorkDelayMs);
+            sendSoon();
         },
         countGateways: () => 1 + peers.size,
         dispose() {
--- a/src/gateway/placementDesk.ts
+++ b/src/gateway/placementDesk.ts
@@ -88,14 +88,14 @@
     readonly reportChange: (key: string, item: WorkItem | undefined) => void;
 }
 
-/** Waiting work looks for a place at least this often: room grows as engines read on, without any event here. */
-const retryIntervalMs = 10;
 /**
- * Time from a change to the look for places. It differs between gateways by more than a message takes, so that two of
- * them rarely take the same engines that have just become free.
+ * Time between two looks for places while work waits: room grows as engines read on, without any event here. It differs
+ * between gateways by more than a message takes, so that two of them rarely take the same engines that have just become
+ * free; long prompts can wait for that longer than short ones.
  */
 const leastRunDelayMs = 2;
 const runSpreadMs = 14;
+const longRunSpreadMs = 40;
 /** Work that is tried in one run, which bounds the time that a long queue takes from everything else. */
 const triedPerRun = 40;
 /** Time that a plain service needs at least, in milliseconds. */
@@ -285,6 +285,7 @@
         const request: PlacementRequest = {
             readMs: order.needs.readMs,
             tokens: order.needs.promptTokens + order.needs.outputTokens,
+            waitedMs: nowMs - order.arrivedAtMs,
             dueAtMs: order.dueAtMs,
             giveUpAtMs: order.giveUpAtMs,
             pauseAimMs: order.needs.pauseAimMs,
@@ -323,7 +324,9 @@
     /** Places what waits soon; several changes at about the same time need one look. */
     function run(): void {
         if (waiting.length > 0) {
-            nextRun ??= timers.schedule(leastRunDelayMs + runSpreadMs * options.random(), runNow);
+            const isLongOnly = waiting.every(item => item.readMs > defaultPlacementSettings.shortReadMs);
+            const spreadMs = isLongOnly ? longRunSpreadMs : runSpreadMs;
+            nextRun ??= timers.schedule(leastRunDelayMs + spreadMs * options.random(), runNow);
         }
     }
 
@@ -332,7 +335,7 @@
         nextRun = undefined;
         placeWaiting();
         if (waiting.length > 0) {
-            nextRun ??= timers.schedule(retryIntervalMs, runNow);
+            run();
         }
     }
 
--- a/src/routing/enginePlacement.ts
+++ b/src/routing/enginePlacement.ts
@@ -6,6 +6,8 @@
     readonly readMs: number;
     /** Memory for prompt and expected answer, in tokens. */
     readonly tokens: number;
+    /** Time for which it has waited, in milliseconds. */
+    readonly waitedMs: number;
     /** When the first event is due, on the steady clock. */
     readonly dueAtMs: number;
     /** When the customer will have left without a first event. */
@@ -66,9 +68,15 @@
 
 /** Share of the free memory that a placement may count on; other gateways may take some meanwhile. */
 const memoryMargin = 0.92;
-/** Parts of a huge prompt may take up to this share of its whole read, so that it need not wait for all engines. */
-const hugePartShare = 1 / 8;
+/**
+ * Growth of the longest part with the time waited: longer parts on fewer engines are better than a longer wait. It is
+ * slower for prompts above the usual read time, because a huge one holds up many others for one customer.
+ */
+const partGrowth = 0.7;
+const usualLongReadMs = 3_000;
+/** Bounds of the growth, in milliseconds and as a share of the whole read. */
 const longestPartMs = 1_500;
+const longestPartShare = 1 / 3;
 /**
  * An engine with more unread prompts than this takes no part of a long one: an engine reads parts of others' prompts
  * before its own, so that overlapping long prompts delay each other without bound.
@@ -156,7 +164,7 @@
     stage: PlacementStage,
     settings: PlacementSettings,
 ): Placement | undefined {
-    const limitMs = Math.min(longestPartMs, Math.max(settings.partMs, request.readMs * hugePartShare));
+    const limitMs = computeLongestPartMs(request, settings);
     const candidates = views.filter(view => view.unreadMs <= busyReadMs).map(view => ({
         view,
         roomMs: Math.min(limitMs, computeRoomMs(view, request, stage)),
@@ -183,6 +191,12 @@
     return undefined;
 }
 
+function computeLongestPartMs(request: PlacementRequest, settings: PlacementSettings): number {
+    const growth = partGrowth * Math.min(1, usualLongReadMs / request.readMs);
+    const wantedMs = settings.partMs + request.waitedMs * growth;
+    return Math.min(wantedMs, Math.max(longestPartMs, request.readMs * longestPartShare));
+}
+
 /** The engine that answers is the one with the most free memory; the others help. */
 function makeParts(
     views: readonly EngineView[],
