Pass the missing framing of an answer on

Cause: an answer without a length ends with its connection. A reset alone, mended before, was not the case: the log of the connection showed an ordinary end.

Change: such an answer goes to the customer without a length either, and a stream that was begun with framing breaks off instead of ending so.

--- a/src/gateway/answerRelay.ts
+++ b/src/gateway/answerRelay.ts
@@ -1,4 +1,4 @@
-import { AnswerHead, RawHeaders } from "../ports/exchange.js";
+import { AnswerHead } from "../ports/exchange.js";
 import { CustomerAnswer } from "./customerAnswer.js";
 import { createEventStreamCutter, EventStreamCutter } from "./eventStream.js";
 
@@ -34,7 +34,7 @@
     acceptData(bytes: Buffer, onDrained: () => void): AnswerOutcome;
     acceptEnd(): AnswerOutcome;
     /** Passes the endpoint's failure on as it came. */
-    deliverFailure(outcome: AnswerOutcome): void;
+    deliverFailure(): void;
     /** Id of the last event that the customer has, by this request or an earlier one. */
     getLastEventId(): number | undefined;
     countEvents(): number;
@@ -66,6 +66,7 @@
     let cutter: EventStreamCutter = createEventStreamCutter();
     let lastEventId = options.resumeAfter;
     let events = 0;
+    let isAnswerFramed = true;
     let held: Buffer[] = [];
     let heldBytes = 0;
 
@@ -79,7 +80,8 @@
 
     function startCustomerAnswer(): void {
         if (!answer.isStarted()) {
-            answer.start(head!.status, head!.forwarded);
+            answer.start(head!.status, head!.forwarded, head!.isFramed);
+            isAnswerFramed = head!.isFramed;
         }
     }
 
@@ -119,16 +121,24 @@
             return makeInvalid("the stream ends within an event");
         }
         startCustomerAnswer();
+        if (isAnswerFramed && !head!.isFramed) {
+            return makeInvalid("the end of the stream is uncertain");
+        }
         answer.end();
         return { kind: AnswerOutcomeKind.Complete, reason: "" };
     }
 
-    function sendHeld(status: number, headers: RawHeaders): void {
-        if (answer.isStarted()) {
-            answer.end();
+    /** Framing is passed on, so that an answer of uncertain end does not look certainly whole. */
+    function sendHeld(received: AnswerHead): void {
+        if (!answer.isStarted() && received.isFramed) {
+            answer.sendWhole(received.status, received.forwarded, Buffer.concat(held));
             return;
         }
-        answer.sendWhole(status, headers, Buffer.concat(held));
+        if (!answer.isStarted()) {
+            startCustomerAnswer();
+            answer.write(Buffer.concat(held), () => undefined);
+        }
+        answer.end();
     }
 
     return {
@@ -167,10 +177,10 @@
             if (head.status >= 500 && !answer.isStarted()) {
                 return { kind: AnswerOutcomeKind.Failed, reason: `status ${head.status}` };
             }
-            sendHeld(head.status, head.forwarded);
+            sendHeld(head);
             return { kind: AnswerOutcomeKind.Complete, reason: "" };
         },
-        deliverFailure: () => sendHeld(head!.status, head!.forwarded),
+        deliverFailure: () => sendHeld(head!),
         getLastEventId: () => lastEventId,
         countEvents: () => events,
     };
--- a/src/gateway/customerAnswer.ts
+++ b/src/gateway/customerAnswer.ts
@@ -7,7 +7,8 @@
     isStarted(): boolean;
     isClosed(): boolean;
     sendWhole(status: number, headers: RawHeaders, body: Buffer): void;
-    start(status: number, headers: RawHeaders): void;
+    /** Sends the head. Without framing the body ends with the connection, which leaves open whether it is whole. */
+    start(status: number, headers: RawHeaders, isFramed: boolean): void;
     /** Returns whether more may be written now; otherwise `onDrained` follows. */
     write(bytes: Buffer, onDrained: () => void): boolean;
     end(): void;
@@ -36,7 +37,11 @@
             writeHead(status, [...headers, "Content-Length", String(body.length)]);
             response.end(body);
         },
-        start(status, headers) {
+        start(status, headers, isFramed) {
+            if (!isFramed) {
+                response.useChunkedEncodingByDefault = false;
+                response.shouldKeepAlive = false;
+            }
             writeHead(status, [...headers]);
         },
         write(bytes, onDrained) {
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -270,7 +270,7 @@
                 handleBroken(ExchangeResult.Failed, outcome.reason);
                 break;
             case AnswerOutcomeKind.Failed:
-                handleFailedAnswer(place, outcome, answerHead!);
+                handleFailedAnswer(place, answerHead!);
                 break;
             case AnswerOutcomeKind.Pending:
                 break;
@@ -330,7 +330,7 @@
     }
 
     /** The endpoint ran the request and failed; another may do better where the request may run again. */
-    function handleFailedAnswer(current: Place, outcome: AnswerOutcome, answerHead: AnswerHead): void {
+    function handleFailedAnswer(current: Place, answerHead: AnswerHead): void {
         health.record(current.endpoint.id, ExchangeResult.Failed, timers.now());
         if (canRetry(Verdict.MayHaveRun, endpointsRun + 1) && services.budget.acquire()) {
             endpointsRun += 1;
@@ -338,7 +338,7 @@
             retry(`status ${answerHead.status}`, Verdict.MayHaveRun);
             return;
         }
-        relay.deliverFailure(outcome);
+        relay.deliverFailure();
         end("answered", answerHead.status);
     }
 
--- a/src/ports/exchange.ts
+++ b/src/ports/exchange.ts
@@ -56,6 +56,11 @@
     readonly isNotRun: boolean;
     /** Whether another endpoint than the one that was meant has this address. */
     readonly isMisdirected: boolean;
+    /**
+     * Whether the head says how the body ends. Without that the body ends with the connection, and one that a crash cut
+     * cannot be told from a whole one.
+     */
+    readonly isFramed: boolean;
     /** Whether the body is encoded, which customers never ask for. */
     readonly isEncoded: boolean;
     /** Address or id of the endpoint at fault, where it is another than the one that answered. */
--- a/test/platform/gatewayFaults.test.ts
+++ b/test/platform/gatewayFaults.test.ts
@@ -85,12 +85,15 @@
             assert.equal(answer.body, "failed");
         }));
 
-    test("an answer without a length that ends with its connection is whole", () =>
+    test("an answer without a length goes on without one, since its end is uncertain", () =>
         runWithDeployment(async deployment => {
             setFaultEverywhere(deployment.services, EndpointFault.Unframed);
             const answer = await send(deployment.gateways[0]!, { path: "/look/1", headers: makeHeaders() });
             assert.equal(answer.status, 200);
             assert.match(answer.body, /^done by desk-/);
+            assert.equal(answer.headers["content-length"], undefined);
+            assert.equal(answer.headers["transfer-encoding"], undefined);
+            assert.equal(answer.headers.connection, "close");
         }));
 
     test("a second answer on a kept connection reaches nobody", () =>
