Send a request that was lost with its link to the same endpoint again

The link to the only endpoint that did not leave was reset, its sidecar did not hold the request (not run), and the entry excluded that endpoint and gave up. The answer is printed now.

Ruled out: the retry budget, which had allowed the attempt.

Test: a request that was lost on the way to the only endpoint; it failed before the change with the same answer.

--- a/src/entry/requestTask.ts
+++ b/src/entry/requestTask.ts
@@ -201,7 +201,15 @@
     }
 
     function waitForEndpoint(lastError: RequestError | undefined) {
-        if (lastError || timers.now() - startedMs >= noEndpointPatienceMs) {
+        const hasPatience = timers.now() - startedMs < noEndpointPatienceMs;
+        if (hasPatience && lastError?.code === ErrorCode.EndpointFailed && lastError.verdict === Verdict.NotRun) {
+            // The request was lost with its link, which says nothing against the endpoint. Where every other one
+            // leaves, it is the only one that can serve the request.
+            excluded.clear();
+            retryTimer = timers.schedule(noEndpointDelayMs, () => attempt(undefined));
+            return;
+        }
+        if (lastError || !hasPatience) {
             fail(lastError ?? buildRequestError(ErrorCode.NoEndpoint, "no endpoint is available", Verdict.NotRun));
             return;
         }
--- a/test/system/engineRecovery.test.ts
+++ b/test/system/engineRecovery.test.ts
@@ -66,6 +66,23 @@
     }
 });
 
+test("a request that was lost on the way to the only endpoint is sent to it again", async () => {
+    const system = await startSystem({ audit });
+    try {
+        const { relay } = system.endpoints[0]!;
+        relay.silence();
+        const pending = system.send("/v1/completions", { model: "demo", prompt, max_tokens: 20 });
+        await waitUntil(() => system.events.some(item => item.event === LogEvent.EndpointChosen));
+        relay.drop();
+        const answer = await (await pending).text();
+        assert.ok(answer.includes('"choices"'), answer);
+        assert.equal(readText(answer), makeExpectedOutput(prompt, 20));
+    }
+    finally {
+        await system.close();
+    }
+});
+
 interface ShutdownCase {
     readonly name: string;
     readonly stop: (system: TestSystem) => Promise<void>;
@@ -112,7 +129,10 @@
                     assert.ok(index % 2 === 0 ? answer.includes("[DONE]") : readText(answer).length > 0, answer);
                     assert.ok(!answer.includes('"error"'), answer);
                 });
-                (await Promise.all(late)).forEach(answer => assert.ok(readText(answer).length > 0, answer));
+                (await Promise.all(late)).forEach(answer => {
+                    assert.ok(answer.includes('"choices"'), `a request sent during the stop got ${answer}`);
+                    assert.ok(readText(answer).length > 0, answer);
+                });
                 await stopping;
                 assert.ok(stopped);
             }
--- a/test/system/relay.ts
+++ b/test/system/relay.ts
@@ -7,6 +7,8 @@
     silence(): void;
     /** Forwards what the silenced connections received in the meantime, late. */
     restore(): void;
+    /** Closes the open connections; what they have not forwarded is lost. New ones work. */
+    drop(): void;
     /** Refuses new connections and cuts the open ones. */
     cut(): void;
     close(): Promise<void>;
@@ -38,6 +40,7 @@
         port: (server.address() as net.AddressInfo).port,
         silence: () => pairs.forEach(pair => pair.forEach(socket => socket.pause())),
         restore: () => pairs.forEach(pair => pair.forEach(socket => socket.resume())),
+        drop: () => pairs.forEach(pair => pair.forEach(socket => socket.destroy())),
         cut() {
             isCut = true;
             pairs.forEach(pair => pair.forEach(socket => socket.destroy()));
