--- a/src/gateway/loadExchange.ts
+++ b/src/gateway/loadExchange.ts
@@ -7,7 +7,7 @@
 import { CrashNotice, decodeLoadMessage, encodeLoadMessage, LoadMessage } from "./exchangeMessages.js";
 
 /** Other changes within this time go in one message. */
-const batchMs = 12;
+const batchMs = 5;
 /** All work is sent this often, which repairs lost messages. */
 const wholeIntervalMs = 500;
 /** A gateway that has sent nothing for this long is not sent changes any more; its work ends as predicted. */
--- a/src/routing/enginePlacement.ts
+++ b/src/routing/enginePlacement.ts
@@ -82,6 +82,11 @@
  * before its own, so that overlapping long prompts delay each other without bound.
  */
 const busyReadMs = 60;
+/**
+ * Prompts whose reading is predicted to end but not confirmed by a first event. With more than one, an engine that is
+ * slower than predicted would be given part after part.
+ */
+const maxUnconfirmedReads = 1;
 /** Share of the time until the customer leaves in which the last parts of a prompt must be read. */
 const lastReadShare = 0.5;
 
@@ -165,7 +170,7 @@
     settings: PlacementSettings,
 ): Placement | undefined {
     const limitMs = computeLongestPartMs(request, settings);
-    const candidates = views.filter(view => view.unreadMs <= busyReadMs).map(view => ({
+    const candidates = views.filter(isFreeForPart).map(view => ({
         view,
         roomMs: Math.min(limitMs, computeRoomMs(view, request, stage)),
         isBesideStricter: isBesideStricter(view, request),
@@ -191,6 +196,10 @@
     return undefined;
 }
 
+function isFreeForPart(view: EngineView): boolean {
+    return view.unreadMs <= busyReadMs && view.unconfirmedReads <= maxUnconfirmedReads;
+}
+
 function computeLongestPartMs(request: PlacementRequest, settings: PlacementSettings): number {
     const growth = partGrowth * Math.min(1, usualLongReadMs / request.readMs);
     const wantedMs = settings.partMs + request.waitedMs * growth;
@@ -256,7 +265,7 @@
     nowMs: number,
     settings: PlacementSettings,
 ): Placement | undefined {
-    const free = views.filter(view => view.unreadMs <= busyReadMs && !isBesideStricter(view, request))
+    const free = views.filter(view => isFreeForPart(view) && !isBesideStricter(view, request))
         .sort((left, right) => left.constraints.length - right.constraints.length || right.order - left.order);
     const longestMs = Math.max(settings.partMs, (request.giveUpAtMs - nowMs) * lastReadShare);
     for (let parts = 1; parts <= Math.min(free.length, settings.maxHelpers + 1); parts++) {
--- a/src/routing/engineView.ts
+++ b/src/routing/engineView.ts
@@ -18,6 +18,8 @@
     readonly helping: number;
     /** Predicted time until all prompts that it has are read, in milliseconds. */
     readonly unreadMs: number;
+    /** Prompts, or parts of them, whose requests have had no first event yet. */
+    readonly unconfirmedReads: number;
     /** Predicted duration of a pass without reads, in milliseconds. */
     readonly passMs: number;
     readonly freeTokens: number;
@@ -74,6 +76,7 @@
         running: main.length,
         helping: items.length - main.length,
         unreadMs,
+        unconfirmedReads: items.filter(item => item.phase === WorkPhase.Reading).length,
         passMs,
         freeTokens: engine.memoryTokens - items.reduce((sum, item) => sum + item.tokens, 0),
         constraints: main.map(item => ({
