Read registrations less often

Change: the pauses follow the times of the settings in which leaving and a new configuration must be known.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -29,7 +29,7 @@
 import { createPlacementDesk } from "./placementDesk.js";
 import { createRequestIntake } from "./requestIntake.js";
 import { createReservations } from "./reservations.js";
-import { followFeed, FollowPace } from "./storeFollower.js";
+import { followFeed } from "./storeFollower.js";
 
 /** What a gateway meets outside: the store, the endpoints' protocol, time and chance. */
 export interface GatewayPorts {
@@ -53,10 +53,17 @@
     drain(): Promise<void>;
 }
 
-/** A change of configuration is in force within two seconds; a read that waits longer could hide a silent connection. */
-const configurationPace: FollowPace = { waitMs: 900, pauseMs: 0 };
-/** Endpoints renew every second or so; one read collects what many of them write. Leaving counts after two seconds. */
-const endpointPace: FollowPace = { waitMs: 400, pauseMs: 500 };
+/**
+ * Share of the time in which a configuration must be in force that one read may wait. A connection to the store can stay
+ * silent; the rest of the time is for noticing that and reading again.
+ */
+const configurationWaitShare = 0.55;
+/**
+ * Share of the time in which leaving must be known between two reads of registrations. Endpoints renew them every second
+ * or so, and each call to the store costs, so that one read collects what many have written.
+ */
+const endpointPauseShare = 0.4;
+const endpointWaitMs = 300;
 const lapseCheckMs = 100;
 /** Share of the memory limit that request bodies may hold; the rest is for the heap and for buffers of connections. */
 const bodyMemoryShare = 0.25;
@@ -218,7 +225,7 @@
     disposables.register(followFeed({
         name: "configuration",
         feed: ports.configurationFeed,
-        pace: configurationPace,
+        pace: { waitMs: Math.round(settings.configurationNoticeMs * configurationWaitShare), pauseMs: 0 },
         timers,
         log,
         listener: { onWhole: applyConfiguration, onRecords: applyConfiguration, onLost() {}, onBack() {} },
@@ -226,7 +233,7 @@
     disposables.register(followFeed({
         name: "endpoints",
         feed: ports.endpointFeed,
-        pace: endpointPace,
+        pace: { waitMs: endpointWaitMs, pauseMs: settings.leavingNoticeMs * endpointPauseShare },
         timers,
         log,
         listener: {
--- a/src/gateway/gatewaySettings.ts
+++ b/src/gateway/gatewaySettings.ts
@@ -21,6 +21,10 @@
     readonly storeAddress: string;
     /** Time between SIGTERM and SIGKILL, in milliseconds. */
     readonly graceMs: number;
+    /** Time after which a leaving endpoint gets no more requests, in milliseconds. */
+    readonly leavingNoticeMs: number;
+    /** Time after which a new configuration is in force, in milliseconds. */
+    readonly configurationNoticeMs: number;
     /** Extra dispatches allowed for each request, for all gateways together. */
     readonly retryRatio: number;
     readonly retryWindowMs: number;
--- a/src/gateway/peerDiscovery.ts
+++ b/src/gateway/peerDiscovery.ts
@@ -17,7 +17,7 @@
 }
 
 /** Calls to the store cost, and gateways that run know each other from their messages. */
-const refreshMs = 5_000;
+const refreshMs = 10_000;
 const retryMs = 500;
 /** Registrations that were not renewed for this many refreshes belong to hosts that are gone. */
 const refreshesKept = 4;
--- a/test/platform/support/deployment.ts
+++ b/test/platform/support/deployment.ts
@@ -114,6 +114,8 @@
         maxDescriptors: 1_000,
         storeAddress,
         graceMs,
+        leavingNoticeMs: 500,
+        configurationNoticeMs: 2_000,
         retryRatio: 0.2,
         retryWindowMs: 10_000,
         retrySlack: 100,
