--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -63,7 +63,7 @@
 ];
 
 export default tseslint.config(
-    { ignores: ["out/**", "dist/**", "node_modules/**", "scripts/**", "eslint.config.mjs"] },
+    { ignores: ["out/**", "dist/**", "target/**", "node_modules/**", "scripts/**", "eslint.config.mjs"] },
     ...tseslint.configs.recommendedTypeChecked,
     {
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
@@ -88,6 +88,15 @@
         },
     },
     ...layers.flatMap((_, index) => forbidHigherLayers(index)),
+    {
+        // The folder `platform` stands above all layers: nothing in `src` knows the platform's names.
+        files: ["src/**/*.ts"],
+        rules: {
+            "@typescript-eslint/no-restricted-imports": ["error", {
+                patterns: [{ regex: "(^|/)platform/", message: "Only platform/ knows the platform." }],
+            }],
+        },
+    },
     {
         files: ["src/base/systemTimerService.ts"],
         rules: { "no-restricted-syntax": "off" },
--- a/src/gateway/endpointConnections.ts
+++ b/src/gateway/endpointConnections.ts
@@ -128,8 +128,8 @@
     const connect = buildConnector({ timeout: connectTimeoutMs });
     const pool = new Pool(`http://${address}`, {
         connect(options, callback) {
-            const socket = connect(options, callback) as unknown as Socket;
-            socket.on("error", () => {
+            const socket = connect(options, callback) as Socket | undefined;
+            socket?.on("error", () => {
                 isResetNow = true;
                 queueMicrotask(() => {
                     isResetNow = false;
@@ -148,7 +148,7 @@
     let controller: Dispatcher.DispatchController | undefined;
     let isAborted = false;
     watched.pool.dispatch({
-        method: request.method as Dispatcher.HttpMethod,
+        method: request.method,
         path: request.path,
         headers: request.headers,
         body: request.body ?? null,
@@ -164,7 +164,7 @@
                 listener.onHead(status, decodeRawHeaders(started));
             }
         },
-        onResponseData(_, bytes) {
+        onResponseData(unused, bytes) {
             if (!isAborted) {
                 listener.onData(bytes);
             }
@@ -180,7 +180,7 @@
                 listener.onEnd();
             }
         },
-        onResponseError(_, error) {
+        onResponseError(unused, error) {
             if (!isAborted) {
                 listener.onFailure(controller ? SendFailureKind.Broken : SendFailureKind.NotSent, error.message);
             }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -116,7 +116,7 @@
         host: `${settings.host}/${keyPrefix}`,
         timers,
         log,
-        reportCrash: exchange.reportCrash,
+        reportCrash: notice => exchange.reportCrash(notice),
     });
     const desk = disposables.register(createPlacementDesk({
         timers,
@@ -127,7 +127,7 @@
         dataCentre: settings.dataCentre,
         keyPrefix,
         random: ports.random,
-        reportChange: exchange.reportChange,
+        reportChange: (key, item) => exchange.reportChange(key, item),
     }));
     const budget = createRetryBudget({
         ratio: settings.retryRatio * budgetShare,
@@ -186,7 +186,7 @@
     }
 
     function decodeEndpoints(records: readonly KeyedRecord[]): EndpointRecord[] {
-        return records.map(ports.decodeEndpoint).filter(record => record !== undefined);
+        return records.map(record => ports.decodeEndpoint(record)).filter(record => record !== undefined);
     }
 
     function applyEndpointRecord(record: KeyedRecord): readonly EndpointChange[] {
@@ -253,13 +253,17 @@
         address: `${settings.ip}:${settings.exchangePort}`,
         timers,
         log,
-        onPeers: exchange.setPeers,
+        onPeers: addresses => exchange.setPeers(addresses),
     }));
 
-    metrics.registerGauge("jujubelane_waiting_requests", "Requests that wait for a place.", desk.countWaiting);
-    metrics.registerGauge("jujubelane_reservations", "Memory reservations held.", reservations.countHeld);
-    metrics.registerGauge("jujubelane_gateways", "Gateways heard of, this one included.", exchange.countGateways);
-    metrics.registerGauge("jujubelane_connections", "Customers' connections.", customers.countConnections);
+    metrics.registerGauge("jujubelane_waiting_requests", "Requests that wait for a place.", () => desk.countWaiting());
+    metrics.registerGauge("jujubelane_reservations", "Memory reservations held.", () => reservations.countHeld());
+    metrics.registerGauge(
+        "jujubelane_gateways",
+        "Gateways heard of, this one included.",
+        () => exchange.countGateways(),
+    );
+    metrics.registerGauge("jujubelane_connections", "Customers' connections.", () => customers.countConnections());
     metrics.registerGauge("jujubelane_configuration_version", "Version in force.", () => table?.version ?? 0);
 
     const isReady = () => table !== undefined && areEndpointsKnown && !customers.isDraining();
--- a/src/gateway/requestIntake.ts
+++ b/src/gateway/requestIntake.ts
@@ -2,14 +2,15 @@
 import { EventLog } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
 import { Metrics } from "../base/metrics.js";
-import { TimerService } from "../base/timerService.js";
 import { RequestHead } from "../ports/exchange.js";
 import { Customer, Route } from "../ports/servingConfiguration.js";
 import { Treatment } from "../quarantine/quarantine.js";
 import { chooseService, RouteTable } from "../routing/routeTable.js";
+import { AcceptedRequest } from "./acceptedRequest.js";
 import { computeFingerprint } from "./crashRegistry.js";
 import { createCustomerAnswer } from "./customerAnswer.js";
-import { AcceptedRequest, RequestServices, startRequestTask } from "./requestTask.js";
+import { RequestServices } from "./requestServices.js";
+import { startRequestTask } from "./requestTask.js";
 
 /** What taking in requests needs. */
 export interface RequestIntakeOptions {
--- /dev/null
+++ b/src/gateway/requestServices.ts
@@ -0,0 +1,29 @@
+import { EventLog } from "../base/log.js";
+import { Metrics } from "../base/metrics.js";
+import { TimerService } from "../base/timerService.js";
+import { EndpointHealth } from "../membership/endpointHealth.js";
+import { ExchangeCodec } from "../ports/exchange.js";
+import { RetryBudget } from "../retries/retryBudget.js";
+import { PaceEstimate } from "../routing/paceEstimate.js";
+import { CrashRegistry } from "./crashRegistry.js";
+import { EndpointConnections } from "./endpointConnections.js";
+import { PlacementDesk } from "./placementDesk.js";
+import { Reservations } from "./reservations.js";
+
+/** What every request task uses. */
+export interface RequestServices {
+    readonly timers: TimerService;
+    readonly log: EventLog;
+    readonly metrics: Metrics;
+    readonly codec: ExchangeCodec;
+    readonly connections: EndpointConnections;
+    readonly desk: PlacementDesk;
+    readonly health: EndpointHealth;
+    readonly pace: PaceEstimate;
+    readonly reservations: Reservations;
+    readonly crashes: CrashRegistry;
+    readonly budget: RetryBudget;
+    readonly random: () => number;
+    /** Called when an endpoint turns out to be another one than its registration says. */
+    readonly onMisdirected: (endpointId: string) => void;
+}
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -1,68 +1,22 @@
 import { Disposable } from "../base/disposable.js";
-import { EventLog, LogFields } from "../base/log.js";
+import { LogFields } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
-import { Metrics } from "../base/metrics.js";
-import { TimerService } from "../base/timerService.js";
 import { mergeVerdicts, Verdict } from "../base/verdict.js";
-import { EndpointHealth, ExchangeResult } from "../membership/endpointHealth.js";
-import { AnswerHead, ExchangeCodec, RequestHead } from "../ports/exchange.js";
-import { Route, RouteKind, Service } from "../ports/servingConfiguration.js";
+import { ExchangeResult } from "../membership/endpointHealth.js";
+import { AnswerHead } from "../ports/exchange.js";
+import { RouteKind } from "../ports/servingConfiguration.js";
 import { isIdempotent, isRedispatchAllowed } from "../retries/dispatchDecision.js";
-import { RetryBudget } from "../retries/retryBudget.js";
-import { computeReadMs, estimateOutputTokens } from "../routing/engineTiming.js";
-import { PaceEstimate } from "../routing/paceEstimate.js";
 import { computeReturnMs } from "../scheduling/returnTime.js";
+import { AcceptedRequest, computeNeeds, computeTimes } from "./acceptedRequest.js";
 import { AnswerOutcome, AnswerOutcomeKind, createAnswerRelay } from "./answerRelay.js";
-import { CrashRegistry } from "./crashRegistry.js";
 import { CustomerAnswer } from "./customerAnswer.js";
-import { EndpointConnections, Exchange, SendFailureKind } from "./endpointConnections.js";
-import { EngineNeeds, Place, PlacementDesk } from "./placementDesk.js";
-import { Reservations, ReservationSet } from "./reservations.js";
+import { Exchange, SendFailureKind } from "./endpointConnections.js";
+import { Place } from "./placementDesk.js";
+import { RequestServices } from "./requestServices.js";
+import { ReservationSet } from "./reservations.js";
+import { createSilenceWatch } from "./silenceWatch.js";
+import { createStreamProgress } from "./streamProgress.js";
 
-/** A whole request of a customer that may be served. */
-export interface AcceptedRequest {
-    readonly head: RequestHead;
-    readonly id: string;
-    readonly method: string;
-    /** Path with its query, unchanged. */
-    readonly path: string;
-    readonly host: string;
-    readonly body: Buffer | undefined;
-    readonly route: Route;
-    readonly service: Service;
-    readonly customer?: string;
-    readonly rank: number;
-    readonly arrivedAtMs: number;
-    /** Absent for a request without a body, which cannot be told from others of the same path. */
-    readonly fingerprint?: string;
-    readonly isSuspect: boolean;
-    readonly configurationVersion: number;
-}
-
-/** What every request task uses. */
-export interface RequestServices {
-    readonly timers: TimerService;
-    readonly log: EventLog;
-    readonly metrics: Metrics;
-    readonly codec: ExchangeCodec;
-    readonly connections: EndpointConnections;
-    readonly desk: PlacementDesk;
-    readonly health: EndpointHealth;
-    readonly pace: PaceEstimate;
-    readonly reservations: Reservations;
-    readonly crashes: CrashRegistry;
-    readonly budget: RetryBudget;
-    readonly random: () => number;
-    /** Called when an endpoint turns out to be another one than its registration says. */
-    readonly onMisdirected: (endpointId: string) => void;
-}
-
-/** Time that a customer waits where neither it nor the route says, in milliseconds. */
-const defaultDeadlineMs = 10_000;
-/** Customers leave a stream after the longest of: this pause, and multiples of the route's aims. */
-const streamPatienceMs = 2_000;
-const aimsOfPatience = 4;
-const pausesOfPatience = 8;
 /** A first byte that takes this many times its prediction, and the extra beyond it, will not come. */
 const silenceFactor = 2.5;
 const silenceExtraMs = 500;
@@ -71,8 +25,6 @@
 /** A stream without an event for this many pause aims, and at least the extra, will not go on. */
 const pauseSilenceFactor = 3;
 const leastPauseSilenceMs = 1_000;
-/** Age up to which a predicted duration of a pass is used. */
-const passPredictionMs = 400;
 /** Refused reservations are tried again after this time; other gateways free theirs meanwhile. */
 const reservationRetryMs = 150;
 
@@ -86,10 +38,10 @@
 export function startRequestTask(request: AcceptedRequest, answer: CustomerAnswer, services: RequestServices): void {
     const { timers, log, metrics, codec, desk, health } = services;
     const { route, head } = request;
-    const timeLimitMs = Math.min(head.deadlineMs ?? defaultDeadlineMs, route.timeoutMs ?? Number.POSITIVE_INFINITY);
-    const deadlineAtMs = request.arrivedAtMs + timeLimitMs;
-    const aimMs = route.firstByteAimMs ?? timeLimitMs;
+    const { deadlineAtMs, dueAtMs, giveUpAtMs } = computeTimes(request);
+    const isRepeatable = isIdempotent(route.kind, route.isResumable);
     const needs = computeNeeds(request);
+    const silence = createSilenceWatch(timers, handleSilence);
     const avoid = new Set<string>();
     const verdicts: Verdict[] = [];
     const relay = createAnswerRelay({
@@ -98,6 +50,7 @@
         hasBody: request.method !== "HEAD",
         resumeAfter: head.lastEventId,
     });
+    const progress = createStreamProgress(services.pace);
     let dispatches = 0;
     let endpointsRun = 0;
     let hasEnded = false;
@@ -105,14 +58,7 @@
     let place: Place | undefined;
     let exchange: Exchange | undefined;
     let reserved: ReservationSet | undefined;
-    let silence: Disposable | undefined;
-    let silentAtMs = 0;
-    let passMs = 0;
-    let passKnownAtMs = Number.NEGATIVE_INFINITY;
     let sentAtMs = 0;
-    let lastEventAtMs: number | undefined;
-    let firstEventAtMs: number | undefined;
-    let longestPauseMs = 0;
 
     const deadline = timers.schedule(deadlineAtMs - timers.now(), handleDeadline);
     answer.onLeft(() => end("customer-left", undefined));
@@ -124,18 +70,15 @@
     }
 
     function submit(): void {
-        const firstByteAtMs = route.kind === RouteKind.Stream && !answer.isStarted()
-            ? request.arrivedAtMs + computePatienceMs(route)
-            : deadlineAtMs;
         // A place that is free at once is given before `submit` returns.
         const submitted = desk.submit({
             service: request.service,
             rank: request.rank,
             arrivedAtMs: request.arrivedAtMs,
-            dueAtMs: request.arrivedAtMs + aimMs,
-            giveUpAtMs: Math.min(deadlineAtMs, firstByteAtMs),
+            dueAtMs,
+            giveUpAtMs: answer.isStarted() ? deadlineAtMs : giveUpAtMs,
             needs,
-            isUnsafe: !isIdempotent(route.kind, route.isResumable),
+            isUnsafe: !isRepeatable,
             avoid,
             isSuspect: request.isSuspect,
             onPlaced: handlePlaced,
@@ -180,8 +123,6 @@
         const nowMs = timers.now();
         dispatches += 1;
         sentAtMs = nowMs;
-        lastEventAtMs = undefined;
-        passKnownAtMs = Number.NEGATIVE_INFINITY;
         log(
             LogEvent.EndpointChosen,
             describe({
@@ -209,6 +150,7 @@
             host: request.host,
         });
         relay.startAttempt();
+        progress.startAttempt(found);
         let answerHead: AnswerHead | undefined;
         // What still arrives of a dispatch that was given up concerns nobody.
         const isCurrent = () => place === found && !hasEnded;
@@ -217,7 +159,7 @@
             path: request.path,
             headers,
             body: request.body,
-            isSingleUse: !isIdempotent(route.kind, route.isResumable),
+            isSingleUse: !isRepeatable,
         }, {
             onHead(status, rawHeaders) {
                 if (isCurrent()) {
@@ -241,8 +183,10 @@
                 }
             },
         });
-        if (isIdempotent(route.kind, route.isResumable)) {
-            watchSilence(silenceFactor * found.firstByteMs + silenceExtraMs + silenceReadFactor * (needs?.readMs ?? 0));
+        if (isRepeatable) {
+            silence.extend(
+                silenceFactor * found.firstByteMs + silenceExtraMs + silenceReadFactor * (needs?.readMs ?? 0),
+            );
         }
     }
 
@@ -279,34 +223,20 @@
 
     function handleEvent(current: Place): void {
         const nowMs = timers.now();
-        firstEventAtMs ??= nowMs;
-        if (lastEventAtMs === undefined) {
+        if (progress.recordEvent(nowMs)) {
+            const waitedMs = nowMs - request.arrivedAtMs;
+            const labels = { rank: String(request.rank) };
             metrics.recordDuration(
                 "jujubelane_first_event_seconds",
-                "Time to the first event by route.",
-                nowMs
-                    - request.arrivedAtMs,
-                { rank: String(request.rank) },
+                "Time to the first event by rank.",
+                waitedMs,
+                labels,
             );
             current.startWriting();
         }
-        else {
-            longestPauseMs = Math.max(longestPauseMs, nowMs - lastEventAtMs);
-            services.pace.record(current.endpoint.id, nowMs - lastEventAtMs, getPassMs(current, nowMs), nowMs);
-        }
-        lastEventAtMs = nowMs;
-        if (isIdempotent(route.kind, route.isResumable)) {
-            watchSilence(Math.max(leastPauseSilenceMs, pauseSilenceFactor * (route.pauseAimMs ?? 0)));
-        }
-    }
-
-    /** The prediction changes little between two events, and every event asks for it. */
-    function getPassMs(current: Place, nowMs: number): number {
-        if (nowMs - passKnownAtMs > passPredictionMs) {
-            passMs = current.predictPassMs();
-            passKnownAtMs = nowMs;
+        if (isRepeatable) {
+            silence.extend(Math.max(leastPauseSilenceMs, pauseSilenceFactor * (route.pauseAimMs ?? 0)));
         }
-        return passMs;
     }
 
     function handleNotRun(current: Place, answerHead: AnswerHead): void {
@@ -326,13 +256,13 @@
         else {
             health.record(id, ExchangeResult.Full, nowMs);
         }
-        retryOrFail(Verdict.NotRun, `not run, status ${answerHead.status}`);
+        handleFailure(Verdict.NotRun, `not run, status ${answerHead.status}`);
     }
 
     /** The endpoint ran the request and failed; another may do better where the request may run again. */
     function handleFailedAnswer(current: Place, answerHead: AnswerHead): void {
         health.record(current.endpoint.id, ExchangeResult.Failed, timers.now());
-        if (canRetry(Verdict.MayHaveRun, endpointsRun + 1) && services.budget.acquire()) {
+        if (isRetryAllowed(Verdict.MayHaveRun, endpointsRun + 1) && services.budget.acquire()) {
             endpointsRun += 1;
             avoid.add(current.endpoint.id);
             retry(`status ${answerHead.status}`, Verdict.MayHaveRun);
@@ -349,7 +279,7 @@
         if (kind === SendFailureKind.NotSent) {
             health.record(place.endpoint.id, ExchangeResult.Unreachable, timers.now());
             services.crashes.recordLoss(place.endpoint.id);
-            retryOrFail(Verdict.NotRun, reason);
+            handleFailure(Verdict.NotRun, reason);
             return;
         }
         if (request.fingerprint !== undefined) {
@@ -364,38 +294,24 @@
         health.record(id, result, timers.now());
         avoid.add(id);
         endpointsRun += 1;
-        retryOrFail(Verdict.MayHaveRun, reason);
-    }
-
-    /** Moves the time at which the endpoint counts as silent. One timer serves all events of a stream. */
-    function watchSilence(delayMs: number): void {
-        silentAtMs = timers.now() + delayMs;
-        silence ??= timers.schedule(delayMs, checkSilence);
-    }
-
-    function checkSilence(): void {
-        const remainingMs = silentAtMs - timers.now();
-        silence = remainingMs > 0 ? timers.schedule(remainingMs, checkSilence) : undefined;
-        if (!silence) {
-            handleSilence();
-        }
+        handleFailure(Verdict.MayHaveRun, reason);
     }
 
     function handleSilence(): void {
-        if (!place || !canRetry(Verdict.MayHaveRun, endpointsRun + 1)) {
+        if (!place || !isRetryAllowed(Verdict.MayHaveRun, endpointsRun + 1)) {
             return;
         }
-        const silentMs = timers.now() - (lastEventAtMs ?? sentAtMs);
+        const silentMs = timers.now() - (progress.getLastEventMs() ?? sentAtMs);
         const verdict = exchange?.hasStarted() ? Verdict.MayHaveRun : Verdict.NotRun;
         health.record(place.endpoint.id, ExchangeResult.Silent, timers.now());
         exchange?.abort();
         services.connections.replace(place.endpoint.address);
         avoid.add(place.endpoint.id);
         endpointsRun += verdict === Verdict.MayHaveRun ? 1 : 0;
-        retryOrFail(verdict, `silent for ${Math.round(silentMs)} ms`);
+        handleFailure(verdict, `silent for ${Math.round(silentMs)} ms`);
     }
 
-    function canRetry(verdict: Verdict, ranOn: number): boolean {
+    function isRetryAllowed(verdict: Verdict, ranOn: number): boolean {
         return isRedispatchAllowed({
             kind: route.kind,
             isResumable: route.isResumable,
@@ -408,8 +324,8 @@
         });
     }
 
-    function retryOrFail(verdict: Verdict, reason: string): void {
-        if (canRetry(verdict, endpointsRun) && services.budget.acquire()) {
+    function handleFailure(verdict: Verdict, reason: string): void {
+        if (isRetryAllowed(verdict, endpointsRun) && services.budget.acquire()) {
             retry(reason, verdict);
             return;
         }
@@ -435,8 +351,7 @@
     }
 
     function dropDispatch(): void {
-        silence?.dispose();
-        silence = undefined;
+        silence.dispose();
         exchange = undefined;
         reserved?.dispose();
         reserved = undefined;
@@ -487,6 +402,7 @@
         }
         const endpoint = place?.endpoint.id;
         dropDispatch();
+        const firstEventMs = progress.getFirstEventMs();
         const tookMs = timers.now() - request.arrivedAtMs;
         log(
             LogEvent.RequestEnded,
@@ -497,8 +413,8 @@
                 verdict: verdicts.length > 0 ? mergeVerdicts(verdicts) : undefined,
                 attempts: dispatches,
                 events: relay.countEvents(),
-                firstEventMs: firstEventAtMs && Math.round(firstEventAtMs - request.arrivedAtMs),
-                longestPauseMs: Math.round(longestPauseMs),
+                firstEventMs: firstEventMs && Math.round(firstEventMs - request.arrivedAtMs),
+                longestPauseMs: Math.round(progress.getLongestPauseMs()),
                 readMs: needs && Math.round(needs.readMs),
                 tookMs: Math.round(tookMs),
             }),
@@ -511,28 +427,6 @@
     }
 }
 
-function computeNeeds(request: AcceptedRequest): EngineNeeds | undefined {
-    const { engine } = request.service;
-    const { prompt } = request.head;
-    if (!engine || !prompt) {
-        return undefined;
-    }
-    return {
-        readMs: computeReadMs(engine, prompt.promptTokens),
-        promptTokens: prompt.promptTokens,
-        outputTokens: estimateOutputTokens(engine, prompt.maxOutputTokens, prompt.outputHint),
-        pauseAimMs: request.route.pauseAimMs ?? streamPatienceMs,
-    };
-}
-
-function computePatienceMs(route: Route): number {
-    return Math.max(
-        streamPatienceMs,
-        aimsOfPatience * (route.firstByteAimMs ?? 0),
-        pausesOfPatience * (route.pauseAimMs ?? 0),
-    );
-}
-
 function formatSeconds(durationMs: number): string {
     return (durationMs / 1000).toFixed(2);
 }
--- a/src/gateway/reservations.ts
+++ b/src/gateway/reservations.ts
@@ -36,8 +36,8 @@
 const holdMs = 3_000;
 const renewIntervalMs = 1_000;
 /** An order without an answer takes effect up to 12 s later; the release is repeated for a little longer. */
-const sweepIntervalMs = 1_500;
-const sweepCount = 10;
+const releaseIntervalMs = 1_500;
+const releaseCount = 10;
 
 interface HeldReservation extends Reservation {
     /** Whether an order had no answer and may take effect later. */
@@ -73,16 +73,16 @@
             held.isUncertain = true;
         }
         if (held.isUncertain) {
-            sweep(held, sweepCount);
+            releaseAgain(held, releaseCount);
         }
     }
 
     /** Repeats the release, because an order that had no answer may reserve the memory again. */
-    function sweep(held: HeldReservation, remaining: number): void {
+    function releaseAgain(held: HeldReservation, remaining: number): void {
         if (remaining > 0) {
-            timers.schedule(sweepIntervalMs, () => {
+            timers.schedule(releaseIntervalMs, () => {
                 void orders.release(held.address, held.id);
-                sweep(held, remaining - 1);
+                releaseAgain(held, remaining - 1);
             });
         }
     }
@@ -104,7 +104,7 @@
             if (outcomes.some(outcome => outcome !== OrderOutcome.Done)) {
                 // A refused order holds nothing, so there is nothing to release for it.
                 heldCount -= outcomes.filter(outcome => outcome === OrderOutcome.Refused).length;
-                releaseAll(all.filter((_, index) => outcomes[index] !== OrderOutcome.Refused));
+                releaseAll(all.filter((unused, index) => outcomes[index] !== OrderOutcome.Refused));
                 return undefined;
             }
             const renewal = timers.subscribe(renewIntervalMs, () => all.forEach(held => void reserve(held, tokens)));
--- a/src/gateway/settingsWatch.ts
+++ b/src/gateway/settingsWatch.ts
@@ -49,5 +49,5 @@
     }
 
     const checks = options.timers.subscribe(checkIntervalMs, check);
-    return { check, dispose: checks.dispose };
+    return { check, dispose: () => checks.dispose() };
 }
--- /dev/null
+++ b/src/gateway/streamProgress.ts
@@ -0,0 +1,63 @@
+import { PaceEstimate } from "../routing/paceEstimate.js";
+import { Place } from "./placementDesk.js";
+
+/** Follows the events of one request over its attempts. */
+export interface StreamProgress {
+    /** Begins with another attempt at a place. */
+    startAttempt(place: Place): void;
+    /** Records that events came. Returns whether they are the first of the attempt. */
+    recordEvent(nowMs: number): boolean;
+    /** Time of the newest event of the attempt. */
+    getLastEventMs(): number | undefined;
+    /** Time of the first event of any attempt. */
+    getFirstEventMs(): number | undefined;
+    getLongestPauseMs(): number;
+}
+
+/** Age up to which a predicted duration of a pass is used; it changes little between two events. */
+const passPredictionMs = 400;
+
+/**
+ * Creates the progress of one request. The pauses between events teach the pace of the endpoint.
+ *
+ * @example
+ * progress.startAttempt(place);
+ * const isFirst = progress.recordEvent(timers.now());
+ */
+export function createStreamProgress(pace: PaceEstimate): StreamProgress {
+    let place: Place | undefined;
+    let lastEventMs: number | undefined;
+    let firstEventMs: number | undefined;
+    let longestPauseMs = 0;
+    let passMs = 0;
+    let passKnownAtMs = Number.NEGATIVE_INFINITY;
+
+    function recordPause(current: Place, pauseMs: number, nowMs: number): void {
+        if (nowMs - passKnownAtMs > passPredictionMs) {
+            passMs = current.predictPassMs();
+            passKnownAtMs = nowMs;
+        }
+        longestPauseMs = Math.max(longestPauseMs, pauseMs);
+        pace.record(current.endpoint.id, pauseMs, passMs, nowMs);
+    }
+
+    return {
+        startAttempt(next) {
+            place = next;
+            lastEventMs = undefined;
+            passKnownAtMs = Number.NEGATIVE_INFINITY;
+        },
+        recordEvent(nowMs) {
+            const isFirst = lastEventMs === undefined;
+            if (place && lastEventMs !== undefined) {
+                recordPause(place, nowMs - lastEventMs, nowMs);
+            }
+            firstEventMs ??= nowMs;
+            lastEventMs = nowMs;
+            return isFirst;
+        },
+        getLastEventMs: () => lastEventMs,
+        getFirstEventMs: () => firstEventMs,
+        getLongestPauseMs: () => longestPauseMs,
+    };
+}
--- a/src/routing/loadLedger.ts
+++ b/src/routing/loadLedger.ts
@@ -68,7 +68,7 @@
         return items;
     }
 
-    function put(owner: string, item: WorkItem): void {
+    function setItem(owner: string, item: WorkItem): void {
         drop(owner, item.key);
         getOwner(owner).set(item.key, item);
         const atEndpoint = byEndpoint.get(item.endpoint) ?? new Map<string, WorkItem>();
@@ -94,21 +94,21 @@
     }
 
     return {
-        add: item => put(ownOwner, item),
+        add: item => setItem(ownOwner, item),
         startWriting(key, nowMs) {
             const item = owners.get(ownOwner)!.get(key);
             if (item && item.phase === WorkPhase.Reading) {
-                put(ownOwner, { ...item, phase: WorkPhase.Writing, phaseSinceMs: nowMs });
+                setItem(ownOwner, { ...item, phase: WorkPhase.Writing, phaseSinceMs: nowMs });
             }
         },
         remove: key => drop(ownOwner, key),
         replacePeer(peer, items) {
             dropAll(peer);
-            items.forEach(item => put(peer, item));
+            items.forEach(item => setItem(peer, item));
         },
         updatePeer(peer, changed, removed) {
             removed.forEach(key => drop(peer, key));
-            changed.forEach(item => put(peer, item));
+            changed.forEach(item => setItem(peer, item));
         },
         removePeer(peer) {
             dropAll(peer);
--- a/src/routing/routeTable.ts
+++ b/src/routing/routeTable.ts
@@ -31,18 +31,18 @@
         version: configuration.version,
         configuration,
         findRoute(host, path) {
-            const prefixes = hosts.get(stripPort(host).toLowerCase());
-            return prefixes && findLongestPrefix(prefixes, stripQuery(path));
+            const prefixes = hosts.get(removePort(host).toLowerCase());
+            return prefixes && findLongestPrefix(prefixes, removeQuery(path));
         },
         findCustomer: key => customers.get(key),
     };
 }
 
-function stripPort(host: string): string {
+function removePort(host: string): string {
     return host.replace(/:\d+$/, "");
 }
 
-function stripQuery(path: string): string {
+function removeQuery(path: string): string {
     const query = path.indexOf("?");
     return query < 0 ? path : path.slice(0, query);
 }
--- a/test/platform/gatewayDrain.test.ts
+++ b/test/platform/gatewayDrain.test.ts
@@ -15,7 +15,7 @@
         const late = await send(gateway, { path: "/look/1", headers: makeHeaders() });
         assert.equal(late.status, 200);
         assert.equal(late.headers.connection, "close");
-        assert.equal((await running).body, Array.from({ length: 12 }, (_, id) => renderEvent(id)).join(""));
+        assert.equal((await running).body, Array.from({ length: 12 }, (unused, id) => renderEvent(id)).join(""));
         await drained;
         await assert.rejects(send(gateway, { path: "/look/1", headers: makeHeaders() }));
         await Promise.all([...deployment.engines, ...deployment.services].map(endpoint => endpoint.close()));
--- a/test/platform/support/deployment.ts
+++ b/test/platform/support/deployment.ts
@@ -183,13 +183,13 @@
     const engines = await Promise.all(
         Array.from(
             { length: options.engines ?? 2 },
-            (_, index) => startEndpointStandIn({ id: `engine-${index}`, events: options.events ?? 6 }),
+            (unused, index) => startEndpointStandIn({ id: `engine-${index}`, events: options.events ?? 6 }),
         ),
     );
     const services = await Promise.all(
         Array.from(
             { length: options.services ?? 2 },
-            (_, index) => startEndpointStandIn({ id: `desk-${index}`, events: 0 }),
+            (unused, index) => startEndpointStandIn({ id: `desk-${index}`, events: 0 }),
         ),
     );
     const register = (endpoint: EndpointStandIn, service: string, changes: object = {}) =>
@@ -211,7 +211,7 @@
     const gateways = await Promise.all(
         Array.from(
             { length: options.gateways ?? 1 },
-            (_, index) => startTestGateway(`gateway-${index}`, store.address, options.graceMs),
+            (unused, index) => startTestGateway(`gateway-${index}`, store.address, options.graceMs),
         ),
     );
     await Promise.all(gateways.map(gateway => waitUntil("ready", () => isReady(gateway))));
--- a/test/platform/support/endpointStandIn.ts
+++ b/test/platform/support/endpointStandIn.ts
@@ -216,7 +216,7 @@
             areOrdersSilent = isSilent;
         },
         countConnections: () => connections,
-        close: server.close,
+        close: () => server.close(),
     };
 }
 
--- a/test/platform/support/storeStandIn.ts
+++ b/test/platform/support/storeStandIn.ts
@@ -140,7 +140,7 @@
         },
         listKeys: name => [...getTopic(name).newest.keys()],
         countCalls: () => calls,
-        close: server.close,
+        close: () => server.close(),
     };
 }
 
