--- /dev/null
+++ b/test/routing/enginePlacement.test.ts
@@ -0,0 +1,189 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { EngineModel } from "../../src/ports/servingConfiguration.js";
+import {
+    defaultPlacementSettings,
+    PlacementRequest,
+    PlacementStage,
+    placeOnEngines,
+} from "../../src/routing/enginePlacement.js";
+import { computePassMs, computeReadMs } from "../../src/routing/engineTiming.js";
+import { buildEngineView, EngineView } from "../../src/routing/engineView.js";
+import { WorkItem, WorkPhase } from "../../src/routing/loadLedger.js";
+
+/** An engine like those of the first deployments. */
+const engine: EngineModel = {
+    slots: 11,
+    memoryTokens: 315_000,
+    stepsPerPass: 51,
+    stepMs: 0.85,
+    sequenceStepMs: 0.006,
+    contextStepMs: 0.00285,
+    prefillTokensPerSecond: 177_000,
+    pairsMs: 0.184,
+    chunkTokens: 2048,
+    usualOutputTokens: 1_600,
+};
+const shortAims = { pauseAimMs: 250, dueAtMs: 250, giveUpAtMs: 2_000 };
+const longAims = { pauseAimMs: 1_000, dueAtMs: 6_000, giveUpAtMs: 15_000 };
+
+function makeRequest(tokens: number, changes: Partial<PlacementRequest> = {}): PlacementRequest {
+    return {
+        readMs: computeReadMs(engine, tokens),
+        tokens: tokens + 500,
+        waitedMs: 0,
+        ...(tokens > 30_000 ? longAims : shortAims),
+        avoid: new Set(),
+        isSuspect: false,
+        ...changes,
+    };
+}
+
+function makeItem(changes: Partial<WorkItem>): WorkItem {
+    return {
+        key: "k",
+        endpoint: "e",
+        readMs: 30,
+        tokens: 5_000,
+        pauseAimMs: 250,
+        dueAtMs: 250,
+        phase: WorkPhase.Writing,
+        phaseSinceMs: 0,
+        endsAtMs: 10_000,
+        isSuspect: false,
+        ...changes,
+    };
+}
+
+function makeView(order: number, items: readonly WorkItem[] = [], nowMs = 0, pace = 1): EngineView {
+    const facts = { id: `engine-${order}`, address: `10.0.0.${order}:80`, order, isTrial: false, pace };
+    return buildEngineView(facts, engine, items, nowMs);
+}
+
+function makeWriters(count: number, pauseAimMs = 250): WorkItem[] {
+    return Array.from({ length: count }, (unused, index) => makeItem({ key: `w${index}`, pauseAimMs }));
+}
+
+function place(request: PlacementRequest, views: readonly EngineView[], stage = PlacementStage.InTime, nowMs = 0) {
+    return placeOnEngines(request, views, engine.slots, nowMs, stage, defaultPlacementSettings);
+}
+
+describe("timing of engines", () => {
+    test("read times match the figures of the platform's page", () => {
+        assert.ok(Math.abs(computeReadMs(engine, 5_000) - 30) < 2);
+        assert.ok(Math.abs(computeReadMs(engine, 45_000) - 440) < 10);
+        assert.ok(Math.abs(computeReadMs(engine, 154_000) - 3_050) < 30);
+    });
+
+    test("a pass of eight short answers takes some 50 ms", () => {
+        const passMs = computePassMs(engine, 8, 40_000);
+        assert.ok(passMs > 45 && passMs < 56, `${passMs}`);
+    });
+});
+
+describe("placement of short prompts", () => {
+    test("they fill engines in one order, so that the others stay free for long prompts", () => {
+        const views = [makeView(3), makeView(1, makeWriters(4)), makeView(2)];
+        assert.equal(place(makeRequest(5_000), views)!.endpoint.id, "engine-1");
+    });
+
+    test("a filled engine is left for the next in order", () => {
+        const views = [makeView(1, makeWriters(8)), makeView(2), makeView(3)];
+        assert.equal(place(makeRequest(5_000), views)!.endpoint.id, "engine-2");
+    });
+
+    test("an engine that reads a long prompt is left, because the first event would be late", () => {
+        const reader = makeItem({ readMs: 600, pauseAimMs: 1_000, phase: WorkPhase.Reading, dueAtMs: 6_000 });
+        const views = [makeView(1, [reader]), makeView(2)];
+        assert.equal(place(makeRequest(5_000), views)!.endpoint.id, "engine-2");
+    });
+
+    test("a read that would stretch the pauses of others beyond their aim waits", () => {
+        const request = makeRequest(23_000, { dueAtMs: 1_000 });
+        assert.equal(place(request, [makeView(1, makeWriters(8))]), undefined);
+        assert.ok(place(request, [makeView(1, makeWriters(8, 600))]));
+    });
+
+    test("a slow engine is left where a first event there would be late", () => {
+        const views = [makeView(1, [], 0, 5), makeView(2)];
+        assert.equal(place(makeRequest(5_000), views)!.endpoint.id, "engine-2");
+    });
+
+    test("a late request still harms nobody, until it would be lost", () => {
+        const views = [makeView(1, makeWriters(8))];
+        const request = makeRequest(23_000, { dueAtMs: -1 });
+        assert.equal(place(request, views, PlacementStage.Harmless), undefined);
+        assert.ok(place(request, views, PlacementStage.LeastHarm));
+    });
+
+    test("an endpoint that must not get the request again is left out", () => {
+        const views = [makeView(1), makeView(2)];
+        assert.equal(place(makeRequest(5_000, { avoid: new Set(["engine-1"]) }), views)!.endpoint.id, "engine-2");
+    });
+
+    test("two suspects of a crash never share an engine", () => {
+        const suspect = makeItem({ isSuspect: true });
+        const views = [makeView(1, [suspect]), makeView(2)];
+        assert.equal(place(makeRequest(5_000, { isSuspect: true }), views)!.endpoint.id, "engine-2");
+    });
+});
+
+describe("placement of long prompts", () => {
+    const idle = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12].map(order => makeView(order));
+
+    test("they take engines from the other end of the order", () => {
+        const placement = place(makeRequest(45_000), idle)!;
+        const used = [placement.endpoint, ...placement.helpers].map(view => view.order);
+        assert.ok(used.every(order => order > 8), used.join(" "));
+    });
+
+    test("parts fit between the events of answers", () => {
+        const placement = place(makeRequest(154_000), idle)!;
+        assert.ok(placement.helpers.length >= 8);
+        assert.ok(placement.partMs <= defaultPlacementSettings.partMs);
+    });
+
+    test("engines with answers of stricter aims are left while others are free", () => {
+        const views = [...idle.slice(0, 6), makeView(20, makeWriters(3)), makeView(21, makeWriters(3))];
+        const placement = place(makeRequest(45_000), views)!;
+        assert.ok([placement.endpoint, ...placement.helpers].every(view => view.order < 20));
+    });
+
+    test("they never overlap with another long prompt on an engine", () => {
+        const reader = makeItem({ readMs: 900, pauseAimMs: 1_000, phase: WorkPhase.Reading, dueAtMs: 6_000 });
+        assert.equal(place(makeRequest(154_000), [makeView(1, [reader]), makeView(2, [reader])]), undefined);
+    });
+
+    test("an engine whose first event is overdue counts as busy", () => {
+        const reader = makeItem({ readMs: 400, pauseAimMs: 1_000, phase: WorkPhase.Reading, dueAtMs: 6_000 });
+        const view = makeView(1, [reader], 700);
+        assert.ok(view.unreadMs > 100, `${view.unreadMs}`);
+        assert.equal(place(makeRequest(154_000), [view], PlacementStage.InTime, 700), undefined);
+    });
+
+    test("after a wait they take fewer engines for longer", () => {
+        const few = idle.slice(0, 3);
+        const request = makeRequest(154_000);
+        assert.equal(place(request, few), undefined);
+        assert.ok(place({ ...request, waitedMs: 1_500 }, few));
+    });
+
+    test("a huge prompt is given long parts later than a usual one", () => {
+        const request = makeRequest(400_000, { tokens: 100_000 });
+        assert.equal(place({ ...request, waitedMs: 1_500 }, idle.slice(0, 6)), undefined);
+    });
+
+    test("a prompt larger than an engine's memory is spread over reservations", () => {
+        const placement = place(makeRequest(600_000, { waitedMs: 9_000 }), idle, PlacementStage.LeastHarm)!;
+        assert.ok(placement.reservedTokens * (placement.helpers.length + 1) >= 600_000);
+        assert.ok(placement.reservedTokens < engine.memoryTokens);
+    });
+
+    test("a prompt that fits takes no reservation", () => {
+        assert.equal(place(makeRequest(154_000), idle)!.reservedTokens, 0);
+    });
+
+    test("a prompt larger than all memory together is not placed", () => {
+        assert.equal(place(makeRequest(700_000), idle.slice(0, 2), PlacementStage.LeastHarm), undefined);
+    });
+});
--- /dev/null
+++ b/test/routing/gatewayRouting.test.ts
@@ -0,0 +1,148 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { Route, RouteKind, ServingConfiguration } from "../../src/ports/servingConfiguration.js";
+import { createLoadLedger, WorkItem, WorkPhase } from "../../src/routing/loadLedger.js";
+import { createPaceEstimate } from "../../src/routing/paceEstimate.js";
+import { placeOnPlainService, PlainView } from "../../src/routing/plainPlacement.js";
+import { buildRouteTable, chooseService } from "../../src/routing/routeTable.js";
+
+function makeRoute(host: string, prefix: string): Route {
+    return {
+        name: `${host}${prefix}`,
+        host,
+        prefix,
+        kind: RouteKind.Safe,
+        rank: 0,
+        shares: [{ service: "s", weight: 1 }],
+        maxEndpoints: 1,
+        isPublic: false,
+        isResumable: false,
+    };
+}
+
+const configuration: ServingConfiguration = {
+    version: 3,
+    routes: [
+        makeRoute("a.example", "/"),
+        makeRoute("a.example", "/x/"),
+        makeRoute("a.example", "/x/y/"),
+        makeRoute(
+            "b.example",
+            "/x/",
+        ),
+    ],
+    services: new Map(),
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    customers: [{ name: "planner", keys: ["k1", "k2"] }],
+};
+
+describe("routes", () => {
+    const cases: readonly [string, string, string | undefined][] = [
+        ["a.example", "/x/y/z", "a.example/x/y/"],
+        ["a.example", "/x/yy", "a.example/x/"],
+        ["a.example", "/x/y", "a.example/x/"],
+        ["a.example", "/x", "a.example/"],
+        ["A.Example:8080", "/x/1", "a.example/x/"],
+        ["b.example", "/x/1?p=/x/y/", "b.example/x/"],
+        ["b.example", "/y/", undefined],
+        ["c.example", "/x/", undefined],
+    ];
+    for (const [host, path, expected] of cases) {
+        test(`${host}${path} takes ${expected ?? "no route"}`, () => {
+            assert.equal(buildRouteTable(configuration).findRoute(host, path)?.name, expected);
+        });
+    }
+
+    test("each key names its customer", () => {
+        assert.equal(buildRouteTable(configuration).findCustomer("k2")?.name, "planner");
+        assert.equal(buildRouteTable(configuration).findCustomer("k3"), undefined);
+    });
+
+    test("a split follows its weights and is the same for each look at a request", () => {
+        const shares = [{ service: "a", weight: 90 }, { service: "b", weight: 10 }];
+        const chosen = Array.from({ length: 2_000 }, (unused, index) => chooseService(shares, `request-${index}`));
+        const share = chosen.filter(service => service === "b").length / chosen.length;
+        assert.ok(share > 0.07 && share < 0.13, `${share}`);
+        assert.equal(chooseService(shares, "request-1"), chosen[1]);
+    });
+});
+
+describe("placement on plain services", () => {
+    const makeView = (id: string, changes: Partial<PlainView> = {}): PlainView => ({
+        id,
+        address: id,
+        dataCentre: "a",
+        isTrial: false,
+        running: 0,
+        slots: 6,
+        ...changes,
+    });
+    const request = { avoid: new Set<string>(), dataCentre: "a", isUnsafe: true };
+
+    test("the least filled endpoint is chosen, among equals one of the own data centre", () => {
+        const views = [makeView("x", { running: 2 }), makeView("y", { dataCentre: "b" }), makeView("z")];
+        assert.equal(placeOnPlainService(request, views)!.id, "z");
+    });
+
+    test("an unsafe request tries a failed endpoint only where there is no other", () => {
+        const tried = makeView("tried", { isTrial: true });
+        assert.equal(placeOnPlainService(request, [tried, makeView("busy", { running: 5 })])!.id, "busy");
+        assert.equal(placeOnPlainService(request, [tried])!.id, "tried");
+    });
+
+    test("nothing is placed beyond the queue of an endpoint", () => {
+        assert.equal(placeOnPlainService(request, [makeView("x", { running: 9 })]), undefined);
+    });
+});
+
+describe("work at endpoints", () => {
+    const makeItem = (key: string, endpoint = "e"): WorkItem => ({
+        key,
+        endpoint,
+        readMs: 30,
+        tokens: 1,
+        dueAtMs: 0,
+        phase: WorkPhase.Reading,
+        phaseSinceMs: 0,
+        endsAtMs: 1_000,
+        isSuspect: false,
+    });
+
+    test("work of a silent gateway counts until its predicted end", () => {
+        const ledger = createLoadLedger();
+        ledger.replacePeer("peer", [makeItem("p1")]);
+        ledger.expire(3_000);
+        assert.equal(ledger.listAt("e", 3_000).length, 1);
+        ledger.expire(4_100);
+        assert.equal(ledger.listAt("e", 4_100).length, 0);
+    });
+
+    test("a whole message replaces what the gateway said before, a change does not", () => {
+        const ledger = createLoadLedger();
+        ledger.replacePeer("peer", [makeItem("p1"), makeItem("p2")]);
+        ledger.updatePeer("peer", [makeItem("p3")], ["p1"]);
+        assert.deepEqual(ledger.listAt("e", 0).map(item => item.key).sort(), ["p2", "p3"]);
+        ledger.replacePeer("peer", [makeItem("p4")]);
+        assert.deepEqual(ledger.listAt("e", 0).map(item => item.key), ["p4"]);
+    });
+
+    test("another life of an endpoint has none of the work of the one before", () => {
+        const ledger = createLoadLedger();
+        ledger.add(makeItem("own"));
+        ledger.replacePeer("peer", [makeItem("p1"), makeItem("p2", "other")]);
+        ledger.forgetEndpoint("e");
+        assert.equal(ledger.listAt("e", 0).length, 0);
+        assert.equal(ledger.listAt("other", 0).length, 1);
+    });
+});
+
+describe("pace of endpoints", () => {
+    test("one long pause is a read of a prompt, five are a slow endpoint", () => {
+        const pace = createPaceEstimate();
+        [50, 400, 50, 52, 51].forEach((pauseMs, index) => pace.record("e", pauseMs, 50, index));
+        assert.equal(pace.getPace("e", 10), 1);
+        [200, 210, 205, 250, 400].forEach((pauseMs, index) => pace.record("e", pauseMs, 50, 10 + index));
+        assert.equal(pace.getPace("e", 20), 4);
+        assert.equal(pace.getPace("e", 6_000), 1, "an endpoint that was slow is tried again");
+    });
+});
