--- /dev/null
+++ b/test/gateway/parts.test.ts
@@ -0,0 +1,310 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { LogEvent } from "../../src/base/logEvents.js";
+import { createManualTimerService } from "../../src/base/manualTimerService.js";
+import { makeFailure, makeSuccess } from "../../src/base/result.js";
+import { createCrashRegistry } from "../../src/gateway/crashRegistry.js";
+import { createEventStreamCutter } from "../../src/gateway/eventStream.js";
+import { CrashNotice, decodeLoadMessage, encodeLoadMessage } from "../../src/gateway/exchangeMessages.js";
+import { createReservations } from "../../src/gateway/reservations.js";
+import { createSilenceWatch } from "../../src/gateway/silenceWatch.js";
+import { followFeed } from "../../src/gateway/storeFollower.js";
+import { MemoryOrders, OrderOutcome } from "../../src/ports/memoryOrders.js";
+import { FeedErrorKind, RecordFeed } from "../../src/ports/recordFeed.js";
+import { Treatment } from "../../src/quarantine/quarantine.js";
+import { WorkItem, WorkPhase } from "../../src/routing/loadLedger.js";
+import { computeReturnMs } from "../../src/scheduling/returnTime.js";
+import { compareWaiting, WaitingWork } from "../../src/scheduling/waitingOrder.js";
+
+async function settle(): Promise<void> {
+    for (let turn = 0; turn < 20; turn++) {
+        await Promise.resolve();
+    }
+}
+
+describe("events of a stream", () => {
+    test("events are passed on whole, wherever the bytes are cut", () => {
+        const text = "id: 4\ndata: a\n\nid: 5\ndata: b\n\nid: 6\nda";
+        for (let cut = 0; cut <= text.length; cut++) {
+            const cutter = createEventStreamCutter();
+            const parts = [text.slice(0, cut), text.slice(cut)].map(part => cutter.add(Buffer.from(part)));
+            const passed = Buffer.concat(parts.filter(part => part !== undefined)).toString();
+            assert.equal(passed, "id: 4\ndata: a\n\nid: 5\ndata: b\n\n");
+            assert.equal(cutter.getFirstId(), 4);
+            assert.equal(cutter.getLastId(), 5);
+            assert.equal(cutter.takeRest().toString(), "id: 6\nda");
+        }
+    });
+
+    test("a first line before the id does not hide it", () => {
+        const cutter = createEventStreamCutter();
+        cutter.add(Buffer.from("x-weight-versions: 2\nid: 9\ndata: a\n\n"));
+        assert.equal(cutter.getLastId(), 9);
+    });
+});
+
+describe("messages between gateways", () => {
+    const item: WorkItem = {
+        key: "g/1",
+        endpoint: "engine-1",
+        readMs: 440,
+        tokens: 45_000,
+        pauseAimMs: 600,
+        dueAtMs: 2_500,
+        phase: WorkPhase.Writing,
+        phaseSinceMs: 900,
+        endsAtMs: 4_000,
+        isSuspect: true,
+    };
+    const message = {
+        host: "front-1",
+        address: "10.0.0.1:7340",
+        incarnation: "i",
+        sequence: 9,
+        isWhole: false,
+        items: [item],
+        removed: ["g/0"],
+        crashes: [{ crash: "c", fingerprints: ["f"] }],
+    };
+
+    test("times survive clocks that differ", () => {
+        const decoded = decodeLoadMessage(encodeLoadMessage(message, 1_000), 501_000)!;
+        assert.deepEqual(decoded, {
+            ...message,
+            items: [{ ...item, dueAtMs: 502_500, phaseSinceMs: 500_900, endsAtMs: 504_000 }],
+        });
+    });
+
+    for (const bytes of [Buffer.alloc(0), Buffer.from("hello"), Buffer.from([0x81, 0x02]), Buffer.alloc(1_000, 0xff)]) {
+        test(`${bytes.length} bytes that are no message are ignored`, () => {
+            assert.equal(decodeLoadMessage(bytes, 0), undefined);
+        });
+    }
+});
+
+describe("order of what waits", () => {
+    const makeWork = (changes: Partial<WaitingWork>): WaitingWork => ({
+        rank: 0,
+        arrivedAtMs: 0,
+        latestStartMs: 1_000,
+        lastStartMs: 5_000,
+        readMs: 30,
+        ...changes,
+    });
+
+    const cases: readonly [string, WaitingWork, WaitingWork, number][] = [
+        ["what must start sooner is first", makeWork({ latestStartMs: 500 }), makeWork({ latestStartMs: 900 }), 0],
+        [
+            "what can still be in time is before what is late",
+            makeWork({ rank: 2 }),
+            makeWork({ latestStartMs: 50 }),
+            100,
+        ],
+        [
+            "a usual prompt is before a huge one that came with it",
+            makeWork({ latestStartMs: 5_200, readMs: 3_000 }),
+            makeWork({ latestStartMs: 3_900, readMs: 8_500 }),
+            0,
+        ],
+        [
+            "a huge prompt that has waited is before a usual one that came late",
+            makeWork({ latestStartMs: 3_900, readMs: 8_500 }),
+            makeWork({ latestStartMs: 10_200, readMs: 3_000 }),
+            3_000,
+        ],
+        [
+            "among late work the more urgent is first",
+            makeWork({ latestStartMs: 0, rank: 0 }),
+            makeWork({ latestStartMs: 0, rank: 1, lastStartMs: 2_000 }),
+            100,
+        ],
+    ];
+    for (const [name, first, second, nowMs] of cases) {
+        test(name, () => {
+            assert.ok(compareWaiting(first, second, nowMs) < 0);
+            assert.ok(compareWaiting(second, first, nowMs) > 0);
+        });
+    }
+});
+
+describe("when a refused customer comes back", () => {
+    test("when there is room, spread, and no later than the customer waits", () => {
+        assert.equal(computeReturnMs(400, 9_000, 0), 400);
+        assert.equal(computeReturnMs(400, 9_000, 1), 600);
+        assert.equal(computeReturnMs(8_000, 9_000, 0), 3_000);
+        assert.equal(computeReturnMs(0, 9_000, 0), 100);
+        assert.equal(computeReturnMs(Number.POSITIVE_INFINITY, 900, 0.5), 300);
+    });
+});
+
+describe("watch of silence", () => {
+    test("it fires once, after the last extension", () => {
+        const timers = createManualTimerService();
+        const firedAtMs: number[] = [];
+        const watch = createSilenceWatch(timers, () => firedAtMs.push(timers.now()));
+        watch.extend(100);
+        timers.advance(80);
+        watch.extend(100);
+        timers.advance(1_000);
+        assert.deepEqual(firedAtMs, [180]);
+        watch.extend(10);
+        watch.dispose();
+        timers.advance(1_000);
+        assert.deepEqual(firedAtMs, [180]);
+    });
+});
+
+describe("reservations", () => {
+    function setUp(reply: (op: string, address: string) => OrderOutcome) {
+        const timers = createManualTimerService();
+        const sent: string[] = [];
+        const orders: MemoryOrders = {
+            reserve(address, id) {
+                sent.push(`reserve ${address} ${id}`);
+                return Promise.resolve(reply("reserve", address));
+            },
+            release(address, id) {
+                sent.push(`release ${address} ${id}`);
+                return Promise.resolve(reply("release", address));
+            },
+        };
+        const reservations = createReservations({
+            orders,
+            timers,
+            log: () => undefined,
+            maxHoldMs: 20_000,
+            idPrefix: "p",
+        });
+        return { timers, sent, reservations };
+    }
+
+    test("they are renewed while used and released once", async () => {
+        const { timers, sent, reservations } = setUp(() => OrderOutcome.Done);
+        const held = (await reservations.reserveAll(["a", "b"], 1_000))!;
+        timers.advance(2_000);
+        await settle();
+        assert.equal(sent.filter(order => order === "reserve a p-0").length, 3);
+        held.dispose();
+        held.dispose();
+        timers.advance(30_000);
+        await settle();
+        assert.deepEqual(sent.filter(order => order.startsWith("release")), ["release a p-0", "release b p-1"]);
+        assert.equal(reservations.countHeld(), 0);
+    });
+
+    test("where one endpoint refuses, the others are released", async () => {
+        const { sent, reservations } = setUp((op, address) =>
+            address === "b" ? OrderOutcome.Refused : OrderOutcome.Done
+        );
+        assert.equal(await reservations.reserveAll(["a", "b"], 1_000), undefined);
+        await settle();
+        assert.deepEqual(sent.filter(order => order.startsWith("release")), ["release a p-0"]);
+        assert.equal(reservations.countHeld(), 0);
+    });
+
+    test("an order without an answer is released again until it can no longer take effect", async () => {
+        const { timers, sent, reservations } = setUp(op => op === "reserve" ? OrderOutcome.Unknown : OrderOutcome.Done);
+        assert.equal(await reservations.reserveAll(["a"], 1_000), undefined);
+        for (let second = 0; second < 30; second++) {
+            await settle();
+            timers.advance(1_000);
+        }
+        // An order may take effect up to 12 s after it was sent.
+        const releases = sent.filter(order => order === "release a p-0").length;
+        assert.ok(releases > 8 && releases < 13, `${releases} releases`);
+    });
+});
+
+describe("requests that crash endpoints", () => {
+    function setUp() {
+        const timers = createManualTimerService();
+        const notices: CrashNotice[] = [];
+        const registry = createCrashRegistry({
+            host: "g",
+            timers,
+            log: () => undefined,
+            reportCrash: notice => notices.push(notice),
+        });
+        return { timers, notices, registry };
+    }
+
+    test("a broken connection alone makes no suspect", () => {
+        const { registry, notices } = setUp();
+        registry.recordBreak("e1", "f");
+        assert.equal(registry.decideTreatment("f"), Treatment.Free);
+        assert.equal(notices.length, 0);
+    });
+
+    test("the loss of the endpoint makes suspects, a second one refuses the request", () => {
+        const { timers, registry, notices } = setUp();
+        registry.recordBreak("e1", "f");
+        registry.recordBreak("e1", "innocent");
+        timers.advance(500);
+        registry.recordLoss("e1");
+        assert.equal(registry.decideTreatment("f"), Treatment.Isolated);
+        registry.recordBreak("e2", "f");
+        registry.recordBreak("e2", "other");
+        registry.recordLoss("e2");
+        assert.equal(registry.decideTreatment("f"), Treatment.Quarantined);
+        assert.equal(registry.decideTreatment("innocent"), Treatment.Isolated);
+        assert.equal(notices.length, 2);
+    });
+
+    test("a loss long after a break is no crash by that request", () => {
+        const { timers, registry } = setUp();
+        registry.recordBreak("e1", "f");
+        timers.advance(7_000);
+        registry.recordLoss("e1");
+        assert.equal(registry.decideTreatment("f"), Treatment.Free);
+    });
+
+    test("another gateway's notice counts once", () => {
+        const { registry } = setUp();
+        const notice = { crash: "h/e1/0", fingerprints: ["f"] };
+        registry.applyNotice(notice);
+        registry.applyNotice(notice);
+        assert.equal(registry.decideTreatment("f"), Treatment.Isolated);
+    });
+});
+
+describe("following a feed of the store", () => {
+    test("a failure is reported once, and everything is read again after a gap", async () => {
+        const timers = createManualTimerService();
+        const seen: string[] = [];
+        const unavailable = makeFailure({ kind: FeedErrorKind.Unavailable, reason: "down" });
+        const expired = makeFailure({ kind: FeedErrorKind.Expired, reason: "old" });
+        const next = [unavailable, unavailable, makeSuccess({ records: [], nextOffset: 8 }), expired];
+        const feed: RecordFeed = {
+            readNewest: () => Promise.resolve(makeSuccess({ records: [], nextOffset: 7 })),
+            readFrom: () => Promise.resolve(next.shift() ?? makeSuccess({ records: [], nextOffset: 9 })),
+        };
+        const following = followFeed({
+            name: "test",
+            feed,
+            pace: { waitMs: 10, pauseMs: 100 },
+            timers,
+            log: event => seen.push(LogEvent[event]),
+            listener: {
+                onWhole: () => seen.push("whole"),
+                onRecords: () => seen.push("records"),
+                onLost: () => seen.push("lost"),
+                onBack: () => seen.push("back"),
+            },
+        });
+        for (let step = 0; step < 8; step++) {
+            await settle();
+            timers.advance(150);
+        }
+        following.dispose();
+        assert.deepEqual(seen.slice(0, 8), [
+            "whole",
+            "StoreFeedLost",
+            "lost",
+            "StoreFeedBack",
+            "back",
+            "records",
+            "StoreFeedGap",
+            "whole",
+        ]);
+    });
+});
--- /dev/null
+++ b/test/platform/codecs.test.ts
@@ -0,0 +1,213 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { decodeConfiguration } from "../../platform/configurationCodec.js";
+import { decodeEndpoint } from "../../platform/endpointCodec.js";
+import { exchangeCodec } from "../../platform/exchangeCodec.js";
+import { decodeSettings, SettingsFileError } from "../../platform/settings.js";
+import { decodeRecords, encodeRecord } from "../../platform/storeClient.js";
+import { RouteKind } from "../../src/ports/servingConfiguration.js";
+import { makeConfiguration } from "./support/deployment.js";
+
+const settingsText = `
+node: "front-1"
+zone: "a"
+ip: "10.1.0.40"
+unknown_field: { nested: true }
+listen: { front: "10.1.0.40:8227", ready: "10.1.0.40:8220" }
+internal_ports: [7340, 7355]
+limits: { memory_mb: 350, max_fds: 4200 }
+bounds:
+  grace_s: 8
+  drain_ms: 2000
+  config_apply_ms: 2000
+  retry_budget_ratio: 0.2
+  retry_window_s: 10
+  retry_slack: 102
+platform: { addr: "10.200.1.7:8223" }
+`;
+
+describe("settings file", () => {
+    test("known fields are decoded and unknown ones ignored", () => {
+        const settings = decodeSettings(settingsText);
+        assert.deepEqual(settings.customerAddress, { ip: "10.1.0.40", port: 8227 });
+        assert.equal(settings.exchangePort, 7340);
+        assert.equal(settings.graceMs, 8_000);
+        assert.equal(settings.maxHoldMs, 20_000);
+    });
+
+    const broken: readonly [string, string, RegExp][] = [
+        ["a missing field", settingsText.replace('node: "front-1"', ""), /node/],
+        ["a field of another type", settingsText.replace("grace_s: 8", "grace_s: soon"), /bounds\.grace_s/],
+        ["an address without a port", settingsText.replace("10.1.0.40:8220", "10.1.0.40"), /not an address/],
+        ["text that is no YAML", "a: [", /settings file/],
+    ];
+    for (const [name, text, expected] of broken) {
+        test(`${name} is refused with its name`, () => {
+            assert.throws(
+                () => decodeSettings(text),
+                error => error instanceof SettingsFileError && expected.test(error.message),
+            );
+        });
+    }
+});
+
+describe("configuration on the wire", () => {
+    const encode = (value: unknown) => Buffer.from(JSON.stringify(value));
+
+    test("routes, services, limits and customers are decoded", () => {
+        const configuration = decodeConfiguration(encode(makeConfiguration(7)))!;
+        const [draft, once, , book, open] = configuration.routes;
+        assert.equal(configuration.version, 7);
+        assert.equal(draft!.kind, RouteKind.Stream);
+        assert.equal(draft!.pauseAimMs, 250);
+        assert.ok(draft!.isResumable && !once!.isResumable);
+        assert.equal(book!.maxEndpoints, 1);
+        assert.ok(open!.isPublic);
+        assert.equal(configuration.services.get("models")!.engine!.stepsPerPass, 10);
+        assert.equal(configuration.services.get("desk")!.engine, undefined);
+    });
+
+    test("a split names its services with their weights, without those of weight zero", () => {
+        const split = [{ service: "a", weight: 90 }, { service: "b", weight: 0 }];
+        const routes = [{ name: "r", host: "H.example", prefix: "/p/", kind: "safe", split }];
+        const configuration = decodeConfiguration(encode(makeConfiguration(1, { routes })))!;
+        assert.deepEqual(configuration.routes[0]!.shares, [{ service: "a", weight: 90 }]);
+        assert.equal(configuration.routes[0]!.host, "h.example");
+    });
+
+    for (const text of ["", "{", "[]", '{"version":1}', "\u0000\u0001"]) {
+        test(`${JSON.stringify(text)} is no configuration`, () => {
+            assert.equal(decodeConfiguration(Buffer.from(text)), undefined);
+        });
+    }
+});
+
+describe("registrations on the wire", () => {
+    const entry = {
+        service: "models",
+        addr: "10.128.0.9:8080",
+        zone: "a",
+        version: "v1",
+        slots: 11,
+        state: "ready",
+        cold_left_ms: 0,
+        seq: 4,
+        born: 1_700_000_000_000,
+    };
+    const decode = (value: unknown) =>
+        decodeEndpoint({ key: "i-1", value: Buffer.from(typeof value === "string" ? value : JSON.stringify(value)) });
+
+    test("a registration is decoded under its id", () => {
+        assert.equal(decode(entry)!.id, "i-1");
+        assert.equal(decode(entry)!.bornMs, 1_700_000_000_000);
+    });
+
+    const foreign: readonly [string, unknown][] = [
+        ["a missing service", { ...entry, service: undefined }],
+        ["slots that are text", { ...entry, slots: "11" }],
+        ["a state that nobody names", { ...entry, state: "resting" }],
+        ["an address that is none", { ...entry, addr: "somewhere" }],
+        ["a birth that is no whole number", { ...entry, born: 1.5 }],
+        ["bytes that are no JSON", "\u0000\u00ff"],
+        ["a list", [1, 2]],
+    ];
+    for (const [name, value] of foreign) {
+        test(`${name} names no endpoint`, () => {
+            assert.equal(decode(value), undefined);
+        });
+    }
+});
+
+describe("records of the store", () => {
+    test("records are read back with their offsets, and a cut one is left for the next read", () => {
+        const header = Buffer.alloc(16);
+        const whole = [encodeRecord("a", Buffer.from("1")), encodeRecord("b", Buffer.alloc(0))];
+        const cut = encodeRecord("c", Buffer.from("long value")).subarray(0, 9);
+        const batch = decodeRecords(Buffer.concat([header, ...whole, cut]), 40);
+        assert.equal(batch.nextOffset, 42);
+        assert.deepEqual(batch.records.map(record => [record.key, record.value?.toString()]), [
+            ["a", "1"],
+            ["b", undefined],
+        ]);
+    });
+});
+
+describe("heads of requests and answers", () => {
+    const head = exchangeCodec.decodeRequest([
+        "X-Request-Id",
+        "r1",
+        "Api-Key",
+        "secret",
+        "X-Token-Count",
+        "1460,80",
+        "X-Length-Hint",
+        "55",
+        "X-Deadline-Ms",
+        "900",
+        "Connection",
+        "keep-alive, X-Hop",
+        "X-Hop",
+        "1",
+        "X-Helpers",
+        "10.0.0.1:80",
+        "Accept",
+        "a",
+        "Accept",
+        "b",
+    ]);
+
+    test("a request's head is decoded", () => {
+        assert.equal(head.id, "r1");
+        assert.equal(head.key, "secret");
+        assert.equal(head.deadlineMs, 900);
+        assert.deepEqual(head.prompt, { promptTokens: 1460, maxOutputTokens: 80, outputHint: 55 });
+    });
+
+    test("headers of one connection, the key and what the gateway sets itself do not go on", () => {
+        assert.deepEqual(head.forwarded, [
+            "X-Request-Id",
+            "r1",
+            "X-Token-Count",
+            "1460,80",
+            "X-Length-Hint",
+            "55",
+            "Accept",
+            "a",
+            "Accept",
+            "b",
+        ]);
+    });
+
+    test("a dispatch names its endpoint, the time left, the customer and the helpers", () => {
+        const headers = exchangeCodec.encodeDispatch(head, {
+            endpointId: "i-1",
+            address: "10.0.0.9:80",
+            remainingMs: 812.7,
+            customer: "planner",
+            rank: 12,
+            helpers: [{ address: "10.0.0.2:80", reservation: "t1" }, { address: "10.0.0.3:80" }],
+            host: "models.example",
+        });
+        const values = Object.fromEntries(
+            Array.from({ length: headers.length / 2 }, (unused, index) => headers.slice(2 * index, 2 * index + 2)),
+        ) as Record<string, string>;
+        assert.equal(values["x-expect-instance"], "i-1");
+        assert.equal(values["x-deadline-ms"], "812");
+        assert.equal(values["x-tenant"], "planner");
+        assert.equal(values["x-request-priority"], "9");
+        assert.equal(values["x-helpers"], "10.0.0.2:80/t1,10.0.0.3:80");
+    });
+
+    const answers: readonly [string, number, string[], boolean][] = [
+        ["503 with the statement", 503, ["X-Not-Executed", "1"], true],
+        ["503 without it", 503, [], false],
+        ["421 of another endpoint", 421, ["X-Runner-Id", "i-2"], true],
+        ["400 with the statement", 400, ["X-Not-Executed", "1"], true],
+        ["200", 200, ["X-Response-Seal", "s"], false],
+    ];
+    for (const [name, status, headers, isNotRun] of answers) {
+        test(`${name}: the request has ${isNotRun ? "not run" : "perhaps run"}`, () => {
+            assert.equal(exchangeCodec.decodeAnswer(status, headers).isNotRun, isNotRun);
+        });
+    }
+});
