--- /dev/null
+++ b/bench/replay/loads.ts
@@ -0,0 +1,61 @@
+import { ReplayKind, ReplayLoad } from "./replay.js";
+
+const draft: ReplayKind = {
+    name: "draft",
+    rank: 0,
+    perSecond: 20,
+    meanTokens: 4_960,
+    spread: 0.9,
+    maxTokens: 23_800,
+    events: 33,
+    aimMs: 250,
+    pauseAimMs: 250,
+    patienceMs: 2_000,
+    worth: 1.8,
+};
+const read: ReplayKind = {
+    name: "read",
+    rank: 1,
+    perSecond: 1,
+    meanTokens: 45_000,
+    spread: 0.5,
+    maxTokens: 110_000,
+    events: 20,
+    aimMs: 1_500,
+    pauseAimMs: 600,
+    patienceMs: 6_000,
+    worth: 3,
+};
+const digest: ReplayKind = {
+    name: "digest",
+    rank: 2,
+    perSecond: 0.6,
+    meanTokens: 154_000,
+    spread: 0.55,
+    maxTokens: 300_000,
+    events: 16,
+    aimMs: 6_000,
+    pauseAimMs: 1_000,
+    patienceMs: 15_000,
+    worth: 7.5,
+};
+
+/** Ordinary traffic. */
+export const quietLoad: ReplayLoad = { name: "quiet", durationMs: 20_000, kinds: [draft, read, digest] };
+
+/** A flood of the least urgent and longest prompts beside ordinary drafts. */
+export const longFlood: ReplayLoad = {
+    name: "flood of digests",
+    durationMs: 10_000,
+    kinds: [draft, read, { ...digest, perSecond: 1.5 }],
+};
+
+/** A flood of the most urgent prompts. */
+export const draftFlood: ReplayLoad = {
+    name: "flood of drafts",
+    durationMs: 10_000,
+    kinds: [{ ...draft, perSecond: 50 }, { ...read, perSecond: 0.5 }, { ...digest, perSecond: 0.1 }],
+};
+
+/** All loads that are replayed. */
+export const replayLoads: readonly ReplayLoad[] = [quietLoad, longFlood, draftFlood];
--- a/bench/run.ts
+++ b/bench/run.ts
@@ -16,6 +16,7 @@
 import { PlotRow, renderPlot } from "./lib/plot.js";
 import { readUsage } from "./lib/processes.js";
 import { formatComparison, formatMeasures, PolicyResult } from "./lib/results.js";
+import { renderReplayTable } from "./replay/main.js";
 
 const quickPhaseScale = 0.1;
 const quickPolicies = 2;
@@ -24,12 +25,18 @@
 const { values: options } = parseArgs({
     options: {
         quick: { type: "boolean", default: false },
+        replay: { type: "boolean", default: false },
         only: { type: "string" },
         policy: { type: "string" },
         out: { type: "string", default: "bench/results" },
     },
 });
 
+if (options.replay) {
+    console.log(renderReplayTable());
+    process.exit(0);
+}
+
 interface PolicyRun extends PolicyResult {
     readonly run: LoadRun;
     readonly details: string;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -17,6 +17,7 @@
 import { KeyedRecord, RecordFeed, WritableFeed } from "../ports/recordFeed.js";
 import { ServingConfiguration } from "../ports/servingConfiguration.js";
 import { createRetryBudget } from "../retries/retryBudget.js";
+import { placeOnEngines } from "../routing/enginePlacement.js";
 import { createLoadLedger } from "../routing/loadLedger.js";
 import { createPaceEstimate } from "../routing/paceEstimate.js";
 import { buildRouteTable, RouteTable } from "../routing/routeTable.js";
@@ -127,6 +128,7 @@
         dataCentre: settings.dataCentre,
         keyPrefix,
         random: ports.random,
+        placeOnEngines,
         reportChange: (key, item) => exchange.reportChange(key, item),
     }));
     const budget = createRetryBudget({
--- a/src/gateway/placementDesk.ts
+++ b/src/gateway/placementDesk.ts
@@ -8,9 +8,9 @@
 import {
     defaultPlacementSettings,
     Placement,
+    PlacementPolicy,
     PlacementRequest,
     PlacementStage,
-    placeOnEngines,
 } from "../routing/enginePlacement.js";
 import { buildEngineView, EngineView } from "../routing/engineView.js";
 import { LoadLedger, WorkItem, WorkPhase } from "../routing/loadLedger.js";
@@ -85,6 +85,8 @@
     /** Prefix of the keys of this process's work, unique among all gateways. */
     readonly keyPrefix: string;
     readonly random: () => number;
+    /** Chooses engines for a request. */
+    readonly placeOnEngines: PlacementPolicy;
     readonly reportChange: (key: string, item: WorkItem | undefined) => void;
 }
 
@@ -293,7 +295,7 @@
             isSuspect: order.isSuspect,
         };
         const stage = decideStage(item, nowMs);
-        const placement = placeOnEngines(
+        const placement = options.placeOnEngines(
             request,
             getEngineViews(views, order.service, engine, nowMs),
             engine.slots,
--- /dev/null
+++ b/src/routing/baselinePlacement.ts
@@ -0,0 +1,48 @@
+import { Placement, PlacementPolicy, PlacementRequest } from "./enginePlacement.js";
+import { EngineView, passesToFirstEvent } from "./engineView.js";
+
+/** Placement policies, by the names of the setting that chooses one. */
+export enum PlacementName {
+    /** Predicts first events and pauses. */
+    Predictive = "predictive",
+    RoundRobin = "round-robin",
+    LeastConnections = "least-connections",
+}
+
+function makeWhole(view: EngineView, request: PlacementRequest): Placement {
+    const firstEventMs = view.unreadMs + request.readMs + passesToFirstEvent * view.passMs;
+    return { endpoint: view, helpers: [], partMs: request.readMs, reservedTokens: 0, firstEventMs };
+}
+
+function listFree(request: PlacementRequest, views: readonly EngineView[], slots: number): EngineView[] {
+    return views.filter(view =>
+        !request.avoid.has(view.id) && view.running < slots && view.freeTokens >= request.tokens
+    )
+        .sort((left, right) => left.order - right.order);
+}
+
+/**
+ * Creates a policy that takes engines in turn; a baseline for measurements.
+ *
+ * @example
+ * const place = createRoundRobinPlacement();
+ */
+export function createRoundRobinPlacement(): PlacementPolicy {
+    let turn = 0;
+    return (request, views, slots) => {
+        const free = listFree(request, views, slots);
+        const chosen = free[turn++ % Math.max(1, free.length)];
+        return chosen && makeWhole(chosen, request);
+    };
+}
+
+/**
+ * Takes the engine with the fewest requests; a baseline for measurements.
+ *
+ * @example
+ * placeLeastConnections(request, views, slots, nowMs, stage, settings);
+ */
+export const placeLeastConnections: PlacementPolicy = (request, views, slots) => {
+    const [chosen] = listFree(request, views, slots).sort((left, right) => left.running - right.running);
+    return chosen && makeWhole(chosen, request);
+};
--- a/src/routing/enginePlacement.ts
+++ b/src/routing/enginePlacement.ts
@@ -66,6 +66,16 @@
     readonly firstEventMs: number;
 }
 
+/** Chooses engines for a request, or `undefined` if it should wait. */
+export type PlacementPolicy = (
+    request: PlacementRequest,
+    views: readonly EngineView[],
+    slots: number,
+    nowMs: number,
+    stage: PlacementStage,
+    settings: PlacementSettings,
+) => Placement | undefined;
+
 /** Share of the free memory that a placement may count on; other gateways may take some meanwhile. */
 const memoryMargin = 0.92;
 /**
