Log why a request waits or is refused

Cause: a refused request had no line with the inputs of the refusal, and one that waited none at all; its cause could not be found from its id.

--- a/bench/replay/replay.ts
+++ b/bench/replay/replay.ts
@@ -161,6 +161,7 @@
             avoid: new Set(),
             isSuspect: false,
             onPlaced: place => start(place, kind, promptTokens, arrivedAtMs, outcome),
+            onWaiting: () => undefined,
             onHopeless() {
                 outcome.isRefused = true;
             },
--- a/src/base/logEvents.ts
+++ b/src/base/logEvents.ts
@@ -9,6 +9,7 @@
     EndpointChosen = 1003,
     RequestRetried = 1004,
     RequestEnded = 1005,
+    RequestWaiting = 1006,
     TicketIgnored = 1020,
     RequestSplit = 1021,
     MemoryOrderFailed = 1030,
--- a/src/gateway/placementDesk.ts
+++ b/src/gateway/placementDesk.ts
@@ -41,8 +41,10 @@
     readonly avoid: ReadonlySet<string>;
     readonly isSuspect: boolean;
     onPlaced(place: Place): void;
-    /** The work has waited and can no longer be served in its time. */
-    onHopeless(reason: string): void;
+    /** No place is free now. */
+    onWaiting(inputs: string): void;
+    /** The work can no longer be served in its time. */
+    onHopeless(inputs: string): void;
 }
 
 /** A place on an endpoint, held until released. */
@@ -354,7 +356,15 @@
         }
         const hopeless = waiting.filter(item => nowMs > item.lastStartMs);
         waiting = waiting.filter(item => !hopeless.includes(item));
-        hopeless.forEach(item => item.order.onHopeless("no room in time"));
+        hopeless.forEach(item => item.order.onHopeless(describeLoad(item.order, nowMs)));
+    }
+
+    /** Describes what a request that waits or is refused was decided on, for the log. */
+    function describeLoad(order: PlacementOrder, nowMs: number): string {
+        const known = directory.listUsable(order.service.name);
+        const usable = known.filter(record => health.getStanding(record.id, nowMs) !== Standing.Down);
+        const running = usable.reduce((sum, record) => sum + ledger.listAt(record.id, nowMs).length, 0);
+        return `endpoints=${known.length} usable=${usable.length} running=${running} waiting=${waiting.length}`;
     }
 
     function makeWaiting(order: PlacementOrder): Waiting {
@@ -385,6 +395,7 @@
                 return createDisposable(() => undefined);
             }
             waiting.push(item);
+            order.onWaiting(describeLoad(order, timers.now()));
             run();
             return {
                 dispose() {
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -82,7 +82,8 @@
             avoid,
             isSuspect: request.isSuspect,
             onPlaced: handlePlaced,
-            onHopeless: reason => finishFailed(reason),
+            onWaiting: inputs => log(LogEvent.RequestWaiting, describe({ inputs, attempt: dispatches + 1 })),
+            onHopeless: inputs => finishFailed("no room in time", inputs),
         });
         waiting = place || hasEnded ? undefined : submitted;
     }
@@ -368,7 +369,7 @@
     }
 
     /** Ends the request without an endpoint's answer. */
-    function finishFailed(reason: string): void {
+    function finishFailed(reason: string, inputs?: string): void {
         if (hasEnded) {
             return;
         }
@@ -382,7 +383,7 @@
         const status = isNotRun ? 503 : reason === "deadline" ? 504 : 502;
         const retryAfter = isNotRun ? ["Retry-After", formatSeconds(predictReturnMs())] : [];
         answer.sendWhole(status, [...codec.encodeOwnAnswer(head), ...retryAfter], Buffer.alloc(0));
-        end(reason, status);
+        end(reason, status, inputs);
     }
 
     function predictReturnMs(): number {
@@ -390,7 +391,7 @@
         return computeReturnMs(roomMs, deadlineAtMs - timers.now(), services.random());
     }
 
-    function end(reason: string, status: number | undefined): void {
+    function end(reason: string, status: number | undefined, inputs?: string): void {
         if (hasEnded) {
             return;
         }
@@ -412,6 +413,7 @@
                 endpoint,
                 verdict: verdicts.length > 0 ? mergeVerdicts(verdicts) : undefined,
                 attempts: dispatches,
+                inputs,
                 events: relay.countEvents(),
                 firstEventMs: firstEventMs && Math.round(firstEventMs - request.arrivedAtMs),
                 longestPauseMs: Math.round(progress.getLongestPauseMs()),
