Divide the retry budget by the gateways that exist

Cause: each gateway could save up a quarter of the slack of extra attempts; with 11 gateways the sum was 220 where 132 are allowed.

Change: the share follows the gateways that the store lists, four at least.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -16,6 +16,7 @@
 import { MemoryOrders } from "../ports/memoryOrders.js";
 import { KeyedRecord, RecordFeed, WritableFeed } from "../ports/recordFeed.js";
 import { ServingConfiguration } from "../ports/servingConfiguration.js";
+import { computeBudgetBurst, computeBudgetRatio } from "../retries/budgetShare.js";
 import { createRetryBudget } from "../retries/retryBudget.js";
 import { placeOnEngines } from "../routing/enginePlacement.js";
 import { createLoadLedger } from "../routing/loadLedger.js";
@@ -70,10 +71,6 @@
 const bodyMemoryShare = 0.25;
 /** Share of descriptors for customers; the rest is for endpoints and the store. */
 const customerDescriptorShare = 0.6;
-/** Share of the retry budget that is used, which leaves room for processes that have just started. */
-const budgetShare = 0.8;
-/** Gateways that share the budget of retries, where fewer are known: some of them may be out of reach. */
-const leastBudgetSharers = 4;
 /** Time after SIGTERM in which the balancer notices and customers move, in milliseconds. */
 const acceptWhileDrainingMs = 3_000;
 /** It takes no more than this share of the time until SIGKILL; requests need the rest to finish. */
@@ -132,8 +129,8 @@
         reportChange: (key, item) => exchange.reportChange(key, item),
     }));
     const budget = createRetryBudget({
-        ratio: settings.retryRatio * budgetShare,
-        burst: Math.floor((settings.retrySlack * budgetShare) / leastBudgetSharers),
+        ratio: computeBudgetRatio(settings.retryRatio),
+        burst: computeBudgetBurst(settings.retrySlack, 0),
     });
     const reservations = createReservations({
         orders: ports.memoryOrders,
@@ -255,7 +252,10 @@
         address: `${settings.ip}:${settings.exchangePort}`,
         timers,
         log,
-        onPeers: addresses => exchange.setPeers(addresses),
+        onPeers(addresses) {
+            exchange.setPeers(addresses);
+            budget.setBurst(computeBudgetBurst(settings.retrySlack, addresses.length));
+        },
     }));
 
     metrics.registerGauge("jujubelane_waiting_requests", "Requests that wait for a place.", () => desk.countWaiting());
--- a/src/gateway/gatewaySettings.ts
+++ b/src/gateway/gatewaySettings.ts
@@ -27,8 +27,7 @@
     readonly configurationNoticeMs: number;
     /** Extra dispatches allowed for each request, for all gateways together. */
     readonly retryRatio: number;
-    readonly retryWindowMs: number;
-    /** Extra dispatches allowed in a window beside the ratio, for all gateways together. */
+    /** Extra dispatches allowed in a window of seconds beside the ratio, for all gateways together. */
     readonly retrySlack: number;
     /** Longest lease of a memory reservation, in milliseconds. */
     readonly maxHoldMs: number;
--- a/src/retries/retryBudget.ts
+++ b/src/retries/retryBudget.ts
@@ -16,6 +16,8 @@
     /** Takes one extra attempt. Returns whether the budget allowed it. */
     acquire(): boolean;
     getBalance(): number;
+    /** Changes how many extra attempts may be saved up; what is saved above that is lost. */
+    setBurst(burst: number): void;
 }
 
 /**
@@ -27,10 +29,11 @@
  * if (budget.acquire()) { retry(); }
  */
 export function createRetryBudget(settings: RetryBudgetSettings): RetryBudget {
-    let balance = settings.burst;
+    let { burst } = settings;
+    let balance = burst;
     return {
         recordRequest() {
-            balance = Math.min(settings.burst, balance + settings.ratio);
+            balance = Math.min(burst, balance + settings.ratio);
         },
         acquire() {
             if (balance < 1) {
@@ -40,5 +43,9 @@
             return true;
         },
         getBalance: () => balance,
+        setBurst(next) {
+            burst = next;
+            balance = Math.min(balance, burst);
+        },
     };
 }
--- a/test/platform/support/deployment.ts
+++ b/test/platform/support/deployment.ts
@@ -117,7 +117,6 @@
         leavingNoticeMs: 500,
         configurationNoticeMs: 2_000,
         retryRatio: 0.2,
-        retryWindowMs: 10_000,
         retrySlack: 100,
         maxHoldMs: 20_000,
     };
--- a/test/retries/retries.test.ts
+++ b/test/retries/retries.test.ts
@@ -3,6 +3,7 @@
 import { createSeededRandomSource } from "../../src/base/randomSource.js";
 import { ErrorCode } from "../../src/base/requestError.js";
 import { Verdict } from "../../src/base/verdict.js";
+import { computeBudgetBurst } from "../../src/retries/budgetShare.js";
 import { createRetryBudget, defaultRetryBudgetSettings } from "../../src/retries/retryBudget.js";
 import { decideRetry, FailedAttempt, maxAttempts, RetryDecision } from "../../src/retries/retryPolicy.js";
 
@@ -83,3 +84,26 @@
         assert.equal(budget.acquire(), true);
     });
 });
+
+describe("the share of one gateway in the budget", () => {
+    test("all gateways together stay within the slack, also where few know of each other", () => {
+        for (const gateways of [1, 2, 4, 7, 11, 610]) {
+            const known = [1, gateways];
+            for (const count of known) {
+                const burst = computeBudgetBurst(102, count);
+                const sharers = count === gateways ? gateways : Math.min(gateways, 4);
+                assert.ok(burst * sharers <= 102, `${gateways} gateways, ${count} known: ${burst} each`);
+            }
+        }
+    });
+
+    test("a smaller share takes effect at once", () => {
+        const budget = createRetryBudget({ ratio: 0.16, burst: 20 });
+        budget.setBurst(7);
+        assert.equal(budget.getBalance(), 7);
+        for (let count = 0; count < 100; count++) {
+            budget.recordRequest();
+        }
+        assert.equal(budget.getBalance(), 7);
+    });
+});
