--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -7,9 +7,9 @@
 import { formatEvenness } from "./lib/evenness.js";
 import { formatSlopes, Slope } from "./lib/fit.js";
 import {
-    measureCallers,
     measureClaims,
     measureConfiguration,
+    measureCustomers,
     measureLogGroups,
     measureQueue,
 } from "./lib/slopesInProcess.js";
@@ -19,7 +19,7 @@
 const resultsDirectory = "bench/results";
 const groups: Readonly<Record<string, () => readonly Slope[] | Promise<readonly Slope[]>>> = {
     "configuration": measureConfiguration,
-    "callers": measureCallers,
+    "customers": measureCustomers,
     "queue": measureQueue,
     "claims": measureClaims,
     "log": measureLogGroups,
--- a/bench/lib/entryCost.ts
+++ b/bench/lib/entryCost.ts
@@ -4,10 +4,10 @@
 import { runLoad } from "../../src/load/loadRunner.js";
 import { Outcome, OutcomeKind } from "../../src/load/outcome.js";
 import { computeDurationSummary, DurationSummary, LoadSummary } from "../../src/load/summary.js";
-import { experimentModel, makeCallerKey } from "./experiment.js";
+import { experimentModel, makeCustomerKey } from "./experiment.js";
 import { runLoadProcesses } from "./loadProcesses.js";
 import { Measure, TargetKind } from "./measures.js";
-import { pathCaller, PathFleet, startPathFleet } from "./pathFleet.js";
+import { pathCustomer, PathFleet, startPathFleet } from "./pathFleet.js";
 import { FleetProcess, readUsage } from "./processes.js";
 
 /** Result of the measurement of the entry's own cost. */
@@ -33,7 +33,7 @@
         name: "entry cost",
         model: experimentModel,
         seed,
-        keys: { [pathCaller]: makeCallerKey(pathCaller) },
+        keys: { [pathCustomer]: makeCustomerKey(pathCustomer) },
         streams,
         phases: [{ name: "load", seconds, rates }],
         drainSeconds: 5,
@@ -52,7 +52,7 @@
     try {
         const stream = {
             rank: "normal",
-            callers: { [pathCaller]: 1 },
+            customers: { [pathCustomer]: 1 },
             prompt: [{ weight: 1, minTokens: 1000, maxTokens: 4000 }],
             maxOutputTokens: 16,
         };
@@ -124,7 +124,7 @@
             {
                 [pathStream]: {
                     rank: "normal",
-                    callers: { [pathCaller]: 1 },
+                    customers: { [pathCustomer]: 1 },
                     prompt: [{ weight: 1, minTokens: 1000, maxTokens: 4000 }],
                     minOutputTokens: tokensPerRequest,
                     maxOutputTokens: tokensPerRequest,
--- a/bench/lib/evenness.ts
+++ b/bench/lib/evenness.ts
@@ -1,6 +1,6 @@
 import { formatTable } from "../../src/load/loadReport.js";
 import { ApertureSettings, defaultApertureSettings, selectAperture } from "../../src/routing/aperture.js";
-import { makeScaleObjects, scalePlaces } from "./slopeInputs.js";
+import { makeScaleObjects, scaleDataCentres } from "./slopeInputs.js";
 
 const entries = 610;
 const endpoints = 7_700;
@@ -8,20 +8,20 @@
 /** How evenly the aperture spreads entries over endpoints at full size, computed with the function that entries use. */
 export function formatEvenness(): string {
     const list = Object.entries(makeScaleObjects(endpoints, 1).endpoints);
-    const candidates: ApertureSettings[] = [defaultApertureSettings, { ownPlace: 64, otherPlaces: 16 }];
+    const candidates: ApertureSettings[] = [defaultApertureSettings, { ownDataCentre: 64, otherDataCentres: 16 }];
     const rows = candidates.map(settings => {
         const counts = new Map(list.map(([name]) => [name, 0]));
         const weights = new Map(list.map(([name]) => [name, 0]));
         let links = 0;
         for (let index = 0; index < entries; index++) {
-            const entry = { entry: `entry-${index}`, place: scalePlaces[index % scalePlaces.length]! };
+            const entry = { entry: `entry-${index}`, dataCentre: scaleDataCentres[index % scaleDataCentres.length]! };
             const selected = selectAperture(entry, list, settings);
             links += selected.length;
-            const own = selected.filter(([, object]) => object.place === entry.place);
+            const own = selected.filter(([, object]) => object.dataCentre === entry.dataCentre);
             for (const [name] of selected) {
                 counts.set(name, counts.get(name)! + 1);
             }
-            // Without overload an entry sends to its own place, spread evenly over the endpoints that it knows there.
+            // Without overload an entry sends to its own data centre, spread evenly over the endpoints that it knows there.
             for (const [name] of own) {
                 weights.set(name, weights.get(name)! + 1 / own.length);
             }
@@ -31,7 +31,7 @@
         const mean = load.reduce((sum, value) => sum + value, 0) / load.length;
         const deviation = Math.sqrt(load.reduce((sum, value) => sum + (value - mean) ** 2, 0) / load.length);
         return [
-            `${settings.ownPlace} + ${settings.otherPlaces}`,
+            `${settings.ownDataCentre} + ${settings.otherDataCentres}`,
             (links / entries).toFixed(1),
             values[0]!,
             (values.reduce((sum, value) => sum + value, 0) / values.length).toFixed(1),
@@ -43,7 +43,7 @@
     });
     return formatTable(
         [
-            "aperture per model (own + other places)",
+            "aperture per model (own + other dataCentres)",
             "links per entry",
             "entries per endpoint, least",
             "mean",
--- a/bench/lib/experiment.ts
+++ b/bench/lib/experiment.ts
@@ -3,7 +3,7 @@
 import { z } from "zod";
 import { LoadPlan, loadPlanSchema } from "../../src/load/loadPlan.js";
 
-/** What a caller's service is counted in. */
+/** What a customer's service is counted in. */
 export enum CostMeasure {
     Tokens = "tokens",
     WeightedRequests = "weighted-requests",
@@ -13,15 +13,15 @@
 const count = z.number().int().positive();
 
 const engineGroupSchema = z.strictObject({
-    place: name,
+    dataCentre: name,
     count,
     memoryTokens: count,
     prefillTokensPerSecond: z.number().positive(),
     decodeTokensPerSecond: z.number().positive(),
     maxBatch: count,
 });
-const serviceGroupSchema = z.strictObject({ place: name, count, service: name, delayMs: z.number().min(0) });
-const entryGroupSchema = z.strictObject({ place: name, count });
+const serviceGroupSchema = z.strictObject({ dataCentre: name, count, service: name, delayMs: z.number().min(0) });
+const entryGroupSchema = z.strictObject({ dataCentre: name, count });
 
 const policySchema = z.strictObject({
     name,
@@ -31,7 +31,7 @@
     routing: name,
 });
 
-const callerSchema = z.strictObject({
+const customerSchema = z.strictObject({
     defaultKind: name,
     weight: z.number().positive().default(1),
     isLarge: z.boolean().default(false),
@@ -50,7 +50,7 @@
     bulkFloodStream: name.optional(),
     /** Flood of the most urgent rank. */
     urgentFloodPhase: name.optional(),
-    /** Phases with and without the large callers. */
+    /** Phases with and without the large customers. */
     withoutLargePhase: name.optional(),
     withLargePhase: name.optional(),
     costMeasure: z.enum(CostMeasure),
@@ -61,14 +61,14 @@
     seed: z.number().int(),
     /** What is scaled against the organisation's fleet, printed with the results. */
     scale: z.array(z.string()),
-    places: z.array(name).min(1),
+    dataCentres: z.array(name).min(1),
     engines: z.array(engineGroupSchema),
     services: z.array(serviceGroupSchema).default([]),
     entries: z.array(entryGroupSchema).min(1),
     ranks: z.record(name, z.unknown()),
     kinds: z.record(name, z.looseObject({ rank: name, costWeight: z.number().positive().default(1) })),
     serviceObjects: z.record(name, z.unknown()).default({}),
-    callers: z.record(name, callerSchema),
+    customers: z.record(name, customerSchema),
     policies: z.array(policySchema).min(1),
     comparison: comparisonSchema,
     load: z.strictObject({
@@ -87,9 +87,9 @@
 /** Name of the one model of the experiments. */
 export const experimentModel = "main";
 
-/** API key of a caller of an experiment. */
-export function makeCallerKey(caller: string): string {
-    return `key-of-${caller}`;
+/** API key of a customer of an experiment. */
+export function makeCustomerKey(customer: string): string {
+    return `key-of-${customer}`;
 }
 
 /** Part of the wait for late answers that a shortened run keeps. */
@@ -102,13 +102,13 @@
  */
 export async function readExperiment(path: string, phaseScale: number): Promise<Experiment> {
     const experiment = experimentSchema.parse(parse(await readFile(path, "utf8")));
-    const { load, callers } = experiment;
+    const { load, customers } = experiment;
     const plan = loadPlanSchema.parse({
         ...load,
         name: experiment.name,
         model: experimentModel,
         seed: experiment.seed,
-        keys: Object.fromEntries(Object.keys(callers).map(caller => [caller, makeCallerKey(caller)])),
+        keys: Object.fromEntries(Object.keys(customers).map(customer => [customer, makeCustomerKey(customer)])),
     });
     const phases = plan.phases.map(phase => ({
         ...phase,
--- a/bench/lib/fairness.ts
+++ b/bench/lib/fairness.ts
@@ -1,31 +1,31 @@
-/** What a caller asked for, in units of cost. */
-export interface CallerDemand {
+/** What a customer asked for, in units of cost. */
+export interface CustomerDemand {
     readonly weight: number;
     readonly demand: number;
 }
 
 /**
- * Computes the weighted max-min fair allocation of a total: no caller gets more than it asked for, and what is left is
+ * Computes the weighted max-min fair allocation of a total: no customer gets more than it asked for, and what is left is
  * shared by weight among those that want more.
  */
-export function computeAllocation(callers: readonly CallerDemand[], total: number): readonly number[] {
-    const allocation = callers.map(() => 0);
-    let open = callers.map((caller, index) => ({ ...caller, index }));
+export function computeAllocation(customers: readonly CustomerDemand[], total: number): readonly number[] {
+    const allocation = customers.map(() => 0);
+    let open = customers.map((customer, index) => ({ ...customer, index }));
     let left = total;
     while (open.length > 0) {
-        const unit = left / open.reduce((sum, caller) => sum + caller.weight, 0);
-        const satisfied = open.filter(caller => caller.demand <= unit * caller.weight);
+        const unit = left / open.reduce((sum, customer) => sum + customer.weight, 0);
+        const satisfied = open.filter(customer => customer.demand <= unit * customer.weight);
         if (satisfied.length === 0) {
-            for (const caller of open) {
-                allocation[caller.index] = unit * caller.weight;
+            for (const customer of open) {
+                allocation[customer.index] = unit * customer.weight;
             }
             break;
         }
-        for (const caller of satisfied) {
-            allocation[caller.index] = caller.demand;
-            left -= caller.demand;
+        for (const customer of satisfied) {
+            allocation[customer.index] = customer.demand;
+            left -= customer.demand;
         }
-        open = open.filter(caller => !satisfied.includes(caller));
+        open = open.filter(customer => !satisfied.includes(customer));
     }
     return allocation;
 }
--- a/bench/lib/fleet.ts
+++ b/bench/lib/fleet.ts
@@ -5,7 +5,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { stringify } from "yaml";
 import { computeDigest } from "../../src/base/ids.js";
-import { Experiment, experimentModel, makeCallerKey } from "./experiment.js";
+import { Experiment, experimentModel, makeCustomerKey } from "./experiment.js";
 import { FleetProcess, mainPath, runLimited, startProcess } from "./processes.js";
 
 /** A running fleet of real processes. */
@@ -21,7 +21,7 @@
 
 interface PlannedEndpoint {
     readonly name: string;
-    readonly place: string;
+    readonly dataCentre: string;
     readonly object: Record<string, unknown>;
     readonly emulatorArgs: readonly string[];
     readonly isEngine: boolean;
@@ -58,11 +58,11 @@
             const name = `engine-${endpoints.length + 1}`;
             endpoints.push({
                 name,
-                place: group.place,
+                dataCentre: group.dataCentre,
                 isEngine: true,
                 object: {
                     host: `host-${name}`,
-                    place: group.place,
+                    dataCentre: group.dataCentre,
                     model: experimentModel,
                     checksFencing: true,
                     memoryTokens: group.memoryTokens,
@@ -82,9 +82,14 @@
             const name = `${group.service}-${endpoints.length + 1}`;
             endpoints.push({
                 name,
-                place: group.place,
+                dataCentre: group.dataCentre,
                 isEngine: false,
-                object: { host: `host-${name}`, place: group.place, service: group.service, checksFencing: false },
+                object: {
+                    host: `host-${name}`,
+                    dataCentre: group.dataCentre,
+                    service: group.service,
+                    checksFencing: false,
+                },
                 emulatorArgs: ["service", "--delay-ms", String(group.delayMs)],
             });
         }
@@ -99,10 +104,10 @@
         ranks: experiment.ranks,
         kinds: experiment.kinds,
         services: experiment.serviceObjects,
-        callers: Object.fromEntries(
-            Object.entries(experiment.callers).map(([caller, { defaultKind, weight }]) => [
-                caller,
-                { keyDigests: [computeDigest(makeCallerKey(caller))], defaultKind, weight },
+        customers: Object.fromEntries(
+            Object.entries(experiment.customers).map(([customer, { defaultKind, weight }]) => [
+                customer,
+                { keyDigests: [computeDigest(makeCustomerKey(customer))], defaultKind, weight },
             ]),
         ),
         endpoints: Object.fromEntries(endpoints.map(({ name, object }) => [name, object])),
@@ -135,12 +140,12 @@
             endpoints.map(endpoint => async () => {
                 const emulator = await start(endpoint.name, ["emulate", ...endpoint.emulatorArgs]);
                 const sidecar = await start(`sidecar-${endpoint.name}`, [
-                    ...["sidecar", "--endpoint", endpoint.name, "--place", endpoint.place, "--port", "0"],
+                    ...["sidecar", "--endpoint", endpoint.name, "--data-centre", endpoint.dataCentre, "--port", "0"],
                     ...["--link-key", linkKey, "--log", "", "--scheduler", policy.scheduler],
                     ...[endpoint.isEngine ? "--engine" : "--service", emulator.address],
                 ]);
                 const [address, port] = sidecar.address.split(":");
-                const host = { place: endpoint.place, address, port: Number(port), state: "live" };
+                const host = { dataCentre: endpoint.dataCentre, address, port: Number(port), state: "live" };
                 await fetch(`${hosts.address}/hosts/host-${endpoint.name}`, {
                     method: "PUT",
                     body: JSON.stringify(host),
@@ -148,18 +153,20 @@
                 return { endpoint, emulator, sidecar };
             }),
         );
-        const places = experiment.entries.flatMap(group => Array.from({ length: group.count }, () => group.place));
+        const dataCentres = experiment.entries.flatMap(group =>
+            Array.from({ length: group.count }, () => group.dataCentre)
+        );
         const entries = await runLimited(
             startsAtATime,
-            places.map((place, index) => () =>
+            dataCentres.map((dataCentre, index) => () =>
                 start(`entry-${index + 1}`, [
-                    ...["entry", "--name", `entry-${index + 1}`, "--place", place, "--port", "0"],
+                    ...["entry", "--name", `entry-${index + 1}`, "--data-centre", dataCentre, "--port", "0"],
                     ...["--hosts", hosts.address, "--config", file, "--link-key", linkKey, "--log", ""],
                     ...(hasRoutingFlag() ? ["--policy", policy.routing] : []),
                 ])
             ),
         );
-        await Promise.all(entries.map(entry => waitUntilReady(entry.address, Object.keys(experiment.callers)[0]!)));
+        await Promise.all(entries.map(entry => waitUntilReady(entry.address, Object.keys(experiment.customers)[0]!)));
         await sleep(settleMs);
         return {
             engines: pairs.filter(pair => pair.endpoint.isEngine).map(pair => pair.emulator),
@@ -176,13 +183,13 @@
 }
 
 /** Waits until an entry answers a completion. */
-export async function waitUntilReady(url: string, caller: string): Promise<void> {
+export async function waitUntilReady(url: string, customer: string): Promise<void> {
     const deadlineMs = Date.now() + readyTimeoutMs;
     let last = "";
     while (Date.now() < deadlineMs) {
         const response = await fetch(`${url}/v1/completions`, {
             method: "POST",
-            headers: { "authorization": `Bearer ${makeCallerKey(caller)}`, "content-type": "application/json" },
+            headers: { "authorization": `Bearer ${makeCustomerKey(customer)}`, "content-type": "application/json" },
             body: JSON.stringify({ model: experimentModel, prompt: "ready?", max_tokens: 1 }),
         });
         last = await response.text();
--- a/bench/lib/measures.ts
+++ b/bench/lib/measures.ts
@@ -47,7 +47,7 @@
     const isShort = (outcome: Outcome) =>
         comparison.shortStreams.includes(outcome.arrival.stream)
         && shortClasses.includes(getLengthClass(outcome.arrival.promptTokens));
-    const isSmall = (outcome: Outcome) => !experiment.callers[outcome.arrival.caller]!.isLarge;
+    const isSmall = (outcome: Outcome) => !experiment.customers[outcome.arrival.customer]!.isLarge;
     const alone = inPhase(comparison.shortAlonePhase).filter(isShort);
     const beside = inPhase(comparison.shortBesidePhase).filter(isShort);
     const measures: Measure[] = [
@@ -90,14 +90,14 @@
         const beside = inPhase(comparison.withLargePhase).filter(isShort).filter(isSmall);
         measures.push(
             make(
-                "small callers beside large ones: p95 first token against without them",
+                "small customers beside large ones: p95 first token against without them",
                 "",
                 TargetKind.AtMost,
                 1.3,
                 divide(p95FirstToken(beside), p95FirstToken(without)),
             ),
             make(
-                "small callers beside large ones: completed within limit",
+                "small customers beside large ones: completed within limit",
                 "",
                 TargetKind.AtLeast,
                 0.95,
@@ -258,7 +258,7 @@
     ];
 }
 
-/** Jain's index over callers of the service received, each divided by its fair allocation. */
+/** Jain's index over customers of the service received, each divided by its fair allocation. */
 function computeJain(experiment: Experiment, outcomes: readonly Outcome[]): number | undefined {
     const getCost = (outcome: Outcome) => {
         const { promptTokens, outputTokens, stream } = outcome.arrival;
@@ -267,12 +267,12 @@
         }
         return experiment.kinds[experiment.plan.streams[stream]!.kind ?? ""]?.costWeight ?? 1;
     };
-    const callers = [...new Set(outcomes.map(outcome => outcome.arrival.caller))];
+    const customers = [...new Set(outcomes.map(outcome => outcome.arrival.customer))];
     const sum = (selected: readonly Outcome[]) => selected.reduce((total, outcome) => total + getCost(outcome), 0);
-    const rows = callers.map(caller => {
-        const own = outcomes.filter(outcome => outcome.arrival.caller === caller);
+    const rows = customers.map(customer => {
+        const own = outcomes.filter(outcome => outcome.arrival.customer === customer);
         return {
-            weight: experiment.callers[caller]!.weight,
+            weight: experiment.customers[customer]!.weight,
             demand: sum(own),
             served: sum(own.filter(outcome => outcome.kind === OutcomeKind.Completed)),
         };
--- a/bench/lib/pathFleet.ts
+++ b/bench/lib/pathFleet.ts
@@ -4,7 +4,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { stringify } from "yaml";
 import { computeDigest } from "../../src/base/ids.js";
-import { experimentModel, makeCallerKey } from "./experiment.js";
+import { experimentModel, makeCustomerKey } from "./experiment.js";
 import { waitUntilReady } from "./fleet.js";
 import { FleetProcess, startProcess } from "./processes.js";
 
@@ -19,8 +19,8 @@
 /** What a path fleet consists of. */
 export interface PathFleetOptions {
     readonly engines: number;
-    /** Callers in the configuration besides the one that sends. */
-    readonly idleCallers?: number;
+    /** Customers in the configuration besides the one that sends. */
+    readonly idleCustomers?: number;
     /** Arguments of node for the entry and the first sidecar, for profiles. */
     readonly nodeArgs?: readonly string[];
     /** Script that plays the engine instead of the emulator, and its arguments. */
@@ -28,11 +28,11 @@
     readonly engineArgs?: readonly string[];
 }
 
-/** Caller of path fleets. */
-export const pathCaller = "bench";
+/** Customer of path fleets. */
+export const pathCustomer = "bench";
 
 const version = "main-v1";
-const place = "here";
+const dataCentre = "here";
 const settleMs = 1_500;
 const linkKey = "bench";
 const memoryTokens = 100_000_000;
@@ -54,10 +54,10 @@
 
     try {
         const names = [...Array(options.engines).keys()].map(index => `engine-${index + 1}`);
-        const callers: Record<string, unknown> = {};
-        for (let index = 0; index <= (options.idleCallers ?? 0); index++) {
-            const caller = index === 0 ? pathCaller : `caller-${index}`;
-            callers[caller] = { keyDigests: [computeDigest(makeCallerKey(caller))], defaultKind: "question" };
+        const customers: Record<string, unknown> = {};
+        for (let index = 0; index <= (options.idleCustomers ?? 0); index++) {
+            const customer = index === 0 ? pathCustomer : `customer-${index}`;
+            customers[customer] = { keyDigests: [computeDigest(makeCustomerKey(customer))], defaultKind: "question" };
         }
         const file = join(directory, "configuration.yaml");
         await writeFile(
@@ -67,12 +67,12 @@
                 versions: { [version]: { model: experimentModel, weights: version } },
                 ranks: { normal: { urgency: 0, timeLimitMs: 60_000 } },
                 kinds: { question: { rank: "normal" } },
-                callers,
+                customers,
                 endpoints: Object.fromEntries(names.map(name => [
                     name,
                     {
                         host: `host-${name}`,
-                        place,
+                        dataCentre,
                         model: experimentModel,
                         checksFencing: true,
                         memoryTokens,
@@ -95,19 +95,29 @@
             );
             engineUrls.push(engine.address);
             const sidecar = await keep(startProcess(`sidecar-${name}`, [
-                ...["sidecar", "--endpoint", name, "--place", place, "--port", "0", "--engine", engine.address],
+                ...[
+                    "sidecar",
+                    "--endpoint",
+                    name,
+                    "--data-centre",
+                    dataCentre,
+                    "--port",
+                    "0",
+                    "--engine",
+                    engine.address,
+                ],
                 ...["--link-key", linkKey, "--log", ""],
             ], index === 0 ? options.nodeArgs : []));
             sidecars.push(sidecar);
             const [address, port] = sidecar.address.split(":");
-            const host = { place, address, port: Number(port), state: "live" };
+            const host = { dataCentre, address, port: Number(port), state: "live" };
             await fetch(`${hosts.address}/hosts/host-${name}`, { method: "PUT", body: JSON.stringify(host) });
         }
         const entry = await keep(startProcess("entry", [
-            ...["entry", "--place", place, "--port", "0", "--hosts", hosts.address, "--config", file],
+            ...["entry", "--data-centre", dataCentre, "--port", "0", "--hosts", hosts.address, "--config", file],
             ...["--link-key", linkKey, "--log", ""],
         ], options.nodeArgs));
-        await waitUntilReady(entry.address, pathCaller);
+        await waitUntilReady(entry.address, pathCustomer);
         await sleep(settleMs);
         return { entry, sidecars, engineUrls, stop };
     }
--- a/bench/lib/sidecarFarm.ts
+++ b/bench/lib/sidecarFarm.ts
@@ -13,7 +13,7 @@
 import { WorkRunner } from "../../src/sidecar/work.js";
 
 const [sidecarCount, extraHosts] = process.argv.slice(2).map(Number) as [number, number];
-const place = "here";
+const dataCentre = "here";
 const linkKey = "bench";
 const timers = createSystemTimerService();
 const sockets = new Set<net.Socket>();
@@ -52,7 +52,7 @@
 const hosts: unknown[] = [];
 for (let index = 1; index <= sidecarCount; index++) {
     const endpoint = `engine-${index}`;
-    const sidecar = createSidecar({ ...linkDefaults, ...sidecarDefaults, endpoint, place, linkKey }, {
+    const sidecar = createSidecar({ ...linkDefaults, ...sidecarDefaults, endpoint, dataCentre, linkKey }, {
         timers,
         log: createEventLog("farm"),
         runner,
@@ -67,10 +67,10 @@
         });
         sidecar.accept(socket);
     }));
-    hosts.push({ name: `host-${endpoint}`, place, address: "127.0.0.1", port, state: "live" });
+    hosts.push({ name: `host-${endpoint}`, dataCentre, address: "127.0.0.1", port, state: "live" });
 }
 for (let index = 0; index < extraHosts; index++) {
-    hosts.push({ name: `host-extra-${index}`, place, address: "10.0.0.1", port: 7000, state: "live" });
+    hosts.push({ name: `host-extra-${index}`, dataCentre, address: "10.0.0.1", port: 7000, state: "live" });
 }
 
 const hostList = JSON.stringify(hosts);
--- a/bench/lib/slopeInputs.ts
+++ b/bench/lib/slopeInputs.ts
@@ -2,12 +2,12 @@
 import { ConfigurationObjects } from "../../src/config/objects.js";
 import { configurationSchema } from "../../src/config/schema.js";
 
-/** Places of the two-year scale: 2 regions with 3 data centres each. */
-export const scalePlaces = ["north-1", "north-2", "north-3", "south-1", "south-2", "south-3"];
+/** Data centres of the two-year scale: 2 regions with 3 data centres each. */
+export const scaleDataCentres = ["north-1", "north-2", "north-3", "south-1", "south-2", "south-3"];
 const scaleModels = ["m1", "m2", "m3", "m4", "m5", "m6", "m7"];
 
-/** Makes a configuration of the given size, spread over the places and models of the two-year scale. */
-export function makeScaleObjects(endpoints: number, callers: number): ConfigurationObjects {
+/** Makes a configuration of the given size, spread over the data centres and models of the two-year scale. */
+export function makeScaleObjects(endpoints: number, customers: number): ConfigurationObjects {
     const version = (model: string) => `${model}-v1`;
     return configurationSchema.parse({
         models: Object.fromEntries(scaleModels.map(model => [model, { version: version(model) }])),
@@ -18,16 +18,16 @@
             bulk: { urgency: 2, timeLimitMs: 3_600_000 },
         },
         kinds: { question: { rank: "normal" }, summary: { rank: "bulk" } },
-        callers: Object.fromEntries([...Array(callers).keys()].map(index => [
-            `caller-${index}`,
+        customers: Object.fromEntries([...Array(customers).keys()].map(index => [
+            `customer-${index}`,
             { keyDigests: [computeDigest(`key-${index}`)], defaultKind: "question" },
         ])),
         endpoints: Object.fromEntries([...Array(endpoints).keys()].map(index => [
             `runner-${index}`,
             {
                 host: `host-${index}`,
-                place: scalePlaces[index % scalePlaces.length],
-                model: scaleModels[Math.floor(index / scalePlaces.length) % scaleModels.length],
+                dataCentre: scaleDataCentres[index % scaleDataCentres.length],
+                model: scaleModels[Math.floor(index / scaleDataCentres.length) % scaleModels.length],
                 checksFencing: true,
             },
         ])),
--- a/bench/lib/slopesInProcess.ts
+++ b/bench/lib/slopesInProcess.ts
@@ -8,7 +8,7 @@
 import { ObjectType } from "../../src/config/objects.js";
 import { createLogModel, defaultLogModelSettings } from "../../src/emulator/log/logModel.js";
 import { createMemoryLogService } from "../../src/emulator/log/memoryLogService.js";
-import { buildCallerIndex } from "../../src/entry/callerIndex.js";
+import { buildCustomerIndex } from "../../src/entry/customerIndex.js";
 import {
     ClaimRecordKind,
     createClaimFold,
@@ -80,9 +80,9 @@
             base: 0,
             changes: [{
                 op: ChangeOperation.Put,
-                kind: ObjectType.Caller,
-                name: "caller-1",
-                value: { ...objects.callers["caller-1"], weight: 2 },
+                kind: ObjectType.Customer,
+                name: "customer-1",
+                value: { ...objects.customers["customer-1"], weight: 2 },
             }],
         });
         const record = { offset: 1, timeMs: 0, value: changeSet };
@@ -111,18 +111,18 @@
     ];
 }
 
-/** Callers: memory and time of the index by key digest, rebuilt at each configuration change. */
-export function measureCallers(): readonly Slope[] {
+/** Customers: memory and time of the index by key digest, rebuilt at each configuration change. */
+export function measureCustomers(): readonly Slope[] {
     const memory: SlopePoint[] = [];
     const time: SlopePoint[] = [];
     for (const size of [1_000, 4_000, 8_000, 13_000]) {
         const configuration = { generation: 0, digest: "", objects: makeScaleObjects(1, size) };
-        memory.push({ size, value: measureHeap(() => buildCallerIndex(configuration)).bytes / bytesPerKiB });
-        time.push({ size, value: measureMs(5, () => buildCallerIndex(configuration)) });
+        memory.push({ size, value: measureHeap(() => buildCustomerIndex(configuration)).bytes / bytesPerKiB });
+        time.push({ size, value: measureMs(5, () => buildCustomerIndex(configuration)) });
     }
     return [
-        fitSlope("entry: memory of the caller index", "caller", "KiB", memory),
-        fitSlope("entry: time to build the caller index", "caller", "ms", time),
+        fitSlope("entry: memory of the customer index", "customer", "KiB", memory),
+        fitSlope("entry: time to build the customer index", "customer", "ms", time),
     ];
 }
 
@@ -142,7 +142,7 @@
     return {
         id: `request-${index}`,
         rank: ["urgent", "normal", "bulk"][index % 3]!,
-        caller: `caller-${index % 50}`,
+        customer: `customer-${index % 50}`,
         kind: "question",
         promptTokens: 1_000 + index % 3_000,
         cachedTokens: 0,
@@ -214,7 +214,7 @@
                         kind: ClaimRecordKind.Claim,
                         id: claim,
                         key: makeId(),
-                        caller: `caller-${index}`,
+                        customer: `customer-${index}`,
                         fingerprint: "f".repeat(64),
                         holder: claim,
                         limitMs: 5_000,
--- a/bench/lib/slopesProcess.ts
+++ b/bench/lib/slopesProcess.ts
@@ -7,10 +7,10 @@
 import { stringify } from "yaml";
 import { computeDigest } from "../../src/base/ids.js";
 import { loadPlanSchema } from "../../src/load/loadPlan.js";
-import { experimentModel, makeCallerKey } from "./experiment.js";
+import { experimentModel, makeCustomerKey } from "./experiment.js";
 import { fitSlope, Slope, SlopePoint } from "./fit.js";
 import { runLoadProcesses } from "./loadProcesses.js";
-import { pathCaller, startPathFleet } from "./pathFleet.js";
+import { pathCustomer, startPathFleet } from "./pathFleet.js";
 import { FleetProcess, readUsage, startProcess } from "./processes.js";
 
 const farmPath = fileURLToPath(new URL("./sidecarFarm.js", import.meta.url));
@@ -53,14 +53,17 @@
                 versions: Object.fromEntries(farmModels.map(model => [`${model}-v1`, { model, weights: model }])),
                 ranks: { normal: { urgency: 0, timeLimitMs: 120_000 } },
                 kinds: { question: { rank: "normal" } },
-                callers: {
-                    [pathCaller]: { keyDigests: [computeDigest(makeCallerKey(pathCaller))], defaultKind: "question" },
+                customers: {
+                    [pathCustomer]: {
+                        keyDigests: [computeDigest(makeCustomerKey(pathCustomer))],
+                        defaultKind: "question",
+                    },
                 },
                 endpoints: Object.fromEntries(names.map((name, index) => [
                     name,
                     {
                         host: `host-${name}`,
-                        place: "here",
+                        dataCentre: "here",
                         model: farmModels[index % farmModels.length],
                         checksFencing: true,
                         memoryTokens: 100_000_000,
@@ -70,7 +73,7 @@
             }),
         );
         entry = await startProcess("entry", [
-            ...["entry", "--place", "here", "--port", "0", "--hosts", farm.address, "--config", file],
+            ...["entry", "--data-centre", "here", "--port", "0", "--hosts", farm.address, "--config", file],
             ...["--link-key", "bench", "--log", ""],
         ]);
         const readStats = async () => await (await fetch(`${farm.address}/stats`)).json() as FarmStats;
@@ -160,7 +163,7 @@
     const request = http.request(`${url}/v1/completions`, {
         agent,
         method: "POST",
-        headers: { "authorization": `Bearer ${makeCallerKey(pathCaller)}`, "content-type": "application/json" },
+        headers: { "authorization": `Bearer ${makeCustomerKey(pathCustomer)}`, "content-type": "application/json" },
     });
     request.on("error", () => undefined);
     request.end(JSON.stringify({ model: experimentModel, prompt, max_tokens: 100, stream: true }));
@@ -209,11 +212,11 @@
                 const plan = loadPlanSchema.parse({
                     name: "tokens",
                     model: experimentModel,
-                    keys: { [pathCaller]: makeCallerKey(pathCaller) },
+                    keys: { [pathCustomer]: makeCustomerKey(pathCustomer) },
                     streams: {
                         path: {
                             rank: "normal",
-                            callers: { [pathCaller]: 1 },
+                            customers: { [pathCustomer]: 1 },
                             prompt: [{ weight: 1, minTokens: 1_000, maxTokens: 4_000 }],
                             minOutputTokens: tokensPerRequest,
                             maxOutputTokens: tokensPerRequest,
--- a/src/adapters/httpHostList.ts
+++ b/src/adapters/httpHostList.ts
@@ -4,7 +4,7 @@
 
 const hostSchema = z.object({
     name: z.string(),
-    place: z.string(),
+    dataCentre: z.string(),
     address: z.string(),
     port: z.number().int(),
     state: z.enum(HostState),
--- a/src/base/requestError.ts
+++ b/src/base/requestError.ts
@@ -1,7 +1,7 @@
 import { Verdict } from "./verdict.js";
 
 /**
- * Codes of the errors that a caller can receive. The string is the `code` field of the JSON error.
+ * Codes of the errors that a customer can receive. The string is the `code` field of the JSON error.
  */
 export enum ErrorCode {
     BadRequest = "bad_request",
@@ -43,7 +43,7 @@
     readonly retryAfterMs?: number;
     /** Largest prompt that would fit, in tokens; set with `PromptTooLarge`. */
     readonly largestPromptTokens?: number;
-    /** Signed ticket that keeps the caller's place in line; set with `Overloaded`. */
+    /** Signed ticket that keeps the customer's place in line; set with `Overloaded`. */
     readonly ticket?: string;
 }
 
@@ -77,7 +77,7 @@
 };
 
 /**
- * Returns the HTTP status that carries an error to a caller.
+ * Returns the HTTP status that carries an error to a customer.
  *
  * @example
  * getHttpStatus(ErrorCode.Overloaded); // 429
--- a/src/cli/claimSettings.ts
+++ b/src/cli/claimSettings.ts
@@ -38,7 +38,7 @@
     "claim-key-ahead-ms": {
         type: "number",
         default: defaultClaimTaskSettings.maxKeyAheadMs,
-        describe: "time by which a caller's clock may be ahead",
+        describe: "time by which a customer's clock may be ahead",
     },
 } as const;
 
--- a/src/cli/devCommand.ts
+++ b/src/cli/devCommand.ts
@@ -42,7 +42,7 @@
     log: z.string(),
 });
 
-const place = "local";
+const dataCentre = "local";
 const linkKey = "dev";
 const engineSpeed = { memoryTokens: 400_000, prefillTokensPerSecond: 40_000, decodeTokensPerSecond: 60, maxBatch: 32 };
 const closeTimeoutMs = 2_000;
@@ -50,13 +50,13 @@
 const devKeyAheadMs = 0;
 const loopback = "127.0.0.1";
 
-/** Configuration of `dev`: one model with emulated engines, one plain service, one caller who is also an operator. */
+/** Configuration of `dev`: one model with emulated engines, one plain service, one customer who is also an operator. */
 function buildDevObjects(engines: number, key: string): ConfigurationObjects {
     const endpoints: Record<string, unknown> = {
-        "booking-1": { host: "booking-1", place, service: "bookings", checksFencing: false },
+        "booking-1": { host: "booking-1", dataCentre, service: "bookings", checksFencing: false },
     };
     for (let index = 1; index <= engines; index++) {
-        endpoints[`engine-${index}`] = { host: `engine-${index}`, place, model: "demo", checksFencing: true };
+        endpoints[`engine-${index}`] = { host: `engine-${index}`, dataCentre, model: "demo", checksFencing: true };
     }
     return configurationSchema.parse({
         models: { demo: { version: "demo-v1" } },
@@ -67,19 +67,19 @@
             bulk: { urgency: 2, timeLimitMs: 3_600_000 },
         },
         kinds: { question: { rank: "normal" } },
-        callers: { developer: { keyDigests: [computeDigest(key)], defaultKind: "question", operator: true } },
+        customers: { developer: { keyDigests: [computeDigest(key)], defaultKind: "question", operator: true } },
         services: { bookings: { rank: "urgent", repeatable: false, timeLimitMs: 10_000 } },
         endpoints,
     });
 }
 
 async function startSidecar(endpoint: string, parts: Omit<SidecarParts, "log" | "createScheduler">) {
-    const settings = { ...linkDefaults, ...sidecarDefaults, endpoint, place, linkKey };
+    const settings = { ...linkDefaults, ...sidecarDefaults, endpoint, dataCentre, linkKey };
     const log = createEventLog("sidecar");
     const sidecar = createSidecar(settings, { ...parts, log, createScheduler: createFairScheduler });
     const server = net.createServer(socket => sidecar.accept(socket));
     const port = await listen(server, 0, loopback);
-    return { sidecar, host: { name: endpoint, place, address: loopback, port, state: HostState.Live } };
+    return { sidecar, host: { name: endpoint, dataCentre, address: loopback, port, state: HostState.Live } };
 }
 
 async function startEndpoints(engines: number, logUrl: string, timers: TimerService) {
@@ -128,9 +128,9 @@
     describe: "run the whole path on loopback in one process with emulated endpoints",
     builder: yargs =>
         yargs.options({
-            port: { type: "number", default: 8080, describe: "port for callers; 0 takes a free one" },
+            port: { type: "number", default: 8080, describe: "port for customers; 0 takes a free one" },
             engines: { type: "number", default: 2, describe: "number of emulated engines" },
-            key: { type: "string", default: "dev-key", describe: "API key of the one caller" },
+            key: { type: "string", default: "dev-key", describe: "API key of the one customer" },
             "log-url": {
                 type: "boolean",
                 default: false,
@@ -152,13 +152,13 @@
         const objects = buildDevObjects(settings.engines, settings.key);
         const logService = createHttpLogService(logServer.url, timers);
         const configuration = await startDevConfiguration(objects, { timers, random, log, logService });
-        const entry = createEntry({ ...linkDefaults, ...entryDefaults, name: "dev", place, linkKey }, {
+        const entry = createEntry({ ...linkDefaults, ...entryDefaults, name: "dev", dataCentre, linkKey }, {
             timers,
             random,
             log,
             hostList: createHttpHostList(hosts.url),
             configuration,
-            ...createRouting({ ...routingDefaults, name: "dev", place }),
+            ...createRouting({ ...routingDefaults, name: "dev", dataCentre }),
             connect: host => net.connect(host.port, host.address),
             createOperatorRoute: state => createOperatorRoute(state, configuration, log),
         });
--- a/src/cli/entryCommand.ts
+++ b/src/cli/entryCommand.ts
@@ -20,7 +20,7 @@
 
 const settingsSchema = z.object({
     name: z.string().min(1),
-    place: z.string().min(1),
+    dataCentre: z.string().min(1),
     address: z.ipv4().or(z.ipv6()),
     port: portSchema,
     hosts: urlSchema,
@@ -42,13 +42,13 @@
 /** `jujubelane entry` */
 export const entryCommand: CommandModule = {
     command: "entry",
-    describe: "run an entry: callers' HTTP, admission, routing and stream relay",
+    describe: "run an entry: customers' HTTP, admission, routing and stream relay",
     builder: yargs =>
         yargs.options({
             name: { type: "string", default: "entry", describe: "name of this entry in logs and status" },
-            place: { type: "string", demandOption: true, describe: "place of this host" },
+            dataCentre: { type: "string", demandOption: true, describe: "dataCentre of this host" },
             address: { type: "string", default: "127.0.0.1", describe: "IP address to listen on" },
-            port: { type: "number", default: 8080, describe: "port for callers; 0 takes a free one" },
+            port: { type: "number", default: 8080, describe: "port for customers; 0 takes a free one" },
             hosts: { type: "string", demandOption: true, describe: "root URL of the platform's host list" },
             ...entryConfigurationOptions,
             ...linkSecurityOptions,
@@ -76,7 +76,7 @@
             "max-connections": {
                 type: "number",
                 default: entryDefaults.maxConnections,
-                describe: "connections of callers",
+                describe: "connections of customers",
             },
             "drain-delay-ms": {
                 type: "number",
--- a/src/cli/entryConfiguration.ts
+++ b/src/cli/entryConfiguration.ts
@@ -38,7 +38,7 @@
 
 interface EntryConfigurationSettings {
     readonly name: string;
-    readonly place: string;
+    readonly dataCentre: string;
     readonly linkKey: string;
     readonly logService?: string;
     readonly config: readonly string[];
@@ -64,8 +64,8 @@
     if (settings.logService === undefined) {
         return createFixedConfigurationSource(await readConfigurationFiles(settings.config));
     }
-    const { name, place, linkKey } = settings;
-    const search = { ...linkDefaults, ...defaultPeerSearch, entry: name, place, linkKey };
+    const { name, dataCentre, linkKey } = settings;
+    const search = { ...linkDefaults, ...defaultPeerSearch, entry: name, dataCentre, linkKey };
     return createLogConfigurationSource({ ...defaultLogConfigurationSettings, retentionMs: settings.logRetentionMs }, {
         ...parts,
         logService: createHttpLogService(settings.logService, parts.timers),
--- a/src/cli/routingSettings.ts
+++ b/src/cli/routingSettings.ts
@@ -14,8 +14,8 @@
 /** Schema of the routing flags. */
 export const routingSchema = {
     policy: z.enum(PolicyName),
-    apertureOwnPlace: z.number().int().positive(),
-    apertureOtherPlaces: z.number().int().min(0),
+    apertureOwnDataCentre: z.number().int().positive(),
+    apertureOtherDataCentres: z.number().int().min(0),
     ticketKey: z.string(),
 };
 
@@ -26,28 +26,28 @@
         default: PolicyName.Predictive,
         describe: "choice of endpoints; round-robin and least-connections are baselines for measurements",
     },
-    "aperture-own-place": {
+    "aperture-own-data-centre": {
         type: "number",
-        default: defaultApertureSettings.ownPlace,
-        describe: "endpoints of each model or service in the entry's place that it links to",
+        default: defaultApertureSettings.ownDataCentre,
+        describe: "endpoints of each model or service in the entry's dataCentre that it links to",
     },
-    "aperture-other-places": {
+    "aperture-other-data-centres": {
         type: "number",
-        default: defaultApertureSettings.otherPlaces,
-        describe: "endpoints of each model or service in other places that it links to",
+        default: defaultApertureSettings.otherDataCentres,
+        describe: "endpoints of each model or service in other dataCentres that it links to",
     },
     "ticket-key": {
         type: "string",
         default: "",
-        describe: "key that signs tickets of refused callers, shared by all entries; the link key when empty",
+        describe: "key that signs tickets of refused customers, shared by all entries; the link key when empty",
     },
 } as const;
 
 /** Default values of the routing flags. */
 export const routingDefaults = {
     policy: PolicyName.Predictive,
-    apertureOwnPlace: defaultApertureSettings.ownPlace,
-    apertureOtherPlaces: defaultApertureSettings.otherPlaces,
+    apertureOwnDataCentre: defaultApertureSettings.ownDataCentre,
+    apertureOtherDataCentres: defaultApertureSettings.otherDataCentres,
     ticketKey: "",
 };
 
@@ -55,10 +55,13 @@
 
 /** Creates the routing parts of an entry. */
 export function createRouting(
-    settings: typeof routingDefaults & { readonly name: string; readonly place: string },
+    settings: typeof routingDefaults & { readonly name: string; readonly dataCentre: string },
 ): Routing {
-    const entry = { entry: settings.name, place: settings.place };
-    const sizes = { ownPlace: settings.apertureOwnPlace, otherPlaces: settings.apertureOtherPlaces };
+    const entry = { entry: settings.name, dataCentre: settings.dataCentre };
+    const sizes = {
+        ownDataCentre: settings.apertureOwnDataCentre,
+        otherDataCentres: settings.apertureOtherDataCentres,
+    };
     const aperture: Routing["selectAperture"] = endpoints => selectAperture(entry, endpoints, sizes);
     switch (settings.policy) {
         case PolicyName.RoundRobin:
--- a/src/cli/sidecarCommand.ts
+++ b/src/cli/sidecarCommand.ts
@@ -33,7 +33,7 @@
 
 const settingsSchema = z.object({
     endpoint: z.string().min(1),
-    place: z.string().min(1),
+    dataCentre: z.string().min(1),
     address: z.ipv4().or(z.ipv6()),
     port: portSchema,
     engine: urlSchema.optional(),
@@ -68,7 +68,7 @@
     builder: yargs =>
         yargs.options({
             endpoint: { type: "string", demandOption: true, describe: "name of the endpoint in the configuration" },
-            place: { type: "string", demandOption: true, describe: "place of this host" },
+            dataCentre: { type: "string", demandOption: true, describe: "dataCentre of this host" },
             address: { type: "string", default: "127.0.0.1", describe: "IP address to listen on for links" },
             port: { type: "number", default: 7000, describe: "port for links; 0 takes a free one" },
             engine: { type: "string", describe: "root URL of the model engine beside this process" },
--- a/src/cli/statusCommand.ts
+++ b/src/cli/statusCommand.ts
@@ -27,7 +27,7 @@
     }
     const { alarms, rejections } = status.configuration;
     return [
-        `entry ${status.entry} in ${status.place}: generation ${status.generation}, requests ${status.requests}`,
+        `entry ${status.entry} in ${status.dataCentre}: generation ${status.generation}, requests ${status.requests}`,
         ...formatTable(status.endpoints.map(describeEndpointRow)),
         ...alarms.map(alarm => `  alarm: ${alarm}`),
         ...rejections.map(rejection => `  rejected lately: ${rejection}`),
--- a/src/config/objects.ts
+++ b/src/config/objects.ts
@@ -5,12 +5,12 @@
     Adapter = "adapters",
     Rank = "ranks",
     Kind = "kinds",
-    Caller = "callers",
+    Customer = "customers",
     Endpoint = "endpoints",
     Service = "services",
 }
 
-/** What a request of a kind costs its caller. */
+/** What a request of a kind costs its customer. */
 export enum CostBasis {
     /** Each request counts its weight. */
     Request = "request",
@@ -18,7 +18,7 @@
     Token = "token",
 }
 
-/** A model that callers name. */
+/** A model that customers name. */
 export interface ModelObject {
     /** Version in force. */
     readonly version: string;
@@ -57,13 +57,13 @@
     readonly costWeight: number;
 }
 
-/** A caller or an operator. */
-export interface CallerObject {
-    /** SHA-256 digests of the caller's keys, in lower-case hexadecimal. */
+/** A customer or an operator. */
+export interface CustomerObject {
+    /** SHA-256 digests of the customer's keys, in lower-case hexadecimal. */
     readonly keyDigests: readonly string[];
     readonly ranks: readonly string[];
     readonly defaultKind: string;
-    /** Weight of the caller in fair queueing. */
+    /** Weight of the customer in fair queueing. */
     readonly weight: number;
     readonly operator: boolean;
 }
@@ -71,7 +71,7 @@
 /** A model engine or an instance of a plain service, with its sidecar beside it. */
 export interface EndpointObject {
     readonly host: string;
-    readonly place: string;
+    readonly dataCentre: string;
     readonly model?: string;
     readonly service?: string;
     readonly adapters: readonly string[];
@@ -97,7 +97,7 @@
     readonly adapters: Readonly<Record<string, AdapterObject>>;
     readonly ranks: Readonly<Record<string, RankObject>>;
     readonly kinds: Readonly<Record<string, KindObject>>;
-    readonly callers: Readonly<Record<string, CallerObject>>;
+    readonly customers: Readonly<Record<string, CustomerObject>>;
     readonly endpoints: Readonly<Record<string, EndpointObject>>;
     readonly services: Readonly<Record<string, ServiceObject>>;
 }
@@ -118,7 +118,7 @@
         adapters: {},
         ranks: {},
         kinds: {},
-        callers: {},
+        customers: {},
         endpoints: {},
         services: {},
     };
--- a/src/config/references.ts
+++ b/src/config/references.ts
@@ -12,9 +12,9 @@
     [ObjectType.Model]: [ObjectType.Version, ObjectType.Adapter, ObjectType.Endpoint],
     [ObjectType.Version]: [ObjectType.Model],
     [ObjectType.Adapter]: [ObjectType.Endpoint],
-    [ObjectType.Rank]: [ObjectType.Kind, ObjectType.Caller, ObjectType.Service],
-    [ObjectType.Kind]: [ObjectType.Caller],
-    [ObjectType.Caller]: [],
+    [ObjectType.Rank]: [ObjectType.Kind, ObjectType.Customer, ObjectType.Service],
+    [ObjectType.Kind]: [ObjectType.Customer],
+    [ObjectType.Customer]: [],
     [ObjectType.Endpoint]: [],
     [ObjectType.Service]: [ObjectType.Endpoint],
 };
@@ -61,7 +61,7 @@
         [ObjectType.Adapter]: () => checkOwners(objects, ObjectType.Adapter, checkName),
         [ObjectType.Rank]: () => checkShares(objects, report),
         [ObjectType.Kind]: () => checkRanks(objects, ObjectType.Kind, checkName),
-        [ObjectType.Caller]: () => checkCallers(objects, checkName, report),
+        [ObjectType.Customer]: () => checkCustomers(objects, checkName, report),
         [ObjectType.Endpoint]: () => checkEndpoints(objects, checkName, report),
         [ObjectType.Service]: () => checkRanks(objects, ObjectType.Service, checkName),
     };
@@ -120,19 +120,19 @@
     }
 }
 
-function checkCallers(objects: ConfigurationObjects, checkName: Expect, report: Report) {
+function checkCustomers(objects: ConfigurationObjects, checkName: Expect, report: Report) {
     const owners = new Map<string, string>();
-    for (const [name, caller] of Object.entries(objects.callers)) {
-        const object = `${ObjectType.Caller}.${name}`;
-        caller.ranks.forEach((rank, index) => checkName(object, `ranks.${index}`, ObjectType.Rank, rank));
-        checkName(object, "defaultKind", ObjectType.Kind, caller.defaultKind);
-        caller.keyDigests.forEach((digest, index) => {
+    for (const [name, customer] of Object.entries(objects.customers)) {
+        const object = `${ObjectType.Customer}.${name}`;
+        customer.ranks.forEach((rank, index) => checkName(object, `ranks.${index}`, ObjectType.Rank, rank));
+        checkName(object, "defaultKind", ObjectType.Kind, customer.defaultKind);
+        customer.keyDigests.forEach((digest, index) => {
             const owner = owners.get(digest);
             if (owner !== undefined) {
                 report({
                     object,
                     field: `keyDigests.${index}`,
-                    found: `${formatFound(digest)}, also in ${ObjectType.Caller}.${owner}`,
+                    found: `${formatFound(digest)}, also in ${ObjectType.Customer}.${owner}`,
                     allowed: "a key digest that appears once",
                 });
             }
--- a/src/config/schema.ts
+++ b/src/config/schema.ts
@@ -35,7 +35,7 @@
     costWeight: z.number().positive().default(1),
 });
 
-const callerSchema = z.strictObject({
+const customerSchema = z.strictObject({
     keyDigests: z.array(z.string().regex(/^[0-9a-f]{64}$/, "expected a SHA-256 digest in lower-case hexadecimal")).min(
         1,
     ),
@@ -47,7 +47,7 @@
 
 const endpointSchema = z.strictObject({
     host: name,
-    place: name,
+    dataCentre: name,
     model: name.optional(),
     service: name.optional(),
     adapters: z.array(name).default([]),
@@ -72,7 +72,7 @@
     [ObjectType.Adapter]: weightsSchema,
     [ObjectType.Rank]: rankSchema,
     [ObjectType.Kind]: kindSchema,
-    [ObjectType.Caller]: callerSchema,
+    [ObjectType.Customer]: customerSchema,
     [ObjectType.Endpoint]: endpointSchema,
     [ObjectType.Service]: serviceSchema,
 } as const;
@@ -84,7 +84,7 @@
     adapters: z.record(name, weightsSchema).default({}),
     ranks: z.record(name, rankSchema).default({}),
     kinds: z.record(name, kindSchema).default({}),
-    callers: z.record(name, callerSchema).default({}),
+    customers: z.record(name, customerSchema).default({}),
     endpoints: z.record(name, endpointSchema).default({}),
     services: z.record(name, serviceSchema).default({}),
 });
--- a/src/entry/admission.ts
+++ b/src/entry/admission.ts
@@ -3,7 +3,7 @@
 import { makeFailure, makeSuccess, Result } from "../base/result.js";
 import { Verdict } from "../base/verdict.js";
 import { Configuration, findObject } from "../config/objects.js";
-import { AuthenticatedCaller } from "./callerIndex.js";
+import { AuthenticatedCustomer } from "./customerIndex.js";
 import { getHeader, HeaderName } from "./httpAnswer.js";
 
 /** Rank, kind and time limit of a request. */
@@ -13,7 +13,7 @@
     readonly limitMs: number;
 }
 
-/** Largest time limit that a caller may ask for, in milliseconds. */
+/** Largest time limit that a customer may ask for, in milliseconds. */
 const maxLimitMs = 24 * 60 * 60 * 1000;
 
 function refuse(code: ErrorCode, message: string) {
@@ -21,19 +21,19 @@
 }
 
 /**
- * Reads rank, kind and time limit from a request's headers, with the caller's defaults for what they leave out.
+ * Reads rank, kind and time limit from a request's headers, with the customer's defaults for what they leave out.
  *
  * @example
- * const terms = readTerms(request.headers, caller, configuration);
+ * const terms = readTerms(request.headers, customer, configuration);
  */
 export function readTerms(
     headers: http.IncomingHttpHeaders,
-    caller: AuthenticatedCaller,
+    customer: AuthenticatedCustomer,
     configuration: Configuration,
     defaults: { readonly rank?: string; readonly limitMs?: number } = {},
 ): Result<RequestTerms, RequestError> {
     const { kinds, ranks } = configuration.objects;
-    const kind = getHeader(headers, HeaderName.Kind) ?? caller.object.defaultKind;
+    const kind = getHeader(headers, HeaderName.Kind) ?? customer.object.defaultKind;
     const kindObject = findObject(kinds, kind);
     if (!kindObject) {
         return refuse(ErrorCode.BadRequest, `unknown kind "${kind}"; configured: ${Object.keys(kinds).join(", ")}`);
@@ -43,8 +43,8 @@
     if (!rankObject) {
         return refuse(ErrorCode.UnknownRank, `unknown rank "${rank}"; configured: ${Object.keys(ranks).join(", ")}`);
     }
-    if (caller.object.ranks.length > 0 && !caller.object.ranks.includes(rank)) {
-        return refuse(ErrorCode.Forbidden, `caller "${caller.name}" may not use rank "${rank}"`);
+    if (customer.object.ranks.length > 0 && !customer.object.ranks.includes(rank)) {
+        return refuse(ErrorCode.Forbidden, `customer "${customer.name}" may not use rank "${rank}"`);
     }
     const limitText = getHeader(headers, HeaderName.TimeLimit);
     const limitMs = limitText === undefined ? defaults.limitMs ?? rankObject.timeLimitMs : Number(limitText);
--- a/src/entry/changeLog.ts
+++ b/src/entry/changeLog.ts
@@ -16,7 +16,7 @@
 const maxRecords = 100;
 
 /**
- * Creates an empty change log. Whole configurations are large (about 200 bytes for each caller and endpoint), so a peer
+ * Creates an empty change log. Whole configurations are large (about 200 bytes for each customer and endpoint), so a peer
  * that only lacks the last change receives that change alone.
  *
  * @example
--- a/src/entry/callerIndex.ts
+++ b/src/entry/customerIndex.ts
@@ -1,32 +1,32 @@
 import { computeDigest, isSameDigest } from "../base/ids.js";
-import { CallerObject, Configuration } from "../config/objects.js";
+import { Configuration, CustomerObject } from "../config/objects.js";
 
-/** A caller that presented a valid key. */
-export interface AuthenticatedCaller {
+/** A customer that presented a valid key. */
+export interface AuthenticatedCustomer {
     readonly name: string;
-    readonly object: CallerObject;
+    readonly object: CustomerObject;
 }
 
-/** Finds callers by key. */
-export interface CallerIndex {
-    find(authorization: string | undefined): AuthenticatedCaller | undefined;
+/** Finds customers by key. */
+export interface CustomerIndex {
+    find(authorization: string | undefined): AuthenticatedCustomer | undefined;
 }
 
 const bearerPrefix = "Bearer ";
 
 /**
- * Builds the index of callers of a configuration. Keys are looked up by their digest, so a look-up takes a time that
+ * Builds the index of customers of a configuration. Keys are looked up by their digest, so a look-up takes a time that
  * does not depend on how much of a key is right.
  *
  * @example
- * const index = buildCallerIndex(configuration);
+ * const index = buildCustomerIndex(configuration);
  * index.find("Bearer key")?.name;
  */
-export function buildCallerIndex(configuration: Configuration): CallerIndex {
-    const byDigest = new Map<string, { readonly digest: string; readonly caller: AuthenticatedCaller }>();
-    for (const [name, object] of Object.entries(configuration.objects.callers)) {
+export function buildCustomerIndex(configuration: Configuration): CustomerIndex {
+    const byDigest = new Map<string, { readonly digest: string; readonly customer: AuthenticatedCustomer }>();
+    for (const [name, object] of Object.entries(configuration.objects.customers)) {
         for (const digest of object.keyDigests) {
-            byDigest.set(digest, { digest, caller: { name, object } });
+            byDigest.set(digest, { digest, customer: { name, object } });
         }
     }
     return {
@@ -36,7 +36,7 @@
             }
             const digest = computeDigest(authorization.slice(bearerPrefix.length).trim());
             const entry = byDigest.get(digest);
-            return entry && isSameDigest(entry.digest, digest) ? entry.caller : undefined;
+            return entry && isSameDigest(entry.digest, digest) ? entry.customer : undefined;
         },
     };
 }
--- a/src/entry/callerServer.ts
+++ b/src/entry/customerServer.ts
@@ -2,8 +2,8 @@
 import { buildRequestError, ErrorCode } from "../base/requestError.js";
 import { Verdict } from "../base/verdict.js";
 import { Configuration } from "../config/objects.js";
-import { AuthenticatedCaller, buildCallerIndex, CallerIndex } from "./callerIndex.js";
 import { CompletionForm } from "./completionFormat.js";
+import { AuthenticatedCustomer, buildCustomerIndex, CustomerIndex } from "./customerIndex.js";
 import { sendError, sendText } from "./httpAnswer.js";
 import { handleCompletion, RouteContext } from "./modelRoute.js";
 import { handleServiceCall, parseServiceTarget } from "./serviceRoute.js";
@@ -12,7 +12,7 @@
 export type OperatorRoute = (request: http.IncomingMessage, response: http.ServerResponse) => Promise<boolean>;
 
 /** What the HTTP server of an entry needs. */
-export interface CallerServerContext extends RouteContext {
+export interface CustomerServerContext extends RouteContext {
     getConfiguration(): Configuration | undefined;
     isHealthy(): boolean;
     renderMetrics(): string;
@@ -27,14 +27,14 @@
  * the process.
  *
  * @example
- * http.createServer(createCallerHandler(context)).listen(8080);
+ * http.createServer(createCustomerHandler(context)).listen(8080);
  */
-export function createCallerHandler(context: CallerServerContext): http.RequestListener {
-    let indexed: { readonly configuration: Configuration; readonly index: CallerIndex } | undefined;
+export function createCustomerHandler(context: CustomerServerContext): http.RequestListener {
+    let indexed: { readonly configuration: Configuration; readonly index: CustomerIndex } | undefined;
 
-    function findCaller(configuration: Configuration, authorization: string | undefined) {
+    function findCustomer(configuration: Configuration, authorization: string | undefined) {
         if (indexed?.configuration !== configuration) {
-            indexed = { configuration, index: buildCallerIndex(configuration) };
+            indexed = { configuration, index: buildCustomerIndex(configuration) };
         }
         return indexed.index.find(authorization);
     }
@@ -42,7 +42,7 @@
     async function handleAuthenticated(
         request: http.IncomingMessage,
         response: http.ServerResponse,
-        caller: AuthenticatedCaller,
+        customer: AuthenticatedCustomer,
         configuration: Configuration,
     ): Promise<void> {
         const url = request.url ?? "/";
@@ -50,19 +50,19 @@
         const route = `${request.method} ${path}`;
         const target = parseServiceTarget(url);
         if (path.startsWith(operatorPrefix)) {
-            await handleOperator(request, response, caller);
+            await handleOperator(request, response, customer);
         }
         else if (route === "POST /v1/chat/completions") {
-            await handleCompletion(CompletionForm.Chat, request, response, caller, configuration, context);
+            await handleCompletion(CompletionForm.Chat, request, response, customer, configuration, context);
         }
         else if (route === "POST /v1/completions") {
-            await handleCompletion(CompletionForm.Text, request, response, caller, configuration, context);
+            await handleCompletion(CompletionForm.Text, request, response, customer, configuration, context);
         }
         else if (route === "GET /v1/models") {
             sendText(response, 200, "application/json", formatModels(configuration));
         }
         else if (target) {
-            await handleServiceCall(target, request, response, caller, configuration, context);
+            await handleServiceCall(target, request, response, customer, configuration, context);
         }
         else {
             sendError(response, buildRequestError(ErrorCode.NotFound, `no route for ${route}`, Verdict.NotRun));
@@ -72,10 +72,10 @@
     async function handleOperator(
         request: http.IncomingMessage,
         response: http.ServerResponse,
-        caller: AuthenticatedCaller,
+        customer: AuthenticatedCustomer,
     ): Promise<void> {
-        if (!caller.object.operator) {
-            const message = `caller "${caller.name}" is not an operator`;
+        if (!customer.object.operator) {
+            const message = `customer "${customer.name}" is not an operator`;
             sendError(response, buildRequestError(ErrorCode.Forbidden, message, Verdict.NotRun));
         }
         else if (!await context.operatorRoute(request, response)) {
@@ -101,13 +101,13 @@
             sendError(response, buildRequestError(ErrorCode.NoEndpoint, message, Verdict.NotRun));
             return;
         }
-        const caller = findCaller(configuration, request.headers.authorization);
-        if (!caller) {
+        const customer = findCustomer(configuration, request.headers.authorization);
+        if (!customer) {
             const message = "the API key is missing or unknown";
             sendError(response, buildRequestError(ErrorCode.Unauthorized, message, Verdict.NotRun));
             return;
         }
-        await handleAuthenticated(request, response, caller, configuration);
+        await handleAuthenticated(request, response, customer, configuration);
     }
 
     return (request, response) => {
--- a/src/entry/endpointLink.ts
+++ b/src/entry/endpointLink.ts
@@ -8,7 +8,7 @@
 export interface EndpointLinkSettings {
     readonly entry: string;
     readonly incarnation: string;
-    readonly place: string;
+    readonly dataCentre: string;
     readonly linkKey: string;
     readonly heartbeatIntervalMs: number;
     readonly maxFrameBytes: number;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -19,9 +19,9 @@
 import { createTokenEstimate } from "../routing/tokenEstimate.js";
 import { createRequestLimits, HeldRequest } from "../scheduling/requestLimits.js";
 import { AttemptEvent, AttemptEventKind } from "./attempt.js";
-import { createCallerHandler, OperatorRoute } from "./callerServer.js";
 import { ConfigurationSource } from "./configurationSource.js";
 import { createCrashGuard } from "./crashGuard.js";
+import { createCustomerHandler, OperatorRoute } from "./customerServer.js";
 import { EndpointLink, LinkState } from "./endpointLink.js";
 import { ApertureFunction, createLinkDirectory, LinkDirectory } from "./linkDirectory.js";
 import { RequestListener, RequestPlan, RequestTask, startRequest } from "./requestTask.js";
@@ -30,7 +30,7 @@
 /** Settings of an entry. */
 export interface EntrySettings {
     readonly name: string;
-    readonly place: string;
+    readonly dataCentre: string;
     readonly linkKey: string;
     /** Key that signs tickets, shared by the entries; the link key when empty. */
     readonly ticketKey?: string;
@@ -67,14 +67,14 @@
 /** What operators' routes can read of an entry. */
 export interface EntryState {
     readonly name: string;
-    readonly place: string;
+    readonly dataCentre: string;
     readonly directory: LinkDirectory;
     readonly metrics: Metrics;
     getConfiguration(): Configuration | undefined;
     countRequests(): number;
 }
 
-/** An entry: callers' HTTP on one side, links to sidecars on the other. */
+/** An entry: customers' HTTP on one side, links to sidecars on the other. */
 export interface Entry extends Disposable {
     readonly handler: http.RequestListener;
     readonly state: EntryState;
@@ -181,8 +181,8 @@
         if (refusal === undefined) {
             return makeSuccess(createDisposable(() => limits.release(request)));
         }
-        const { rank, caller } = request;
-        log(LogEvent.RequestRefused, { caller, rank, code: ErrorCode.Overloaded, limit: refusal });
+        const { rank, customer } = request;
+        log(LogEvent.RequestRefused, { customer, rank, code: ErrorCode.Overloaded, limit: refusal });
         const message = `the entry holds too much work of this ${refusal}`;
         const details = { retryAfterMs: overloadRetryAfterMs };
         return makeFailure(buildRequestError(ErrorCode.Overloaded, message, Verdict.NotRun, details));
@@ -192,7 +192,7 @@
         const observed = observe(plan, listener, timers.now());
         log(LogEvent.RequestAdmitted, {
             request: plan.id,
-            caller: plan.caller,
+            customer: plan.customer,
             rank: plan.rank,
             kind: plan.kind,
             promptTokens: plan.model?.promptTokens,
@@ -204,7 +204,7 @@
             log,
             directory,
             policy: parts.policy,
-            place: settings.place,
+            dataCentre: settings.dataCentre,
             retryBudget,
             checkFingerprint: fingerprint => crashGuard.check(fingerprint),
             countDecision: () => decision++,
@@ -228,7 +228,7 @@
 
     const state: EntryState = {
         name: settings.name,
-        place: settings.place,
+        dataCentre: settings.dataCentre,
         directory,
         metrics,
         getConfiguration: () => configuration.getCurrent(),
@@ -253,7 +253,7 @@
 
     return {
         state,
-        handler: createCallerHandler({
+        handler: createCustomerHandler({
             maxBodyBytes: settings.maxBodyBytes,
             maxUnsentBytes: settings.maxUnsentBytes,
             timers,
@@ -268,7 +268,7 @@
             isHealthy: () => !draining && configuration.getCurrent() !== undefined,
             renderMetrics: () => metrics.render(),
             operatorRoute: parts.createOperatorRoute(state),
-            reportFailure: error => log(LogEvent.TaskFailed, { task: "caller request", error: String(error) }),
+            reportFailure: error => log(LogEvent.TaskFailed, { task: "customer request", error: String(error) }),
         }),
         async drain() {
             draining = true;
--- a/src/entry/lengthCheck.ts
+++ b/src/entry/lengthCheck.ts
@@ -21,7 +21,7 @@
 /** Shorter bodies are read without a check: reading them costs less than looking at every endpoint. */
 const minCheckedBytes = 64 * 1024;
 
-/** Whether the caller permits that a prompt is split. */
+/** Whether the customer permits that a prompt is split. */
 export function isSplitAllowed(headers: http.IncomingHttpHeaders): boolean {
     return getHeader(headers, HeaderName.Split)?.trim().toLowerCase() === "allow";
 }
--- a/src/entry/linkDirectory.ts
+++ b/src/entry/linkDirectory.ts
@@ -124,7 +124,7 @@
         const isListedLeaving = hosts.get(object.host)?.state === HostState.Leaving;
         return {
             name,
-            place: object.place,
+            dataCentre: object.dataCentre,
             available: isConfigured && isServing && !entry.retired && !link.isLeaving() && !isListedLeaving
                 && link.getState() === LinkState.Open,
             load,
--- a/src/entry/linkOpening.ts
+++ b/src/entry/linkOpening.ts
@@ -10,7 +10,7 @@
 export interface LinkOpeningSettings {
     readonly entry: string;
     readonly incarnation: string;
-    readonly place: string;
+    readonly dataCentre: string;
     readonly linkKey: string;
     readonly maxFrameBytes: number;
 }
@@ -76,10 +76,10 @@
 
     function answerChallenge(challenge: Uint8Array) {
         sidecarNonce = challenge;
-        const { entry, incarnation, place } = settings;
+        const { entry, incarnation, dataCentre } = settings;
         const proof = signHandshake(settings.linkKey, LinkRole.Entry, challenge, nonce);
         const version = linkProtocolVersion;
-        connection.send({ type: LinkMessageType.Hello, version, entry, incarnation, place, nonce, proof });
+        connection.send({ type: LinkMessageType.Hello, version, entry, incarnation, dataCentre, nonce, proof });
     }
 
     function handleHandshake(message: SidecarMessage) {
--- a/src/entry/modelRoute.ts
+++ b/src/entry/modelRoute.ts
@@ -10,7 +10,6 @@
 import { computeLargestReservation } from "../routing/modelCapacity.js";
 import { readTerms } from "./admission.js";
 import { AttemptEvent, AttemptEventKind } from "./attempt.js";
-import { AuthenticatedCaller } from "./callerIndex.js";
 import {
     AnswerIdentity,
     CompletionForm,
@@ -19,17 +18,18 @@
     formatAnswer,
     parseCompletion,
 } from "./completionFormat.js";
+import { AuthenticatedCustomer } from "./customerIndex.js";
 import { HeaderName, sendError, sendText } from "./httpAnswer.js";
 import { buildTooLarge, checkContentLength, isSplitAllowed, LengthCheckContext } from "./lengthCheck.js";
 import { BodyContext, receiveBody } from "./receiveBody.js";
 import { RequestListener, RequestPlan, RequestTask } from "./requestTask.js";
 import { buildSplitPlan, SplitContext, startSplitRequest } from "./splitRequest.js";
 
-/** What the routes of callers need from the entry. */
+/** What the routes of customers need from the entry. */
 export interface RouteContext extends LengthCheckContext, BodyContext {
     readonly timers: TimerService;
     readonly log: EventLog;
-    /** Answer bytes that may wait for a caller that reads too slowly. */
+    /** Answer bytes that may wait for a customer that reads too slowly. */
     readonly maxUnsentBytes: number;
     wallNow(): number;
     start(plan: RequestPlan, listener: RequestListener): RequestTask;
@@ -43,15 +43,15 @@
     form: CompletionForm,
     request: http.IncomingMessage,
     response: http.ServerResponse,
-    caller: AuthenticatedCaller,
+    customer: AuthenticatedCustomer,
     configuration: Configuration,
     context: RouteContext,
 ): Promise<void> {
-    const terms = readTerms(request.headers, caller, configuration);
+    const terms = readTerms(request.headers, customer, configuration);
     if (terms.kind === ResultKind.Failure) {
         return sendError(response, terms.error);
     }
-    const holder = { caller: caller.name, rank: terms.value.rank };
+    const holder = { customer: customer.name, rank: terms.value.rank };
     const unreadable = checkContentLength(request.headers, terms.value, configuration, context);
     if (unreadable) {
         request.resume();
@@ -79,10 +79,10 @@
     const id = makeId();
     const plan: RequestPlan = {
         id,
-        caller: caller.name,
+        customer: customer.name,
         ...terms.value,
         waitedMs: context.tickets.readWaitedMs(request.headers, holder),
-        fingerprint: computeDigest(`${caller.name}\n${completion.prompt}`),
+        fingerprint: computeDigest(`${customer.name}\n${completion.prompt}`),
         streamed: completion.stream,
         model: {
             model: completion.model,
@@ -117,7 +117,7 @@
     });
 }
 
-/** Starts a request whole, or in parts if no endpoint can hold it and the caller permits that. */
+/** Starts a request whole, or in parts if no endpoint can hold it and the customer permits that. */
 function startPlan(
     plan: RequestPlan,
     maySplit: boolean,
@@ -140,11 +140,11 @@
         ? buildSplitPlan(plan, splitContext)
         : buildTooLarge(Math.max(0, largestReservation - work.maxOutputTokens));
     if ("code" in split) {
-        context.log(LogEvent.RequestRefused, { request: plan.id, caller: plan.caller, code: split.code });
+        context.log(LogEvent.RequestRefused, { request: plan.id, customer: plan.customer, code: split.code });
         listener({ kind: AttemptEventKind.Failed, error: split });
         return { cancel: () => undefined };
     }
-    context.log(LogEvent.RequestSplit, { request: plan.id, caller: plan.caller, parts: split.prompts.length });
+    context.log(LogEvent.RequestSplit, { request: plan.id, customer: plan.customer, parts: split.prompts.length });
     announceParts(split.prompts.length);
     return startSplitRequest(plan, split, splitContext, listener);
 }
--- a/src/entry/operatorRoute.ts
+++ b/src/entry/operatorRoute.ts
@@ -7,8 +7,8 @@
 import { Verdict } from "../base/verdict.js";
 import { LinkMessageType } from "../link/messages.js";
 import { LoadReport } from "../routing/loadReport.js";
-import { OperatorRoute } from "./callerServer.js";
 import { ConfigurationSource, ConfigurationSourceStatus } from "./configurationSource.js";
+import { OperatorRoute } from "./customerServer.js";
 import { EndpointLink, LinkState } from "./endpointLink.js";
 import { EntryState } from "./entry.js";
 import { readBoundedBody, sendError, sendText } from "./httpAnswer.js";
@@ -28,7 +28,7 @@
 /** Answer of `GET /operator/status`. */
 export interface EntryStatus {
     readonly entry: string;
-    readonly place: string;
+    readonly dataCentre: string;
     /** Generation of the configuration in force; -1 for none. */
     readonly generation: number;
     readonly digest?: string;
@@ -66,7 +66,7 @@
     const configuration = state.getConfiguration();
     return {
         entry: state.name,
-        place: state.place,
+        dataCentre: state.dataCentre,
         generation: configuration?.generation ?? -1,
         digest: configuration?.digest,
         requests: state.countRequests(),
--- a/src/entry/peerConfiguration.ts
+++ b/src/entry/peerConfiguration.ts
@@ -9,7 +9,7 @@
 /** Settings of the search for a configuration at peers. */
 export interface PeerSearchSettings {
     readonly entry: string;
-    readonly place: string;
+    readonly dataCentre: string;
     readonly linkKey: string;
     readonly maxFrameBytes: number;
     /** Sidecars that are asked, picked at random from the host list. */
--- a/src/entry/requestTask.ts
+++ b/src/entry/requestTask.ts
@@ -18,7 +18,7 @@
 /** A request as admitted by the entry. */
 export interface RequestPlan {
     readonly id: string;
-    readonly caller: string;
+    readonly customer: string;
     readonly rank: string;
     readonly kind: string;
     readonly limitMs: number;
@@ -26,7 +26,7 @@
     readonly fingerprint: string;
     readonly model?: ModelWork;
     readonly service?: ServiceWork;
-    /** Whether parts of the answer reach the caller before the end. */
+    /** Whether parts of the answer reach the customer before the end. */
     readonly streamed: boolean;
 }
 
@@ -35,7 +35,7 @@
 
 /** A request in progress. */
 export interface RequestTask {
-    /** The caller has gone: stops the request wherever it is. */
+    /** The customer has gone: stops the request wherever it is. */
     cancel(): void;
 }
 
@@ -46,7 +46,7 @@
     readonly log: EventLog;
     readonly directory: LinkDirectory;
     readonly policy: RoutingPolicy;
-    readonly place: string;
+    readonly dataCentre: string;
     readonly retryBudget: RetryBudget;
     /** Returns the refusal of a request that must not run. */
     checkFingerprint(fingerprint: string): RequestError | undefined;
@@ -97,7 +97,7 @@
         retryTimer?.dispose();
         log(LogEvent.RequestEnded, {
             request: plan.id,
-            caller: plan.caller,
+            customer: plan.customer,
             rank: plan.rank,
             attempts,
             elapsedMs: timers.now() - startedMs,
@@ -229,7 +229,7 @@
         const choice = policy(
             {
                 id: plan.id,
-                caller: plan.caller,
+                customer: plan.customer,
                 rank: plan.rank,
                 model: plan.model?.model,
                 promptTokens: plan.model?.promptTokens ?? 0,
@@ -240,7 +240,7 @@
                 affinityKey,
             },
             candidates,
-            { place: context.place, random: context.random, decision: context.countDecision() },
+            { dataCentre: context.dataCentre, random: context.random, decision: context.countDecision() },
         );
         const link = choice && context.directory.get(choice.endpoint);
         if (!choice || !link) {
@@ -261,7 +261,7 @@
         link.dispatch(
             {
                 request: id,
-                caller: plan.caller,
+                customer: plan.customer,
                 rank: plan.rank,
                 kind: plan.kind,
                 remainingMs,
@@ -279,7 +279,7 @@
     timer = timers.schedule(plan.limitMs, () => stop(ErrorCode.TimedOut, "the time limit passed"));
     context.retryBudget.recordRequest();
     attempt(undefined);
-    return { cancel: () => stop(ErrorCode.Cancelled, "the caller closed its connection") };
+    return { cancel: () => stop(ErrorCode.Cancelled, "the customer closed its connection") };
 }
 
 /** A repeated call with a key goes to the sidecar that has probably folded the key's partition already. */
@@ -287,5 +287,5 @@
     const key = plan.service?.idempotencyKey;
     return key === undefined
         ? undefined
-        : formatClaimStream(computePartition(plan.caller, key, defaultClaimPartitions));
+        : formatClaimStream(computePartition(plan.customer, key, defaultClaimPartitions));
 }
--- a/src/entry/serviceRoute.ts
+++ b/src/entry/serviceRoute.ts
@@ -6,7 +6,7 @@
 import { Configuration, findObject } from "../config/objects.js";
 import { readTerms } from "./admission.js";
 import { AttemptEventKind } from "./attempt.js";
-import { AuthenticatedCaller } from "./callerIndex.js";
+import { AuthenticatedCustomer } from "./customerIndex.js";
 import { HeaderName, sendError } from "./httpAnswer.js";
 import { RouteContext } from "./modelRoute.js";
 import { receiveBody } from "./receiveBody.js";
@@ -52,7 +52,7 @@
     target: ServiceTarget,
     request: http.IncomingMessage,
     response: http.ServerResponse,
-    caller: AuthenticatedCaller,
+    customer: AuthenticatedCustomer,
     configuration: Configuration,
     context: RouteContext,
 ): Promise<void> {
@@ -63,11 +63,11 @@
         return sendError(response, buildRequestError(ErrorCode.UnknownService, message, Verdict.NotRun));
     }
     const defaults = { rank: service.rank, limitMs: service.timeLimitMs };
-    const terms = readTerms(request.headers, caller, configuration, defaults);
+    const terms = readTerms(request.headers, customer, configuration, defaults);
     if (terms.kind === ResultKind.Failure) {
         return sendError(response, terms.error);
     }
-    const holder = { caller: caller.name, rank: terms.value.rank };
+    const holder = { customer: customer.name, rank: terms.value.rank };
     const body = await receiveBody(request, response, holder, context);
     if (body.kind === ResultKind.Failure) {
         return sendError(response, body.error);
@@ -78,10 +78,10 @@
     const idempotencyKey = request.headers[HeaderName.IdempotencyKey];
     const task = context.start({
         id,
-        caller: caller.name,
+        customer: customer.name,
         ...terms.value,
         waitedMs: context.tickets.readWaitedMs(request.headers, holder),
-        fingerprint: computeDigest(`${caller.name}\n${method} ${target.path}\n${computeDigest(body.value)}`),
+        fingerprint: computeDigest(`${customer.name}\n${method} ${target.path}\n${computeDigest(body.value)}`),
         streamed: false,
         service: {
             service: target.service,
--- a/src/entry/splitRequest.ts
+++ b/src/entry/splitRequest.ts
@@ -57,7 +57,7 @@
 }
 
 /**
- * Runs a prompt in parts, each an ordinary request of the caller, and then a request that merges the answers. All of them
+ * Runs a prompt in parts, each an ordinary request of the customer, and then a request that merges the answers. All of them
  * share the one time limit. When a part fails the others are cancelled and the request fails.
  */
 export function startSplitRequest(
@@ -99,7 +99,7 @@
             id: `${plan.id}.${suffix}`,
             limitMs: Math.max(1, Math.floor(plan.limitMs - elapsedMs)),
             waitedMs: plan.waitedMs + elapsedMs,
-            fingerprint: computeDigest(`${plan.caller}\n${prompt}`),
+            fingerprint: computeDigest(`${plan.customer}\n${prompt}`),
             streamed,
             model: {
                 ...plan.model!,
@@ -170,6 +170,6 @@
     startNext();
     return {
         cancel: () =>
-            fail(buildRequestError(ErrorCode.Cancelled, "the caller closed its connection", Verdict.MayHaveRun)),
+            fail(buildRequestError(ErrorCode.Cancelled, "the customer closed its connection", Verdict.MayHaveRun)),
     };
 }
--- a/src/entry/ticketDesk.ts
+++ b/src/entry/ticketDesk.ts
@@ -9,15 +9,15 @@
 
 /** Who asks, in which rank. */
 export interface TicketHolder {
-    readonly caller: string;
+    readonly customer: string;
     readonly rank: string;
 }
 
 /** Issues tickets with refusals and honours those that come back. */
 export interface TicketDesk {
-    /** Returns how long the caller has waited by its ticket, in milliseconds; 0 without a valid one. */
+    /** Returns how long the customer has waited by its ticket, in milliseconds; 0 without a valid one. */
     readWaitedMs(headers: http.IncomingHttpHeaders, holder: TicketHolder): number;
-    /** Adds a ticket to a refusal for overload. `waitedMs` is what the caller has waited so far. */
+    /** Adds a ticket to a refusal for overload. `waitedMs` is what the customer has waited so far. */
     appendTicket(error: RequestError, holder: TicketHolder, waitedMs: number): RequestError;
 }
 
@@ -37,17 +37,17 @@
             }
             const verified = signer.verify(text, holder, timers.wallNow());
             if (verified.kind === ResultKind.Failure) {
-                log(LogEvent.TicketIgnored, { caller: holder.caller, rank: holder.rank, reason: verified.error });
+                log(LogEvent.TicketIgnored, { customer: holder.customer, rank: holder.rank, reason: verified.error });
                 return 0;
             }
             return verified.value.waitedMs;
         },
-        appendTicket(error, { caller, rank }, waitedMs) {
+        appendTicket(error, { customer, rank }, waitedMs) {
             if (error.code !== ErrorCode.Overloaded) {
                 return error;
             }
             const nowMs = timers.wallNow();
-            return { ...error, ticket: signer.sign({ firstArrivalMs: nowMs - waitedMs, caller, rank }, nowMs) };
+            return { ...error, ticket: signer.sign({ firstArrivalMs: nowMs - waitedMs, customer, rank }, nowMs) };
         },
     };
 }
--- a/src/idempotency/claimFold.ts
+++ b/src/idempotency/claimFold.ts
@@ -62,7 +62,7 @@
     applyPage(page: LogPage): boolean;
     /** Applies the outcome of a claim before its record is in the log; only its holder may do so. */
     applyOutcome(claim: string, outcome: RecordedOutcome): void;
-    find(caller: string, key: string): LiveClaim | undefined;
+    find(customer: string, key: string): LiveClaim | undefined;
     getStanding(claim: string): ClaimStanding;
     /**
      * Time from which on the fold has seen every record, in milliseconds since the Unix epoch by the log's clock;
@@ -160,7 +160,7 @@
         if (byId.has(record.id) || (released && released.holder === record.holder)) {
             return;
         }
-        const scope = computeKeyScope(record.caller, record.key);
+        const scope = computeKeyScope(record.customer, record.key);
         // A claim that arrives after its key's window could meet a fold that has forgotten the key's earlier claim.
         if (keyTimeMs === undefined || timeMs > keyTimeMs + settings.windowMs || byScope.has(scope)) {
             markVoid(record.id, record.holder, timeMs);
@@ -265,7 +265,7 @@
                 setOutcome(held, outcome);
             }
         },
-        find: (caller, key) => byScope.get(computeKeyScope(caller, key)),
+        find: (customer, key) => byScope.get(computeKeyScope(customer, key)),
         getStanding(claim) {
             if (byId.has(claim)) {
                 return ClaimStanding.First;
--- a/src/idempotency/claimKey.ts
+++ b/src/idempotency/claimKey.ts
@@ -4,13 +4,13 @@
 export const defaultClaimPartitions = 8;
 
 /**
- * Returns the scope of a key: the same key of two callers is two keys, and the case of its digits does not matter.
+ * Returns the scope of a key: the same key of two customers is two keys, and the case of its digits does not matter.
  *
  * @example
  * computeKeyScope("kiosk", "0193A5B0-0000-7000-8000-000000000000");
  */
-export function computeKeyScope(caller: string, key: string): string {
-    return `${caller}\n${key.toLowerCase()}`;
+export function computeKeyScope(customer: string, key: string): string {
+    return `${customer}\n${key.toLowerCase()}`;
 }
 
 /**
@@ -19,8 +19,8 @@
  * @example
  * computePartition("kiosk", key, defaultClaimPartitions);
  */
-export function computePartition(caller: string, key: string, partitions: number): number {
-    return murmurhash.v3(computeKeyScope(caller, key)) % partitions;
+export function computePartition(customer: string, key: string, partitions: number): number {
+    return murmurhash.v3(computeKeyScope(customer, key)) % partitions;
 }
 
 /**
--- a/src/idempotency/claimRecords.ts
+++ b/src/idempotency/claimRecords.ts
@@ -22,7 +22,7 @@
     kind: z.literal(ClaimRecordKind.Claim),
     id,
     key: z.string(),
-    caller: z.string(),
+    customer: z.string(),
     fingerprint: z.string(),
     holder: z.string(),
     limitMs: z.number().min(0),
@@ -52,7 +52,7 @@
 const recordSchema = z.discriminatedUnion("kind", [claimSchema, outcomeSchema, releaseSchema, markSchema]);
 
 /**
- * A sidecar is about to run a call. `key` is the caller's UUIDv7, `fingerprint` a digest of service, method, path and
+ * A sidecar is about to run a call. `key` is the customer's UUIDv7, `fingerprint` a digest of service, method, path and
  * body, `holder` the process, `limitMs` the call's remaining time in milliseconds, `partitions` the number of claim
  * streams that the holder assumes.
  */
--- a/src/idempotency/sendDecision.ts
+++ b/src/idempotency/sendDecision.ts
@@ -5,7 +5,7 @@
 
 /** A send of a call that may run at most once. */
 export interface KeyedSend {
-    readonly caller: string;
+    readonly customer: string;
     readonly key: string;
     /** Digest of service, method, path and body. */
     readonly fingerprint: string;
@@ -49,7 +49,7 @@
  * @param nowMs wall-clock time in milliseconds since the Unix epoch
  *
  * @example
- * const decision = decideSend({ caller, key, fingerprint, claim: undefined }, fold, settings, timers.wallNow());
+ * const decision = decideSend({ customer, key, fingerprint, claim: undefined }, fold, settings, timers.wallNow());
  */
 export function decideSend(
     send: KeyedSend,
@@ -65,7 +65,7 @@
     if (keyTimeMs < fold.getHorizon()) {
         return refuse(ErrorCode.KeyExpired, `the idempotency key is older than ${settings.windowMs} ms`);
     }
-    const live = fold.find(send.caller, send.key);
+    const live = fold.find(send.customer, send.key);
     if (live && live.id !== send.claim) {
         return decideByClaim(send, live, nowMs);
     }
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -47,7 +47,7 @@
     readonly version: number;
     readonly entry: string;
     readonly incarnation: string;
-    readonly place: string;
+    readonly dataCentre: string;
     readonly nonce: Uint8Array;
     /** HMAC-SHA-256 over both nonces and the role. */
     readonly proof: Uint8Array;
@@ -59,7 +59,7 @@
     readonly proof: Uint8Array;
     readonly endpoint: string;
     readonly incarnation: string;
-    readonly place: string;
+    readonly dataCentre: string;
     readonly leaving: boolean;
     /** Generation of the configuration in force at the sidecar; -1 for none. */
     readonly generation: number;
@@ -108,13 +108,13 @@
     readonly request: string;
     /** Incarnation of the sidecar that the entry means; another incarnation refuses with `NotRun`. */
     readonly incarnation: string;
-    readonly caller: string;
+    readonly customer: string;
     readonly rank: string;
     readonly kind: string;
     readonly remainingMs: number;
-    /** How long the caller has waited in line already, from its ticket, in milliseconds. */
+    /** How long the customer has waited in line already, from its ticket, in milliseconds. */
     readonly waitedMs: number;
-    /** Digest of caller and body, for the isolation of requests that crash endpoints. */
+    /** Digest of customer and body, for the isolation of requests that crash endpoints. */
     readonly fingerprint: string;
     readonly attempt: number;
     readonly model?: ModelWork;
--- a/src/load/arrivals.ts
+++ b/src/load/arrivals.ts
@@ -8,7 +8,7 @@
     readonly atMs: number;
     readonly phase: string;
     readonly stream: string;
-    readonly caller: string;
+    readonly customer: string;
     readonly promptTokens: number;
     readonly outputTokens: number;
     readonly streamed: boolean;
@@ -71,12 +71,12 @@
 }
 
 function pickRequest(stream: LoadStream, random: RandomSource) {
-    const caller = pickWeighted(Object.entries(stream.callers), ([, weight]) => weight, random)[0];
+    const customer = pickWeighted(Object.entries(stream.customers), ([, weight]) => weight, random)[0];
     const band = pickWeighted(stream.prompt, ({ weight }) => weight, random);
     const promptTokens = Math.round(band.minTokens * (band.maxTokens / band.minTokens) ** random());
     const outputRange = stream.maxOutputTokens - stream.minOutputTokens + 1;
     return {
-        caller,
+        customer,
         promptTokens,
         outputTokens: stream.minOutputTokens + Math.floor(random() * Math.max(1, outputRange)),
         streamed: random() < stream.streamedShare,
--- a/src/load/loadClient.ts
+++ b/src/load/loadClient.ts
@@ -89,7 +89,7 @@
             dispatcher: agent,
             method: "POST",
             headers: {
-                "authorization": `Bearer ${plan.keys[arrival.caller]!}`,
+                "authorization": `Bearer ${plan.keys[arrival.customer]!}`,
                 "content-type": "application/json",
                 [HeaderName.Rank]: stream.rank,
                 [HeaderName.TimeLimit]: String(stream.timeLimitMs),
--- a/src/load/loadPlan.ts
+++ b/src/load/loadPlan.ts
@@ -32,8 +32,8 @@
     type: z.enum(RequestType).default(RequestType.Text),
     kind: name.optional(),
     rank: name,
-    /** Weights with which arrivals are spread over callers. */
-    callers: z.record(name, z.number().positive()),
+    /** Weights with which arrivals are spread over customers. */
+    customers: z.record(name, z.number().positive()),
     /** Bands of prompt lengths; the length is log-uniform inside a band. */
     prompt: z.array(bandSchema).default([{ weight: 1, minTokens: 1, maxTokens: 1 }]),
     minOutputTokens: count.default(16),
@@ -79,7 +79,7 @@
     seed: z.number().int().default(1),
     model: name,
     bytesPerToken: z.number().positive().default(defaultBytesPerToken),
-    /** API keys of the callers. */
+    /** API keys of the customers. */
     keys: z.record(name, z.string().min(1)),
     streams: z.record(name, streamSchema),
     phases: z.array(phaseSchema).min(1),
@@ -96,8 +96,8 @@
             context.addIssue({ code: "custom", message: `unknown name "${found}"`, path });
         }
     }
-    for (const [stream, { callers }] of Object.entries(plan.streams)) {
-        checkNames(Object.keys(callers), plan.keys, ["streams", stream, "callers"]);
+    for (const [stream, { customers }] of Object.entries(plan.streams)) {
+        checkNames(Object.keys(customers), plan.keys, ["streams", stream, "customers"]);
     }
     plan.phases.forEach((phase, index) => {
         const used = [...Object.keys(phase.rates), ...phase.surges.map(surge => surge.stream)];
--- a/src/load/loadReport.ts
+++ b/src/load/loadReport.ts
@@ -67,7 +67,7 @@
         formatGroups("phase", [...summary.byPhase, summary.all]),
         formatGroups("phase / prompt tokens", summary.byPhaseAndLength),
         formatGroups("phase / rank", summary.byPhaseAndRank),
-        formatGroups("phase / caller", summary.byPhaseAndCaller),
+        formatGroups("phase / customer", summary.byPhaseAndCustomer),
         ...(summary.problems.length === 0
             ? []
             : [formatTable(["problem", "count"], summary.problems.map(({ problem, count }) => [problem, count]))]),
--- a/src/load/outcome.ts
+++ b/src/load/outcome.ts
@@ -1,6 +1,6 @@
 import { Arrival } from "./arrivals.js";
 
-/** How a request of a load run ended, as its caller saw it. */
+/** How a request of a load run ended, as its customer saw it. */
 export enum OutcomeKind {
     /** The whole answer came and every byte was verified. */
     Completed = "completed",
--- a/src/load/summary.ts
+++ b/src/load/summary.ts
@@ -47,7 +47,7 @@
     readonly byPhase: readonly GroupSummary[];
     readonly byPhaseAndLength: readonly GroupSummary[];
     readonly byPhaseAndRank: readonly GroupSummary[];
-    readonly byPhaseAndCaller: readonly GroupSummary[];
+    readonly byPhaseAndCustomer: readonly GroupSummary[];
     /** Codes and messages of what was refused, failed or wrong, with their counts; the most frequent first. */
     readonly problems: readonly { readonly problem: string; readonly count: number }[];
     readonly faults: LoadRun["faults"];
@@ -138,7 +138,7 @@
 }
 
 /**
- * Summarises a run by phase, and in each phase by length, rank and caller.
+ * Summarises a run by phase, and in each phase by length, rank and customer.
  *
  * @example
  * const summary = computeLoadSummary(await runLoad(plan, 42, targets, faults, timers));
@@ -168,7 +168,7 @@
         byPhase: groupBy(outcome => outcome.arrival.phase),
         byPhaseAndLength: groupBy(outcome => `${outcome.arrival.phase} / ${getOutcomeClass(run, outcome)}`),
         byPhaseAndRank: groupBy(outcome => `${outcome.arrival.phase} / ${outcome.rank}`),
-        byPhaseAndCaller: groupBy(outcome => `${outcome.arrival.phase} / ${outcome.arrival.caller}`),
+        byPhaseAndCustomer: groupBy(outcome => `${outcome.arrival.phase} / ${outcome.arrival.customer}`),
         problems: [...problems].map(([problem, count]) => ({ problem, count }))
             .sort((left, right) => right.count - left.count).slice(0, shownProblems),
         faults: run.faults,
--- a/src/ports/hostList.ts
+++ b/src/ports/hostList.ts
@@ -8,7 +8,7 @@
 export interface HostRecord {
     /** Name of the host; an endpoint's configuration refers to it. */
     readonly name: string;
-    readonly place: string;
+    readonly dataCentre: string;
     /** IP address of the sidecar's link listener. */
     readonly address: string;
     readonly port: number;
@@ -18,7 +18,7 @@
 /** The platform's lagging list of endpoint hosts. */
 export interface HostList {
     /**
-     * Reads the current list. Throws when the platform is not reached; the caller keeps its last list.
+     * Reads the current list. Throws when the platform is not reached; the customer keeps its last list.
      */
     read(): Promise<readonly HostRecord[]>;
 }
--- a/src/ports/logService.ts
+++ b/src/ports/logService.ts
@@ -46,7 +46,7 @@
      */
     append(stream: string, values: readonly unknown[]): Promise<number>;
     /**
-     * Reads up to `limit` records from `fromOffset` on. Records that have expired are skipped: the caller compares
+     * Reads up to `limit` records from `fromOffset` on. Records that have expired are skipped: the customer compares
      * `firstOffset` with the offset that it asked for. Waits up to `waitMs` for a first record.
      *
      * @throws LogServiceError
--- a/src/ports/modelEngine.ts
+++ b/src/ports/modelEngine.ts
@@ -2,7 +2,7 @@
 
 /** A generation request as the sidecar gives it to its engine. */
 export interface EngineRequest {
-    /** Derived from the request id of the caller's request, so that a restarted sidecar finds it again. */
+    /** Derived from the request id of the customer's request, so that a restarted sidecar finds it again. */
     readonly id: string;
     readonly model: string;
     readonly adapter?: string;
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -36,7 +36,7 @@
     readonly quarantineMs: number;
 }
 
-/** Default times: a caller sends a failed request again within minutes; a quarantine outlasts a working day's retries. */
+/** Default times: a customer sends a failed request again within minutes; a quarantine outlasts a working day's retries. */
 export const defaultQuarantineSettings: QuarantineSettings = {
     suspicionMs: 10 * 60 * 1000,
     quarantineMs: 8 * 60 * 60 * 1000,
--- a/src/retries/retryPolicy.ts
+++ b/src/retries/retryPolicy.ts
@@ -8,7 +8,7 @@
     readonly verdict: Verdict;
     /** Whether the request may run more than once. */
     readonly repeatable: boolean;
-    /** Whether the caller has received a part of the answer. */
+    /** Whether the customer has received a part of the answer. */
     readonly delivered: boolean;
     readonly remainingMs: number;
     readonly attempts: number;
--- a/src/routing/aperture.ts
+++ b/src/routing/aperture.ts
@@ -2,32 +2,32 @@
 
 /** What the aperture needs to know of an endpoint. */
 export interface ApertureEndpoint {
-    readonly place: string;
+    readonly dataCentre: string;
     readonly model?: string;
     readonly service?: string;
 }
 
 /** How many endpoints of each model or service an entry links to. */
 export interface ApertureSettings {
-    readonly ownPlace: number;
-    readonly otherPlaces: number;
+    readonly ownDataCentre: number;
+    readonly otherDataCentres: number;
 }
 
 /**
- * Default aperture. With 610 entries and 7,700 endpoints of 7 models in 6 places, an entry keeps 336 links and an endpoint
+ * Default aperture. With 610 entries and 7,700 endpoints of 7 models in 6 data centres, an entry keeps 336 links and an endpoint
  * is known by 26 entries on average.
  */
-export const defaultApertureSettings: ApertureSettings = { ownPlace: 32, otherPlaces: 16 };
+export const defaultApertureSettings: ApertureSettings = { ownDataCentre: 32, otherDataCentres: 16 };
 
 /**
  * Chooses the endpoints that an entry links to: of each model or service a bounded number by rendezvous hash with the
- * entry's name, own place first. What the own place lacks is taken from the others.
+ * entry's name, own data centre first. What the own data centre lacks is taken from the others.
  *
  * @example
- * selectAperture({ entry: "entry-1", place: "larissa" }, Object.entries(endpoints), defaultApertureSettings);
+ * selectAperture({ entry: "entry-1", dataCentre: "larissa" }, Object.entries(endpoints), defaultApertureSettings);
  */
 export function selectAperture<Endpoint extends ApertureEndpoint>(
-    entry: { readonly entry: string; readonly place: string },
+    entry: { readonly entry: string; readonly dataCentre: string },
     endpoints: readonly (readonly [string, Endpoint])[],
     settings: ApertureSettings,
 ): readonly (readonly [string, Endpoint])[] {
@@ -43,13 +43,13 @@
         }
     }
     return [...groups.values()].flatMap(group => {
-        if (group.length <= settings.ownPlace + settings.otherPlaces) {
+        if (group.length <= settings.ownDataCentre + settings.otherDataCentres) {
             return group;
         }
-        const near = group.filter(([, { place }]) => place === entry.place);
-        const far = group.filter(([, { place }]) => place !== entry.place);
-        const ownCount = Math.min(near.length, settings.ownPlace);
-        const otherCount = settings.ownPlace + settings.otherPlaces - ownCount;
+        const near = group.filter(([, { dataCentre }]) => dataCentre === entry.dataCentre);
+        const far = group.filter(([, { dataCentre }]) => dataCentre !== entry.dataCentre);
+        const ownCount = Math.min(near.length, settings.ownDataCentre);
+        const otherCount = settings.ownDataCentre + settings.otherDataCentres - ownCount;
         const getName = ([name]: readonly [string, Endpoint]) => name;
         return [
             ...pickByRendezvous(entry.entry, near, getName, ownCount),
@@ -69,7 +69,7 @@
 
 /** Computes how evenly a fleet's entries cover its endpoints, for the choice of aperture sizes. */
 export function computeApertureCoverage(
-    entries: readonly { readonly entry: string; readonly place: string }[],
+    entries: readonly { readonly entry: string; readonly dataCentre: string }[],
     endpoints: readonly (readonly [string, ApertureEndpoint])[],
     settings: ApertureSettings,
 ): ApertureCoverage {
--- a/src/routing/modelCapacity.ts
+++ b/src/routing/modelCapacity.ts
@@ -28,8 +28,8 @@
 
 /**
  * Returns by how much a prompt passes its time limit at the best endpoint, in milliseconds; 0 if one can be in time or none
- * has reported. Only more urgent ranks count as ahead: inside a rank a caller without backlog is served next, whatever
- * other callers have queued. The guaranteed share of the rank bounds what more urgent ranks can delay.
+ * has reported. Only more urgent ranks count as ahead: inside a rank a customer without backlog is served next, whatever
+ * other customers have queued. The guaranteed share of the rank bounds what more urgent ranks can delay.
  */
 export function computeLateness(request: UnreadRequest, views: readonly EndpointView[]): number {
     let least = Number.POSITIVE_INFINITY;
--- a/src/routing/predictivePolicy.ts
+++ b/src/routing/predictivePolicy.ts
@@ -7,23 +7,23 @@
 
 /** Settings of the predictive policy. */
 export interface PredictiveSettings {
-    /** Random candidates of the own place that each decision compares. */
-    readonly ownPlaceChoices: number;
-    /** Random candidates of other places that each decision compares. */
-    readonly otherPlaceChoices: number;
+    /** Random candidates of the own data centre that each decision compares. */
+    readonly ownDataCentreChoices: number;
+    /** Random candidates of other data centres that each decision compares. */
+    readonly otherDataCentreChoices: number;
     /** Warm endpoints may have this multiple of the mean requests in progress. */
     readonly warmLoadFactor: number;
-    /** Another place is chosen only if its prediction is lower by this many milliseconds. */
-    readonly placeMarginMs: number;
+    /** Another data centre is chosen only if its prediction is lower by this many milliseconds. */
+    readonly dataCentreMarginMs: number;
     readonly maxPrefixes: number;
 }
 
 /** Default settings of the predictive policy. */
 export const defaultPredictiveSettings: PredictiveSettings = {
-    ownPlaceChoices: 3,
-    otherPlaceChoices: 2,
+    ownDataCentreChoices: 3,
+    otherDataCentreChoices: 2,
     warmLoadFactor: 1.25,
-    placeMarginMs: 10,
+    dataCentreMarginMs: 10,
     maxPrefixes: 20_000,
 };
 
@@ -105,26 +105,26 @@
         }
         // Short prompts prefer the endpoints without long ones and may still go elsewhere; long ones stay away.
         for (const pool of isShort ? [preferred, available] : [preferred]) {
-            const near = pool.filter(view => view.place === context.place);
-            const far = pool.filter(view => view.place !== context.place);
-            append(pickRandom(near, settings.ownPlaceChoices, context.random), "random", 0);
-            append(pickRandom(far, settings.otherPlaceChoices, context.random), "random", 0);
+            const near = pool.filter(view => view.dataCentre === context.dataCentre);
+            const far = pool.filter(view => view.dataCentre !== context.dataCentre);
+            append(pickRandom(near, settings.ownDataCentreChoices, context.random), "random", 0);
+            append(pickRandom(far, settings.otherDataCentreChoices, context.random), "random", 0);
         }
         return [...candidates.values()];
     }
 
-    function pickBest(candidates: readonly Candidate[], place: string): Candidate | undefined {
+    function pickBest(candidates: readonly Candidate[], dataCentre: string): Candidate | undefined {
         let near: Candidate | undefined;
         let far: Candidate | undefined;
         for (const candidate of candidates) {
-            const isNear = candidate.view.place === place;
+            const isNear = candidate.view.dataCentre === dataCentre;
             const best = isNear ? near : far;
             if (!best || candidate.predictedMs < best.predictedMs) {
                 near = isNear ? candidate : near;
                 far = isNear ? far : candidate;
             }
         }
-        const isFarBetter = !near || (far && far.predictedMs + settings.placeMarginMs < near.predictedMs);
+        const isFarBetter = !near || (far && far.predictedMs + settings.dataCentreMarginMs < near.predictedMs);
         return isFarBetter ? far : near;
     }
 
@@ -137,7 +137,7 @@
             if (request.promptTokens === 0) {
                 return chooseForCall(request, available, context);
             }
-            const best = pickBest(collectCandidates(request, available, context), context.place)!;
+            const best = pickBest(collectCandidates(request, available, context), context.dataCentre)!;
             prefixes.record(request.prefixDigest, best.view.name);
             return { endpoint: best.view.name, reason: best.reason, predictedMs: best.predictedMs };
         },
@@ -145,13 +145,13 @@
     };
 }
 
-/** Calls of plain services: by key where one is given, so that repeated ones meet; else the least loaded, own place first. */
+/** Calls of plain services: by key where one is given, so that repeated ones meet; else the least loaded, own data centre first. */
 function chooseForCall(request: RouteRequest, available: readonly EndpointView[], context: RouteContext): RouteChoice {
     if (request.affinityKey !== undefined) {
         const [view] = pickByRendezvous(request.affinityKey, available, candidate => candidate.name, 1);
         return { endpoint: view!.name, reason: "affinity" };
     }
-    const near = available.filter(view => view.place === context.place);
+    const near = available.filter(view => view.dataCentre === context.dataCentre);
     const pool = pickRandom(near.length > 0 ? near : available, 2, context.random);
     const computeLoad = (view: EndpointView) => view.outstandingRequests + (view.load?.queued ?? 0);
     const best = pool.reduce((left, right) => computeLoad(right) < computeLoad(left) ? right : left);
--- a/src/routing/routing.ts
+++ b/src/routing/routing.ts
@@ -10,7 +10,7 @@
 /** What an entry knows of an endpoint that it has a link to. */
 export interface EndpointView {
     readonly name: string;
-    readonly place: string;
+    readonly dataCentre: string;
     /** Whether the link is open, answers, and the endpoint takes new work. */
     readonly available: boolean;
     readonly load: LoadReport | undefined;
@@ -29,7 +29,7 @@
 /** What routing needs to know of a request. */
 export interface RouteRequest {
     readonly id: string;
-    readonly caller: string;
+    readonly customer: string;
     readonly rank: string;
     /** Name of the model; absent for calls of a plain service. */
     readonly model?: string;
@@ -54,7 +54,7 @@
 
 /** State that a policy keeps between decisions; each entry creates its own. */
 export interface RouteContext {
-    readonly place: string;
+    readonly dataCentre: string;
     readonly random: RandomSource;
     /** Counter of decisions, for round robin. */
     readonly decision: number;
--- a/src/scheduling/admissionEstimate.ts
+++ b/src/scheduling/admissionEstimate.ts
@@ -1,4 +1,4 @@
-import { CallerQueue } from "./callerQueue.js";
+import { CustomerQueue } from "./customerQueue.js";
 import { classShares, lengthClassCount } from "./lengthClass.js";
 import { computeLane, PrefillModel } from "./prefillModel.js";
 import { QueueEntry } from "./queueEntry.js";
@@ -7,7 +7,7 @@
 
 /** State that a prediction reads. */
 export interface EstimateState {
-    readonly lanes: readonly CallerQueue[];
+    readonly lanes: readonly CustomerQueue[];
     readonly ranks: readonly RankPolicy[];
     readonly shares: ServiceShares;
     readonly prefill: PrefillModel;
--- a/src/scheduling/backlog.ts
+++ b/src/scheduling/backlog.ts
@@ -7,14 +7,14 @@
     readonly maxQueuedBytes: number;
 }
 
-/** What is queued by rank and caller, and what gives way when the queue is full. */
+/** What is queued by rank and customer, and what gives way when the queue is full. */
 export interface Backlog {
     enqueue(entry: QueueEntry): void;
     remove(entry: QueueEntry): void;
     /** Whether the queue is within its bounds. */
     hasRoom(): boolean;
     /**
-     * Picks the entry that leaves a queue beyond its bounds: the newest of the longest caller backlog of the least
+     * Picks the entry that leaves a queue beyond its bounds: the newest of the longest customer backlog of the least
      * urgent rank above its share of the queue.
      */
     pickVictim(): QueueEntry | undefined;
@@ -31,7 +31,7 @@
 }
 
 interface RankBacklog {
-    readonly callers: Map<string, Holding>;
+    readonly customers: Map<string, Holding>;
     readonly longest: OrderedHeap<Holding>;
     size: number;
     bytes: number;
@@ -57,7 +57,7 @@
 
     function getRank(rankIndex: number): RankBacklog {
         return ranks[rankIndex] ??= {
-            callers: new Map(),
+            customers: new Map(),
             longest: createOrderedHeap((left, right) => computeHoldingUse(right) - computeHoldingUse(left)),
             size: 0,
             bytes: 0,
@@ -78,10 +78,10 @@
     return {
         enqueue(entry) {
             const rank = getRank(entry.rankIndex);
-            let holding = rank.callers.get(entry.item.caller);
+            let holding = rank.customers.get(entry.item.customer);
             if (!holding) {
                 holding = { newest: createOrderedHeap((left, right) => compareArrival(right, left)), bytes: 0 };
-                rank.callers.set(entry.item.caller, holding);
+                rank.customers.set(entry.item.customer, holding);
             }
             rank.longest.remove(holding);
             holding.newest.enqueue(entry);
@@ -90,7 +90,7 @@
         },
         remove(entry) {
             const rank = getRank(entry.rankIndex);
-            const holding = rank.callers.get(entry.item.caller);
+            const holding = rank.customers.get(entry.item.customer);
             if (!holding?.newest.has(entry)) {
                 return;
             }
@@ -101,7 +101,7 @@
                 rank.longest.enqueue(holding);
             }
             else {
-                rank.callers.delete(entry.item.caller);
+                rank.customers.delete(entry.item.customer);
             }
         },
         hasRoom: () => size <= bounds.maxQueuedRequests && bytes <= bounds.maxQueuedBytes,
--- a/src/scheduling/callerQueue.ts
+++ b/src/scheduling/customerQueue.ts
@@ -1,41 +1,41 @@
 import { createOrderedHeap, OrderedHeap } from "./orderedHeap.js";
 import { compareArrival, QueueEntry } from "./queueEntry.js";
 
-/** Start-time fair queueing by caller: the next item is of the caller that has received least for its weight. */
-export interface CallerQueue {
+/** Start-time fair queueing by customer: the next item is of the customer that has received least for its weight. */
+export interface CustomerQueue {
     enqueue(entry: QueueEntry): void;
     getNext(): QueueEntry | undefined;
-    /** Whether the next entry's caller uses less than its fair share, so that the entry need not wait for others. */
+    /** Whether the next entry's customer uses less than its fair share, so that the entry need not wait for others. */
     isNextLight(): boolean;
-    /** Removes the next entry and charges its cost to its caller. */
+    /** Removes the next entry and charges its cost to its customer. */
     take(): QueueEntry | undefined;
     remove(entry: QueueEntry): boolean;
-    /** Adds to what a caller was charged, when the true cost of started work is known. */
-    update(caller: string, costDifference: number): void;
+    /** Adds to what a customer was charged, when the true cost of started work is known. */
+    update(customer: string, costDifference: number): void;
     getSize(): number;
     /** Endpoint time of all queued work in milliseconds. */
     getQueuedMs(): number;
     /** Prompt tokens of all queued work that the engine has to compute. */
     getQueuedTokens(): number;
-    /** Endpoint time that is served before a new item of a caller, in milliseconds. */
+    /** Endpoint time that is served before a new item of a customer, in milliseconds. */
     computeAheadMs(entry: QueueEntry): number;
 }
 
 interface Flow {
-    readonly caller: string;
+    readonly customer: string;
     readonly entries: OrderedHeap<QueueEntry>;
-    /** Virtual time at which the caller's next item starts. */
+    /** Virtual time at which the customer's next item starts. */
     startTag: number;
-    /** Virtual time at which the caller's last started item ends. */
+    /** Virtual time at which the customer's last started item ends. */
     finishTag: number;
     queuedMs: number;
-    /** Latest arrival of an entry since the caller had none queued. */
+    /** Latest arrival of an entry since the customer had none queued. */
     newestMs: number;
 }
 
 /**
- * Entries of mean cost by which a caller that used less than its share may run ahead of the others, so that a short burst
- * of a small caller does not wait for callers with a long backlog. Over longer times the shares are equal all the same.
+ * Entries of mean cost by which a customer that used less than its share may run ahead of the others, so that a short burst
+ * of a small customer does not wait for customers with a long backlog. Over longer times the shares are equal all the same.
  */
 const creditEntries = 4;
 /** Weight of one entry in the mean cost. */
@@ -44,17 +44,17 @@
 /**
  * Creates a fair queue.
  *
- * @param getWeight weight of a caller; twice the weight receives twice the service
+ * @param getWeight weight of a customer; twice the weight receives twice the service
  *
  * @example
- * const queue = createCallerQueue(() => 1);
+ * const queue = createCustomerQueue(() => 1);
  */
-export function createCallerQueue(getWeight: (caller: string) => number): CallerQueue {
+export function createCustomerQueue(getWeight: (customer: string) => number): CustomerQueue {
     const flows = new Map<string, Flow>();
     const backlogged = createOrderedHeap<Flow>((left, right) =>
         left.startTag - right.startTag || compareArrival(left.entries.getFirst()!, right.entries.getFirst()!)
     );
-    /** Callers without queued work whose charge still lies ahead of the virtual time. */
+    /** Customers without queued work whose charge still lies ahead of the virtual time. */
     const idle = createOrderedHeap<Flow>((left, right) => left.finishTag - right.finishTag);
     let virtualTime = 0;
     let size = 0;
@@ -63,23 +63,23 @@
     /** Mean cost of an entry. */
     let meanCost = 0;
 
-    /** Where the next item of a caller starts that has queued nothing. */
+    /** Where the next item of a customer starts that has queued nothing. */
     function computeStartTag(flow: Flow): number {
         return Math.max(virtualTime - meanCost * creditEntries, flow.finishTag);
     }
 
-    function getFlow(caller: string): Flow {
-        let flow = flows.get(caller);
+    function getFlow(customer: string): Flow {
+        let flow = flows.get(customer);
         if (!flow) {
             flow = {
-                caller,
+                customer,
                 entries: createOrderedHeap(compareArrival),
                 startTag: 0,
                 finishTag: Number.NEGATIVE_INFINITY,
                 queuedMs: 0,
                 newestMs: Number.NEGATIVE_INFINITY,
             };
-            flows.set(caller, flow);
+            flows.set(customer, flow);
         }
         return flow;
     }
@@ -87,11 +87,11 @@
     function collectIdle() {
         for (let flow = idle.getFirst(); flow && flow.finishTag < computeStartTag(flow); flow = idle.getFirst()) {
             idle.remove(flow);
-            flows.delete(flow.caller);
+            flows.delete(flow.customer);
         }
     }
 
-    /** Queued work of a caller that arrived before a time; between its first and its newest it is taken as even. */
+    /** Queued work of a customer that arrived before a time; between its first and its newest it is taken as even. */
     function computeEarlierMs(flow: Flow | undefined, arrivedMs: number): number {
         const first = flow?.entries.getFirst();
         if (!flow || !first) {
@@ -105,7 +105,7 @@
     }
 
     function releaseEntry(flow: Flow, entry: QueueEntry) {
-        // The heap of callers compares first entries, so the caller leaves it while its entries change.
+        // The heap of customers compares first entries, so the customer leaves it while its entries change.
         backlogged.remove(flow);
         flow.entries.remove(entry);
         flow.queuedMs -= entry.endpointMs;
@@ -123,7 +123,7 @@
     return {
         enqueue(entry) {
             meanCost += (entry.cost - meanCost) * (meanCost === 0 ? 1 : learningRate);
-            const flow = getFlow(entry.item.caller);
+            const flow = getFlow(entry.item.customer);
             idle.remove(flow);
             if (!backlogged.remove(flow)) {
                 flow.startTag = computeStartTag(flow);
@@ -147,13 +147,13 @@
             }
             releaseEntry(flow, entry);
             virtualTime = Math.max(virtualTime, flow.startTag);
-            flow.finishTag = flow.startTag + entry.cost / getWeight(flow.caller);
+            flow.finishTag = flow.startTag + entry.cost / getWeight(flow.customer);
             flow.startTag = flow.finishTag;
             restore(flow);
             return entry;
         },
         remove(entry) {
-            const flow = flows.get(entry.item.caller);
+            const flow = flows.get(entry.item.customer);
             if (!flow?.entries.has(entry)) {
                 return false;
             }
@@ -161,12 +161,12 @@
             restore(flow);
             return true;
         },
-        update(caller, costDifference) {
-            const flow = flows.get(caller);
+        update(customer, costDifference) {
+            const flow = flows.get(customer);
             if (!flow) {
                 return;
             }
-            flow.finishTag += costDifference / getWeight(caller);
+            flow.finishTag += costDifference / getWeight(customer);
             if (backlogged.has(flow)) {
                 flow.startTag = computeStartTag(flow);
                 backlogged.update(flow);
@@ -178,14 +178,14 @@
         getSize: () => size,
         getQueuedMs: () => queuedMs,
         getQueuedTokens: () => queuedTokens,
-        computeAheadMs({ item: { caller, arrivedMs }, endpointMs }) {
-            const weight = getWeight(caller);
-            const ownMs = computeEarlierMs(flows.get(caller), arrivedMs);
+        computeAheadMs({ item: { customer, arrivedMs }, endpointMs }) {
+            const weight = getWeight(customer);
+            const ownMs = computeEarlierMs(flows.get(customer), arrivedMs);
             let aheadMs = ownMs;
-            // While this caller's backlog is served, each other one receives as much for its weight.
+            // While this customer's backlog is served, each other one receives as much for its weight.
             for (const flow of backlogged.list()) {
-                if (flow.caller !== caller) {
-                    aheadMs += Math.min(flow.queuedMs, (ownMs + endpointMs) * getWeight(flow.caller) / weight);
+                if (flow.customer !== customer) {
+                    aheadMs += Math.min(flow.queuedMs, (ownMs + endpointMs) * getWeight(flow.customer) / weight);
                 }
             }
             return aheadMs;
--- a/src/scheduling/fairScheduler.ts
+++ b/src/scheduling/fairScheduler.ts
@@ -1,7 +1,7 @@
 import { ErrorCode } from "../base/requestError.js";
 import { predictWaitMs } from "./admissionEstimate.js";
 import { createBacklog } from "./backlog.js";
-import { CallerQueue, createCallerQueue } from "./callerQueue.js";
+import { createCustomerQueue, CustomerQueue } from "./customerQueue.js";
 import { computeLengthClass, LengthClass, lengthClassCount } from "./lengthClass.js";
 import { createMemoryLedger, MemoryCheck } from "./memoryLedger.js";
 import { createOrderedHeap } from "./orderedHeap.js";
@@ -48,7 +48,7 @@
 
 /**
  * Creates the scheduler of an endpoint under load: ranks in strict order of urgency with guaranteed shares, fair queueing
- * by caller inside a rank and length class, memory reserved before the start, and admission against the time limit.
+ * by customer inside a rank and length class, memory reserved before the start, and admission against the time limit.
  *
  * @example
  * const scheduler = createFairScheduler(policy);
@@ -59,7 +59,7 @@
     let policy = initialPolicy;
     let ranks: readonly RankPolicy[] = [];
     let rankIndexes = new Map<string, number>();
-    let lanes: CallerQueue[] = [];
+    let lanes: CustomerQueue[] = [];
     let corrections: WaitCorrection[] = [];
     let backlog = createBacklog(initialPolicy);
     const queued = new Map<string, QueueEntry>();
@@ -72,7 +72,7 @@
     let nextOrder = 0;
     let runningSuspects = 0;
 
-    const getWeight = (caller: string) => Math.max(Number.EPSILON, policy.getWeight?.(caller) ?? 1);
+    const getWeight = (customer: string) => Math.max(Number.EPSILON, policy.getWeight?.(customer) ?? 1);
     const hasBacklog = (lane: number) => (lanes[lane]?.getSize() ?? 0) > 0 || prefill.countLane(lane) > 0;
 
     function getRankIndex(rank: string): number {
@@ -117,7 +117,7 @@
         rankIndexes = new Map(ranks.map((rank, index) => [rank.name, index]));
         const laneCount = Math.max(1, ranks.length) * lengthClassCount;
         const entries = [...queued.values()];
-        lanes = Array.from({ length: laneCount }, () => createCallerQueue(getWeight));
+        lanes = Array.from({ length: laneCount }, () => createCustomerQueue(getWeight));
         corrections = Array.from({ length: laneCount / lengthClassCount }, createWaitCorrection);
         backlog = createBacklog(policy);
         expiring.list().slice().forEach(entry => expiring.remove(entry));
@@ -351,7 +351,7 @@
             shares.record(lane, outputTokens, hasBacklog);
         }
         const trueCost = policy.cost({ ...entry.item, maxOutputTokens: outputTokens });
-        lanes[lane]?.update(entry.item.caller, trueCost - entry.cost);
+        lanes[lane]?.update(entry.item.customer, trueCost - entry.cost);
     }
 
     applyPolicy(initialPolicy);
--- a/src/scheduling/firstComeScheduler.ts
+++ b/src/scheduling/firstComeScheduler.ts
@@ -2,7 +2,7 @@
 import { AdmitKind, Scheduler, SchedulerPolicy, WorkItem } from "./scheduler.js";
 
 /**
- * Creates a scheduler that starts work in order of arrival, whatever its rank, caller or length. Kept as a baseline
+ * Creates a scheduler that starts work in order of arrival, whatever its rank, customer or length. Kept as a baseline
  * for measurements.
  *
  * @example
--- a/src/scheduling/requestLimits.ts
+++ b/src/scheduling/requestLimits.ts
@@ -9,18 +9,18 @@
 export enum LimitRefusal {
     /** The rank's part of the entry is full. */
     Rank = "rank",
-    /** The rank's part is nearly full and the caller holds more than its fair share of it. */
-    Caller = "caller",
+    /** The rank's part is nearly full and the customer holds more than its fair share of it. */
+    Customer = "customer",
 }
 
 /** Size of one request. */
 export interface HeldRequest {
     readonly rank: string;
-    readonly caller: string;
+    readonly customer: string;
     readonly bytes: number;
 }
 
-/** Requests and bytes that an entry holds, divided so that no flood shuts out another rank or a small caller. */
+/** Requests and bytes that an entry holds, divided so that no flood shuts out another rank or a small customer. */
 export interface RequestLimits {
     /** Replaces the ranks, most urgent first. */
     update(ranks: readonly string[]): void;
@@ -32,7 +32,7 @@
 
 /** Part of the entry that is kept for work more urgent than the least urgent rank. */
 const urgentReserve = 0.25;
-/** Part of a rank's room up to which callers are not compared. */
+/** Part of a rank's room up to which customers are not compared. */
 const fairnessThreshold = 0.5;
 
 interface Usage {
@@ -42,16 +42,16 @@
 
 /**
  * Creates the limits of one entry. Ranks share one pool; the less urgent a rank, the smaller the part of the pool up to
- * which it is admitted. Beyond half of its part, a caller is admitted only below an equal share of it.
+ * which it is admitted. Beyond half of its part, a customer is admitted only below an equal share of it.
  *
  * @example
  * const limits = createRequestLimits({ maxRequests: 10_000, maxBytes: 64 * 1024 * 1024 });
  * limits.update(["urgent", "bulk"]);
- * limits.acquire({ rank: "bulk", caller: "council-1", bytes: 2_000 }); // undefined: admitted
+ * limits.acquire({ rank: "bulk", customer: "council-1", bytes: 2_000 }); // undefined: admitted
  */
 export function createRequestLimits(settings: RequestLimitSettings): RequestLimits {
     const total: Usage = { requests: 0, bytes: 0 };
-    /** Usage by rank, then by caller: a caller's flood of one rank does not count against its work of another. */
+    /** Usage by rank, then by customer: a customer's flood of one rank does not count against its work of another. */
     const byRank = new Map<string, Map<string, Usage>>();
     let parts = new Map<string, number>();
 
@@ -59,13 +59,13 @@
         return parts.get(rank) ?? 1 - urgentReserve;
     }
 
-    function getCallers(rank: string): Map<string, Usage> {
-        let callers = byRank.get(rank);
-        if (!callers) {
-            callers = new Map();
-            byRank.set(rank, callers);
+    function getCustomers(rank: string): Map<string, Usage> {
+        let customers = byRank.get(rank);
+        if (!customers) {
+            customers = new Map();
+            byRank.set(rank, customers);
         }
-        return callers;
+        return customers;
     }
 
     /** Largest share of the pool that the usage with the request would take, in requests or in bytes. */
@@ -82,11 +82,11 @@
         if (share > part) {
             return LimitRefusal.Rank;
         }
-        const byCaller = getCallers(request.rank);
-        const usage = byCaller.get(request.caller) ?? { requests: 0, bytes: 0 };
-        const callers = byCaller.size + (byCaller.has(request.caller) ? 0 : 1);
-        const isOverFairShare = callers > 1 && usage.requests > 0 && computeShare(usage, request) > part / callers;
-        return share > part * fairnessThreshold && isOverFairShare ? LimitRefusal.Caller : undefined;
+        const byCustomer = getCustomers(request.rank);
+        const usage = byCustomer.get(request.customer) ?? { requests: 0, bytes: 0 };
+        const customers = byCustomer.size + (byCustomer.has(request.customer) ? 0 : 1);
+        const isOverFairShare = customers > 1 && usage.requests > 0 && computeShare(usage, request) > part / customers;
+        return share > part * fairnessThreshold && isOverFairShare ? LimitRefusal.Customer : undefined;
     }
 
     function change(usage: Usage, request: HeldRequest, sign: 1 | -1) {
@@ -104,23 +104,23 @@
             if (refusal !== undefined) {
                 return refusal;
             }
-            const byCaller = getCallers(request.rank);
-            const usage = byCaller.get(request.caller) ?? { requests: 0, bytes: 0 };
-            byCaller.set(request.caller, usage);
+            const byCustomer = getCustomers(request.rank);
+            const usage = byCustomer.get(request.customer) ?? { requests: 0, bytes: 0 };
+            byCustomer.set(request.customer, usage);
             change(usage, request, 1);
             change(total, request, 1);
             return undefined;
         },
         release(request) {
-            const byCaller = getCallers(request.rank);
-            const usage = byCaller.get(request.caller);
+            const byCustomer = getCustomers(request.rank);
+            const usage = byCustomer.get(request.customer);
             if (!usage) {
                 return;
             }
             change(usage, request, -1);
             change(total, request, -1);
             if (usage.requests === 0) {
-                byCaller.delete(request.caller);
+                byCustomer.delete(request.customer);
             }
         },
         getHeld: () => ({ ...total }),
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -5,7 +5,7 @@
 export interface WorkItem {
     readonly id: string;
     readonly rank: string;
-    readonly caller: string;
+    readonly customer: string;
     readonly kind: string;
     readonly promptTokens: number;
     /** Prompt tokens that the endpoint's prefix cache probably holds. */
@@ -15,7 +15,7 @@
     readonly arrivedMs: number;
     readonly deadlineMs: number;
     readonly bodyBytes: number;
-    /** Digest of caller and body; suspects of a crash run apart from each other. */
+    /** Digest of customer and body; suspects of a crash run apart from each other. */
     readonly fingerprint: string;
 }
 
@@ -60,7 +60,7 @@
     readonly share: number;
 }
 
-/** What a work item is charged to its caller. */
+/** What a work item is charged to its customer. */
 export type CostFunction = (item: WorkItem) => number;
 
 /** Counts of a scheduler, for load reports and metrics. */
@@ -102,8 +102,8 @@
     readonly ranks: readonly RankPolicy[];
     readonly capacity: EndpointCapacity;
     readonly cost: CostFunction;
-    /** Weight of a caller in fair queueing; 1 for all when absent. */
-    readonly getWeight?: (caller: string) => number;
+    /** Weight of a customer in fair queueing; 1 for all when absent. */
+    readonly getWeight?: (customer: string) => number;
     /** Whether a request with this fingerprint ran beside a crash; suspects run one at a time. */
     readonly isSuspect?: (fingerprint: string) => boolean;
     readonly maxQueuedRequests: number;
--- a/src/scheduling/ticket.ts
+++ b/src/scheduling/ticket.ts
@@ -3,9 +3,9 @@
 
 /** What a ticket says. Times are wall-clock milliseconds since the Unix epoch. */
 export interface Ticket {
-    /** When the caller first asked. */
+    /** When the customer first asked. */
     readonly firstArrivalMs: number;
-    readonly caller: string;
+    readonly customer: string;
     readonly rank: string;
     readonly expiresMs: number;
 }
@@ -15,19 +15,19 @@
     Malformed = "malformed",
     Forged = "forged",
     Expired = "expired",
-    OtherCaller = "other-caller",
+    OtherCustomer = "other-customer",
     OtherRank = "other-rank",
     /** The first arrival lies in the future. */
     Early = "early",
 }
 
-/** Issues and checks the tickets that keep a refused caller's place in line. */
+/** Issues and checks the tickets that keep a refused customer's place in line. */
 export interface TicketSigner {
     sign(ticket: Omit<Ticket, "expiresMs">, nowMs: number): string;
-    /** Returns how long the caller has waited already, in milliseconds. */
+    /** Returns how long the customer has waited already, in milliseconds. */
     verify(
         text: string,
-        request: { readonly caller: string; readonly rank: string },
+        request: { readonly customer: string; readonly rank: string },
         nowMs: number,
     ): Result<{ readonly firstArrivalMs: number; readonly waitedMs: number }, TicketFault>;
 }
@@ -43,7 +43,7 @@
  *
  * @example
  * const signer = createTicketSigner("key");
- * const text = signer.sign({ firstArrivalMs: 0, caller: "planner", rank: "bulk" }, 0);
+ * const text = signer.sign({ firstArrivalMs: 0, customer: "planner", rank: "bulk" }, 0);
  */
 export function createTicketSigner(key: string): TicketSigner {
     function computeProof(payload: string): Buffer {
@@ -64,9 +64,9 @@
         return makeSuccess(JSON.parse(Buffer.from(payload, "base64url").toString("utf8")) as Ticket);
     }
 
-    function check(ticket: Ticket, request: { readonly caller: string; readonly rank: string }, nowMs: number) {
-        if (ticket.caller !== request.caller) {
-            return TicketFault.OtherCaller;
+    function check(ticket: Ticket, request: { readonly customer: string; readonly rank: string }, nowMs: number) {
+        if (ticket.customer !== request.customer) {
+            return TicketFault.OtherCustomer;
         }
         if (ticket.rank !== request.rank) {
             return TicketFault.OtherRank;
--- a/src/sidecar/claims/claimPartition.ts
+++ b/src/sidecar/claims/claimPartition.ts
@@ -29,7 +29,7 @@
  *
  * @example
  * const partition = createClaimPartition("claims-0", service, timers, log, settings);
- * if (await partition.sync(1_000)) { partition.fold.find(caller, key); }
+ * if (await partition.sync(1_000)) { partition.fold.find(customer, key); }
  */
 export function createClaimPartition(
     stream: string,
--- a/src/sidecar/claims/claimRunner.ts
+++ b/src/sidecar/claims/claimRunner.ts
@@ -86,7 +86,7 @@
     async function run(): Promise<readonly SidecarMessage[]> {
         const acquired = await claims.acquire({
             request,
-            caller: work.dispatch.caller,
+            customer: work.dispatch.customer,
             key,
             fingerprint: computeFingerprint(call),
             deadlineMs,
--- a/src/sidecar/claims/claimTask.ts
+++ b/src/sidecar/claims/claimTask.ts
@@ -114,7 +114,7 @@
             kind: ClaimRecordKind.Claim,
             id: claim,
             key: call.key,
-            caller: call.caller,
+            customer: call.customer,
             fingerprint: call.fingerprint,
             holder,
             limitMs: Math.max(0, Math.ceil(call.deadlineMs - timers.now())),
@@ -134,7 +134,7 @@
     }
 
     async function acquire(call: ClaimedCall): Promise<AcquireResult> {
-        const partition = open(computePartition(call.caller, call.key, settings.partitions));
+        const partition = open(computePartition(call.customer, call.key, settings.partitions));
         const isKnown = partition.fold.getKnownFrom() !== undefined;
         if (!isKnown && !await partition.sync(Math.min(settings.claimLimitMs, call.deadlineMs - timers.now()))) {
             return describeNotRun(ErrorCode.LogUnavailable, "the log does not answer");
--- a/src/sidecar/itemBatcher.ts
+++ b/src/sidecar/itemBatcher.ts
@@ -4,7 +4,7 @@
 
 /**
  * Wraps a runner so that the items of a stream come at most once an interval. The first items are never held back. A
- * chunk costs the entry a frame and a write to its caller, so a fast stream is sent in chunks of several tokens.
+ * chunk costs the entry a frame and a write to its customer, so a fast stream is sent in chunks of several tokens.
  *
  * @param intervalMs least time between two chunks of one stream, in milliseconds; 0 sends each token as it comes
  *
--- a/src/sidecar/linkServer.ts
+++ b/src/sidecar/linkServer.ts
@@ -89,7 +89,7 @@
         session.lastReceivedMs = timers.now();
         session.lostTimer?.dispose();
         session.lostTimer = undefined;
-        log(LogEvent.LinkOpened, { entry: hello.entry, place: hello.place });
+        log(LogEvent.LinkOpened, { entry: hello.entry, dataCentre: hello.dataCentre });
         return session;
     }
 
--- a/src/sidecar/schedulerPolicy.ts
+++ b/src/sidecar/schedulerPolicy.ts
@@ -33,7 +33,7 @@
             maxRunning: endpoint?.maxRunning ?? defaultMaxRunning,
         },
         cost: buildCostFunction(configuration),
-        getWeight: caller => configuration?.objects.callers[caller]?.weight ?? 1,
+        getWeight: customer => configuration?.objects.customers[customer]?.weight ?? 1,
         maxQueuedRequests: settings.maxQueuedRequests,
         maxQueuedBytes: settings.maxQueuedBytes,
     };
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -33,7 +33,7 @@
 export interface SidecarSettings extends LinkServerSettings {
     /** Name of the endpoint in the configuration. */
     readonly endpoint: string;
-    readonly place: string;
+    readonly dataCentre: string;
     readonly maxQueuedRequests: number;
     readonly maxQueuedBytes: number;
     /** Least time between two chunks of one stream, in milliseconds; 0 or absent sends each token as it comes. */
@@ -137,7 +137,7 @@
         makeWelcome: () => ({
             endpoint: settings.endpoint,
             incarnation,
-            place: settings.place,
+            dataCentre: settings.dataCentre,
             leaving,
             generation: configuration?.generation ?? -1,
         }),
--- a/src/sidecar/workTable.ts
+++ b/src/sidecar/workTable.ts
@@ -111,8 +111,8 @@
             inherited: false,
             forget: undefined,
         });
-        const { rank, caller } = item;
-        log(LogEvent.WorkQueued, { request: item.id, rank, caller, position: decision.position });
+        const { rank, customer } = item;
+        log(LogEvent.WorkQueued, { request: item.id, rank, customer, position: decision.position });
         send(session, { type: LinkMessageType.Queued, request: item.id, position: decision.position });
         for (const dropped of decision.dropped) {
             const retryAfterMs = decision.droppedRetryAfterMs;
@@ -140,7 +140,7 @@
             work.state = WorkState.Running;
             started.record(item.id);
             const waitedMs = timers.now() - item.arrivedMs;
-            log(LogEvent.WorkStarted, { request: item.id, rank: item.rank, caller: item.caller, waitedMs });
+            log(LogEvent.WorkStarted, { request: item.id, rank: item.rank, customer: item.customer, waitedMs });
             work.priority = scheduler.getPriority(item);
             work.run = parts.runner(work, parts.makeListener(work));
         }
@@ -323,7 +323,7 @@
         type: LinkMessageType.Dispatch,
         request,
         incarnation: "",
-        caller: "",
+        customer: "",
         rank: "",
         kind: "",
         remainingMs: longestLimitMs,
@@ -337,7 +337,7 @@
     return {
         id: dispatch.request,
         rank: dispatch.rank,
-        caller: dispatch.caller,
+        customer: dispatch.customer,
         kind: dispatch.kind,
         promptTokens: dispatch.model?.promptTokens ?? 1,
         cachedTokens: 0,
--- a/test/config/references.test.ts
+++ b/test/config/references.test.ts
@@ -7,7 +7,7 @@
 
 type Sections = Record<string, Record<string, Record<string, unknown>>>;
 
-/** Each case breaks the sample in one way that an engine or a caller would otherwise meet at run time. */
+/** Each case breaks the sample in one way that an engine or a customer would otherwise meet at run time. */
 const cases: readonly (readonly [string, (sections: Sections) => void, readonly RegExp[]])[] = [
     ["a model without its version", s => delete s.versions!["demo-v1"], [
         /^f\.yaml: models\.demo: version: found "demo-v1"; allowed: a name in versions: demo-v2, other-v1$/,
@@ -30,18 +30,18 @@
     ["a kind's rank", s => s.kinds!.question!.rank = "x", [/kinds\.question: rank: found "x"; .*: urgent, bulk/]],
     ["a service's rank", s => s.services!.bookings!.rank = "x", [/services\.bookings: rank: found "x"/]],
     [
-        "a caller's rank and kind",
-        s => Object.assign(s.callers!.planner!, { ranks: ["urgent", "x"], defaultKind: "y" }),
+        "a customer's rank and kind",
+        s => Object.assign(s.customers!.planner!, { ranks: ["urgent", "x"], defaultKind: "y" }),
         [
-            /callers\.planner: ranks\.1: found "x"/,
-            /callers\.planner: defaultKind: found "y"; allowed: a name in kinds: question/,
+            /customers\.planner: ranks\.1: found "x"/,
+            /customers\.planner: defaultKind: found "y"; allowed: a name in kinds: question/,
         ],
     ],
     ["shares above 1", s => Object.assign(s.ranks!.urgent!, { share: 0.7 }) && (s.ranks!.bulk!.share = 0.4), [
         /ranks: share: found a sum of 1\.1 \(urgent 0\.7, bulk 0\.4\); allowed: .* at most 1/,
     ]],
-    ["a key digest of two callers", s => s.callers!.clerk = { ...s.callers!.planner }, [
-        /callers\.clerk: keyDigests\.0: found "a+", also in callers\.planner/,
+    ["a key digest of two customers", s => s.customers!.clerk = { ...s.customers!.planner }, [
+        /customers\.clerk: keyDigests\.0: found "a+", also in customers\.planner/,
     ]],
     ["schema and references at once", s => {
         delete s.models!.demo!.version;
--- a/test/config/samples.ts
+++ b/test/config/samples.ts
@@ -14,11 +14,11 @@
     adapters: { tone: { model: "demo", weights: "a1" } },
     ranks: { urgent: { urgency: 0, timeLimitMs: 10_000 }, bulk: { urgency: 1, timeLimitMs: 60_000 } },
     kinds: { question: { rank: "urgent" } },
-    callers: { planner: { keyDigests: ["a".repeat(64)], ranks: ["urgent"], defaultKind: "question" } },
+    customers: { planner: { keyDigests: ["a".repeat(64)], ranks: ["urgent"], defaultKind: "question" } },
     services: { bookings: { rank: "urgent", repeatable: false, timeLimitMs: 5_000 } },
     endpoints: {
-        "engine-1": { host: "host-1", place: "p", model: "demo", adapters: ["tone"], checksFencing: true },
-        "booking-1": { host: "host-2", place: "p", service: "bookings", checksFencing: false },
+        "engine-1": { host: "host-1", dataCentre: "p", model: "demo", adapters: ["tone"], checksFencing: true },
+        "booking-1": { host: "host-2", dataCentre: "p", service: "bookings", checksFencing: false },
     },
 };
 
--- a/test/docs/documents.test.ts
+++ b/test/docs/documents.test.ts
@@ -33,8 +33,8 @@
         assert.deepEqual(unused, []);
     });
 
-    test("the callers' page lists each error code", () => {
-        const page = read("docs/callers.md");
+    test("the customers' page lists each error code", () => {
+        const page = read("docs/customers.md");
         assert.deepEqual(Object.values(ErrorCode).filter(code => !page.includes(`\`${code}\``)), []);
     });
 
--- a/test/idempotency/claimFold.test.ts
+++ b/test/idempotency/claimFold.test.ts
@@ -15,14 +15,14 @@
 const settings = { ...defaultClaimFoldSettings, windowMs: 1_000, maxKeyAheadMs: 0, maxBodyBytes: 10 };
 const keyTimeMs = 1_700_000_000_000;
 const key = `${keyTimeMs.toString(16).padStart(12, "0").replace(/^(.{8})/, "$1-")}-7000-8000-000000000001`;
-const caller = "kiosk";
+const customer = "kiosk";
 
 function claim(id: string, holder: string): AnyClaimRecord {
     return {
         kind: ClaimRecordKind.Claim,
         id,
         key,
-        caller,
+        customer,
         fingerprint: "f",
         holder,
         limitMs: 100,
@@ -119,17 +119,17 @@
 }
 
 test("claim fold: an outcome by another process is not replayed", () => {
-    assert.equal(fold([claim("a", "A"), outcome("a", "B")]).find(caller, key)?.outcome, undefined);
+    assert.equal(fold([claim("a", "A"), outcome("a", "B")]).find(customer, key)?.outcome, undefined);
 });
 
 test("claim fold: recorded bodies are bounded, the oldest goes first", () => {
     const subject = fold([claim("a", "A"), outcome("a", "A", "12345678")]);
     const other = claim("b", "B") as Extract<AnyClaimRecord, { kind: ClaimRecordKind.Claim }>;
-    const records = [{ ...other, caller: "other" }, outcome("b", "B", "12345678")]
+    const records = [{ ...other, customer: "other" }, outcome("b", "B", "12345678")]
         .map((value, index) => ({ offset: 3 + index, timeMs: keyTimeMs + 20, value }));
     subject.applyPage({ records, firstOffset: 0, endOffset: 5 });
-    assert.equal(subject.find(caller, key)?.outcome?.body, undefined);
-    assert.equal(subject.find(caller, key)?.outcome?.status, 200);
+    assert.equal(subject.find(customer, key)?.outcome?.body, undefined);
+    assert.equal(subject.find(customer, key)?.outcome?.status, 200);
     assert.equal(subject.find("other", key)?.outcome?.body, "12345678");
 });
 
@@ -137,13 +137,13 @@
     const subject = fold([]);
     const records = [{ offset: 5, timeMs: keyTimeMs + 20, value: claim("a", "A") }];
     subject.applyPage({ records, firstOffset: 5, endOffset: 6 });
-    const send = { caller, key, fingerprint: "f", claim: "a" };
+    const send = { customer, key, fingerprint: "f", claim: "a" };
     assert.equal(decideSend(send, subject, settings, keyTimeMs + 30).kind, SendDecisionKind.Refuse);
     assert.equal(decideSend(send, fold([claim("a", "A")]), settings, keyTimeMs + 30).kind, SendDecisionKind.Run);
 });
 
 test("claim fold: a send whose claim has lost claims again once the key is free, and does not run on the lost one", () => {
-    const send = { caller, key, fingerprint: "f", claim: "b" };
+    const send = { customer, key, fingerprint: "f", claim: "b" };
     const records = [claim("a", "A"), claim("b", "B")];
     assert.equal(decideSend(send, fold(records), settings, keyTimeMs + 30).kind, SendDecisionKind.InProgress);
     const freed = fold([...records, release("a", "A")]);
@@ -152,7 +152,7 @@
 
 test("claim fold: a key that was forgotten stays expired when the clock goes back", () => {
     const subject = fold([claim("a", "A"), outcome("a", "A")]);
-    const send = { caller, key, fingerprint: "f", claim: undefined };
+    const send = { customer, key, fingerprint: "f", claim: undefined };
     assert.equal(decideSend(send, subject, settings, keyTimeMs + 30).kind, SendDecisionKind.Replay);
     assert.equal(decideSend(send, subject, settings, keyTimeMs + 2_000).kind, SendDecisionKind.Refuse);
     assert.equal(subject.countKeys(), 0);
@@ -162,8 +162,8 @@
 test("keys spread over the partitions and keep theirs", () => {
     const counts = Array<number>(8).fill(0);
     for (let index = 0; index < 8_000; index++) {
-        counts[computePartition(`caller-${index % 13}`, `${key}${index}`, counts.length)]!++;
+        counts[computePartition(`customer-${index % 13}`, `${key}${index}`, counts.length)]!++;
     }
     assert.ok(counts.every(count => count > 800 && count < 1_200), counts.join(" "));
-    assert.equal(computePartition(caller, key, 8), computePartition(caller, key.toUpperCase(), 8));
+    assert.equal(computePartition(customer, key, 8), computePartition(customer, key.toUpperCase(), 8));
 });
--- a/test/load/load.test.ts
+++ b/test/load/load.test.ts
@@ -28,7 +28,7 @@
         streams: {
             short: {
                 rank: "urgent",
-                callers: { small: 1, large: 20 },
+                customers: { small: 1, large: 20 },
                 prompt: [{ weight: 49, minTokens: 100, maxTokens: 1_000 }, {
                     weight: 1,
                     minTokens: 2_000,
@@ -74,8 +74,8 @@
     assert.notDeepEqual(arrivals, buildArrivals(plan, 8));
     const tolerance = 4 * Math.sqrt(5_000);
     assert.ok(Math.abs(arrivals.length - 5_000) < tolerance, `${arrivals.length} arrivals instead of about 5000`);
-    const large = arrivals.filter(arrival => arrival.caller === "large").length / arrivals.length;
-    assert.ok(Math.abs(large - 20 / 21) < 0.02, `share of the large caller is ${large}`);
+    const large = arrivals.filter(arrival => arrival.customer === "large").length / arrivals.length;
+    assert.ok(Math.abs(large - 20 / 21) < 0.02, `share of the large customer is ${large}`);
     const long = arrivals.filter(arrival => arrival.promptTokens >= 2_000).length / arrivals.length;
     assert.ok(Math.abs(long - 0.02) < 0.01, `share of long prompts is ${long}`);
 });
--- a/test/path/atMostOnce.test.ts
+++ b/test/path/atMostOnce.test.ts
@@ -6,13 +6,13 @@
 import { computeDigest, makeId } from "../../src/base/ids.js";
 import { StartedProcess, startProcess } from "./processes.js";
 
-const place = "larissa";
+const dataCentre = "larissa";
 const apiKey = "test-key";
 const serviceDelayMs = 400;
 const limitMs = 2_500;
 const settleMs = 10_000;
 
-/** One route from callers to the shared service: an entry that links to one sidecar only. */
+/** One route from customers to the shared service: an entry that links to one sidecar only. */
 interface Route {
     readonly endpoint: string;
     entry: StartedProcess;
@@ -52,10 +52,10 @@
     return `
 ranks: { urgent: { urgency: 0, timeLimitMs: 10000 } }
 kinds: { booking: { rank: urgent } }
-callers: { kiosk: { keyDigests: ["${computeDigest(apiKey)}"], defaultKind: booking } }
+customers: { kiosk: { keyDigests: ["${computeDigest(apiKey)}"], defaultKind: booking } }
 services: { bookings: { rank: urgent, repeatable: false, timeLimitMs: ${limitMs} } }
 endpoints:
-  ${endpoint}: { host: ${endpoint}, place: ${place}, service: bookings, checksFencing: false }
+  ${endpoint}: { host: ${endpoint}, dataCentre: ${dataCentre}, service: bookings, checksFencing: false }
 `;
 }
 
@@ -65,7 +65,7 @@
 async function startRoute(endpoint: string, hosts: StartedProcess, directory: string): Promise<Route> {
     const file = join(directory, `${endpoint}.yaml`);
     await writeFile(file, makeConfiguration(endpoint));
-    const common = ["--place", place, "--link-key", "k"];
+    const common = ["--data-centre", dataCentre, "--link-key", "k"];
     const startSidecar = (port: string) =>
         start("sidecar", ...common, "--port", port, "--endpoint", endpoint, "--service", service.address, ...[
             ...["--log-service", log.address, "--claim-partitions", "2"],
@@ -74,7 +74,7 @@
     const startEntry = (port: string) =>
         start("entry", ...common, "--port", port, "--hosts", hosts.address, "--config", file, "--name", endpoint);
     const sidecar = await startSidecar("0");
-    const host = { name: endpoint, place, address: "127.0.0.1", port: Number(getPort(sidecar)), state: "live" };
+    const host = { name: endpoint, dataCentre, address: "127.0.0.1", port: Number(getPort(sidecar)), state: "live" };
     await fetch(`${hosts.address}/hosts/${endpoint}`, { method: "PUT", body: JSON.stringify(host) });
     const route: Route = {
         endpoint,
@@ -103,7 +103,7 @@
 
 const wait = (durationMs: number) => new Promise(resolve => setTimeout(resolve, durationMs));
 
-/** Sends a booking. A connection that breaks is an answer without a verdict, as a caller sees it. */
+/** Sends a booking. A connection that breaks is an answer without a verdict, as a customer sees it. */
 async function send(route: Route, key: string | undefined, body = key): Promise<Answer> {
     try {
         const response = await fetch(`${route.entry.address}/v1/services/bookings/crews`, {
@@ -124,7 +124,7 @@
     }
 }
 
-/** Sends until the answer is final: as a caller does that needs to know. */
+/** Sends until the answer is final: as a customer does that needs to know. */
 async function sendUntil(route: Route, key: string, isFinal: (answer: Answer) => boolean): Promise<Answer> {
     const endMs = performance.now() + settleMs;
     for (;;) {
@@ -222,7 +222,7 @@
         strike: route => void route.sidecar.child.kill("SIGSTOP"),
         repair: route => void route.sidecar.child.kill("SIGCONT"),
         during: ["may-have-run"],
-        // The resumed holder frees the key, and the caller's next send runs.
+        // The resumed holder frees the key, and the customer's next send runs.
         runs: [1],
         verdict: ["ran"],
     },
@@ -256,7 +256,7 @@
 ];
 
 for (const { name, moment, strike, repair, during, runs, verdict } of cases) {
-    test(`a booking runs at most once when ${name} and the caller sends again elsewhere`, async () => {
+    test(`a booking runs at most once when ${name} and the customer sends again elsewhere`, async () => {
         const [struck, other] = routes;
         const key = makeId();
         await setLogFaults({ answerDelayMs: moment === Moment.Claim ? 400 : 0 });
@@ -278,7 +278,7 @@
     });
 }
 
-test("one key through two entries and sidecars at once runs once and both callers get the answer", async () => {
+test("one key through two entries and sidecars at once runs once and both customers get the answer", async () => {
     const key = makeId();
     const answers = await Promise.all([send(routes[0], key), send(routes[1], key), send(routes[0], key)]);
     assert.equal(await countRuns(key), 1);
--- a/test/path/configuration.test.ts
+++ b/test/path/configuration.test.ts
@@ -10,21 +10,23 @@
 import { StartedProcess, startProcess } from "./processes.js";
 
 const mainPath = fileURLToPath(new URL("../../src/main.js", import.meta.url));
-const place = "galway";
+const dataCentre = "galway";
 const key = "operator-key";
 const inForceMs = 3_000;
 const endpoints = ["badges-1", "badges-2", "badges-3"];
-const link = ["--place", place, "--port", "0", "--link-key", "k"];
+const link = ["--data-centre", dataCentre, "--port", "0", "--link-key", "k"];
 
 function makeFile(limitMs: number): string {
     return `
 ranks: { urgent: { urgency: 0, timeLimitMs: ${limitMs} } }
 kinds: { question: { rank: urgent } }
-callers: { operator: { keyDigests: ["${computeDigest(key)}"], defaultKind: question, operator: true } }
+customers: { operator: { keyDigests: ["${computeDigest(key)}"], defaultKind: question, operator: true } }
 services: { badges: { rank: urgent, repeatable: false, timeLimitMs: 5000 } }
 endpoints:
 ${
-        endpoints.map(name => `  ${name}: { host: ${name}, place: ${place}, service: badges, checksFencing: false }`)
+        endpoints.map(name =>
+            `  ${name}: { host: ${name}, dataCentre: ${dataCentre}, service: badges, checksFencing: false }`
+        )
             .join("\n")
     }
 `;
@@ -41,7 +43,7 @@
     const sidecar = await startProcess("sidecar", "--endpoint", name, "--service", service.address, ...link);
     sidecars.set(name, sidecar);
     const [address, port] = sidecar.address.split(":");
-    const host = { name, place, address, port: Number(port), state: "live" };
+    const host = { name, dataCentre, address, port: Number(port), state: "live" };
     await fetch(`${hosts.address}/hosts/${name}`, { method: "PUT", body: JSON.stringify(host) });
 }
 
--- a/test/path/fleet.ts
+++ b/test/path/fleet.ts
@@ -6,7 +6,7 @@
 
 /** API keys of the fleet's configuration. */
 export const fleetKeys = { planner: "planner-key", operator: "operator-key" } as const;
-export const fleetPlace = "larissa";
+export const fleetDataCentre = "larissa";
 
 /** Settings of a fleet of separate processes. */
 export interface FleetSettings {
@@ -38,7 +38,16 @@
     close(): Promise<void>;
 }
 
-const linkFlags = ["--place", fleetPlace, "--port", "0", "--link-key", "fleet-key", "--heartbeat-interval-ms", "300"];
+const linkFlags = [
+    "--data-centre",
+    fleetDataCentre,
+    "--port",
+    "0",
+    "--link-key",
+    "fleet-key",
+    "--heartbeat-interval-ms",
+    "300",
+];
 
 function makeConfigurationFile(endpoints: readonly { name: string; target: string }[]): string {
     return JSON.stringify({
@@ -46,14 +55,14 @@
         versions: { "demo-v1": { model: "demo", weights: "demo-v1" } },
         ranks: { urgent: { urgency: 0, timeLimitMs: 15_000 }, bulk: { urgency: 2, timeLimitMs: 60_000 } },
         kinds: { question: { rank: "urgent" } },
-        callers: {
+        customers: {
             planner: { keyDigests: [computeDigest(fleetKeys.planner)], defaultKind: "question" },
             operator: { keyDigests: [computeDigest(fleetKeys.operator)], defaultKind: "question", operator: true },
         },
         services: { bookings: { rank: "urgent", repeatable: false, timeLimitMs: 8_000 } },
         endpoints: Object.fromEntries(endpoints.map(({ name, target }) => [name, {
             host: name,
-            place: fleetPlace,
+            dataCentre: fleetDataCentre,
             checksFencing: true,
             ...(target === "model" ? { model: "demo" } : { service: "bookings" }),
         }])),
@@ -79,7 +88,7 @@
         const [address, port] = sidecar.address.split(":");
         await fetch(`${hosts.address}/hosts/${name}`, {
             method: "PUT",
-            body: JSON.stringify({ name, place: fleetPlace, address, port: Number(port), state: "live" }),
+            body: JSON.stringify({ name, dataCentre: fleetDataCentre, address, port: Number(port), state: "live" }),
         });
         return sidecar;
     }
--- a/test/path/path.test.ts
+++ b/test/path/path.test.ts
@@ -7,18 +7,18 @@
 import { makeExpectedOutput } from "../../src/emulator/engine/tokens.js";
 import { StartedProcess, startProcess } from "./processes.js";
 
-const place = "larissa";
+const dataCentre = "larissa";
 const key = "test-key";
 const configurationFile = `
 models: { demo: { version: demo-v1 } }
 versions: { demo-v1: { model: demo, weights: demo-v1 } }
 ranks: { urgent: { urgency: 0, timeLimitMs: 10000 } }
 kinds: { question: { rank: urgent } }
-callers: { planner: { keyDigests: ["${computeDigest(key)}"], defaultKind: question } }
+customers: { planner: { keyDigests: ["${computeDigest(key)}"], defaultKind: question } }
 services: { bookings: { rank: urgent, repeatable: false, timeLimitMs: 5000 } }
 endpoints:
-  engine-1: { host: host-1, place: ${place}, model: demo, checksFencing: true }
-  booking-1: { host: host-2, place: ${place}, service: bookings, checksFencing: false }
+  engine-1: { host: host-1, dataCentre: ${dataCentre}, model: demo, checksFencing: true }
+  booking-1: { host: host-2, dataCentre: ${dataCentre}, service: bookings, checksFencing: false }
 `;
 
 const processes: StartedProcess[] = [];
@@ -33,7 +33,7 @@
 
 async function registerHost(hostsUrl: string, name: string, address: string): Promise<void> {
     const [ip, port] = address.split(":");
-    const host = { name, place, address: ip, port: Number(port), state: "live" };
+    const host = { name, dataCentre, address: ip, port: Number(port), state: "live" };
     await fetch(`${hostsUrl}/hosts/${name}`, { method: "PUT", body: JSON.stringify(host) });
 }
 
@@ -47,7 +47,7 @@
         start("emulate", "service"),
     ]);
     serviceUrl = service.address;
-    const link = ["--place", place, "--port", "0", "--link-key", "k"];
+    const link = ["--data-centre", dataCentre, "--port", "0", "--link-key", "k"];
     const [first, second] = await Promise.all([
         start("sidecar", "--endpoint", "engine-1", "--engine", engine.address, ...link),
         start("sidecar", "--endpoint", "booking-1", "--service", service.address, ...link),
--- a/test/retries/retries.test.ts
+++ b/test/retries/retries.test.ts
@@ -21,7 +21,7 @@
     ["non-idempotent work that may have run", { repeatable: false }, RetryDecision.GiveUp],
     ["non-idempotent work that did not run", { repeatable: false, verdict: Verdict.NotRun }, RetryDecision.Retry],
     ["work that ran", { verdict: Verdict.Ran }, RetryDecision.GiveUp],
-    ["an answer that the caller has seen in part", { delivered: true }, RetryDecision.GiveUp],
+    ["an answer that the customer has seen in part", { delivered: true }, RetryDecision.GiveUp],
     ["no time left", { remainingMs: 0 }, RetryDecision.GiveUp],
     ["too many attempts", { attempts: maxAttempts }, RetryDecision.GiveUp],
     [
--- a/test/rollout/fleet.ts
+++ b/test/rollout/fleet.ts
@@ -122,7 +122,7 @@
         models: { demo: { version, loadingShare: 0.5 } },
         versions: { v1: { model: "demo", weights: "w1" }, v2: { model: "demo", weights: "w2" } },
         endpoints: Object.fromEntries(
-            names.map(name => [name, { host: name, place: "larissa", model: "demo", checksFencing: true }]),
+            names.map(name => [name, { host: name, dataCentre: "larissa", model: "demo", checksFencing: true }]),
         ),
     });
     return { generation, digest: "", objects };
--- a/test/routing/routing.test.ts
+++ b/test/routing/routing.test.ts
@@ -35,7 +35,7 @@
 function makeView(name: string, changes: Partial<EndpointView> = {}): EndpointView {
     return {
         name,
-        place: "larissa",
+        dataCentre: "larissa",
         available: true,
         load: makeLoad(),
         loadAgeMs: 0,
@@ -50,7 +50,7 @@
 function makeRequest(changes: Partial<RouteRequest> = {}): RouteRequest {
     return {
         id: "r",
-        caller: "planner",
+        customer: "planner",
         rank: "normal",
         model: "demo",
         promptTokens: 1_000,
@@ -112,24 +112,24 @@
         views: readonly EndpointView[],
         policy = createPredictivePolicy(defaultPredictiveSettings),
     ) {
-        const context = { place: "larissa", random: createSeededRandomSource(5), decision: 0 };
+        const context = { dataCentre: "larissa", random: createSeededRandomSource(5), decision: 0 };
         return policy.choose(request, views, context);
     }
     const busy = (tokens: number) => ({ load: makeLoad({ normal: [tokens, 0] }) });
     const cases: readonly (readonly [string, readonly EndpointView[], string | undefined])[] = [
         ["the endpoint that answers first", [makeView("a", busy(4_000)), makeView("b")], "b"],
-        ["the own place while another is better by less than the margin", [
+        ["the own dataCentre while another is better by less than the margin", [
             makeView("own", busy(160)),
-            makeView("far", { place: "volos" }),
+            makeView("far", { dataCentre: "volos" }),
         ], "own"],
         [
-            "another place when it is better by more",
-            [makeView("own", busy(600)), makeView("far", { place: "volos" })],
+            "another dataCentre when it is better by more",
+            [makeView("own", busy(600)), makeView("far", { dataCentre: "volos" })],
             "far",
         ],
-        ["another place when it is the only one", [
+        ["another dataCentre when it is the only one", [
             makeView("own", { available: false }),
-            makeView("far", { place: "volos" }),
+            makeView("far", { dataCentre: "volos" }),
         ], "far"],
         ["nothing when none is available", [makeView("own", { available: false })], undefined],
     ];
@@ -174,7 +174,7 @@
                 promptTokens: isLong ? 100_000 : 500,
                 prefixDigest: String(Math.floor(random() * 1e6)),
             });
-            const { endpoint } = policy.choose(request, views, { place: "larissa", random, decision: index })!;
+            const { endpoint } = policy.choose(request, views, { dataCentre: "larissa", random, decision: index })!;
             const counts = isLong ? used.long : used.short;
             if (index >= 2_000) {
                 counts.set(endpoint, (counts.get(endpoint) ?? 0) + 1);
@@ -190,7 +190,7 @@
     const cases: readonly (readonly [string, string, number, readonly Partial<EndpointView>[], number])[] = [
         ["a prompt that an idle endpoint computes in time", "normal", 40_000, [{}], 0],
         ["a prompt that no endpoint computes in time", "normal", 240_000, [{}, {}], 2_000],
-        ["the backlog of other callers in the rank does not count", "normal", 40_000, [{ load: busy }], 0],
+        ["the backlog of other customers in the rank does not count", "normal", 40_000, [{ load: busy }], 0],
         ["more urgent work counts", "normal", 180_000, [{ load: busy }], 500],
         ["the guaranteed share bounds what more urgent work delays", "normal", 5_000, [
             { load: makeLoad({ urgent: [900_000, 0] }) },
@@ -218,17 +218,20 @@
 });
 
 suite("aperture", () => {
-    const places = Array.from({ length: 6 }, (unused, index) => `place-${index}`);
+    const dataCentres = Array.from({ length: 6 }, (unused, index) => `dataCentre-${index}`);
     const endpoints = Array.from(
         { length: 7_700 },
         (unused, index) =>
-            [`engine-${index}`, { place: places[index % 6]!, model: `model-${Math.floor(index / 6) % 7}` }] as const,
+            [`engine-${index}`, {
+                dataCentre: dataCentres[index % 6]!,
+                model: `model-${Math.floor(index / 6) % 7}`,
+            }] as const,
     );
 
     test("610 entries with bounded links leave no endpoint of 7,700 that few entries know", () => {
         const entries = Array.from({ length: 610 }, (unused, index) => ({
             entry: `entry-${index}`,
-            place: places[index % 6]!,
+            dataCentre: dataCentres[index % 6]!,
         }));
         const coverage = computeApertureCoverage(entries, endpoints, defaultApertureSettings);
         console.log(`aperture: ${JSON.stringify(coverage)}`);
@@ -238,7 +241,7 @@
     });
 
     test("an endpoint that comes or goes moves few links of an entry", () => {
-        const entry = { entry: "entry-1", place: "place-0" };
+        const entry = { entry: "entry-1", dataCentre: "dataCentre-0" };
         const before = new Set(selectAperture(entry, endpoints, defaultApertureSettings).map(([name]) => name));
         const after = selectAperture(entry, endpoints.slice(77), defaultApertureSettings);
         const added = after.filter(([name]) => !before.has(name)).length;
@@ -247,6 +250,9 @@
 
     test("a small fleet is known whole", () => {
         const few = endpoints.slice(0, 40);
-        assert.deepEqual(selectAperture({ entry: "e", place: "place-1" }, few, defaultApertureSettings).length, 40);
+        assert.deepEqual(
+            selectAperture({ entry: "e", dataCentre: "dataCentre-1" }, few, defaultApertureSettings).length,
+            40,
+        );
     });
 });
--- a/test/scheduling/fairScheduler.test.ts
+++ b/test/scheduling/fairScheduler.test.ts
@@ -12,7 +12,7 @@
     return {
         id,
         rank: "normal",
-        caller: "planner",
+        customer: "planner",
         kind: "question",
         promptTokens: 1_000,
         cachedTokens: 0,
@@ -69,19 +69,21 @@
             expected: ["short", "medium", "long"],
         },
         {
-            name: "one caller's backlog does not delay another caller's first request",
-            items: [..."abcd"].map(id => makeItem(id, { caller: "large" })).concat(makeItem("x", { caller: "small" })),
+            name: "one customer's backlog does not delay another customer's first request",
+            items: [..."abcd"].map(id => makeItem(id, { customer: "large" })).concat(
+                makeItem("x", { customer: "small" }),
+            ),
             expected: ["a", "x", "b", "c", "d"],
         },
         {
             name: "twice the weight receives twice the service",
-            items: [..."abcd"].map(id => makeItem(id, { caller: "double" }))
-                .concat([..."wxyz"].map(id => makeItem(id, { caller: "single" }))),
+            items: [..."abcd"].map(id => makeItem(id, { customer: "double" }))
+                .concat([..."wxyz"].map(id => makeItem(id, { customer: "single" }))),
             weights: { double: 2 },
             expected: ["a", "w", "b", "c", "x", "d", "y", "z"],
         },
         {
-            name: "a request with a ticket keeps its place in its caller's line",
+            name: "a request with a ticket keeps its dataCentre in its customer's line",
             items: [makeItem("late"), makeItem("early", { arrivedMs: -60_000 })],
             expected: ["early", "late"],
         },
@@ -91,7 +93,7 @@
             const scheduler = createFairScheduler(makePolicy({
                 // Each prompt fills the endpoint's slot, so that the queue alone decides the order.
                 capacity: { ...engineCapacity, maxRunning: 1 },
-                getWeight: caller => weights?.[caller] ?? 1,
+                getWeight: customer => weights?.[customer] ?? 1,
             }));
             items.forEach(item => scheduler.admit(item, 0));
             assert.deepEqual(drainInOrder(scheduler, items.length), expected);
@@ -154,13 +156,13 @@
         {
             name: "urgent work above its share gives way to bulk work",
             flood: { rank: "urgent" },
-            newcomer: { rank: "bulk", caller: "small" },
+            newcomer: { rank: "bulk", customer: "small" },
             dropsFrom: "flood",
         },
         {
-            name: "a long backlog gives way to another caller of the rank",
+            name: "a long backlog gives way to another customer of the rank",
             flood: {},
-            newcomer: { caller: "small" },
+            newcomer: { customer: "small" },
             dropsFrom: "flood",
         },
         { name: "a flood gives way to nobody but itself", flood: {}, newcomer: {}, dropsFrom: undefined },
@@ -169,9 +171,9 @@
         test(`in a full queue, ${name}`, () => {
             const scheduler = createFairScheduler(makePolicy({ maxQueuedRequests: 30 }));
             for (let index = 0; index < 30; index++) {
-                scheduler.admit(makeItem(`flood-${index}`, { caller: "flood", ...flood }), 0);
+                scheduler.admit(makeItem(`flood-${index}`, { customer: "flood", ...flood }), 0);
             }
-            const decision = scheduler.admit(makeItem("newcomer", { caller: "flood", ...newcomer }), 0);
+            const decision = scheduler.admit(makeItem("newcomer", { customer: "flood", ...newcomer }), 0);
             if (dropsFrom === undefined) {
                 const refusal = getRefusal(decision);
                 assert.equal(refusal.code, ErrorCode.Overloaded);
@@ -188,7 +190,7 @@
     | {
         readonly kind: "admit";
         readonly rank: number;
-        readonly caller: number;
+        readonly customer: number;
         readonly tokens: number;
         readonly suspect: boolean;
     }
@@ -204,7 +206,7 @@
             arbitrary: fc.record({
                 kind: fc.constant("admit" as const),
                 rank: fc.nat({ max: 3 }),
-                caller: fc.nat({ max: 5 }),
+                customer: fc.nat({ max: 5 }),
                 tokens: fc.oneof(fc.integer({ min: 1, max: 5_000 }), fc.integer({ min: 1, max: 500_000 })),
                 suspect: fc.boolean(),
             }),
@@ -235,7 +237,7 @@
                     case "admit": {
                         const item = makeItem(`item-${index}`, {
                             rank: threeRanks[event.rank]?.name ?? "not configured",
-                            caller: `caller-${event.caller}`,
+                            customer: `customer-${event.customer}`,
                             promptTokens: event.tokens,
                             arrivedMs: nowMs,
                             deadlineMs: nowMs + 60_000,
--- a/test/scheduling/floods.test.ts
+++ b/test/scheduling/floods.test.ts
@@ -21,7 +21,7 @@
 const urgent: Stream = {
     name: "urgent",
     rank: "urgent",
-    caller: "rota",
+    customer: "rota",
     requestsPerSecond: 4,
     promptTokens: random => 1_000 + 2_000 * random(),
     outputTokens: 40,
@@ -30,7 +30,7 @@
 const normal: Stream = {
     name: "normal",
     rank: "normal",
-    caller: "ledger",
+    customer: "ledger",
     requestsPerSecond: 1,
     promptTokens: random => 2_000 + 4_000 * random(),
     outputTokens: 80,
@@ -40,18 +40,18 @@
 const bulk: Stream = {
     name: "bulk",
     rank: "bulk",
-    caller: "contracts",
+    customer: "contracts",
     requestsPerSecond: 3,
     promptTokens: (random: RandomSource) => 10_000 + random() * random() * 250_000,
     outputTokens: 100,
     limitMs: 3_600_000,
 };
 
-function makeCallers(name: string, count: number, requestsPerSecond: number): Stream[] {
+function makeCustomers(name: string, count: number, requestsPerSecond: number): Stream[] {
     return Array.from({ length: count }, (unused, index) => ({
         ...urgent,
         name: `${name}-${index}`,
-        caller: `${name}-${index}`,
+        customer: `${name}-${index}`,
         requestsPerSecond,
     }));
 }
@@ -112,18 +112,18 @@
         assertAtMost(failed, 0.01 * (failed + completed), "admitted urgent requests late");
     });
 
-    test("two callers that send twenty times the rest do not slow the others down", () => {
-        const small = makeCallers("small", 8, 0.5);
+    test("two customers that send twenty times the rest do not slow the others down", () => {
+        const small = makeCustomers("small", 8, 0.5);
         const names = small.map(stream => stream.name);
         const alone = runFair(small);
-        const result = run("two large callers", [...small, ...makeCallers("large", 2, 10)]);
-        assertAtMost(p95(result, ...names), 1.3 * p95(alone, ...names), "small callers' p95 first token");
+        const result = run("two large customers", [...small, ...makeCustomers("large", 2, 10)]);
+        assertAtMost(p95(result, ...names), 1.3 * p95(alone, ...names), "small customers' p95 first token");
         assert.equal(names.reduce((sum, name) => sum + get(result, name).refused + get(result, name).failed, 0), 0);
     });
 
     for (const [basis, cost] of [["token", undefined], ["weighted request", () => 1]] as const) {
-        test(`callers beyond their share receive equal service by ${basis}`, () => {
-            const streams = [...makeCallers("small", 8, 4), ...makeCallers("large", 2, 80)];
+        test(`customers beyond their share receive equal service by ${basis}`, () => {
+            const streams = [...makeCustomers("small", 8, 4), ...makeCustomers("large", 2, 80)];
             const policy = makePolicy(cost && { cost });
             const result = runEndpoint(createFairScheduler(policy), streams, options);
             const service = [...result.streams.values()].map(stream => cost ? stream.completed : stream.prefilled);
@@ -135,7 +135,7 @@
 
     test("short prompts are as fast beside long ones as alone", () => {
         const short = { ...urgent, name: "short", rank: "normal" };
-        const long = { ...bulk, name: "long", caller: "other", rank: "normal", requestsPerSecond: 0.1 };
+        const long = { ...bulk, name: "long", customer: "other", rank: "normal", requestsPerSecond: 0.1 };
         const alone = runFair([short]);
         const result = run("short beside long", [short, long]);
         assertAtMost(p95(result, "short"), 1.2 * p95(alone, "short"), "p95 first token of short prompts");
@@ -146,7 +146,7 @@
 test("a flood of short prompts does not starve a long one of the same rank", () => {
     const short = { ...urgent, requestsPerSecond: 30, promptTokens: () => 1_000 };
     const long = { ...urgent, name: "long", requestsPerSecond: 0.02, promptTokens: () => 40_000, limitMs: 600_000 };
-    const { longestWaitMs, firstTokenMs } = get(runFair([short, { ...long, caller: "other" }]), "long");
+    const { longestWaitMs, firstTokenMs } = get(runFair([short, { ...long, customer: "other" }]), "long");
     // A tenth of the rank's service computes 40,000 tokens in 20 s; a second prompt may be ahead.
     assert.ok(firstTokenMs.length > 0);
     assertAtMost(longestWaitMs, 60_000, "wait of a long prompt in ms");
@@ -154,20 +154,20 @@
 
 const floodedRank = fc.record({
     tokens: fc.integer({ min: 1_000, max: 60_000 }),
-    callers: fc.integer({ min: 1, max: 4 }),
+    customers: fc.integer({ min: 1, max: 4 }),
     share: fc.double({ min: 0.05, max: 0.25, noNaN: true }),
 });
 
 test("any flood of all ranks leaves each its configured share within a fifth of it", () => {
     fc.assert(
         fc.property(fc.tuple(floodedRank, floodedRank, floodedRank), fc.nat({ max: 1e6 }), (floods, seed) => {
-            const streams = floods.flatMap(({ tokens, callers }, rankIndex) =>
-                Array.from({ length: callers }, (unused, caller): Stream => ({
-                    name: `${rankIndex}-${caller}`,
+            const streams = floods.flatMap(({ tokens, customers }, rankIndex) =>
+                Array.from({ length: customers }, (unused, customer): Stream => ({
+                    name: `${rankIndex}-${customer}`,
                     rank: threeRanks[rankIndex]!.name,
-                    caller: `caller-${caller}`,
+                    customer: `customer-${customer}`,
                     // Twice the engine's rate for each rank.
-                    requestsPerSecond: 2 * engineCapacity.prefillTokensPerSecond / tokens / callers,
+                    requestsPerSecond: 2 * engineCapacity.prefillTokensPerSecond / tokens / customers,
                     promptTokens: () => tokens,
                     outputTokens: 10,
                     limitMs: 3_600_000,
@@ -192,24 +192,24 @@
     );
 });
 
-test("no flood of other callers makes a small caller of the rank wait longer than two prompts of theirs", () => {
+test("no flood of other customers makes a small customer of the rank wait longer than two prompts of theirs", () => {
     fc.assert(
         fc.property(
             fc.integer({ min: 1, max: 8 }),
             fc.integer({ min: 500, max: 4_000 }),
             fc.integer({ min: 500, max: 4_000 }),
             fc.nat({ max: 1e6 }),
-            (callers, floodTokens, smallTokens, seed) => {
-                const flood = makeCallers(
+            (customers, floodTokens, smallTokens, seed) => {
+                const flood = makeCustomers(
                     "large",
-                    callers,
-                    3 * engineCapacity.prefillTokensPerSecond / floodTokens / callers,
+                    customers,
+                    3 * engineCapacity.prefillTokensPerSecond / floodTokens / customers,
                 )
                     .map(stream => ({ ...stream, promptTokens: () => floodTokens }));
                 const small = {
                     ...urgent,
                     name: "small",
-                    caller: "small",
+                    customer: "small",
                     requestsPerSecond: 0.2,
                     promptTokens: () => smallTokens,
                 };
--- a/test/scheduling/requestLimits.test.ts
+++ b/test/scheduling/requestLimits.test.ts
@@ -18,47 +18,47 @@
     const floods: readonly (readonly [string, HeldRequest, HeldRequest])[] = [
         [
             "a flood of the least urgent rank leaves room for urgent work",
-            { rank: "bulk", caller: "large", bytes: 10 },
-            { rank: "urgent", caller: "planner", bytes: 10 },
+            { rank: "bulk", customer: "large", bytes: 10 },
+            { rank: "urgent", customer: "planner", bytes: 10 },
         ],
         [
             "a flood of large bodies leaves room for urgent work",
-            { rank: "bulk", caller: "large", bytes: 2_000 },
-            { rank: "urgent", caller: "planner", bytes: 500 },
+            { rank: "bulk", customer: "large", bytes: 2_000 },
+            { rank: "urgent", customer: "planner", bytes: 500 },
         ],
         [
-            "the same caller's flood of bulk work does not shut out its urgent work",
-            { rank: "bulk", caller: "large", bytes: 10 },
-            { rank: "urgent", caller: "large", bytes: 10 },
+            "the same customer's flood of bulk work does not shut out its urgent work",
+            { rank: "bulk", customer: "large", bytes: 10 },
+            { rank: "urgent", customer: "large", bytes: 10 },
         ],
     ];
     for (const [name, flood, other] of floods) {
         test(name, () => {
             const limits = createRequestLimits(settings);
             limits.update(ranks);
-            // Several callers together can fill the whole part of a rank.
-            for (const caller of [flood.caller, "large-2", "large-3", "large-4"]) {
-                fill(limits, { ...flood, caller });
+            // Several customers together can fill the whole part of a rank.
+            for (const customer of [flood.customer, "large-2", "large-3", "large-4"]) {
+                fill(limits, { ...flood, customer });
             }
             assert.notEqual(limits.acquire(flood), undefined);
             assert.equal(limits.acquire(other), undefined);
         });
     }
 
-    test("a large caller cannot shut out a small one of the same rank", () => {
+    test("a large customer cannot shut out a small one of the same rank", () => {
         const limits = createRequestLimits(settings);
         limits.update(ranks);
-        limits.acquire({ rank: "bulk", caller: "small", bytes: 1 });
-        const held = fill(limits, { rank: "bulk", caller: "large", bytes: 1 });
-        assert.ok(held < 75 * 0.6, `the large caller holds ${held}`);
-        assert.equal(limits.acquire({ rank: "bulk", caller: "large", bytes: 1 }), LimitRefusal.Caller);
-        assert.equal(limits.acquire({ rank: "bulk", caller: "small", bytes: 1 }), undefined);
+        limits.acquire({ rank: "bulk", customer: "small", bytes: 1 });
+        const held = fill(limits, { rank: "bulk", customer: "large", bytes: 1 });
+        assert.ok(held < 75 * 0.6, `the large customer holds ${held}`);
+        assert.equal(limits.acquire({ rank: "bulk", customer: "large", bytes: 1 }), LimitRefusal.Customer);
+        assert.equal(limits.acquire({ rank: "bulk", customer: "small", bytes: 1 }), undefined);
     });
 
     test("the bounds hold and released room comes back, whatever the order", () => {
         const request = fc.record({
             rank: fc.constantFrom(...ranks, "unknown"),
-            caller: fc.constantFrom("a", "b", "c"),
+            customer: fc.constantFrom("a", "b", "c"),
             bytes: fc.integer({ min: 0, max: 4_000 }),
         });
         const step = fc.record({ request, releases: fc.boolean() });
--- a/test/scheduling/ticket.test.ts
+++ b/test/scheduling/ticket.test.ts
@@ -7,7 +7,7 @@
 
 suite("queue-position tickets", () => {
     const signer = createTicketSigner("key");
-    const holder = { caller: "planner", rank: "bulk" };
+    const holder = { customer: "planner", rank: "bulk" };
     const issuedMs = 1_000_000;
     const ticket = signer.sign({ ...holder, firstArrivalMs: issuedMs - 5_000 }, issuedMs);
     const [payload, proof] = ticket.split(".");
@@ -25,7 +25,7 @@
         ["an earlier arrival under a copied proof", `${otherPayload}.${proof}`, holder, issuedMs, TicketFault.Forged],
         ["a cut ticket", payload!, holder, issuedMs, TicketFault.Malformed],
         ["bytes that are no ticket", "x".repeat(5_000), holder, issuedMs, TicketFault.Malformed],
-        ["another caller's ticket", ticket, { ...holder, caller: "other" }, issuedMs, TicketFault.OtherCaller],
+        ["another customer's ticket", ticket, { ...holder, customer: "other" }, issuedMs, TicketFault.OtherCustomer],
         ["a ticket for a less urgent rank", ticket, { ...holder, rank: "urgent" }, issuedMs, TicketFault.OtherRank],
         ["an old ticket", ticket, holder, issuedMs + ticketLifetimeMs, TicketFault.Expired],
     ];
--- a/test/scheduling/virtualEndpoint.ts
+++ b/test/scheduling/virtualEndpoint.ts
@@ -5,7 +5,7 @@
 export interface Stream {
     readonly name: string;
     readonly rank: string;
-    readonly caller: string;
+    readonly customer: string;
     readonly requestsPerSecond: number;
     readonly promptTokens: (random: RandomSource) => number;
     readonly outputTokens: number;
@@ -146,7 +146,7 @@
         const item: WorkItem = {
             id: `${stream.name}-${nextId++}`,
             rank: stream.rank,
-            caller: stream.caller,
+            customer: stream.customer,
             kind: "question",
             promptTokens,
             cachedTokens: 0,
--- a/test/sidecar/claims/atMostOnce.test.ts
+++ b/test/sidecar/claims/atMostOnce.test.ts
@@ -46,9 +46,9 @@
         node.pause();
         world.timers.schedule(1_000, () => node.resume());
     },
-    "the caller sends again to another sidecar": ({ second, key }, node, sends) => sends.push(second.send(key)),
-    "the caller sends again to the same sidecar": ({ key }, node, sends) => sends.push(node.send(key)),
-    "the caller goes away": (scene, node, sends) => sends[0]?.cancel(),
+    "the customer sends again to another sidecar": ({ second, key }, node, sends) => sends.push(second.send(key)),
+    "the customer sends again to the same sidecar": ({ key }, node, sends) => sends.push(node.send(key)),
+    "the customer goes away": (scene, node, sends) => sends[0]?.cancel(),
     "the log is down for 10 s": ({ world }) => {
         world.model.updateFaults({ unavailable: true });
         world.timers.schedule(10_000, () => world.model.updateFaults({ unavailable: false }));
@@ -110,7 +110,7 @@
 }
 
 test("without claims the same table sees two runs, so the witness can fail", async () => {
-    await assert.rejects(runFault("the caller sends again to another sidecar", 0, { withoutClaims: true }));
+    await assert.rejects(runFault("the customer sends again to another sidecar", 0, { withoutClaims: true }));
 });
 
 interface Expectation {
@@ -248,10 +248,10 @@
         code: ErrorCode.KeyReused,
         runs: 1,
     },
-    "the same key of another caller is another key": {
+    "the same key of another customer is another key": {
         async act({ world, first, second, key }) {
             await world.settle(first.send(key).end);
-            return world.settle(second.send(key, { caller: "clerk" }).end);
+            return world.settle(second.send(key, { customer: "clerk" }).end);
         },
         verdict: Verdict.Ran,
         runs: 2,
--- a/test/sidecar/claims/claimInterleavings.ts
+++ b/test/sidecar/claims/claimInterleavings.ts
@@ -36,7 +36,7 @@
 const nodeCount = 3;
 const keyCount = 2;
 const maxClockOffsetMs = 1_000;
-/** Callers and sidecars may each differ from the log's clock by `maxClockOffsetMs`. */
+/** Customers and sidecars may each differ from the log's clock by `maxClockOffsetMs`. */
 const maxKeyAheadMs = 2 * maxClockOffsetMs + 500;
 
 const node = fc.nat(nodeCount - 1);
--- a/test/sidecar/claims/world.ts
+++ b/test/sidecar/claims/world.ts
@@ -16,7 +16,7 @@
 import { createServiceRunner } from "../../../src/sidecar/serviceRunner.js";
 import { Work, WorkRunner, WorkState } from "../../../src/sidecar/work.js";
 
-/** What a caller learns of one send. */
+/** What a customer learns of one send. */
 export interface SendEnd {
     readonly request: string;
     readonly verdict: Verdict;
@@ -46,7 +46,7 @@
 /** One sidecar's claim code, which can be paused and crashed. */
 export interface TestNode {
     readonly name: string;
-    send(key: string, options?: { body?: string; limitMs?: number; caller?: string }): TestSend;
+    send(key: string, options?: { body?: string; limitMs?: number; customer?: string }): TestSend;
     pause(): void;
     resume(): void;
     /** Ends the node: nothing that it waits for reaches it any more. */
@@ -147,7 +147,7 @@
     request: string,
     key: string | undefined,
     body: string,
-    caller: string,
+    customer: string,
     deadlineMs: number,
 ): Work {
     const service = {
@@ -159,7 +159,7 @@
         idempotencyKey: key,
         repeatable: false,
     };
-    const common = { rank: "urgent", caller, kind: "booking", fingerprint: "" };
+    const common = { rank: "urgent", customer, kind: "booking", fingerprint: "" };
     return {
         dispatch: {
             type: LinkMessageType.Dispatch,
@@ -192,7 +192,7 @@
     };
 }
 
-/** Reads from the messages to the entry what the caller will learn. */
+/** Reads from the messages to the entry what the customer will learn. */
 export function describeEnd(request: string, messages: readonly SidecarMessage[]): SendEnd {
     const answer = messages.find(message => message.type === LinkMessageType.ServiceAnswer);
     const end = messages.find(message => message.type === LinkMessageType.End);
@@ -289,7 +289,7 @@
             send(key, options = {}) {
                 const request = `${name}-${++requests}`;
                 const deadlineMs = timers.now() + (options.limitMs ?? 5_000);
-                const work = makeWork(request, key, options.body ?? "body", options.caller ?? "kiosk", deadlineMs);
+                const work = makeWork(request, key, options.body ?? "body", options.customer ?? "kiosk", deadlineMs);
                 const result: { value: SendEnd | undefined } = { value: undefined };
                 let cancel = () => undefined as void;
                 const end = new Promise<SendEnd>(resolve => {
--- a/test/sidecar/notRunVerdict.test.ts
+++ b/test/sidecar/notRunVerdict.test.ts
@@ -49,7 +49,7 @@
         type: LinkMessageType.Dispatch,
         request,
         incarnation,
-        caller: "kiosk",
+        customer: "kiosk",
         rank: "urgent",
         kind: "question",
         remainingMs: 1_000,
--- a/test/system/callerContract.test.ts
+++ b/test/system/customerContract.test.ts
@@ -145,7 +145,7 @@
     { name: "unknown route", path: "/v1/none", status: 404, code: "not_found" },
     { name: "unknown service", path: "/v1/services/none/x", status: 404, code: "unknown_service" },
     { name: "malformed escape in a service name", path: "/v1/services/%ZZ/x", status: 404, code: "not_found" },
-    { name: "operator route with a caller's key", path: "/operator/status", status: 403, code: "forbidden" },
+    { name: "operator route with a customer's key", path: "/operator/status", status: 403, code: "forbidden" },
     { name: "model without endpoints", body: { ...completion, model: "idle" }, status: 503, code: "no_endpoint" },
 ];
 
--- a/test/system/engineMemory.test.ts
+++ b/test/system/engineMemory.test.ts
@@ -24,7 +24,7 @@
 /** At 100 tokens a second none of the requests ends by itself while a test runs. */
 const outputTokens = 4_000;
 const floodRequests = 6;
-/** Time for the entry to find a new sidecar process before the callers leave, in milliseconds. */
+/** Time for the entry to find a new sidecar process before the customers leave, in milliseconds. */
 const settleMs = 600;
 const audit = { intervalMs: 200, orphanGraceMs: 500 };
 const noAudit = { intervalMs: 1e9, orphanGraceMs: 500 };
@@ -36,7 +36,7 @@
 }
 
 const cases: readonly MemoryCase[] = [
-    { name: "callers close their connections", inject: (system, abort) => abort(), leaksWhenOff: [] },
+    { name: "customers close their connections", inject: (system, abort) => abort(), leaksWhenOff: [] },
     {
         name: "the sidecar crashes",
         inject: system => system.endpoints[0]!.restartSidecar(),
--- a/test/system/engineRecovery.test.ts
+++ b/test/system/engineRecovery.test.ts
@@ -18,7 +18,7 @@
     readonly inject: (system: TestSystem) => void;
 }
 
-/** Faults on the way between sidecar and engine while a request runs; none may cost the caller its answer. */
+/** Faults on the way between sidecar and engine while a request runs; none may cost the customer its answer. */
 const cases: readonly RecoveryCase[] = [
     { name: "the sidecar is restarted", inject: system => system.endpoints[0]!.restartSidecar() },
     {
--- a/test/system/leaving.test.ts
+++ b/test/system/leaving.test.ts
@@ -12,7 +12,7 @@
 import { LinkMessageType } from "../../src/link/messages.js";
 import { HostState } from "../../src/ports/hostList.js";
 import { chooseLeastConnections } from "../../src/routing/baselinePolicies.js";
-import { startSystem, TestEndpoint, testKeys, testPlace, TestSystem, waitUntil } from "./system.js";
+import { startSystem, testDataCentre, TestEndpoint, testKeys, TestSystem, waitUntil } from "./system.js";
 
 const timers = createSystemTimerService();
 /** The requirement: a leaving endpoint receives no new work after this time. */
@@ -72,14 +72,14 @@
     const ports = new Map([[first.name, relay.port], [second.name, second.relay.port]]);
     const hosts = [...ports].map(([name, port]) => ({
         name,
-        place: testPlace,
+        dataCentre: testDataCentre,
         address: "127.0.0.1",
         port,
         state: HostState.Live,
     }));
     const entry = createEntry({
         name: "entry-2",
-        place: testPlace,
+        dataCentre: testDataCentre,
         linkKey: "test-link-key",
         // The default: a silent link is found out after more than 3 s, so that the sidecar's refusal must protect it.
         heartbeatIntervalMs: 1_000,
--- a/test/system/linkContract.test.ts
+++ b/test/system/linkContract.test.ts
@@ -45,7 +45,7 @@
         version,
         entry: "stranger",
         incarnation: "1",
-        place: "larissa",
+        dataCentre: "larissa",
         nonce,
         proof: signHandshake(key, LinkRole.Entry, challenge.nonce, nonce),
     });
--- a/test/system/quarantine.test.ts
+++ b/test/system/quarantine.test.ts
@@ -25,7 +25,7 @@
 
 interface PoisonCase {
     readonly name: string;
-    /** Milliseconds between the sends of the caller. */
+    /** Milliseconds between the sends of the customer. */
     readonly pauseMs: number;
     /** Whether the log is down throughout. */
     readonly logDown: boolean;
--- a/test/system/system.ts
+++ b/test/system/system.ts
@@ -43,7 +43,7 @@
     readonly service: EmulatedService | undefined;
 }
 
-/** An entry with the address that callers use. */
+/** An entry with the address that customers use. */
 export interface TestEntry {
     readonly url: string;
     readonly entry: Entry;
@@ -80,7 +80,7 @@
 
 /** API keys of the test configuration. */
 export const testKeys = { planner: "planner-key", clerk: "clerk-key", operator: "operator-key" } as const;
-export const testPlace = "larissa";
+export const testDataCentre = "larissa";
 const linkKey = "test-link-key";
 const timers = createSystemTimerService();
 
@@ -104,7 +104,7 @@
             bulk: { urgency: 2, timeLimitMs: 60_000 },
         },
         kinds: { question: { rank: "urgent" } },
-        callers: {
+        customers: {
             planner: { keyDigests: [computeDigest(testKeys.planner)], defaultKind: "question" },
             clerk: { keyDigests: [computeDigest(testKeys.clerk)], defaultKind: "question", ranks: ["urgent"] },
             operator: { keyDigests: [computeDigest(testKeys.operator)], defaultKind: "question", operator: true },
@@ -115,7 +115,7 @@
         },
         endpoints: Object.fromEntries(names.map(name => [name, {
             host: name,
-            place: testPlace,
+            dataCentre: testDataCentre,
             checksFencing: true,
             ...(name.startsWith("engine") ? { model: "demo" } : { service: "bookings" }),
         }])),
@@ -180,7 +180,7 @@
         && createEngineSide({ endpoint: name, timers, random, log, engine: engineClient, audit: settings.audit });
     return createSidecar({
         endpoint: name,
-        place: testPlace,
+        dataCentre: testDataCentre,
         linkKey,
         heartbeatIntervalMs: settings.heartbeatIntervalMs ?? 200,
         maxFrameBytes: 1_000_000,
@@ -211,7 +211,7 @@
     const endpoints = await Promise.all(names.map(name => startEndpoint(name, settings, log, store)));
     const hosts: HostRecord[] = endpoints.map(endpoint => ({
         name: endpoint.name,
-        place: testPlace,
+        dataCentre: testDataCentre,
         address: "127.0.0.1",
         port: endpoint.relay.port,
         state: HostState.Live,
@@ -264,7 +264,7 @@
 ): Promise<TestEntry> {
     const entry = createEntry({
         name,
-        place: testPlace,
+        dataCentre: testDataCentre,
         linkKey,
         heartbeatIntervalMs: settings.heartbeatIntervalMs ?? 200,
         maxFrameBytes: 1_000_000,
