--- a/test/system/wholeAnswer.test.ts
+++ b/test/system/wholeAnswer.test.ts
@@ -53,7 +53,7 @@
 ];
 
 for (const { name, inject, isRecoverable } of cases) {
-    test(`each caller receives its own whole answer or an error: ${name}`, async () => {
+    test(`each customer receives its own whole answer or an error: ${name}`, async () => {
         const system = await startSystem({ engine: { decodeTokensPerSecond: 100 } });
         try {
             setTimeout(() => inject(system), 400);
