--- /dev/null
+++ b/test/soak/gatewayProcess.ts
@@ -0,0 +1,115 @@
+import { ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+
+/** Ports of one gateway. */
+export interface GatewayPorts {
+    readonly customers: number;
+    readonly ready: number;
+    readonly exchange: number;
+    readonly metrics: number;
+}
+
+/** A gateway that runs as a process of its own and can be treated badly. */
+export interface GatewayProcess {
+    readonly name: string;
+    readonly url: string;
+    readonly output: string[];
+    start(): void;
+    signal(signal: NodeJS.Signals): void;
+    /** Waits for the end of the process; returns its exit code, or the signal that ended it. */
+    waitForEnd(): Promise<number | string>;
+    isRunning(): boolean;
+    /** Whether the program, and not only its process, has started. */
+    hasStarted(): boolean;
+    isReady(): Promise<boolean>;
+    dispose(): Promise<void>;
+}
+
+const program = fileURLToPath(new URL("../../platform/main.js", import.meta.url));
+const keptLines = 4_000;
+const graceSeconds = 3;
+
+function renderSettings(name: string, ports: GatewayPorts, storeAddress: string): string {
+    return `
+node: "${name}"
+zone: "a"
+ip: "127.0.0.1"
+listen: { front: "127.0.0.1:${ports.customers}", ready: "127.0.0.1:${ports.ready}" }
+internal_ports: [${ports.exchange}, ${ports.metrics}]
+limits: { memory_mb: 300, max_fds: 1000 }
+bounds:
+  grace_s: ${graceSeconds}
+  drain_ms: 1500
+  config_apply_ms: 1500
+  retry_budget_ratio: 0.2
+  retry_window_s: 10
+  retry_slack: 100
+platform: { addr: "${storeAddress}" }
+`;
+}
+
+/** Prepares a gateway; it runs after `start`. */
+export async function createGatewayProcess(
+    name: string,
+    ports: GatewayPorts,
+    storeAddress: string,
+): Promise<GatewayProcess> {
+    const directory = await mkdtemp(join(tmpdir(), "jujubelane-soak-"));
+    const settingsPath = join(directory, "local.yaml");
+    await writeFile(settingsPath, renderSettings(name, ports, storeAddress));
+    const output: string[] = [];
+    let child: ChildProcess | undefined;
+    let hasOutput = false;
+
+    function record(bytes: Buffer): void {
+        hasOutput = true;
+        output.push(...bytes.toString("utf8").split("\n").filter(line => line.length > 0));
+        output.splice(0, Math.max(0, output.length - keptLines));
+    }
+
+    const isRunning = () => child !== undefined && child.exitCode === null && child.signalCode === null;
+    const waitForEnd = async () => {
+        if (child && isRunning()) {
+            await once(child, "exit");
+        }
+        return child?.signalCode ?? child?.exitCode ?? 0;
+    };
+    return {
+        name,
+        url: `http://127.0.0.1:${ports.customers}`,
+        output,
+        start() {
+            hasOutput = false;
+            child = spawn(process.execPath, [program], {
+                env: { ...process.env, JUJUBELANE_CONFIG: settingsPath },
+                stdio: ["ignore", "pipe", "pipe"],
+            });
+            child.stdout!.on("data", record);
+            child.stderr!.on("data", record);
+        },
+        signal: signal => void child?.kill(signal),
+        waitForEnd,
+        isRunning,
+        hasStarted: () => isRunning() && hasOutput,
+        async isReady() {
+            try {
+                const answer = await fetch(`http://127.0.0.1:${ports.ready}/`, { signal: AbortSignal.timeout(500) });
+                await answer.arrayBuffer();
+                return answer.status === 200;
+            }
+            catch {
+                return false;
+            }
+        },
+        async dispose() {
+            child?.kill("SIGCONT");
+            child?.kill("SIGKILL");
+            await waitForEnd();
+            await rm(directory, { recursive: true, force: true });
+        },
+    };
+}
--- /dev/null
+++ b/test/soak/main.ts
@@ -0,0 +1,49 @@
+// Runs the soak over many seeds: npm run soak -- --seeds 50 --first 1 --jobs 3
+import { mkdir, writeFile } from "node:fs/promises";
+import { parseArgs } from "node:util";
+import { runSoak, SoakResult } from "./soak.js";
+
+const { values } = parseArgs({
+    options: {
+        seeds: { type: "string", default: "5" },
+        first: { type: "string", default: "1" },
+        jobs: { type: "string", default: "2" },
+        gateways: { type: "string", default: "3" },
+        engines: { type: "string", default: "5" },
+        out: { type: "string", default: "out/soak" },
+    },
+});
+
+const seeds = Array.from({ length: Number(values.seeds) }, (unused, index) => Number(values.first) + index);
+const results: SoakResult[] = [];
+
+async function runJob(): Promise<void> {
+    for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
+        const result = await runSoak({
+            seed,
+            faultMs: 10_000,
+            gateways: Number(values.gateways),
+            engines: Number(values.engines),
+            services: 3,
+            requestsPerSecond: 40,
+        });
+        results.push(result);
+        console.log(
+            `seed ${seed}: ${result.requests} requests, ${result.served} served, ${result.faults.length} faults, `
+                + `${result.broken.length} promises broken`,
+        );
+        if (result.broken.length > 0) {
+            result.broken.slice(0, 5).forEach(line => console.log(`  ${line}`));
+            await mkdir(values.out, { recursive: true });
+            const text = [...result.broken, ...result.faults, ...result.logs].join("\n");
+            await writeFile(`${values.out}/seed-${seed}.log`, text);
+        }
+    }
+}
+
+await Promise.all(Array.from({ length: Number(values.jobs) }, runJob));
+const bad = results.filter(result => result.broken.length > 0).map(result => result.seed);
+console.log(
+    `${results.length} seeds, ${bad.length} with a broken promise${bad.length > 0 ? `: ${bad.join(" ")}` : ""}`,
+);
+process.exit(bad.length === 0 ? 0 : 1);
--- /dev/null
+++ b/test/soak/soak.ts
@@ -0,0 +1,310 @@
+import { once } from "node:events";
+import { createServer } from "node:net";
+import { Agent, request } from "undici";
+import { createSeededRandomSource } from "../../src/base/randomSource.js";
+import { customerKey, host, makeConfiguration } from "../platform/support/deployment.js";
+import { EndpointFault, EndpointStandIn, startEndpointStandIn } from "../platform/support/endpointStandIn.js";
+import { startStoreStandIn, StoreFault } from "../platform/support/storeStandIn.js";
+import { FaultyProxy, ProxyFault, startFaultyProxy } from "./faultyProxy.js";
+import { createGatewayProcess, GatewayProcess } from "./gatewayProcess.js";
+import { checkOutcome, soakEvents, SoakKind, SoakOutcome } from "./promises.js";
+
+/** Size and length of one run. */
+export interface SoakOptions {
+    readonly seed: number;
+    readonly faultMs: number;
+    readonly gateways: number;
+    readonly engines: number;
+    readonly services: number;
+    readonly requestsPerSecond: number;
+}
+
+/** Result of one run. */
+export interface SoakResult {
+    readonly seed: number;
+    readonly requests: number;
+    readonly served: number;
+    readonly faults: readonly string[];
+    /** Promises that were broken; empty for a good run. */
+    readonly broken: readonly string[];
+    readonly logs: readonly string[];
+}
+
+const deadlineMs = 2_500;
+const calmMs = 4_000;
+/** Part of the calm time in which everything must be served again. */
+const recoveredMs = 2_500;
+/** Share of requests that is served in the calm; a few meet connections that were silenced before. */
+const servedShare = 0.95;
+const revokedKey = "key-that-goes";
+/** Time after which a change of keys is in force: 1.5 s, and a second for a process that was paused meanwhile. */
+const revokeMs = 3_000;
+const endpointFaults = [
+    EndpointFault.Full,
+    EndpointFault.Error,
+    EndpointFault.BreakBefore,
+    EndpointFault.BreakWithin,
+    EndpointFault.Silent,
+    EndpointFault.ForeignId,
+    EndpointFault.Doubled,
+    EndpointFault.Unframed,
+];
+
+function wait(durationMs: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, durationMs));
+}
+
+async function findFreePorts(count: number): Promise<number[]> {
+    const servers = await Promise.all(Array.from({ length: count }, async () => {
+        const server = createServer().listen(0, "127.0.0.1");
+        await once(server, "listening");
+        return server;
+    }));
+    const ports = servers.map(server => (server.address() as { port: number }).port);
+    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
+    return ports;
+}
+
+/**
+ * Runs gateways as processes, injects faults from outside them and checks the promises from what customers and endpoints
+ * see. The same seed gives the same faults; their interleaving with the processes differs.
+ */
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+    const random = createSeededRandomSource(options.seed);
+    const pick = <Item>(items: readonly Item[]): Item => items[Math.floor(random() * items.length)]!;
+    const store = await startStoreStandIn();
+    const storeProxy = await startFaultyProxy(Number(store.address.split(":")[1]));
+    const endpoints: EndpointStandIn[] = [];
+    const proxies: FaultyProxy[] = [];
+    const outcomes: SoakOutcome[] = [];
+    const faults: string[] = [];
+    const broken: string[] = [];
+    let version = 1;
+    let revokedAtMs = Number.POSITIVE_INFINITY;
+    let isSending = true;
+    let nextId = 0;
+
+    async function addEndpoint(service: string, index: number): Promise<void> {
+        const events = service === "models" ? soakEvents : 0;
+        const endpoint = await startEndpointStandIn({ id: `${service}-${index}`, events, eventIntervalMs: 15 });
+        const proxy = await startFaultyProxy(Number(endpoint.address.split(":")[1]));
+        endpoints.push(endpoint);
+        proxies.push(proxy);
+        register(endpoint, proxy, "ready");
+    }
+
+    function register(endpoint: EndpointStandIn, proxy: FaultyProxy, state: string): void {
+        const service = endpoint.id.split("-")[0]!;
+        const entry = { service, addr: proxy.address, zone: "a", slots: 8, state, born: 1_700_000_000_000 };
+        store.put("keyed.servers", endpoint.id, entry);
+    }
+
+    function publish(keys: readonly string[]): void {
+        const tenants = [{ name: "planner", keys }];
+        store.put("keyed.op", "config", makeConfiguration(version++, { tenants }));
+    }
+
+    function startGateways(ports: readonly number[]): Promise<GatewayProcess[]> {
+        return Promise.all(Array.from({ length: options.gateways }, async (unused, index) => {
+            const [customers, ready, exchange, metrics] = ports.slice(4 * index, 4 * index + 4);
+            const gateway = await createGatewayProcess(`gateway-${index}`, {
+                customers: customers!,
+                ready: ready!,
+                exchange: exchange!,
+                metrics: metrics!,
+            }, storeProxy.address);
+            gateway.start();
+            return gateway;
+        }));
+    }
+
+    async function ask(gateway: GatewayProcess, kind: SoakKind, customer: Agent): Promise<void> {
+        const id = `soak-${options.seed}-${nextId++}`;
+        const key = random() < 0.15 ? revokedKey : customerKey;
+        const sentAtMs = performance.now();
+        const isRevoked = key === revokedKey && sentAtMs > revokedAtMs + revokeMs;
+        const path = { [SoakKind.Stream]: "/draft/", [SoakKind.Safe]: "/look/", [SoakKind.Unsafe]: "/book/" }[kind];
+        const headers = { host, "x-request-id": id, "x-deadline-ms": String(deadlineMs), "api-key": key };
+        const model = kind === SoakKind.Stream ? { "x-token-count": "1000,100", "x-model": "m" } : {};
+        let status: number | undefined;
+        let body: string | undefined;
+        let isWhole = false;
+        try {
+            const answer = await request(gateway.url + path + id, {
+                method: kind === SoakKind.Safe ? "GET" : "POST",
+                headers: { ...headers, ...model },
+                body: kind === SoakKind.Safe ? undefined : `body of ${id}`,
+                dispatcher: customer,
+            });
+            status = answer.statusCode;
+            body = await answer.body.text();
+            isWhole = true;
+        }
+        catch {
+            // A broken connection promises nothing; the checks look at the runs.
+        }
+        outcomes.push({
+            id,
+            kind,
+            sentAtMs,
+            deadlineMs,
+            endedAtMs: performance.now(),
+            status,
+            body,
+            isWhole,
+            isRevoked,
+        });
+    }
+
+    async function sendAll(gateways: readonly GatewayProcess[]): Promise<void> {
+        const customers = gateways.map(() => new Agent({ connections: 20, headersTimeout: 8_000, bodyTimeout: 8_000 }));
+        const pending = new Set<Promise<void>>();
+        while (isSending) {
+            const index = Math.floor(random() * gateways.length);
+            if (gateways[index]!.isRunning()) {
+                const asked = ask(gateways[index]!, pick(Object.values(SoakKind)), customers[index]!);
+                pending.add(asked);
+                void asked.finally(() => pending.delete(asked));
+            }
+            await wait(1_000 / options.requestsPerSecond);
+        }
+        await Promise.all(pending);
+        await Promise.all(customers.map(customer => customer.destroy()));
+    }
+
+    const restarting = new Set<GatewayProcess>();
+
+    async function restart(gateway: GatewayProcess, signal: NodeJS.Signals): Promise<void> {
+        if (restarting.has(gateway)) {
+            return;
+        }
+        restarting.add(gateway);
+        gateway.signal("SIGCONT");
+        gateway.signal(signal);
+        const result = await gateway.waitForEnd();
+        if (signal === "SIGTERM" && result !== 0 && result !== "SIGKILL") {
+            broken.push(`a drained gateway ends with 0: ${gateway.name} ended with ${result}`);
+        }
+        await wait(100 + 300 * random());
+        gateway.start();
+        restarting.delete(gateway);
+    }
+
+    /** Starts processes that ended by themselves again, as the platform does. */
+    async function supervise(gateways: readonly GatewayProcess[]): Promise<void> {
+        while (isSending) {
+            for (const gateway of gateways.filter(item => !item.isRunning() && !restarting.has(item))) {
+                broken.push(`a gateway does not end by itself: ${gateway.name}, ${await gateway.waitForEnd()}`);
+                gateway.start();
+            }
+            await wait(50);
+        }
+    }
+
+    /** Faults that end by themselves; several may overlap. */
+    function makeFaults(gateways: readonly GatewayProcess[]): readonly [string, () => Promise<void>][] {
+        const during = async (proxy: FaultyProxy, fault: ProxyFault) => {
+            proxy.setFault(fault);
+            await wait(300 + 1_000 * random());
+            proxy.setFault(ProxyFault.None);
+        };
+        const storeFault = async (fault: StoreFault) => {
+            store.setFault(fault);
+            await wait(500 + 2_000 * random());
+            store.setFault(StoreFault.None);
+        };
+        return [
+            ["kill", () => restart(pick(gateways), "SIGKILL")],
+            ["drain", () => restart(pick(gateways), "SIGTERM")],
+            ["reload", async () => {
+                const gateway = pick(gateways);
+                // Nothing can take a signal before the runtime has started the program.
+                if (gateway.hasStarted()) {
+                    gateway.signal("SIGHUP");
+                }
+            }],
+            ["pause", async () => {
+                const gateway = pick(gateways);
+                gateway.signal("SIGSTOP");
+                await wait(200 + 1_000 * random());
+                gateway.signal("SIGCONT");
+            }],
+            ["reset endpoint", async () => pick(proxies).reset()],
+            ["silence endpoint", async () => pick(proxies).silence()],
+            ["delay endpoint", () => during(pick(proxies), ProxyFault.Delay)],
+            ["cut to endpoint", () => during(pick(proxies), ProxyFault.CutForward)],
+            ["cut from endpoint", () => during(pick(proxies), ProxyFault.CutBackward)],
+            ["reset store", async () => storeProxy.reset()],
+            ["silence store", async () => storeProxy.silence()],
+            ["store busy", () => storeFault(StoreFault.Busy)],
+            ["store silent", () => storeFault(StoreFault.Silent)],
+            ["history gone", async () => store.dropHistory("keyed.servers")],
+            ["endpoint fault", async () => {
+                const count = 1 + Math.floor(3 * random());
+                pick(endpoints).setFaults(...Array.from({ length: count }, () => pick(endpointFaults)));
+            }],
+            ["endpoint leaves", async () => {
+                const index = Math.floor(random() * endpoints.length);
+                register(endpoints[index]!, proxies[index]!, "draining");
+                await wait(1_000);
+                store.remove("keyed.servers", endpoints[index]!.id);
+                await addEndpoint(endpoints[index]!.id.split("-")[0]!, endpoints.length);
+            }],
+            ["configuration", async () => publish([customerKey, ...revokedAtMs < Infinity ? [] : [revokedKey]])],
+        ];
+    }
+
+    async function injectFaults(gateways: readonly GatewayProcess[]): Promise<void> {
+        const known = makeFaults(gateways);
+        const running: Promise<void>[] = [];
+        const endsAtMs = performance.now() + options.faultMs;
+        while (performance.now() < endsAtMs) {
+            const [name, inject] = pick(known);
+            faults.push(name);
+            running.push(inject());
+            await wait(100 + 600 * random());
+        }
+        await Promise.all(running);
+        revokedAtMs = performance.now();
+        publish([customerKey]);
+    }
+
+    for (let index = 0; index < options.engines; index++) {
+        await addEndpoint("models", index);
+    }
+    for (let index = 0; index < options.services; index++) {
+        await addEndpoint("desk", options.engines + index);
+    }
+    publish([customerKey, revokedKey]);
+    const gateways = await startGateways(await findFreePorts(4 * options.gateways));
+    const areReady = async () => (await Promise.all(gateways.map(gateway => gateway.isReady()))).every(Boolean);
+    for (let turn = 0; turn < 100 && !await areReady(); turn++) {
+        await wait(100);
+    }
+    const sending = Promise.all([sendAll(gateways), supervise(gateways)]);
+    await injectFaults(gateways);
+    await wait(calmMs);
+    const calmSinceMs = performance.now() - calmMs + (calmMs - recoveredMs);
+    isSending = false;
+    await sending;
+    if (!await areReady()) {
+        broken.push("every gateway is ready again after the faults");
+    }
+    const calm = outcomes.filter(item => item.sentAtMs >= calmSinceMs && !item.isRevoked);
+    const served = calm.filter(item => item.status === 200 && item.isWhole).length;
+    const isKeyGone = (item: SoakOutcome) => item.status === 401;
+    const owed = calm.filter(item => !isKeyGone(item)).length;
+    if (served < owed * servedShare) {
+        broken.push(`requests are served again after the faults: ${served} of ${owed}`);
+    }
+    gateways.forEach(gateway => gateway.signal("SIGTERM"));
+    const ends = await Promise.all(gateways.map(gateway => gateway.waitForEnd()));
+    ends.filter(end => end !== 0).forEach(end => broken.push(`a drained gateway ends with 0: ended with ${end}`));
+    broken.push(...outcomes.flatMap(outcome => checkOutcome(outcome, endpoints)));
+    const logs = broken.length > 0 ? gateways.flatMap(gateway => gateway.output) : [];
+    await Promise.all(gateways.map(gateway => gateway.dispose()));
+    await Promise.all([...proxies, storeProxy].map(proxy => proxy.close()));
+    await Promise.all([...endpoints.map(endpoint => endpoint.close()), store.close()]);
+    const allServed = outcomes.filter(item => item.status === 200 && item.isWhole).length;
+    return { seed: options.seed, requests: outcomes.length, served: allServed, faults, broken, logs };
+}
