--- a/test/soak/faultyProxy.ts
+++ b/test/soak/faultyProxy.ts
@@ -24,6 +24,10 @@
 
 const delayMs = 120;
 
+function wait(durationMs: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, durationMs));
+}
+
 interface Pair {
     readonly client: Socket;
     readonly server: Socket;
@@ -36,27 +40,25 @@
     let fault = ProxyFault.None;
 
     function pass(pair: Pair, from: Socket, to: Socket, blocking: ProxyFault): void {
+        // Delayed bytes and the end stay in their order, as on a real connection.
+        let last = Promise.resolve();
         from.on("data", bytes => {
             if (pair.isSilent || fault === blocking) {
+                // Bytes after a gap must not arrive, so that the connection stays silent from here on.
+                pair.isSilent = true;
                 return;
             }
-            if (fault === ProxyFault.Delay) {
-                setTimeout(() => to.write(bytes), delayMs);
-            }
-            else {
+            const isDelayed = fault === ProxyFault.Delay;
+            last = last.then(() => isDelayed ? wait(delayMs) : undefined).then(() => {
                 to.write(bytes);
-            }
+            });
         });
-        from.on("error", () => to.destroy());
+        from.on("error", () => undefined);
         from.on("close", () => {
             pairs.delete(pair);
             // A connection that broke must not look like one that ended.
-            if (from.errored) {
-                to.resetAndDestroy();
-            }
-            else {
-                to.end();
-            }
+            const isBroken = from.errored !== null || pair.isSilent;
+            void last.then(() => isBroken ? to.resetAndDestroy() : to.end());
         });
     }
 
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -1,4 +1,3 @@
-import { once } from "node:events";
 import { createServer } from "node:net";
 import { Agent, request } from "undici";
 import { createSeededRandomSource } from "../../src/base/randomSource.js";
@@ -54,15 +53,28 @@
     return new Promise(resolve => setTimeout(resolve, durationMs));
 }
 
-async function findFreePorts(count: number): Promise<number[]> {
-    const servers = await Promise.all(Array.from({ length: count }, async () => {
-        const server = createServer().listen(0, "127.0.0.1");
-        await once(server, "listening");
-        return server;
-    }));
-    const ports = servers.map(server => (server.address() as { port: number }).port);
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
-    return ports;
+/** First of the ports for gateways; the system gives ports from 32768 on to connections, also while a gateway restarts. */
+const firstPort = 12_000;
+const portsPerSeed = 40;
+const portSets = 500;
+
+async function isFree(port: number): Promise<boolean> {
+    const server = createServer();
+    return new Promise(resolve => {
+        server.once("error", () => resolve(false));
+        server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
+    });
+}
+
+/** Finds ports that no other seed uses at the same time. */
+async function findFreePorts(seed: number, count: number): Promise<number[]> {
+    const free: number[] = [];
+    for (let port = firstPort + (seed % portSets) * portsPerSeed; free.length < count; port++) {
+        if (await isFree(port)) {
+            free.push(port);
+        }
+    }
+    return free;
 }
 
 /**
@@ -276,7 +288,7 @@
         await addEndpoint("desk", options.engines + index);
     }
     publish([customerKey, revokedKey]);
-    const gateways = await startGateways(await findFreePorts(4 * options.gateways));
+    const gateways = await startGateways(await findFreePorts(options.seed, 4 * options.gateways));
     const areReady = async () => (await Promise.all(gateways.map(gateway => gateway.isReady()))).every(Boolean);
     for (let turn = 0; turn < 100 && !await areReady(); turn++) {
         await wait(100);
