--- a/test/routing/enginePlacement.test.ts
+++ b/test/routing/enginePlacement.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
-import { EngineModel } from "../../src/ports/servingConfiguration.js";
+import { replayEngine } from "../../bench/replay/replay.js";
 import {
     defaultPlacementSettings,
     PlacementRequest,
@@ -12,18 +12,7 @@
 import { WorkItem, WorkPhase } from "../../src/routing/loadLedger.js";
 
 /** An engine like those of the first deployments. */
-const engine: EngineModel = {
-    slots: 11,
-    memoryTokens: 315_000,
-    stepsPerPass: 51,
-    stepMs: 0.85,
-    sequenceStepMs: 0.006,
-    contextStepMs: 0.00285,
-    prefillTokensPerSecond: 177_000,
-    pairsMs: 0.184,
-    chunkTokens: 2048,
-    usualOutputTokens: 1_600,
-};
+const engine = replayEngine;
 const shortAims = { pauseAimMs: 250, dueAtMs: 250, giveUpAtMs: 2_000 };
 const longAims = { pauseAimMs: 1_000, dueAtMs: 6_000, giveUpAtMs: 15_000 };
 
