--- a/bench/replay/replay.ts
+++ b/bench/replay/replay.ts
@@ -1,6 +1,7 @@
 import { createManualTimerService } from "../../src/base/manualTimerService.js";
 import { createSeededRandomSource } from "../../src/base/randomSource.js";
-import { createPlacementDesk, Place } from "../../src/gateway/placementDesk.js";
+import { Place } from "../../src/gateway/place.js";
+import { createPlacementDesk } from "../../src/gateway/placementDesk.js";
 import { createEndpointDirectory, defaultDirectorySettings } from "../../src/membership/endpointDirectory.js";
 import { createEndpointHealth } from "../../src/membership/endpointHealth.js";
 import { EndpointState } from "../../src/ports/endpointRecord.js";
--- a/src/gateway/acceptedRequest.ts
+++ b/src/gateway/acceptedRequest.ts
@@ -1,7 +1,7 @@
 import { RequestHead } from "../ports/exchange.js";
 import { Route, RouteKind, Service } from "../ports/servingConfiguration.js";
 import { computeReadMs, estimateOutputTokens } from "../routing/engineTiming.js";
-import { EngineNeeds } from "./placementDesk.js";
+import { EngineNeeds } from "./place.js";
 
 /** A whole request of a customer that may be served. */
 export interface AcceptedRequest {
--- a/src/gateway/peerDiscovery.ts
+++ b/src/gateway/peerDiscovery.ts
@@ -33,6 +33,7 @@
     const renewals = new Map<string, { readonly value: string; readonly refreshes: number }>();
     let renewal = 0;
     let isDisposed = false;
+    let wasLost = false;
     let next: Disposable | undefined;
 
     /** A registration that has not changed since the last read was not renewed meanwhile. */
@@ -61,7 +62,15 @@
         if (read.kind === ResultKind.Success) {
             options.onPeers(listLive(read.value.records));
         }
-        const hasFailed = written.kind === ResultKind.Failure || read.kind === ResultKind.Failure;
+        const failure = [written, read].find(result => result.kind === ResultKind.Failure);
+        const hasFailed = failure !== undefined;
+        if (hasFailed && !wasLost) {
+            log(LogEvent.StoreFeedLost, { feed: "gateways", reason: failure.error.reason });
+        }
+        if (!hasFailed && wasLost) {
+            log(LogEvent.StoreFeedBack, { feed: "gateways" });
+        }
+        wasLost = hasFailed;
         next = timers.schedule(hasFailed ? retryMs : refreshMs, start);
     }
 
--- /dev/null
+++ b/src/gateway/placeHolder.ts
@@ -0,0 +1,147 @@
+import { TimerService } from "../base/timerService.js";
+import { EndpointDirectory } from "../membership/endpointDirectory.js";
+import { EngineModel } from "../ports/servingConfiguration.js";
+import { Placement, PlacementStage } from "../routing/enginePlacement.js";
+import { buildEngineView } from "../routing/engineView.js";
+import { LoadLedger, WorkItem, WorkPhase } from "../routing/loadLedger.js";
+import { PlainView } from "../routing/plainPlacement.js";
+import { Place, PlacementOrder } from "./place.js";
+
+/** Turns decisions of placement into places that are held. */
+export interface PlaceHolder {
+    holdEngines(
+        order: PlacementOrder,
+        engine: EngineModel,
+        placement: Placement,
+        stage: PlacementStage,
+        nowMs: number,
+    ): Place;
+    holdPlain(order: PlacementOrder, view: PlainView, nowMs: number): Place;
+}
+
+/** What holding places needs. */
+export interface PlaceHolderOptions {
+    readonly timers: TimerService;
+    readonly directory: EndpointDirectory;
+    readonly ledger: LoadLedger;
+    /** Prefix of the keys of this process's work, unique among all gateways. */
+    readonly keyPrefix: string;
+    /** Tells other gateways of a change; an absent item has ended. */
+    readonly reportChange: (key: string, item: WorkItem | undefined) => void;
+    /** Called when a place needs less than before. */
+    readonly onFreed: () => void;
+}
+
+/** Time that a plain service needs at least, in milliseconds. */
+export const plainAnswerMs = 20;
+
+/**
+ * Creates the holder of places. What is held stands in the ledger and is reported to the other gateways.
+ *
+ * @example
+ * const place = holder.holdPlain(order, view, timers.now());
+ * place.release();
+ */
+export function createPlaceHolder(options: PlaceHolderOptions): PlaceHolder {
+    const { timers, directory, ledger } = options;
+    let nextKey = 0;
+
+    function addWork(item: Omit<WorkItem, "key" | "phase" | "phaseSinceMs">, nowMs: number): string {
+        const key = `${options.keyPrefix}/${nextKey++}`;
+        const whole: WorkItem = { ...item, key, phase: WorkPhase.Reading, phaseSinceMs: nowMs };
+        ledger.add(whole);
+        options.reportChange(key, whole);
+        return key;
+    }
+
+    function removeWork(key: string): void {
+        ledger.remove(key);
+        options.reportChange(key, undefined);
+    }
+
+    function holdEngines(
+        order: PlacementOrder,
+        engine: EngineModel,
+        placement: Placement,
+        stage: PlacementStage,
+        nowMs: number,
+    ): Place {
+        const needs = order.needs!;
+        const { endpoint, helpers, partMs, reservedTokens } = placement;
+        const passes = needs.outputTokens / engine.stepsPerPass + 1;
+        const endsAtMs = nowMs + placement.firstEventMs + passes * endpoint.passMs;
+        const shared = { readMs: partMs, dueAtMs: order.dueAtMs, isSuspect: order.isSuspect };
+        const mainTokens = needs.promptTokens + needs.outputTokens - helpers.length * reservedTokens;
+        const mainKey = addWork({
+            ...shared,
+            endpoint: endpoint.id,
+            tokens: Math.max(0, mainTokens),
+            pauseAimMs: needs.pauseAimMs,
+            endsAtMs,
+        }, nowMs);
+        const helperKeys = helpers.map(helper =>
+            addWork({
+                ...shared,
+                endpoint: helper.id,
+                tokens: reservedTokens,
+                endsAtMs: reservedTokens > 0 ? endsAtMs : nowMs + placement.firstEventMs,
+            }, nowMs)
+        );
+        const freeHelpers = () => helperKeys.splice(0).forEach(removeWork);
+        return {
+            endpoint: directory.find(endpoint.id)!.record,
+            helpers: helpers.map(helper => directory.find(helper.id)!.record),
+            reservedTokens,
+            partMs,
+            firstByteMs: placement.firstEventMs,
+            reason: `stage=${stage} running=${endpoint.running} unreadMs=${Math.round(endpoint.unreadMs)} pace=${
+                endpoint.pace.toFixed(1)
+            }`,
+            startWriting() {
+                ledger.startWriting(mainKey, timers.now());
+                options.reportChange(mainKey, ledger.listOwn().find(item => item.key === mainKey));
+                if (reservedTokens === 0) {
+                    freeHelpers();
+                }
+                options.onFreed();
+            },
+            predictPassMs() {
+                const facts = { id: endpoint.id, address: endpoint.address, order: 0, isTrial: false, pace: 1 };
+                const items = ledger.listAt(endpoint.id, timers.now());
+                return buildEngineView(facts, engine, items, timers.now()).passMs;
+            },
+            release() {
+                removeWork(mainKey);
+                freeHelpers();
+                options.onFreed();
+            },
+        };
+    }
+
+    function holdPlain(order: PlacementOrder, view: PlainView, nowMs: number): Place {
+        const key = addWork({
+            endpoint: view.id,
+            readMs: 0,
+            tokens: 0,
+            dueAtMs: order.dueAtMs,
+            endsAtMs: order.giveUpAtMs,
+            isSuspect: order.isSuspect,
+        }, nowMs);
+        return {
+            endpoint: directory.find(view.id)!.record,
+            helpers: [],
+            reservedTokens: 0,
+            partMs: 0,
+            firstByteMs: plainAnswerMs,
+            reason: `running=${view.running}`,
+            startWriting: () => undefined,
+            predictPassMs: () => 0,
+            release() {
+                removeWork(key);
+                options.onFreed();
+            },
+        };
+    }
+
+    return { holdEngines, holdPlain };
+}
--- a/src/gateway/placementDesk.ts
+++ b/src/gateway/placementDesk.ts
@@ -3,68 +3,20 @@
 import { TimerService } from "../base/timerService.js";
 import { EndpointDirectory } from "../membership/endpointDirectory.js";
 import { EndpointHealth, Standing } from "../membership/endpointHealth.js";
-import { EndpointRecord } from "../ports/endpointRecord.js";
 import { EngineModel, Service } from "../ports/servingConfiguration.js";
 import {
     defaultPlacementSettings,
-    Placement,
     PlacementPolicy,
     PlacementRequest,
     PlacementStage,
 } from "../routing/enginePlacement.js";
 import { buildEngineView, EngineView } from "../routing/engineView.js";
-import { LoadLedger, WorkItem, WorkPhase } from "../routing/loadLedger.js";
+import { LoadLedger, WorkItem } from "../routing/loadLedger.js";
 import { PaceEstimate } from "../routing/paceEstimate.js";
 import { placeOnPlainService, PlainView } from "../routing/plainPlacement.js";
 import { compareWaiting } from "../scheduling/waitingOrder.js";
-
-/** What a model request needs of an engine. */
-export interface EngineNeeds {
-    readonly readMs: number;
-    readonly promptTokens: number;
-    readonly outputTokens: number;
-    readonly pauseAimMs: number;
-}
-
-/** Work that asks for a place. Times are on the steady clock. */
-export interface PlacementOrder {
-    readonly service: Service;
-    readonly rank: number;
-    readonly arrivedAtMs: number;
-    /** When the first byte is due. */
-    readonly dueAtMs: number;
-    /** When the customer will have left without a first byte. */
-    readonly giveUpAtMs: number;
-    /** Absent for a plain service. */
-    readonly needs?: EngineNeeds;
-    readonly isUnsafe: boolean;
-    readonly avoid: ReadonlySet<string>;
-    readonly isSuspect: boolean;
-    onPlaced(place: Place): void;
-    /** No place is free now. */
-    onWaiting(inputs: string): void;
-    /** The work can no longer be served in its time. */
-    onHopeless(inputs: string): void;
-}
-
-/** A place on an endpoint, held until released. */
-export interface Place {
-    readonly endpoint: EndpointRecord;
-    readonly helpers: readonly EndpointRecord[];
-    /** Memory to reserve at each helper, in tokens. */
-    readonly reservedTokens: number;
-    /** Predicted read time of each part of the prompt, in milliseconds. */
-    readonly partMs: number;
-    /** Predicted time until the first byte, in milliseconds. */
-    readonly firstByteMs: number;
-    /** Inputs of the decision, for the log. */
-    readonly reason: string;
-    /** Marks that the first event has come. */
-    startWriting(): void;
-    /** Predicted duration of a pass of the endpoint at its own speed, without reads, in milliseconds. */
-    predictPassMs(): number;
-    release(): void;
-}
+import { EngineNeeds, Place, PlacementOrder } from "./place.js";
+import { createPlaceHolder, plainAnswerMs } from "./placeHolder.js";
 
 /** Gives places on endpoints to requests, and keeps those waiting that find none. */
 export interface PlacementDesk extends Disposable {
@@ -102,8 +54,6 @@
 const longRunSpreadMs = 40;
 /** Work that is tried in one run, which bounds the time that a long queue takes from everything else. */
 const triedPerRun = 40;
-/** Time that a plain service needs at least, in milliseconds. */
-const plainAnswerMs = 20;
 /** Parts in which a long prompt is read as a rule; tells when waiting makes it late. */
 const usualParts = 4;
 /** Part of the time between being late and being lost in which work waits for a place where it harms nobody. */
@@ -133,8 +83,8 @@
 export function createPlacementDesk(options: PlacementDeskOptions): PlacementDesk {
     const { timers, directory, health, pace, ledger } = options;
     let waiting: Waiting[] = [];
-    let nextKey = 0;
     let nextRun: Disposable | undefined;
+    const holder = createPlaceHolder({ ...options, onFreed: run });
 
     function listEngineViews(service: Service, engine: EngineModel, nowMs: number): EngineView[] {
         return directory.listUsable(service.name).flatMap(record => {
@@ -167,103 +117,6 @@
         });
     }
 
-    function addWork(item: Omit<WorkItem, "key" | "phase" | "phaseSinceMs">, nowMs: number): string {
-        const key = `${options.keyPrefix}/${nextKey++}`;
-        const whole: WorkItem = { ...item, key, phase: WorkPhase.Reading, phaseSinceMs: nowMs };
-        ledger.add(whole);
-        options.reportChange(key, whole);
-        return key;
-    }
-
-    function removeWork(key: string): void {
-        ledger.remove(key);
-        options.reportChange(key, undefined);
-    }
-
-    function holdEngines(
-        order: PlacementOrder,
-        engine: EngineModel,
-        placement: Placement,
-        stage: PlacementStage,
-        nowMs: number,
-    ): Place {
-        const needs = order.needs!;
-        const { endpoint, helpers, partMs, reservedTokens } = placement;
-        const passes = needs.outputTokens / engine.stepsPerPass + 1;
-        const endsAtMs = nowMs + placement.firstEventMs + passes * endpoint.passMs;
-        const shared = { readMs: partMs, dueAtMs: order.dueAtMs, isSuspect: order.isSuspect };
-        const mainTokens = needs.promptTokens + needs.outputTokens - helpers.length * reservedTokens;
-        const mainKey = addWork({
-            ...shared,
-            endpoint: endpoint.id,
-            tokens: Math.max(0, mainTokens),
-            pauseAimMs: needs.pauseAimMs,
-            endsAtMs,
-        }, nowMs);
-        const helperKeys = helpers.map(helper =>
-            addWork({
-                ...shared,
-                endpoint: helper.id,
-                tokens: reservedTokens,
-                endsAtMs: reservedTokens > 0 ? endsAtMs : nowMs + placement.firstEventMs,
-            }, nowMs)
-        );
-        const freeHelpers = () => helperKeys.splice(0).forEach(removeWork);
-        return {
-            endpoint: directory.find(endpoint.id)!.record,
-            helpers: helpers.map(helper => directory.find(helper.id)!.record),
-            reservedTokens,
-            partMs,
-            firstByteMs: placement.firstEventMs,
-            reason: `stage=${stage} running=${endpoint.running} unreadMs=${Math.round(endpoint.unreadMs)} pace=${
-                endpoint.pace.toFixed(1)
-            }`,
-            startWriting() {
-                ledger.startWriting(mainKey, timers.now());
-                options.reportChange(mainKey, ledger.listOwn().find(item => item.key === mainKey));
-                if (reservedTokens === 0) {
-                    freeHelpers();
-                }
-                run();
-            },
-            predictPassMs() {
-                const facts = { id: endpoint.id, address: endpoint.address, order: 0, isTrial: false, pace: 1 };
-                const items = ledger.listAt(endpoint.id, timers.now());
-                return buildEngineView(facts, engine, items, timers.now()).passMs;
-            },
-            release() {
-                removeWork(mainKey);
-                freeHelpers();
-                run();
-            },
-        };
-    }
-
-    function holdPlain(order: PlacementOrder, view: PlainView, nowMs: number): Place {
-        const key = addWork({
-            endpoint: view.id,
-            readMs: 0,
-            tokens: 0,
-            dueAtMs: order.dueAtMs,
-            endsAtMs: order.giveUpAtMs,
-            isSuspect: order.isSuspect,
-        }, nowMs);
-        return {
-            endpoint: directory.find(view.id)!.record,
-            helpers: [],
-            reservedTokens: 0,
-            partMs: 0,
-            firstByteMs: plainAnswerMs,
-            reason: `running=${view.running}`,
-            startWriting: () => undefined,
-            predictPassMs: () => 0,
-            release() {
-                removeWork(key);
-                run();
-            },
-        };
-    }
-
     function decideStage(item: Waiting, nowMs: number): PlacementStage {
         if (nowMs < item.latestStartMs) {
             return PlacementStage.InTime;
@@ -284,7 +137,7 @@
             if (view?.isTrial) {
                 health.startTrial(view.id, nowMs);
             }
-            return view && holdPlain(order, view, nowMs);
+            return view && holder.holdPlain(order, view, nowMs);
         }
         const request: PlacementRequest = {
             readMs: order.needs.readMs,
@@ -311,7 +164,7 @@
         views.delete(order.service.name);
         [placement.endpoint, ...placement.helpers].filter(view => view.isTrial)
             .forEach(view => health.startTrial(view.id, nowMs));
-        return holdEngines(order, engine, placement, stage, nowMs);
+        return holder.holdEngines(order, engine, placement, stage, nowMs);
     }
 
     function getEngineViews(
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -11,7 +11,8 @@
 import { AnswerOutcome, AnswerOutcomeKind, createAnswerRelay } from "./answerRelay.js";
 import { CustomerAnswer } from "./customerAnswer.js";
 import { Exchange, SendFailureKind } from "./endpointConnections.js";
-import { Place } from "./placementDesk.js";
+import { Place } from "./place.js";
+import { EndKind, recordRequestEnd } from "./requestReport.js";
 import { RequestServices } from "./requestServices.js";
 import { ReservationSet } from "./reservations.js";
 import { createSilenceWatch } from "./silenceWatch.js";
@@ -61,7 +62,7 @@
     let sentAtMs = 0;
 
     const deadline = timers.schedule(deadlineAtMs - timers.now(), handleDeadline);
-    answer.onLeft(() => end("customer-left", undefined));
+    answer.onLeft(() => end(EndKind.CustomerLeft));
     services.budget.recordRequest();
     submit();
 
@@ -83,7 +84,7 @@
             isSuspect: request.isSuspect,
             onPlaced: handlePlaced,
             onWaiting: inputs => log(LogEvent.RequestWaiting, describe({ inputs, attempt: dispatches + 1 })),
-            onHopeless: inputs => finishFailed("no room in time", inputs),
+            onHopeless: inputs => finishFailed(EndKind.NoRoom, undefined, inputs),
         });
         waiting = place || hasEnded ? undefined : submitted;
     }
@@ -102,7 +103,10 @@
         const addresses = found.helpers.map(helper => helper.address);
         services.reservations.reserveAll(addresses, found.reservedTokens).then(
             set => handleReserved(found, set),
-            () => handleReserved(found, undefined),
+            (error: unknown) => {
+                log(LogEvent.TaskFailed, describe({ task: "reservations", error: String(error) }));
+                handleReserved(found, undefined);
+            },
         );
     }
 
@@ -205,7 +209,7 @@
                 break;
             case AnswerOutcomeKind.Complete:
                 health.record(place.endpoint.id, ExchangeResult.Answered, timers.now());
-                end("answered", answerHead?.status);
+                end(EndKind.Answered, answerHead?.status);
                 break;
             case AnswerOutcomeKind.NotRun:
                 handleNotRun(place, answerHead!);
@@ -270,7 +274,7 @@
             return;
         }
         relay.deliverFailure();
-        end("answered", answerHead.status);
+        end(EndKind.Answered, answerHead.status);
     }
 
     function handleSendFailure(kind: SendFailureKind, reason: string): void {
@@ -331,7 +335,7 @@
             return;
         }
         verdicts.push(verdict);
-        finishFailed(reason);
+        finishFailed(EndKind.Failed, reason);
     }
 
     function retry(reason: string, verdict: Verdict): void {
@@ -365,25 +369,25 @@
         if (exchange?.hasStarted()) {
             verdicts.push(Verdict.MayHaveRun);
         }
-        finishFailed("deadline");
+        finishFailed(EndKind.Deadline);
     }
 
     /** Ends the request without an endpoint's answer. */
-    function finishFailed(reason: string, inputs?: string): void {
+    function finishFailed(kind: EndKind, reason?: string, inputs?: string): void {
         if (hasEnded) {
             return;
         }
         const verdict = mergeVerdicts(verdicts);
         if (answer.isStarted()) {
             answer.breakOff();
-            end(reason, undefined);
+            end(kind, undefined, reason);
             return;
         }
         const isNotRun = verdict === Verdict.NotRun;
-        const status = isNotRun ? 503 : reason === "deadline" ? 504 : 502;
+        const status = isNotRun ? 503 : kind === EndKind.Deadline ? 504 : 502;
         const retryAfter = isNotRun ? ["Retry-After", formatSeconds(predictReturnMs())] : [];
         answer.sendWhole(status, [...codec.encodeOwnAnswer(head), ...retryAfter], Buffer.alloc(0));
-        end(reason, status, inputs);
+        end(kind, status, reason, inputs);
     }
 
     function predictReturnMs(): number {
@@ -391,41 +395,31 @@
         return computeReturnMs(roomMs, deadlineAtMs - timers.now(), services.random());
     }
 
-    function end(reason: string, status: number | undefined, inputs?: string): void {
+    function end(kind: EndKind, status?: number, reason?: string, inputs?: string): void {
         if (hasEnded) {
             return;
         }
         hasEnded = true;
         deadline.dispose();
         waiting?.dispose();
-        if (reason !== "answered") {
+        if (kind !== EndKind.Answered) {
             exchange?.abort();
         }
         const endpoint = place?.endpoint.id;
         dropDispatch();
-        const firstEventMs = progress.getFirstEventMs();
-        const tookMs = timers.now() - request.arrivedAtMs;
-        log(
-            LogEvent.RequestEnded,
-            describe({
-                reason,
-                status,
-                endpoint,
-                verdict: verdicts.length > 0 ? mergeVerdicts(verdicts) : undefined,
-                attempts: dispatches,
-                inputs,
-                events: relay.countEvents(),
-                firstEventMs: firstEventMs && Math.round(firstEventMs - request.arrivedAtMs),
-                longestPauseMs: Math.round(progress.getLongestPauseMs()),
-                readMs: needs && Math.round(needs.readMs),
-                tookMs: Math.round(tookMs),
-            }),
-        );
-        const result = reason === "answered" ? `answered-${status}` : reason.split(" ")[0]!;
-        metrics.count("jujubelane_requests_total", "Requests by result.", { result });
-        metrics.recordDuration("jujubelane_request_seconds", "Duration of requests by kind.", tookMs, {
-            kind: route.kind,
-        });
+        recordRequestEnd(request, {
+            kind,
+            reason,
+            status,
+            endpoint,
+            verdict: verdicts.length > 0 ? mergeVerdicts(verdicts) : undefined,
+            attempts: dispatches,
+            inputs,
+            events: relay.countEvents(),
+            firstEventAtMs: progress.getFirstEventMs(),
+            longestPauseMs: progress.getLongestPauseMs(),
+            readMs: needs?.readMs,
+        }, services);
     }
 }
 
--- a/src/gateway/streamProgress.ts
+++ b/src/gateway/streamProgress.ts
@@ -1,5 +1,5 @@
 import { PaceEstimate } from "../routing/paceEstimate.js";
-import { Place } from "./placementDesk.js";
+import { Place } from "./place.js";
 
 /** Follows the events of one request over its attempts. */
 export interface StreamProgress {
--- a/test/platform/codecs.test.ts
+++ b/test/platform/codecs.test.ts
@@ -4,7 +4,7 @@
 import { decodeEndpoint } from "../../platform/endpointCodec.js";
 import { exchangeCodec } from "../../platform/exchangeCodec.js";
 import { decodeSettings, SettingsFileError } from "../../platform/settings.js";
-import { decodeRecords, encodeRecord } from "../../platform/storeClient.js";
+import { decodeRecords, encodeRecord, readEnd } from "../../platform/storeClient.js";
 import { RouteKind } from "../../src/ports/servingConfiguration.js";
 import { makeConfiguration } from "./support/deployment.js";
 
@@ -132,6 +132,15 @@
     });
 });
 
+describe("the end of the log", () => {
+    test("it tells a log that was made anew from one that has nothing new", () => {
+        const header = Buffer.alloc(16);
+        header.writeBigUInt64BE(7n, 0);
+        assert.equal(readEnd(header), 7);
+        assert.equal(readEnd(Buffer.alloc(3)), Number.POSITIVE_INFINITY, "a cut body must not restart the feed");
+    });
+});
+
 describe("heads of requests and answers", () => {
     const head = exchangeCodec.decodeRequest([
         "X-Request-Id",
