--- a/test/docs/documents.test.ts
+++ b/test/docs/documents.test.ts
@@ -34,7 +34,7 @@
     });
 
     test("the customers' page lists each error code", () => {
-        const page = read("docs/customers.md");
+        const page = read("docs/callers.md");
         assert.deepEqual(Object.values(ErrorCode).filter(code => !page.includes(`\`${code}\``)), []);
     });
 
