Wait for the end of a pause before the fleet is closed

All answers had ended at the moment of the pause, 700 ms after the start, so that the wait of the test and the timer that resumes the process ended in the same millisecond, and the fleet was closed first.

Change: the test waits for its pauses as well; no check is weaker.

--- a/test/path/processFaults.test.ts
+++ b/test/path/processFaults.test.ts
@@ -49,9 +49,19 @@
 
 const pauseMs = 4_000;
 
+/** Pauses that have begun. The fleet must outlive them: a process that is gone cannot be resumed. */
+const pauses: Promise<void>[] = [];
+
 function pause(pid: number | undefined): void {
     process.kill(pid!, "SIGSTOP");
-    setTimeout(() => process.kill(pid!, "SIGCONT"), pauseMs);
+    pauses.push(
+        new Promise(resolve =>
+            setTimeout(() => {
+                process.kill(pid!, "SIGCONT");
+                resolve();
+            }, pauseMs)
+        ),
+    );
 }
 
 interface ProcessFault {
@@ -124,5 +134,6 @@
         }
         await repair?.(fleet);
         await new Promise(resolve => setTimeout(resolve, pauseMs));
+        await Promise.all(pauses);
     });
 }
