Notice endpoints that lose power while they owe a long answer

An engine that read a prompt for 4.5 s with memory reserved at four others lost power at 22.4 s. Its connection showed nothing, and the gateway renewed the reservations until the customer left at 27.7 s, because silence was allowed for 2.5 predictions plus the whole read, 34 s. Ruled out: the registration's lapse as the signal; endpoints that are only cut off from the store lapse too and go on answering. Change: an endpoint that owes an answer for more than 1.5 s, or for which memory is reserved, is asked each second whether it accepts a connection; after two failures the request moves on. Silence counts the part that the engine reads, not the whole prompt. The new test of gatewayFaults fails without the watch. Conclusion: noticed in 2.4 s at most; memory is free within the 4 s.

--- a/src/emulator/httpServer.ts
+++ b/src/emulator/httpServer.ts
@@ -5,6 +5,8 @@
 export interface RunningServer {
     readonly port: number;
     readonly url: string;
+    /** Refuses new connections; those in use stay open. */
+    stopAccepting(): void;
     close(): Promise<void>;
 }
 
@@ -40,6 +42,7 @@
     return {
         port: address.port,
         url: `http://127.0.0.1:${address.port}`,
+        stopAccepting: () => void server.close(),
         close: () =>
             new Promise(resolve => {
                 server.close(() => resolve());
--- a/src/gateway/endpointConnections.ts
+++ b/src/gateway/endpointConnections.ts
@@ -1,4 +1,4 @@
-import { Socket } from "node:net";
+import { connect, Socket } from "node:net";
 import { buildConnector, Dispatcher, Pool } from "undici";
 import { RawHeaders } from "../ports/exchange.js";
 
@@ -45,6 +45,8 @@
 /** Connections to endpoints, kept and reused. */
 export interface EndpointConnections {
     send(address: string, request: OutgoingRequest, listener: AnswerListener): Exchange;
+    /** Tells whether an address accepts a connection; it is closed at once. */
+    canConnect(address: string): Promise<boolean>;
     /** Replaces the kept connections of an address, for example because one of them was silent. */
     replace(address: string): void;
     /** Closes the connections of addresses that are no longer in use. */
@@ -107,6 +109,7 @@
             const { kept, single } = getPools(address);
             return dispatchRequest(request.isSingleUse ? single : kept, request, listener);
         },
+        canConnect,
         replace,
         keepOnly(addresses) {
             [...pools.keys()].filter(address => !addresses.has(address)).forEach(replace);
@@ -125,10 +128,10 @@
  */
 function createPool(address: string, pipelining: number): WatchedPool {
     let isResetNow = false;
-    const connect = buildConnector({ timeout: connectTimeoutMs });
+    const connector = buildConnector({ timeout: connectTimeoutMs });
     const pool = new Pool(`http://${address}`, {
         connect(options, callback) {
-            const socket = connect(options, callback) as Socket | undefined;
+            const socket = connector(options, callback) as Socket | undefined;
             socket?.on("error", () => {
                 isResetNow = true;
                 queueMicrotask(() => {
@@ -144,6 +147,21 @@
     return { pool, isReset: () => isResetNow };
 }
 
+function canConnect(address: string): Promise<boolean> {
+    const [host, port] = address.split(":");
+    return new Promise(resolve => {
+        const socket = connect({ host, port: Number(port), timeout: connectTimeoutMs });
+        const end = (isConnected: boolean) => {
+            socket.destroy();
+            resolve(isConnected);
+        };
+        socket.once("connect", () => end(true));
+        socket.once("timeout", () => end(false));
+        // The reason does not matter: nothing can be sent there now.
+        socket.once("error", () => end(false));
+    });
+}
+
 function dispatchRequest(watched: WatchedPool, request: OutgoingRequest, listener: AnswerListener): Exchange {
     let controller: Dispatcher.DispatchController | undefined;
     let isAborted = false;
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -10,22 +10,14 @@
 import { AcceptedRequest, computeNeeds, computeTimes } from "./acceptedRequest.js";
 import { AnswerOutcome, AnswerOutcomeKind, createAnswerRelay } from "./answerRelay.js";
 import { CustomerAnswer } from "./customerAnswer.js";
+import { createDispatchWatch } from "./dispatchWatch.js";
 import { Exchange, SendFailureKind } from "./endpointConnections.js";
 import { Place } from "./place.js";
 import { EndKind, recordRequestEnd } from "./requestReport.js";
 import { RequestServices } from "./requestServices.js";
 import { ReservationSet } from "./reservations.js";
-import { createSilenceWatch } from "./silenceWatch.js";
 import { createStreamProgress } from "./streamProgress.js";
 
-/** A first byte that takes this many times its prediction, and the extra beyond it, will not come. */
-const silenceFactor = 2.5;
-const silenceExtraMs = 500;
-/** Reading a long prompt anew elsewhere costs as much again, so that patience grows with its length. */
-const silenceReadFactor = 1;
-/** A stream without an event for this many pause aims, and at least the extra, will not go on. */
-const pauseSilenceFactor = 3;
-const leastPauseSilenceMs = 1_000;
 /** Refused reservations are tried again after this time; other gateways free theirs meanwhile. */
 const reservationRetryMs = 150;
 
@@ -42,7 +34,14 @@
     const { deadlineAtMs, dueAtMs, giveUpAtMs } = computeTimes(request);
     const isRepeatable = isIdempotent(route.kind, route.isResumable);
     const needs = computeNeeds(request);
-    const silence = createSilenceWatch(timers, handleSilence);
+    const watch = createDispatchWatch({
+        timers,
+        connections: services.connections,
+        isRepeatable,
+        pauseAimMs: route.pauseAimMs ?? 0,
+        onSilence: handleSilence,
+        onUnreachable: handleUnreachable,
+    });
     const avoid = new Set<string>();
     const verdicts: Verdict[] = [];
     const relay = createAnswerRelay({
@@ -188,10 +187,16 @@
                 }
             },
         });
-        if (isRepeatable) {
-            silence.extend(
-                silenceFactor * found.firstByteMs + silenceExtraMs + silenceReadFactor * (needs?.readMs ?? 0),
-            );
+        watch.start(found);
+    }
+
+    function handleUnreachable(): void {
+        const mayRunAgain = isRetryAllowed(Verdict.MayHaveRun, endpointsRun + 1);
+        // Where no memory is kept for it, the answer of an endpoint behind a broken link may still come.
+        if (place && (mayRunAgain || place.reservedTokens > 0)) {
+            exchange?.abort();
+            services.connections.replace(place.endpoint.address);
+            handleBroken(ExchangeResult.Unreachable, "accepts no connection");
         }
     }
 
@@ -239,9 +244,7 @@
             );
             current.startWriting();
         }
-        if (isRepeatable) {
-            silence.extend(Math.max(leastPauseSilenceMs, pauseSilenceFactor * (route.pauseAimMs ?? 0)));
-        }
+        watch.recordEvent(current);
     }
 
     function handleNotRun(current: Place, answerHead: AnswerHead): void {
@@ -356,7 +359,7 @@
     }
 
     function dropDispatch(): void {
-        silence.dispose();
+        watch.dispose();
         exchange = undefined;
         reserved?.dispose();
         reserved = undefined;
--- a/test/platform/gatewayFaults.test.ts
+++ b/test/platform/gatewayFaults.test.ts
@@ -24,8 +24,11 @@
 }
 
 /** Runs a test against a deployment of its own, so that what earlier tests taught the gateway does not matter. */
-async function runWithDeployment(run: (deployment: TestDeployment) => Promise<void>): Promise<void> {
-    const deployment = await startDeployment({ engines: 3, services: 3 });
+async function runWithDeployment(
+    run: (deployment: TestDeployment) => Promise<void>,
+    engines = 3,
+): Promise<void> {
+    const deployment = await startDeployment({ engines, services: 3 });
     try {
         await run(deployment);
     }
@@ -79,6 +82,29 @@
             }));
     }
 
+    test("memory is freed within four seconds where the engine that answers loses power", () =>
+        runWithDeployment(async deployment => {
+            setFaultEverywhere(deployment.engines, EndpointFault.Dark);
+            // 250,000 tokens exceed the memory of one engine, so that one answers and others keep memory for it. Its read
+            // is long enough for silence alone to be noticed only after the four seconds.
+            const headers = makeModelHeaders({
+                "x-deadline-ms": "12000",
+                "x-token-count": "250000,100",
+                "x-prompt-prefix": "a1:250000",
+            });
+            const answer = send(deployment.gateways[0]!, { method: "POST", path: "/digest/1", headers, body: "long" });
+            const first = () => deployment.engines.find(engine => engine.requests.length > 0);
+            await waitUntil("sent", () => first() !== undefined);
+            const dark = first()!;
+            setFaultEverywhere(deployment.engines.filter(engine => engine !== dark));
+            const [address, id] = String(dark.requests[0]!.headers["x-helpers"]).split(",")[0]!.split("/");
+            const helping = deployment.engines.find(engine => engine.address === address)!;
+            const isReleased = () => helping.orders.some(order => order.op === "release" && order.id === id);
+            await waitUntil("released", isReleased, 4_000);
+            // The other engines are sound: the request is served by them.
+            assert.equal((await answer).status, 200);
+        }, 4));
+
     test("an endpoint's failure is passed on as it came", () =>
         runWithDeployment(async deployment => {
             setFaultEverywhere(deployment.services, EndpointFault.Error);
--- a/test/platform/support/deployment.ts
+++ b/test/platform/support/deployment.ts
@@ -61,6 +61,16 @@
         routes: [
             { ...stream, name: "draft", prefix: "/draft/", target_latency_ms: 250, priority: 0, resumable: true },
             { ...stream, name: "once", prefix: "/once/", target_latency_ms: 250, priority: 0, resumable: false },
+            {
+                ...stream,
+                name: "digest",
+                prefix: "/digest/",
+                target_latency_ms: 6_000,
+                gap_aim_ms: 1_000,
+                timeout_ms: 15_000,
+                priority: 2,
+                resumable: true,
+            },
             { ...common, name: "look", prefix: "/look/", kind: "safe", service: "desk", attempts: 2 },
             { ...common, name: "book", prefix: "/book/", kind: "unsafe", service: "desk", attempts: 1 },
             { ...common, name: "open", prefix: "/open/", kind: "safe", service: "desk", attempts: 1, public: true },
--- a/test/platform/support/endpointStandIn.ts
+++ b/test/platform/support/endpointStandIn.ts
@@ -14,6 +14,8 @@
     BreakWithin = "break-within",
     /** Answers nothing and keeps the connection. */
     Silent = "silent",
+    /** As `Silent`, and no connection is accepted any more, as after a loss of power. */
+    Dark = "dark",
     /** Answers with the id of another request. */
     ForeignId = "foreign-id",
     /** Leaves out the proof of origin. */
@@ -129,6 +131,9 @@
                 return;
             case EndpointFault.Silent:
                 return;
+            case EndpointFault.Dark:
+                server.stopAccepting();
+                return;
             case EndpointFault.ForeignId:
                 headers["x-request-id"] = "another";
                 break;
