Free engines for long prompts, and place short ones where they are sure

Drafts that came late were placed on engines that read another prompt, 70 to 110 ms after their prediction. Ruled out: longer parts at once (they hold up answers); fewer, larger parts without claims (no engine is free at the same time as others). Change: a prompt of 3 s or more that finds no place claims the fewest engines that read it in time once their answers have ended. A claim stands in the ledger as a part to read, so that other gateways keep off. Short prompts skip engines whose prediction takes more than 0.6 of the time left. Worth now counts the size of a prompt.

--- a/bench/replay/loads.ts
+++ b/bench/replay/loads.ts
@@ -50,6 +50,13 @@
     kinds: [draft, read, { ...digest, perSecond: 1.5 }],
 };
 
+/** A flood with prompts that take an engine up to 40 seconds; half of all engines' time is asked for. */
+export const hugeFlood: ReplayLoad = {
+    name: "flood of huge digests",
+    durationMs: 10_000,
+    kinds: [{ ...draft, perSecond: 8 }, read, { ...digest, perSecond: 1.5, spread: 0.7, maxTokens: 700_000 }],
+};
+
 /** A flood of the most urgent prompts. */
 export const draftFlood: ReplayLoad = {
     name: "flood of drafts",
@@ -58,4 +65,4 @@
 };
 
 /** All loads that are replayed. */
-export const replayLoads: readonly ReplayLoad[] = [quietLoad, longFlood, draftFlood];
+export const replayLoads: readonly ReplayLoad[] = [quietLoad, longFlood, hugeFlood, draftFlood];
--- a/bench/replay/replay.ts
+++ b/bench/replay/replay.ts
@@ -6,6 +6,7 @@
 import { createEndpointHealth } from "../../src/membership/endpointHealth.js";
 import { EndpointState } from "../../src/ports/endpointRecord.js";
 import { EngineModel, Service } from "../../src/ports/servingConfiguration.js";
+import { ClaimPolicy } from "../../src/routing/engineClaim.js";
 import { PlacementPolicy } from "../../src/routing/enginePlacement.js";
 import { computeReadMs } from "../../src/routing/engineTiming.js";
 import { createLoadLedger } from "../../src/routing/loadLedger.js";
@@ -43,6 +44,8 @@
     readonly inAim: number;
     readonly late: number;
     readonly refused: number;
+    /** Share of the worth of all its requests that was served in aim; a request is worth more the longer its prompt. */
+    readonly worthShare: number;
 }
 
 /** Engines like those of the first deployments. */
@@ -61,7 +64,12 @@
 const engineCount = 14;
 const settleMs = 20_000;
 
+/** Part of a request's worth that does not depend on its size, and the most that size can make of it. */
+const basicWorth = 0.3;
+const greatestWorth = 4;
+
 interface Outcome {
+    promptTokens: number;
     firstMs?: number;
     longestPauseMs: number;
     isEnded: boolean;
@@ -78,9 +86,14 @@
  * Replays a load through the real desk and its decisions, against engines in virtual time.
  *
  * @example
- * runReplay(longFlood, placeOnEngines, 1);
+ * runReplay(longFlood, placeOnEngines, 1, chooseClaim);
  */
-export function runReplay(load: ReplayLoad, placeOnEngines: PlacementPolicy, seed: number): readonly ReplayResult[] {
+export function runReplay(
+    load: ReplayLoad,
+    placeOnEngines: PlacementPolicy,
+    seed: number,
+    claimPolicy: ClaimPolicy,
+): readonly ReplayResult[] {
     const timers = createManualTimerService();
     const random = createSeededRandomSource(seed);
     const directory = createEndpointDirectory(defaultDirectorySettings);
@@ -111,6 +124,7 @@
         keyPrefix: "replay",
         random,
         placeOnEngines,
+        chooseClaim: claimPolicy,
         reportChange: () => undefined,
     });
 
@@ -145,7 +159,7 @@
 
     function ask(kind: ReplayKind, outcome: Outcome): void {
         const arrivedAtMs = timers.now();
-        const promptTokens = pickTokens(kind, random);
+        const { promptTokens } = outcome;
         desk.submit({
             service,
             rank: kind.rank,
@@ -176,7 +190,8 @@
             if (atMs > load.durationMs) {
                 break;
             }
-            const outcome: Outcome = { longestPauseMs: 0, isEnded: false, isRefused: false };
+            const promptTokens = pickTokens(kind, random);
+            const outcome: Outcome = { promptTokens, longestPauseMs: 0, isEnded: false, isRefused: false };
             outcomes.get(kind)!.push(outcome);
             timers.schedule(atMs, () => ask(kind, outcome));
         }
@@ -191,12 +206,26 @@
         outcome.isEnded && outcome.firstMs! <= kind.aimMs && outcome.longestPauseMs <= kind.pauseAimMs;
     const inAim = outcomes.filter(isInAim).length;
     const refused = outcomes.filter(outcome => outcome.isRefused).length;
-    return { name: kind.name, asked: outcomes.length, inAim, late: outcomes.length - inAim - refused, refused };
+    const sumWorth = (some: readonly Outcome[]) =>
+        some.reduce((sum, outcome) => sum + computeWorth(kind, outcome.promptTokens), 0);
+    return {
+        name: kind.name,
+        asked: outcomes.length,
+        inAim,
+        late: outcomes.length - inAim - refused,
+        refused,
+        worthShare: sumWorth(outcomes.filter(isInAim)) / Math.max(1, sumWorth(outcomes)),
+    };
+}
+
+function computeWorth(kind: ReplayKind, promptTokens: number): number {
+    const sized = basicWorth + (1 - basicWorth) * promptTokens / kind.meanTokens;
+    return kind.worth * Math.min(greatestWorth, sized);
 }
 
 /** Computes the share of all worth that was served in aim. */
 export function computeWorthShare(load: ReplayLoad, results: readonly ReplayResult[]): number {
     const worthOf = (name: string) => load.kinds.find(kind => kind.name === name)!.worth;
     const owed = results.reduce((sum, result) => sum + result.asked * worthOf(result.name), 0);
-    return results.reduce((sum, result) => sum + result.inAim * worthOf(result.name), 0) / owed;
+    return results.reduce((sum, result) => sum + result.worthShare * result.asked * worthOf(result.name), 0) / owed;
 }
--- a/scripts/bundleGateway.mjs
+++ b/scripts/bundleGateway.mjs
@@ -14,8 +14,10 @@
     name: "replace modules",
     setup(build) {
         for (const { filter, importer, path } of replacements) {
-            build.onResolve({ filter }, resolved =>
-                importer.test(resolved.importer) ? { path: `${process.cwd()}/${path}` } : undefined);
+            build.onResolve(
+                { filter },
+                resolved => importer.test(resolved.importer) ? { path: `${process.cwd()}/${path}` } : undefined,
+            );
         }
     },
 };
@@ -42,7 +44,9 @@
 // by itself, as it has no settings.
 const environment = { ...process.env };
 delete environment.JUJUBELANE_CONFIG;
-spawnSync(process.execPath, ["--max-old-space-size=160", "target/jujubelane.cjs", "--write-cache"], { env: environment });
+spawnSync(process.execPath, ["--max-old-space-size=160", "target/jujubelane.cjs", "--write-cache"], {
+    env: environment,
+});
 if (!existsSync("target/gateway.cache")) {
     throw new Error("the gateway has not written its compiled code");
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -18,6 +18,7 @@
 import { ServingConfiguration } from "../ports/servingConfiguration.js";
 import { computeBudgetBurst, computeBudgetRatio } from "../retries/budgetShare.js";
 import { createRetryBudget } from "../retries/retryBudget.js";
+import { chooseClaim } from "../routing/engineClaim.js";
 import { placeOnEngines } from "../routing/enginePlacement.js";
 import { createLoadLedger } from "../routing/loadLedger.js";
 import { createPaceEstimate } from "../routing/paceEstimate.js";
@@ -126,6 +127,7 @@
         keyPrefix,
         random: ports.random,
         placeOnEngines,
+        chooseClaim,
         reportChange: (key, item) => exchange.reportChange(key, item),
     }));
     const budget = createRetryBudget({
--- a/src/gateway/placeHolder.ts
+++ b/src/gateway/placeHolder.ts
@@ -1,6 +1,7 @@
 import { TimerService } from "../base/timerService.js";
 import { EndpointDirectory } from "../membership/endpointDirectory.js";
 import { EngineModel } from "../ports/servingConfiguration.js";
+import { EngineClaim } from "../routing/engineClaim.js";
 import { Placement, PlacementStage } from "../routing/enginePlacement.js";
 import { buildEngineView } from "../routing/engineView.js";
 import { LoadLedger, WorkItem, WorkPhase } from "../routing/loadLedger.js";
@@ -17,6 +18,18 @@
         nowMs: number,
     ): Place;
     holdPlain(order: PlacementOrder, view: PlainView, nowMs: number): Place;
+    /** Keeps other work off engines until a long prompt is read there. */
+    holdClaim(order: PlacementOrder, claim: EngineClaim, nowMs: number): HeldClaim;
+}
+
+/** Engines that are kept free for one long prompt. */
+export interface HeldClaim {
+    readonly engineIds: ReadonlySet<string>;
+    /** Keys of the work that stands for the claim in the ledger. */
+    readonly keys: ReadonlySet<string>;
+    /** When all engines should be free, on the steady clock. */
+    readonly freeAtMs: number;
+    release(): void;
 }
 
 /** What holding places needs. */
@@ -143,5 +156,29 @@
         };
     }
 
-    return { holdEngines, holdPlain };
+    /** A claim stands in the ledger as a part to read, so that every gateway takes the engine for busy until its end. */
+    function holdClaim(order: PlacementOrder, claim: EngineClaim, nowMs: number): HeldClaim {
+        const { engines, freeInMs, partMs } = claim;
+        const needs = order.needs!;
+        const keys = engines.map(engine =>
+            addWork({
+                endpoint: engine.id,
+                readMs: (freeInMs + partMs) / engine.pace,
+                tokens: (needs.promptTokens + needs.outputTokens) / engines.length,
+                dueAtMs: order.dueAtMs,
+                endsAtMs: nowMs + freeInMs + partMs,
+                isSuspect: false,
+            }, nowMs)
+        );
+        return {
+            engineIds: new Set(engines.map(engine => engine.id)),
+            keys: new Set(keys),
+            freeAtMs: nowMs + freeInMs,
+            release() {
+                keys.splice(0).forEach(removeWork);
+            },
+        };
+    }
+
+    return { holdEngines, holdPlain, holdClaim };
 }
--- a/src/gateway/placementDesk.ts
+++ b/src/gateway/placementDesk.ts
@@ -4,11 +4,13 @@
 import { EndpointDirectory } from "../membership/endpointDirectory.js";
 import { EndpointHealth, Standing } from "../membership/endpointHealth.js";
 import { EngineModel, Service } from "../ports/servingConfiguration.js";
+import { ClaimPolicy, defaultClaimSettings } from "../routing/engineClaim.js";
 import {
     defaultPlacementSettings,
     PlacementPolicy,
     PlacementRequest,
     PlacementStage,
+    placeOnFreedEngines,
 } from "../routing/enginePlacement.js";
 import { buildEngineView, EngineView } from "../routing/engineView.js";
 import { LoadLedger, WorkItem } from "../routing/loadLedger.js";
@@ -16,7 +18,7 @@
 import { placeOnPlainService, PlainView } from "../routing/plainPlacement.js";
 import { compareWaiting } from "../scheduling/waitingOrder.js";
 import { EngineNeeds, Place, PlacementOrder } from "./place.js";
-import { createPlaceHolder, plainAnswerMs } from "./placeHolder.js";
+import { createPlaceHolder, HeldClaim, plainAnswerMs } from "./placeHolder.js";
 
 /** Gives places on endpoints to requests, and keeps those waiting that find none. */
 export interface PlacementDesk extends Disposable {
@@ -41,6 +43,8 @@
     readonly random: () => number;
     /** Chooses engines for a request. */
     readonly placeOnEngines: PlacementPolicy;
+    /** Chooses engines to be freed for a long prompt that finds no place. */
+    readonly chooseClaim: ClaimPolicy;
     readonly reportChange: (key: string, item: WorkItem | undefined) => void;
 }
 
@@ -61,6 +65,12 @@
 /** Part of that time after which work takes the place where it does the least harm. */
 const urgentShare = 0.6;
 
+/**
+ * Time after its prediction for which a claim waits for its engines. After that the answers there are longer than expected,
+ * and the prompt looks for places like any other.
+ */
+const claimOverdueMs = 500;
+
 /** Engines of each service, while nothing has changed there. */
 type ViewCache = Map<string, readonly EngineView[]>;
 
@@ -84,9 +94,16 @@
     const { timers, directory, health, pace, ledger } = options;
     let waiting: Waiting[] = [];
     let nextRun: Disposable | undefined;
+    const claims = new Map<Waiting, HeldClaim>();
     const holder = createPlaceHolder({ ...options, onFreed: run });
 
-    function listEngineViews(service: Service, engine: EngineModel, nowMs: number): EngineView[] {
+    /** Lists engines as they are without the work under `ignoredKeys`. */
+    function listEngineViews(
+        service: Service,
+        engine: EngineModel,
+        nowMs: number,
+        ignoredKeys?: ReadonlySet<string>,
+    ): EngineView[] {
         return directory.listUsable(service.name).flatMap(record => {
             const standing = health.getStanding(record.id, nowMs);
             if (standing === Standing.Down) {
@@ -99,7 +116,8 @@
                 isTrial: standing === Standing.Trial,
                 pace: pace.getPace(record.id, nowMs),
             };
-            return [buildEngineView(facts, engine, ledger.listAt(record.id, nowMs), nowMs)];
+            const items = ledger.listAt(record.id, nowMs).filter(item => !ignoredKeys?.has(item.key));
+            return [buildEngineView(facts, engine, items, nowMs)];
         });
     }
 
@@ -139,26 +157,38 @@
             }
             return view && holder.holdPlain(order, view, nowMs);
         }
-        const request: PlacementRequest = {
-            readMs: order.needs.readMs,
-            tokens: order.needs.promptTokens + order.needs.outputTokens,
-            waitedMs: nowMs - order.arrivedAtMs,
-            dueAtMs: order.dueAtMs,
-            giveUpAtMs: order.giveUpAtMs,
-            pauseAimMs: order.needs.pauseAimMs,
-            avoid: order.avoid,
-            isSuspect: order.isSuspect,
-        };
+        const request = makePlacementRequest(order, order.needs, nowMs);
+        if (claims.has(item)) {
+            const place = findClaimedPlace(item, request, engine, nowMs);
+            if (place || claims.has(item)) {
+                return place;
+            }
+            views.delete(order.service.name);
+        }
+        const known = getEngineViews(views, order.service, engine, nowMs);
         const stage = decideStage(item, nowMs);
         const placement = options.placeOnEngines(
             request,
-            getEngineViews(views, order.service, engine, nowMs),
+            known,
             engine.slots,
             nowMs,
             stage,
             defaultPlacementSettings,
         );
         if (!placement) {
+            // What can still be in time claims engines for that only; later any time before the customer leaves will do.
+            const latestMs = stage === PlacementStage.InTime ? request.dueAtMs : request.giveUpAtMs;
+            const claim = options.chooseClaim(
+                { ...request, latestMs },
+                known,
+                engine.slots,
+                nowMs,
+                defaultClaimSettings,
+            );
+            if (claim) {
+                claims.set(item, holder.holdClaim(order, claim, nowMs));
+                views.delete(order.service.name);
+            }
             return undefined;
         }
         views.delete(order.service.name);
@@ -167,6 +197,42 @@
         return holder.holdEngines(order, engine, placement, stage, nowMs);
     }
 
+    /** Takes the engines that were claimed once they are free, or gives the claim up when it is overdue. */
+    function findClaimedPlace(
+        item: Waiting,
+        request: PlacementRequest,
+        engine: EngineModel,
+        nowMs: number,
+    ): Place | undefined {
+        const claim = claims.get(item)!;
+        const views = listEngineViews(item.order.service, engine, nowMs, claim.keys)
+            .filter(view => claim.engineIds.has(view.id));
+        const isWhole = views.length === claim.engineIds.size;
+        const placement = isWhole ? placeOnFreedEngines(request, views) : undefined;
+        if (placement || !isWhole || nowMs > claim.freeAtMs + claimOverdueMs) {
+            dropClaim(item);
+        }
+        return placement && holder.holdEngines(item.order, engine, placement, PlacementStage.Claimed, nowMs);
+    }
+
+    function dropClaim(item: Waiting): void {
+        claims.get(item)?.release();
+        claims.delete(item);
+    }
+
+    function makePlacementRequest(order: PlacementOrder, needs: EngineNeeds, nowMs: number): PlacementRequest {
+        return {
+            readMs: needs.readMs,
+            tokens: needs.promptTokens + needs.outputTokens,
+            waitedMs: nowMs - order.arrivedAtMs,
+            dueAtMs: order.dueAtMs,
+            giveUpAtMs: order.giveUpAtMs,
+            pauseAimMs: needs.pauseAimMs,
+            avoid: order.avoid,
+            isSuspect: order.isSuspect,
+        };
+    }
+
     function getEngineViews(
         views: ViewCache,
         service: Service,
@@ -200,14 +266,15 @@
         const nowMs = timers.now();
         const views: ViewCache = new Map();
         waiting.sort((left, right) => compareWaiting(left, right, nowMs));
-        for (const item of waiting.slice(0, triedPerRun)) {
+        const tried = [...claims.keys(), ...waiting.filter(item => !claims.has(item)).slice(0, triedPerRun)];
+        for (const item of tried) {
             const place = findPlace(item, views, nowMs);
             if (place) {
                 waiting = waiting.filter(other => other !== item);
                 item.order.onPlaced(place);
             }
         }
-        const hopeless = waiting.filter(item => nowMs > item.lastStartMs);
+        const hopeless = waiting.filter(item => nowMs > item.lastStartMs && !claims.has(item));
         waiting = waiting.filter(item => !hopeless.includes(item));
         hopeless.forEach(item => item.order.onHopeless(describeLoad(item.order, nowMs)));
     }
@@ -253,6 +320,7 @@
             return {
                 dispose() {
                     waiting = waiting.filter(other => other !== item);
+                    dropClaim(item);
                 },
             };
         },
@@ -275,6 +343,7 @@
         },
         dispose() {
             nextRun?.dispose();
+            [...claims.keys()].forEach(dropClaim);
             waiting = [];
         },
     };
--- a/src/routing/enginePlacement.ts
+++ b/src/routing/enginePlacement.ts
@@ -29,6 +29,8 @@
     Urgent = "urgent",
     /** The request would be lost; it goes where it does the least harm. */
     LeastHarm = "least-harm",
+    /** Engines were freed for the request. */
+    Claimed = "claimed",
 }
 
 /** Limits of placement. */
@@ -40,6 +42,11 @@
     /** Share of an engine's slots that short requests fill before they use the next engine. */
     readonly fillShare: number;
     readonly maxHelpers: number;
+    /**
+     * Share of the time left that the prediction of a short prompt may use where another engine would be sooner. A
+     * prompt that comes just after a pass began waits for all of it.
+     */
+    readonly sureShare: number;
 }
 
 /**
@@ -51,6 +58,7 @@
     partMs: 350,
     fillShare: 0.65,
     maxHelpers: 16,
+    sureShare: 0.6,
 };
 
 /** Where a request goes. */
@@ -166,9 +174,12 @@
         && view.pace * request.readMs <= computeRoomMs(view, request, stage)
         && isInTime(request, nowMs + predictFirstEventMs(view, request.readMs), stage)
     );
+    const firstEventMs = (view: EngineView) => predictFirstEventMs(view, request.readMs);
     const inOrder = [...fitting].sort((left, right) => left.order - right.order);
-    const chosen = inOrder.find(view => view.running < slots * settings.fillShare)
-        ?? inOrder.sort((left, right) => left.running - right.running)[0];
+    const chosen = inOrder.find(view =>
+        view.running < slots * settings.fillShare
+        && firstEventMs(view) <= (request.dueAtMs - nowMs) * settings.sureShare
+    ) ?? inOrder.sort((left, right) => firstEventMs(left) - firstEventMs(right))[0];
     return chosen && makeWhole(chosen, request);
 }
 
@@ -216,6 +227,18 @@
     return Math.min(wantedMs, Math.max(longestPartMs, request.readMs * longestPartShare));
 }
 
+/**
+ * Places a prompt on engines that were freed for it, all of which read a part; `undefined` where one of them is still
+ * busy or lacks memory.
+ *
+ * @example
+ * placeOnFreedEngines(request, views);
+ */
+export function placeOnFreedEngines(request: PlacementRequest, views: readonly EngineView[]): Placement | undefined {
+    const isFree = (view: EngineView) => view.running === 0 && view.unreadMs <= busyReadMs;
+    return views.every(isFree) ? makeParts(views, request, request.readMs / views.length) : undefined;
+}
+
 /** The engine that answers is the one with the most free memory; the others help. */
 function makeParts(
     views: readonly EngineView[],
@@ -254,7 +277,8 @@
     return stage !== PlacementStage.InTime || firstEventAtMs <= request.dueAtMs;
 }
 
-function isBesideStricter(view: EngineView, request: PlacementRequest): boolean {
+/** Tells whether an engine writes an answer with a shorter pause aim than that of a request. */
+export function isBesideStricter(view: EngineView, request: { readonly pauseAimMs: number }): boolean {
     return view.constraints.some(item => item.pauseAimMs < request.pauseAimMs);
 }
 
--- a/src/routing/engineView.ts
+++ b/src/routing/engineView.ts
@@ -18,11 +18,15 @@
     readonly helping: number;
     /** Predicted time until all prompts that it has are read, in milliseconds. */
     readonly unreadMs: number;
+    /** Predicted time until all the work that it has is done, in milliseconds. */
+    readonly freeInMs: number;
     /** Prompts, or parts of them, whose requests have had no first event yet. */
     readonly unconfirmedReads: number;
     /** Predicted duration of a pass without reads, in milliseconds. */
     readonly passMs: number;
     readonly freeTokens: number;
+    /** Memory of the idle engine, in tokens. */
+    readonly memoryTokens: number;
     /** Pause aims and due times of the work that further reads delay. */
     readonly constraints: readonly Constraint[];
     readonly hasSuspect: boolean;
@@ -45,6 +49,8 @@
 /** Bounds of the time that an engine behind its prediction is taken to need, in milliseconds. */
 const leastBehindMs = 80;
 const longestBehindMs = 1_000;
+/** Time that work which should have ended is taken to need, in milliseconds. */
+const leastEndMs = 100;
 
 /** What is known of an engine besides its work. */
 export interface EngineFacts {
@@ -76,9 +82,11 @@
         running: main.length,
         helping: items.length - main.length,
         unreadMs,
+        freeInMs: Math.max(unreadMs, ...items.map(item => Math.max(leastEndMs, item.endsAtMs - nowMs))),
         unconfirmedReads: items.filter(item => item.phase === WorkPhase.Reading).length,
         passMs,
         freeTokens: engine.memoryTokens - items.reduce((sum, item) => sum + item.tokens, 0),
+        memoryTokens: engine.memoryTokens,
         constraints: main.map(item => ({
             pauseAimMs: item.pauseAimMs!,
             roomMs: computeRoomMs(item, passMs, unreadMs, nowMs),
--- /dev/null
+++ b/test/routing/engineClaim.test.ts
@@ -0,0 +1,95 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { replayEngine } from "../../bench/replay/replay.js";
+import { chooseClaim, ClaimRequest, defaultClaimSettings } from "../../src/routing/engineClaim.js";
+import { computeReadMs } from "../../src/routing/engineTiming.js";
+import { buildEngineView, EngineView } from "../../src/routing/engineView.js";
+import { WorkItem, WorkPhase } from "../../src/routing/loadLedger.js";
+
+const engine = replayEngine;
+
+function makeRequest(tokens: number, changes: Partial<ClaimRequest> = {}): ClaimRequest {
+    return {
+        readMs: computeReadMs(engine, tokens),
+        tokens: tokens + 1_000,
+        latestMs: 6_000,
+        avoid: new Set(),
+        isSuspect: false,
+        ...changes,
+    };
+}
+
+function makeWriter(endsAtMs: number): WorkItem {
+    return {
+        key: "w",
+        endpoint: "e",
+        readMs: 300,
+        tokens: 40_000,
+        pauseAimMs: 600,
+        dueAtMs: 0,
+        phase: WorkPhase.Writing,
+        phaseSinceMs: 0,
+        endsAtMs,
+        isSuspect: false,
+    };
+}
+
+function makeView(order: number, items: readonly WorkItem[] = [], pace = 1): EngineView {
+    const facts = { id: `engine-${order}`, address: `10.0.0.${order}:80`, order, isTrial: false, pace };
+    return buildEngineView(facts, engine, items, 0);
+}
+
+function makeViews(count: number, items: readonly WorkItem[] = [], pace = 1): EngineView[] {
+    return Array.from({ length: count }, (unused, order) => makeView(order, items, pace));
+}
+
+function claim(request: ClaimRequest, views: readonly EngineView[]) {
+    return chooseClaim(request, views, engine.slots, 0, defaultClaimSettings);
+}
+
+describe("engines that are freed for a long prompt", () => {
+    test("a prompt that fits beside others' answers frees none", () => {
+        assert.equal(claim(makeRequest(100_000), makeViews(14)), undefined);
+    });
+
+    test("as few engines as can read it in time, so that fewer stand idle", () => {
+        // 500,000 tokens take 25.8 s on one engine; 0.8 of 6 s allows parts of 4.8 s.
+        assert.equal(claim(makeRequest(500_000), makeViews(14))?.engines.length, 6);
+    });
+
+    test("the time until they are free counts, so that the first event is not late", () => {
+        const found = claim(makeRequest(500_000), makeViews(14, [makeWriter(1_500)]));
+        assert.equal(found?.freeInMs, 1_500);
+        assert.equal(found.engines.length, 8);
+    });
+
+    test("engines that are free sooner are taken first", () => {
+        const views = [...makeViews(4, [makeWriter(4_000)]), makeView(10), makeView(11), makeView(12)];
+        const orders = claim(makeRequest(250_000), views)?.engines.map(view => view.order).sort();
+        assert.deepEqual(orders, [11, 12]);
+    });
+
+    test("a slow engine needs longer, and the prompt more engines", () => {
+        assert.equal(claim(makeRequest(400_000), makeViews(14, [], 2))?.engines.length, 8);
+    });
+
+    test("no more than their share, counting what other long prompts have, so that the rest serves everyone else", () => {
+        const reading: WorkItem = { ...makeWriter(5_000), phase: WorkPhase.Reading, readMs: 5_000 };
+        const views = [...makeViews(9, [reading]), ...[20, 21, 22, 23, 24].map(order => makeView(order))];
+        assert.equal(claim(makeRequest(400_000), views), undefined);
+    });
+
+    test("their memory holds the prompt, whatever the time left", () => {
+        const found = claim(makeRequest(600_000, { latestMs: 100_000 }), makeViews(14));
+        assert.ok(found && 601_000 / found.engines.length <= engine.memoryTokens);
+    });
+
+    test("none where no number of them is in time", () => {
+        assert.equal(claim(makeRequest(700_000, { latestMs: 1_000 }), makeViews(14)), undefined);
+    });
+
+    test("an engine that the request must avoid is left out", () => {
+        const found = claim(makeRequest(250_000, { avoid: new Set(["engine-13"]) }), makeViews(14));
+        assert.ok(found?.engines.every(view => view.id !== "engine-13"));
+    });
+});
