Form cells of gateways that place on their own share of the endpoints

All gateways filled engines in the same order, so that those that decided within the time of a message took the same engine, and each told each other of each request. Ruled out: processor time (the busiest gateway 24 to 32% of a core); the store. Work is told within the cell, crashes to all. Every gateway has its own order of engines.

--- a/bench/replay/replay.ts
+++ b/bench/replay/replay.ts
@@ -4,6 +4,7 @@
 import { createPlacementDesk } from "../../src/gateway/placementDesk.js";
 import { createEndpointDirectory, defaultDirectorySettings } from "../../src/membership/endpointDirectory.js";
 import { createEndpointHealth } from "../../src/membership/endpointHealth.js";
+import { createEndpointShare } from "../../src/membership/endpointShare.js";
 import { EndpointState } from "../../src/ports/endpointRecord.js";
 import { EngineModel, Service } from "../../src/ports/servingConfiguration.js";
 import { ClaimPolicy } from "../../src/routing/engineClaim.js";
@@ -120,7 +121,9 @@
         health: createEndpointHealth(),
         pace,
         ledger: createLoadLedger(),
+        share: createEndpointShare(directory, endpoints => endpoints),
         dataCentre: "a",
+        orderSeed: "",
         keyPrefix: "replay",
         random,
         placeOnEngines,
--- a/src/base/logEvents.ts
+++ b/src/base/logEvents.ts
@@ -53,6 +53,7 @@
     PeerFound = 5011,
     PeerLost = 5012,
     PeerMessageNotSent = 5013,
+    CellChanged = 5014,
     EngineReached = 6001,
     EngineLost = 6002,
     EngineRefusing = 6003,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -11,6 +11,7 @@
     EndpointChangeKind,
 } from "../membership/endpointDirectory.js";
 import { createEndpointHealth, ExchangeResult } from "../membership/endpointHealth.js";
+import { createEndpointShare } from "../membership/endpointShare.js";
 import { EndpointRecord } from "../ports/endpointRecord.js";
 import { ExchangeCodec } from "../ports/exchange.js";
 import { MemoryOrders } from "../ports/memoryOrders.js";
@@ -20,6 +21,7 @@
 import { createRetryBudget } from "../retries/retryBudget.js";
 import { chooseClaim } from "../routing/engineClaim.js";
 import { placeOnEngines } from "../routing/enginePlacement.js";
+import { decideCell, onlyCell, selectCellEndpoints } from "../routing/gatewayCell.js";
 import { createLoadLedger } from "../routing/loadLedger.js";
 import { createPaceEstimate } from "../routing/paceEstimate.js";
 import { buildRouteTable, RouteTable } from "../routing/routeTable.js";
@@ -97,6 +99,9 @@
     const ledger = createLoadLedger();
     const connections = createEndpointConnections();
     const keyPrefix = ports.incarnation.slice(-8);
+    const exchangeAddress = `${settings.ip}:${settings.exchangePort}`;
+    let cell = onlyCell;
+    const share = createEndpointShare(directory, endpoints => selectCellEndpoints(cell, endpoints));
     let table: RouteTable | undefined;
     let areEndpointsKnown = false;
 
@@ -120,10 +125,12 @@
     const desk = disposables.register(createPlacementDesk({
         timers,
         directory,
+        share,
         health,
         pace,
         ledger,
         dataCentre: settings.dataCentre,
+        orderSeed: settings.host,
         keyPrefix,
         random: ports.random,
         placeOnEngines,
@@ -181,11 +188,25 @@
             }
         }
         if (changes.length > 0) {
+            share.invalidate();
             connections.keepOnly(new Set(directory.listAll().map(item => item.record.address)));
             desk.run();
         }
     }
 
+    function applyCell(addresses: readonly string[]): void {
+        const previous = cell;
+        const membership = decideCell(exchangeAddress, addresses);
+        const { members } = membership;
+        cell = membership.cell;
+        const others = addresses.filter(address => !members.includes(address) && address !== exchangeAddress);
+        exchange.setPeers(members, others);
+        if (cell.index !== previous.index || cell.count !== previous.count) {
+            share.invalidate();
+            log(LogEvent.CellChanged, { cell: cell.index, cells: cell.count, members: members.length + 1 });
+        }
+    }
+
     function decodeEndpoints(records: readonly KeyedRecord[]): EndpointRecord[] {
         return records.map(record => ports.decodeEndpoint(record)).filter(record => record !== undefined);
     }
@@ -251,11 +272,11 @@
     disposables.register(followPeers({
         feed: ports.gatewayFeed,
         host: settings.host,
-        address: `${settings.ip}:${settings.exchangePort}`,
+        address: exchangeAddress,
         timers,
         log,
         onPeers(addresses) {
-            exchange.setPeers(addresses);
+            applyCell(addresses);
             budget.setBurst(computeBudgetBurst(settings.retrySlack, addresses.length));
         },
     }));
--- a/src/gateway/loadExchange.ts
+++ b/src/gateway/loadExchange.ts
@@ -23,10 +23,10 @@
     readonly port: number;
 }
 
-/** Tells other gateways of this one's work, and the ledger of theirs. */
+/** Tells other gateways of its cell of this one's work, and the ledger of theirs. */
 export interface LoadExchange extends Disposable {
-    /** Sets the gateways that the store lists. */
-    setPeers(addresses: readonly string[]): void;
+    /** Sets the gateways that the store lists: those of the own cell, which are told everything, and the others. */
+    setPeers(members: readonly string[], others: readonly string[]): void;
     /** Reports that an item of the own work was added or changed. */
     reportChange(key: string, item: WorkItem | undefined): void;
     reportCrash(notice: CrashNotice): void;
@@ -69,17 +69,24 @@
     const peers = new Map<string, Peer>();
     const changes = new Map<string, WorkItem | undefined>();
     const crashes: { readonly notice: CrashNotice; readonly untilMs: number }[] = [];
-    let listed: readonly string[] = [];
+    let members: readonly string[] = [];
+    let others: ReadonlySet<string> = new Set();
     let sequence = 0;
     let batch: Disposable | undefined;
     let isSendingSoon = false;
     let wasSendRefused = false;
 
+    /** Members of the cell, and gateways that the store does not list yet. */
     function listTargets(): string[] {
-        return [...new Set([...listed, ...peers.keys()])].filter(address => address !== ownAddress);
+        return [...new Set([...members, ...peers.keys()])].filter(address => address !== ownAddress);
     }
 
-    function send(isWhole: boolean, items: readonly WorkItem[], removed: readonly string[]): void {
+    function send(
+        isWhole: boolean,
+        items: readonly WorkItem[],
+        removed: readonly string[],
+        targets: Iterable<string> = listTargets(),
+    ): void {
         const nowMs = timers.now();
         sequence += 1;
         const message: LoadMessage = {
@@ -93,7 +100,7 @@
             crashes: crashes.filter(item => nowMs < item.untilMs).map(item => item.notice),
         };
         const bytes = encodeLoadMessage(message, nowMs);
-        for (const target of listTargets()) {
+        for (const target of targets) {
             const [ip, port] = target.split(":");
             socket.send(bytes, Number(port), ip, handleSendResult);
         }
@@ -117,6 +124,13 @@
         }
     }
 
+    /** Requests that crash endpoints come to every gateway, whatever its cell. */
+    function sendCrashesToOthers(): void {
+        if (crashes.length > 0) {
+            send(false, [], [], others);
+        }
+    }
+
     function sendChanges(): void {
         batch?.dispose();
         batch = undefined;
@@ -144,6 +158,10 @@
         if (!message || message.address === ownAddress) {
             return;
         }
+        if (others.has(message.address)) {
+            message.crashes.forEach(options.onCrash);
+            return;
+        }
         const known = peers.get(message.address);
         const isNew = known?.incarnation !== message.incarnation;
         if (!isNew && message.sequence <= known.sequence) {
@@ -187,12 +205,18 @@
     socket.bind(options.port, options.ip);
     const whole = timers.subscribe(wholeIntervalMs, () => {
         sendWhole();
+        sendCrashesToOthers();
         expirePeers();
     });
 
     return {
-        setPeers(addresses) {
-            listed = addresses;
+        setPeers(newMembers, newOthers) {
+            members = newMembers;
+            others = new Set(newOthers);
+            for (const address of [...peers.keys()].filter(known => others.has(known))) {
+                peers.delete(address);
+                ledger.removePeer(address);
+            }
         },
         reportChange(key, item) {
             changes.set(key, item);
@@ -207,6 +231,7 @@
         reportCrash(notice) {
             crashes.push({ notice, untilMs: timers.now() + crashRepeatMs });
             sendSoon();
+            sendCrashesToOthers();
         },
         countGateways: () => 1 + peers.size,
         dispose() {
--- a/src/gateway/placementDesk.ts
+++ b/src/gateway/placementDesk.ts
@@ -3,6 +3,7 @@
 import { TimerService } from "../base/timerService.js";
 import { EndpointDirectory } from "../membership/endpointDirectory.js";
 import { EndpointHealth, Standing } from "../membership/endpointHealth.js";
+import { EndpointShare } from "../membership/endpointShare.js";
 import { EngineModel, Service } from "../ports/servingConfiguration.js";
 import { ClaimPolicy, defaultClaimSettings } from "../routing/engineClaim.js";
 import {
@@ -34,10 +35,14 @@
 export interface PlacementDeskOptions {
     readonly timers: TimerService;
     readonly directory: EndpointDirectory;
+    /** The endpoints that requests are placed on. */
+    readonly share: EndpointShare;
     readonly health: EndpointHealth;
     readonly pace: PaceEstimate;
     readonly ledger: LoadLedger;
     readonly dataCentre: string;
+    /** Name from which the order follows in which engines are filled; gateways with different ones rarely collide. */
+    readonly orderSeed: string;
     /** Prefix of the keys of this process's work, unique among all gateways. */
     readonly keyPrefix: string;
     readonly random: () => number;
@@ -91,7 +96,7 @@
  * waiting.dispose(); // the customer has left
  */
 export function createPlacementDesk(options: PlacementDeskOptions): PlacementDesk {
-    const { timers, directory, health, pace, ledger } = options;
+    const { timers, share, health, pace, ledger } = options;
     let waiting: Waiting[] = [];
     let nextRun: Disposable | undefined;
     const claims = new Map<Waiting, HeldClaim>();
@@ -104,7 +109,7 @@
         nowMs: number,
         ignoredKeys?: ReadonlySet<string>,
     ): EngineView[] {
-        return directory.listUsable(service.name).flatMap(record => {
+        return share.list(service.name).flatMap(record => {
             const standing = health.getStanding(record.id, nowMs);
             if (standing === Standing.Down) {
                 return [];
@@ -112,7 +117,7 @@
             const facts = {
                 id: record.id,
                 address: record.address,
-                order: murmurhash.v3(record.id),
+                order: murmurhash.v3(`${options.orderSeed} ${record.id}`),
                 isTrial: standing === Standing.Trial,
                 pace: pace.getPace(record.id, nowMs),
             };
@@ -122,7 +127,7 @@
     }
 
     function listPlainViews(service: Service, nowMs: number): PlainView[] {
-        return directory.listUsable(service.name).flatMap(record => {
+        return share.list(service.name).flatMap(record => {
             const standing = health.getStanding(record.id, nowMs);
             return standing === Standing.Down ? [] : [{
                 id: record.id,
@@ -281,7 +286,7 @@
 
     /** Describes what a request that waits or is refused was decided on, for the log. */
     function describeLoad(order: PlacementOrder, nowMs: number): string {
-        const known = directory.listUsable(order.service.name);
+        const known = share.list(order.service.name);
         const usable = known.filter(record => health.getStanding(record.id, nowMs) !== Standing.Down);
         const running = usable.reduce((sum, record) => sum + ledger.listAt(record.id, nowMs).length, 0);
         return `endpoints=${known.length} usable=${usable.length} running=${running} waiting=${waiting.length}`;
@@ -328,7 +333,7 @@
         predictRoomMs(service, needs) {
             const nowMs = timers.now();
             const ahead = waiting.filter(item => item.order.service.name === service.name);
-            const endpoints = directory.listUsable(service.name)
+            const endpoints = share.list(service.name)
                 .filter(record => health.getStanding(record.id, nowMs) !== Standing.Down);
             if (endpoints.length === 0) {
                 return Number.POSITIVE_INFINITY;
--- a/src/routing/enginePlacement.ts
+++ b/src/routing/enginePlacement.ts
@@ -112,7 +112,7 @@
  * Places a request on engines, or returns `undefined` if it should wait.
  *
  * Short prompts fill engines in one order, long ones in the opposite order, so that the boundary between the two follows
- * the mix of requests without any agreement between gateways. Long prompts are read in parts that fit between the events
+ * the mix of requests. Long prompts are read in parts that fit between the events
  * of the answers that the engines write.
  *
  * @example
--- a/src/routing/engineView.ts
+++ b/src/routing/engineView.ts
@@ -6,7 +6,7 @@
 export interface EngineView {
     readonly id: string;
     readonly address: string;
-    /** Position in an order of endpoints that is the same at every gateway. */
+    /** Position in this gateway's order of endpoints. */
     readonly order: number;
     /** Whether only one request, which tries the endpoint, may be sent. */
     readonly isTrial: boolean;
--- /dev/null
+++ b/test/gateway/loadExchange.test.ts
@@ -0,0 +1,86 @@
+import assert from "node:assert/strict";
+import { createSocket } from "node:dgram";
+import { describe, test, TestContext } from "node:test";
+import { createSystemTimerService } from "../../src/base/systemTimerService.js";
+import { CrashNotice } from "../../src/gateway/exchangeMessages.js";
+import { createLoadExchange } from "../../src/gateway/loadExchange.js";
+import { createLoadLedger, WorkItem, WorkPhase } from "../../src/routing/loadLedger.js";
+import { waitUntil } from "../platform/support/deployment.js";
+
+const ip = "127.0.0.1";
+
+async function findFreePort(): Promise<number> {
+    const socket = createSocket("udp4");
+    await new Promise<void>(resolve => socket.bind(0, ip, resolve));
+    const { port } = socket.address();
+    await new Promise<void>(resolve => socket.close(resolve));
+    return port;
+}
+
+async function startExchange(host: string, context: TestContext) {
+    const timers = createSystemTimerService();
+    const ledger = createLoadLedger();
+    const crashes: CrashNotice[] = [];
+    const port = await findFreePort();
+    const exchange = createLoadExchange({
+        host,
+        ip,
+        port,
+        incarnation: `${host}-1`,
+        timers,
+        ledger,
+        log: () => undefined,
+        onChange: () => undefined,
+        onCrash: notice => crashes.push(notice),
+    });
+    context.after(() => exchange.dispose());
+    return { timers, ledger, crashes, exchange, address: `${ip}:${port}` };
+}
+
+function makeItem(nowMs: number): WorkItem {
+    return {
+        key: "own/1",
+        endpoint: "engine-1",
+        readMs: 30,
+        tokens: 5_000,
+        pauseAimMs: 250,
+        dueAtMs: nowMs + 250,
+        phase: WorkPhase.Reading,
+        phaseSinceMs: nowMs,
+        endsAtMs: nowMs + 5_000,
+        isSuspect: false,
+    };
+}
+
+describe("exchange of load", () => {
+    test("work goes to the own cell, crashes to every gateway, so that messages do not grow with all gateways", async context => {
+        const [sender, member, other] = await Promise.all(["a", "b", "c"].map(host => startExchange(host, context)));
+        assert.ok(sender && member && other);
+        sender.exchange.setPeers([member.address], [other.address]);
+        other.exchange.setPeers([], [sender.address, member.address]);
+        const item = makeItem(sender.timers.now());
+        sender.ledger.add(item);
+        sender.exchange.reportChange(item.key, item);
+        sender.exchange.reportCrash({ crash: "a/1/engine-1/0", fingerprints: ["request"] });
+        await waitUntil(
+            "work and crash at the member",
+            () => member.ledger.listAt("engine-1", member.timers.now()).length === 1 && member.crashes.length > 0,
+        );
+        await waitUntil("crash elsewhere", () => other.crashes.length > 0);
+        assert.equal(other.ledger.listAt("engine-1", other.timers.now()).length, 0);
+        assert.equal(other.exchange.countGateways(), 1);
+    });
+
+    test("work of a gateway that moves to another cell is forgotten, because its end would not be heard", async context => {
+        const [sender, member] = await Promise.all(["a", "b"].map(host => startExchange(host, context)));
+        assert.ok(sender && member);
+        sender.exchange.setPeers([member.address], []);
+        const item = makeItem(sender.timers.now());
+        sender.ledger.add(item);
+        sender.exchange.reportChange(item.key, item);
+        const countWork = () => member.ledger.listAt("engine-1", member.timers.now()).length;
+        await waitUntil("work at the member", () => countWork() === 1);
+        member.exchange.setPeers([], [sender.address]);
+        assert.equal(countWork(), 0);
+    });
+});
