Log and count the engines that are freed for a long prompt

Cause: a claim decided about a request and left no line; from the log a wait that ended with stage=claimed could not be told from a claim that was given up. Change: event 1007 EnginesClaimed with the endpoints, the predicted time until they are free, the part and the stage; the counter jujubelane_claims_total. Before and after: no decision changes.

--- a/bench/replay/replay.ts
+++ b/bench/replay/replay.ts
@@ -180,6 +180,7 @@
             isSuspect: false,
             onPlaced: place => start(place, kind, promptTokens, arrivedAtMs, outcome),
             onWaiting: () => undefined,
+            onClaimed: () => undefined,
             onHopeless() {
                 outcome.isRefused = true;
             },
--- a/src/base/logEvents.ts
+++ b/src/base/logEvents.ts
@@ -10,6 +10,7 @@
     RequestRetried = 1004,
     RequestEnded = 1005,
     RequestWaiting = 1006,
+    EnginesClaimed = 1007,
     TicketIgnored = 1020,
     RequestSplit = 1021,
     MemoryOrderFailed = 1030,
--- a/src/gateway/place.ts
+++ b/src/gateway/place.ts
@@ -9,6 +9,14 @@
     readonly pauseAimMs: number;
 }
 
+/** Engines that are kept free for a request, for the log. Durations are in milliseconds. */
+export interface ClaimReport {
+    readonly engineIds: readonly string[];
+    readonly freeInMs: number;
+    readonly partMs: number;
+    readonly stage: string;
+}
+
 /** Work that asks for a place. Times are on the steady clock. */
 export interface PlacementOrder {
     readonly service: Service;
@@ -26,6 +34,8 @@
     onPlaced(place: Place): void;
     /** No place is free now. */
     onWaiting(inputs: string): void;
+    /** No place is free now, and engines are kept free until it has one. */
+    onClaimed(claim: ClaimReport): void;
     /** The work can no longer be served in its time. */
     onHopeless(inputs: string): void;
 }
--- a/src/gateway/placementDesk.ts
+++ b/src/gateway/placementDesk.ts
@@ -162,7 +162,17 @@
             }
             return view && holder.holdPlain(order, view, nowMs);
         }
-        const request = makePlacementRequest(order, order.needs, nowMs);
+        return findEnginePlace(item, makePlacementRequest(order, order.needs, nowMs), engine, views, nowMs);
+    }
+
+    function findEnginePlace(
+        item: Waiting,
+        request: PlacementRequest,
+        engine: EngineModel,
+        views: ViewCache,
+        nowMs: number,
+    ): Place | undefined {
+        const { order } = item;
         if (claims.has(item)) {
             const place = findClaimedPlace(item, request, engine, nowMs);
             if (place || claims.has(item)) {
@@ -181,17 +191,8 @@
             defaultPlacementSettings,
         );
         if (!placement) {
-            // What can still be in time claims engines for that only; later any time before the customer leaves will do.
-            const latestMs = stage === PlacementStage.InTime ? request.dueAtMs : request.giveUpAtMs;
-            const claim = options.chooseClaim(
-                { ...request, latestMs },
-                known,
-                engine.slots,
-                nowMs,
-                defaultClaimSettings,
-            );
-            if (claim) {
-                claims.set(item, holder.holdClaim(order, claim, nowMs));
+            claimEngines(item, request, engine, known, stage, nowMs);
+            if (claims.has(item)) {
                 views.delete(order.service.name);
             }
             return undefined;
@@ -202,6 +203,28 @@
         return holder.holdEngines(order, engine, placement, stage, nowMs);
     }
 
+    function claimEngines(
+        item: Waiting,
+        request: PlacementRequest,
+        engine: EngineModel,
+        views: readonly EngineView[],
+        stage: PlacementStage,
+        nowMs: number,
+    ): void {
+        // What can still be in time claims engines for that only; later any time before the customer leaves will do.
+        const latestMs = stage === PlacementStage.InTime ? request.dueAtMs : request.giveUpAtMs;
+        const claim = options.chooseClaim({ ...request, latestMs }, views, engine.slots, nowMs, defaultClaimSettings);
+        if (claim) {
+            claims.set(item, holder.holdClaim(item.order, claim, nowMs));
+            item.order.onClaimed({
+                engineIds: claim.engines.map(view => view.id),
+                freeInMs: Math.round(claim.freeInMs),
+                partMs: Math.round(claim.partMs),
+                stage,
+            });
+        }
+    }
+
     /** Takes the engines that were claimed once they are free, or gives the claim up when it is overdue. */
     function findClaimedPlace(
         item: Waiting,
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -83,6 +83,10 @@
             isSuspect: request.isSuspect,
             onPlaced: handlePlaced,
             onWaiting: inputs => log(LogEvent.RequestWaiting, describe({ inputs, attempt: dispatches + 1 })),
+            onClaimed: ({ engineIds, ...inputs }) => {
+                log(LogEvent.EnginesClaimed, describe({ endpoints: engineIds.join(","), ...inputs }));
+                metrics.count("jujubelane_claims_total", "Times that engines were freed for a long prompt.");
+            },
             onHopeless: inputs => finishFailed(EndKind.NoRoom, undefined, inputs),
         });
         waiting = place || hasEnded ? undefined : submitted;
--- a/test/platform/gatewayPath.test.ts
+++ b/test/platform/gatewayPath.test.ts
@@ -174,6 +174,25 @@
         await deployment.close();
     });
 
+    test("a long prompt that finds no place is read on engines that are freed for it, and the log says which", async () => {
+        const large = await startDeployment({ engines: 4 });
+        const headers = makeModelHeaders({
+            "x-deadline-ms": "10000",
+            "x-token-count": "150000,100",
+            "x-prompt-prefix": "a1:150000",
+        });
+        const [gateway] = large.gateways;
+        const answer = await send(gateway!, { method: "POST", path: "/digest/1", headers, body: "long" });
+        assert.equal(answer.status, 200);
+        const id = headers["x-request-id"];
+        const lines = gateway!.lines.filter(line => line.fields.request === id);
+        const claimed = lines.find(line => line.event === LogEvent.EnginesClaimed);
+        assert.equal(String(claimed?.fields.endpoints).split(",").length, 2);
+        const chosen = lines.find(line => line.event === LogEvent.EndpointChosen);
+        assert.match(String(chosen?.fields.inputs), /^stage=claimed/);
+        await large.close();
+    });
+
     test("bytes that are no configuration change nothing", async () => {
         const deployment = await startDeployment();
         deployment.store.put("keyed.op", "config", '{"version": 99, "routes": 7}');
