Give the request task one job: deciding what happens next

The steps after a dispatch that is given up stood four times: health, endpoints to avoid, count of endpoints that ran it, further dispatch. Change: requestDispatch.ts sends, requestReport.ts logs and counts everything of a request, and the task has one function for an endpoint that is dropped and one for a further dispatch. No rule, log line or metric changes.

--- /dev/null
+++ b/src/gateway/requestDispatch.ts
@@ -0,0 +1,70 @@
+import { AnswerHead } from "../ports/exchange.js";
+import { AcceptedRequest } from "./acceptedRequest.js";
+import { Exchange, SendFailureKind } from "./endpointConnections.js";
+import { Place } from "./place.js";
+import { RequestServices } from "./requestServices.js";
+import { Reservation } from "./reservations.js";
+
+/** One dispatch of a request to the place that it was given. */
+export interface Dispatch {
+    readonly request: AcceptedRequest;
+    readonly place: Place;
+    /** Memory that the helpers keep, in their order; empty where the endpoint has enough. */
+    readonly reservations: readonly Reservation[];
+    readonly remainingMs: number;
+    /** Last event that the customer has. */
+    readonly lastEventId: number | undefined;
+    /** Whether the request may run more than once. */
+    readonly isRepeatable: boolean;
+}
+
+/** Receives what comes of a dispatch. */
+export interface DispatchListener {
+    /** Whether the dispatch is still waited for; what arrives later concerns nobody. */
+    isCurrent(): boolean;
+    onHead(head: AnswerHead): void;
+    onData(bytes: Buffer): void;
+    onEnd(): void;
+    onFailure(kind: SendFailureKind, reason: string): void;
+}
+
+/**
+ * Sends a request to its place.
+ *
+ * @example
+ * const exchange = sendDispatch(dispatch, services, listener);
+ */
+export function sendDispatch(dispatch: Dispatch, services: RequestServices, listener: DispatchListener): Exchange {
+    const { request, place } = dispatch;
+    const { codec, connections } = services;
+    const headers = codec.encodeDispatch(request.head, {
+        endpointId: place.endpoint.id,
+        address: place.endpoint.address,
+        remainingMs: dispatch.remainingMs,
+        customer: request.customer,
+        rank: request.rank,
+        lastEventId: dispatch.lastEventId,
+        helpers: place.helpers.map((helper, index) => ({
+            address: helper.address,
+            reservation: dispatch.reservations[index]?.id,
+        })),
+        host: request.host,
+    });
+    const callIfCurrent = (call: () => void) => {
+        if (listener.isCurrent()) {
+            call();
+        }
+    };
+    return connections.send(place.endpoint.address, {
+        method: request.method,
+        path: request.path,
+        headers,
+        body: request.body,
+        isSingleUse: !dispatch.isRepeatable,
+    }, {
+        onHead: (status, rawHeaders) => callIfCurrent(() => listener.onHead(codec.decodeAnswer(status, rawHeaders))),
+        onData: bytes => callIfCurrent(() => listener.onData(bytes)),
+        onEnd: () => callIfCurrent(() => listener.onEnd()),
+        onFailure: (kind, reason) => callIfCurrent(() => listener.onFailure(kind, reason)),
+    });
+}
--- a/src/gateway/requestReport.ts
+++ b/src/gateway/requestReport.ts
@@ -1,6 +1,8 @@
+import { LogFields } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
 import { Verdict } from "../base/verdict.js";
 import { AcceptedRequest } from "./acceptedRequest.js";
+import { ClaimReport, Place } from "./place.js";
 import { RequestServices } from "./requestServices.js";
 
 /** How a request ended, for the counter. */
@@ -34,34 +36,93 @@
     readonly readMs?: number;
 }
 
+/** Logs and counts what happens to one request. */
+export interface RequestReport {
+    /** No place is free; `attempt` counts dispatches from 1. */
+    recordWaiting(inputs: string, attempt: number): void;
+    recordClaim(claim: ClaimReport): void;
+    recordDispatch(place: Place, attempt: number): void;
+    recordFirstEvent(): void;
+    /** A dispatch has failed and the request goes on elsewhere. */
+    recordRetry(retry: RequestRetry): void;
+    recordTaskFailure(task: string, error: unknown): void;
+    recordEnd(end: RequestEnd): void;
+}
+
+/** What is known of a failed dispatch. */
+export interface RequestRetry {
+    readonly endpoint?: string;
+    readonly reason: string;
+    readonly verdict: Verdict;
+    readonly sentAtMs: number;
+    readonly attempt: number;
+}
+
 /**
- * Logs the end of a request and counts it.
+ * Creates the report of a request.
  *
  * @example
- * recordRequestEnd(request, { kind: EndKind.Answered, status: 200, attempts: 1, events: 0, longestPauseMs: 0 }, services);
+ * const report = createRequestReport(request, services);
+ * report.recordEnd({ kind: EndKind.Answered, status: 200, attempts: 1, events: 0, longestPauseMs: 0 });
  */
-export function recordRequestEnd(request: AcceptedRequest, end: RequestEnd, services: RequestServices): void {
+export function createRequestReport(request: AcceptedRequest, services: RequestServices): RequestReport {
     const { log, metrics, timers } = services;
-    const tookMs = timers.now() - request.arrivedAtMs;
-    log(LogEvent.RequestEnded, {
-        request: request.id,
-        route: request.route.name,
-        config: request.configurationVersion,
-        result: end.kind,
-        reason: end.reason,
-        status: end.status,
-        endpoint: end.endpoint,
-        verdict: end.verdict,
-        attempts: end.attempts,
-        inputs: end.inputs,
-        events: end.events,
-        firstEventMs: end.firstEventAtMs && Math.round(end.firstEventAtMs - request.arrivedAtMs),
-        longestPauseMs: Math.round(end.longestPauseMs),
-        readMs: end.readMs && Math.round(end.readMs),
-        tookMs: Math.round(tookMs),
-    });
-    const result = end.kind === EndKind.Answered ? `${end.kind}-${end.status}` : end.kind;
-    const labels = { kind: request.route.kind };
-    metrics.count("jujubelane_requests_total", "Requests by result.", { result });
-    metrics.recordDuration("jujubelane_request_seconds", "Duration of requests by kind.", tookMs, labels);
+
+    function write(event: LogEvent, fields: LogFields): void {
+        log(event, { request: request.id, route: request.route.name, config: request.configurationVersion, ...fields });
+    }
+
+    return {
+        recordWaiting: (inputs, attempt) => write(LogEvent.RequestWaiting, { inputs, attempt }),
+        recordClaim({ engineIds, ...inputs }) {
+            write(LogEvent.EnginesClaimed, { endpoints: engineIds.join(","), ...inputs });
+            metrics.count("jujubelane_claims_total", "Times that engines were freed for a long prompt.");
+        },
+        recordDispatch(place, attempt) {
+            write(LogEvent.EndpointChosen, {
+                endpoint: place.endpoint.id,
+                address: place.endpoint.address,
+                helpers: place.helpers.map(helper => helper.id).join(",") || undefined,
+                partMs: Math.round(place.partMs),
+                waitedMs: Math.round(timers.now() - request.arrivedAtMs),
+                predictedMs: Math.round(place.firstByteMs),
+                attempt,
+                inputs: place.reason,
+            });
+        },
+        recordFirstEvent() {
+            metrics.recordDuration(
+                "jujubelane_first_event_seconds",
+                "Time to the first event by rank.",
+                timers.now() - request.arrivedAtMs,
+                { rank: String(request.rank) },
+            );
+        },
+        recordRetry({ sentAtMs, ...retry }) {
+            write(LogEvent.RequestRetried, { ...retry, afterMs: Math.round(timers.now() - sentAtMs) });
+            const labels = { verdict: retry.verdict };
+            metrics.count("jujubelane_redispatches_total", "Further dispatches by verdict.", labels);
+        },
+        recordTaskFailure: (task, error) => write(LogEvent.TaskFailed, { task, error: String(error) }),
+        recordEnd(end) {
+            const tookMs = timers.now() - request.arrivedAtMs;
+            const { kind: result, firstEventAtMs, ...fields } = end;
+            write(LogEvent.RequestEnded, {
+                result,
+                ...fields,
+                firstEventMs: firstEventAtMs && Math.round(firstEventAtMs - request.arrivedAtMs),
+                longestPauseMs: Math.round(end.longestPauseMs),
+                readMs: end.readMs && Math.round(end.readMs),
+                tookMs: Math.round(tookMs),
+            });
+            const labels = { result: result === EndKind.Answered ? `${result}-${end.status}` : result };
+            metrics.count("jujubelane_requests_total", "Requests by result.", labels);
+            metrics.recordDuration(
+                "jujubelane_request_seconds",
+                "Duration of requests by kind.",
+                tookMs,
+                { kind: request.route.kind },
+            );
+        },
+    };
 }
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -1,6 +1,4 @@
 import { Disposable } from "../base/disposable.js";
-import { LogFields } from "../base/log.js";
-import { LogEvent } from "../base/logEvents.js";
 import { mergeVerdicts, Verdict } from "../base/verdict.js";
 import { ExchangeResult } from "../membership/endpointHealth.js";
 import { AnswerHead } from "../ports/exchange.js";
@@ -13,7 +11,8 @@
 import { createDispatchWatch } from "./dispatchWatch.js";
 import { Exchange, SendFailureKind } from "./endpointConnections.js";
 import { Place } from "./place.js";
-import { EndKind, recordRequestEnd } from "./requestReport.js";
+import { sendDispatch } from "./requestDispatch.js";
+import { createRequestReport, EndKind } from "./requestReport.js";
 import { RequestServices } from "./requestServices.js";
 import { ReservationSet } from "./reservations.js";
 import { createStreamProgress } from "./streamProgress.js";
@@ -29,7 +28,7 @@
  * startRequestTask(request, answer, services);
  */
 export function startRequestTask(request: AcceptedRequest, answer: CustomerAnswer, services: RequestServices): void {
-    const { timers, log, metrics, codec, desk, health } = services;
+    const { timers, codec, desk, health } = services;
     const { route, head } = request;
     const { deadlineAtMs, dueAtMs, giveUpAtMs } = computeTimes(request);
     const isRepeatable = isIdempotent(route.kind, route.isResumable);
@@ -51,12 +50,14 @@
         resumeAfter: head.lastEventId,
     });
     const progress = createStreamProgress(services.pace);
+    const report = createRequestReport(request, services);
     let dispatches = 0;
     let endpointsRun = 0;
     let hasEnded = false;
     let waiting: Disposable | undefined;
     let place: Place | undefined;
     let exchange: Exchange | undefined;
+    let answerHead: AnswerHead | undefined;
     let reserved: ReservationSet | undefined;
     let sentAtMs = 0;
 
@@ -65,10 +66,6 @@
     services.budget.recordRequest();
     submit();
 
-    function describe(fields: LogFields): LogFields {
-        return { request: request.id, route: route.name, config: request.configurationVersion, ...fields };
-    }
-
     function submit(): void {
         // A place that is free at once is given before `submit` returns.
         const submitted = desk.submit({
@@ -82,11 +79,8 @@
             avoid,
             isSuspect: request.isSuspect,
             onPlaced: handlePlaced,
-            onWaiting: inputs => log(LogEvent.RequestWaiting, describe({ inputs, attempt: dispatches + 1 })),
-            onClaimed: ({ engineIds, ...inputs }) => {
-                log(LogEvent.EnginesClaimed, describe({ endpoints: engineIds.join(","), ...inputs }));
-                metrics.count("jujubelane_claims_total", "Times that engines were freed for a long prompt.");
-            },
+            onWaiting: inputs => report.recordWaiting(inputs, dispatches + 1),
+            onClaimed: claim => report.recordClaim(claim),
             onHopeless: inputs => finishFailed(EndKind.NoRoom, undefined, inputs),
         });
         waiting = place || hasEnded ? undefined : submitted;
@@ -107,7 +101,7 @@
         services.reservations.reserveAll(addresses, found.reservedTokens).then(
             set => handleReserved(found, set),
             (error: unknown) => {
-                log(LogEvent.TaskFailed, describe({ task: "reservations", error: String(error) }));
+                report.recordTaskFailure("reservations", error);
                 handleReserved(found, undefined);
             },
         );
@@ -128,83 +122,46 @@
     }
 
     function send(found: Place): void {
-        const nowMs = timers.now();
         dispatches += 1;
-        sentAtMs = nowMs;
-        log(
-            LogEvent.EndpointChosen,
-            describe({
-                endpoint: found.endpoint.id,
-                address: found.endpoint.address,
-                helpers: found.helpers.map(helper => helper.id).join(",") || undefined,
-                partMs: Math.round(found.partMs),
-                waitedMs: Math.round(nowMs - request.arrivedAtMs),
-                predictedMs: Math.round(found.firstByteMs),
-                attempt: dispatches,
-                inputs: found.reason,
-            }),
-        );
-        const headers = codec.encodeDispatch(head, {
-            endpointId: found.endpoint.id,
-            address: found.endpoint.address,
-            remainingMs: deadlineAtMs - nowMs,
-            customer: request.customer,
-            rank: request.rank,
-            lastEventId: relay.getLastEventId(),
-            helpers: found.helpers.map((helper, index) => ({
-                address: helper.address,
-                reservation: reserved?.reservations[index]?.id,
-            })),
-            host: request.host,
-        });
+        sentAtMs = timers.now();
+        report.recordDispatch(found, dispatches);
         relay.startAttempt();
         progress.startAttempt(found);
-        let answerHead: AnswerHead | undefined;
-        // What still arrives of a dispatch that was given up concerns nobody.
-        const isCurrent = () => place === found && !hasEnded;
-        exchange = services.connections.send(found.endpoint.address, {
-            method: request.method,
-            path: request.path,
-            headers,
-            body: request.body,
-            isSingleUse: !isRepeatable,
-        }, {
-            onHead(status, rawHeaders) {
-                if (isCurrent()) {
-                    answerHead = codec.decodeAnswer(status, rawHeaders);
-                    handleOutcome(relay.acceptHead(answerHead, request.id), answerHead);
-                }
-            },
-            onData(bytes) {
-                if (isCurrent()) {
-                    handleOutcome(relay.acceptData(bytes, () => exchange?.resume()), answerHead);
-                }
+        answerHead = undefined;
+        exchange = sendDispatch(
+            {
+                request,
+                place: found,
+                reservations: reserved?.reservations ?? [],
+                remainingMs: deadlineAtMs - sentAtMs,
+                lastEventId: relay.getLastEventId(),
+                isRepeatable,
             },
-            onEnd() {
-                if (isCurrent()) {
-                    handleOutcome(relay.acceptEnd(), answerHead);
-                }
+            services,
+            {
+                isCurrent: () => place === found && !hasEnded,
+                onHead(decoded) {
+                    answerHead = decoded;
+                    handleOutcome(relay.acceptHead(decoded, request.id));
+                },
+                onData: bytes => handleOutcome(relay.acceptData(bytes, () => exchange?.resume())),
+                onEnd: () => handleOutcome(relay.acceptEnd()),
+                onFailure: handleSendFailure,
             },
-            onFailure(kind, reason) {
-                if (isCurrent()) {
-                    handleSendFailure(kind, reason);
-                }
-            },
-        });
+        );
         watch.start(found);
     }
 
     function handleUnreachable(): void {
-        const mayRunAgain = isRetryAllowed(Verdict.MayHaveRun, endpointsRun + 1);
         // Where no memory is kept for it, the answer of an endpoint behind a broken link may still come.
-        if (place && (mayRunAgain || place.reservedTokens > 0)) {
-            exchange?.abort();
-            services.connections.replace(place.endpoint.address);
-            handleBroken(ExchangeResult.Unreachable, "accepts no connection");
+        if (place && (isFurtherRunAllowed() || place.reservedTokens > 0)) {
+            dropConnections(place);
+            dropEndpoint(place, ExchangeResult.Unreachable, Verdict.MayHaveRun);
+            handleFailure(Verdict.MayHaveRun, "accepts no connection");
         }
     }
 
-    function handleOutcome(outcome: AnswerOutcome, answerHead: AnswerHead | undefined): void {
+    function handleOutcome(outcome: AnswerOutcome): void {
         if (hasEnded || !place) {
             return;
         }
@@ -225,7 +182,8 @@
                 break;
             case AnswerOutcomeKind.Invalid:
                 exchange?.abort();
-                handleBroken(ExchangeResult.Failed, outcome.reason);
+                dropEndpoint(place, ExchangeResult.Failed, Verdict.MayHaveRun);
+                handleFailure(Verdict.MayHaveRun, outcome.reason);
                 break;
             case AnswerOutcomeKind.Failed:
                 handleFailedAnswer(place, answerHead!);
@@ -236,52 +194,39 @@
     }
 
     function handleEvent(current: Place): void {
-        const nowMs = timers.now();
-        if (progress.recordEvent(nowMs)) {
-            const waitedMs = nowMs - request.arrivedAtMs;
-            const labels = { rank: String(request.rank) };
-            metrics.recordDuration(
-                "jujubelane_first_event_seconds",
-                "Time to the first event by rank.",
-                waitedMs,
-                labels,
-            );
+        if (progress.recordEvent(timers.now())) {
+            report.recordFirstEvent();
             current.startWriting();
         }
         watch.recordEvent(current);
     }
 
-    function handleNotRun(current: Place, answerHead: AnswerHead): void {
+    function handleNotRun(current: Place, { status, isMisdirected, faultyEndpoint }: AnswerHead): void {
         const { id } = current.endpoint;
         const nowMs = timers.now();
-        if (answerHead.isMisdirected) {
+        if (isMisdirected) {
             avoid.add(id);
             services.onMisdirected(id);
         }
-        else if (answerHead.faultyEndpoint !== undefined) {
+        else if (faultyEndpoint !== undefined) {
             const faulty = current.helpers.find(helper =>
-                answerHead.faultyEndpoint!.includes(helper.address)
-                || answerHead.faultyEndpoint!.includes(helper.id)
+                faultyEndpoint.includes(helper.address) || faultyEndpoint.includes(helper.id)
             );
             health.record(faulty?.id ?? id, faulty ? ExchangeResult.Silent : ExchangeResult.Full, nowMs);
         }
         else {
             health.record(id, ExchangeResult.Full, nowMs);
         }
-        handleFailure(Verdict.NotRun, `not run, status ${answerHead.status}`);
+        handleFailure(Verdict.NotRun, `not run, status ${status}`);
     }
 
     /** The endpoint ran the request and failed; another may do better where the request may run again. */
-    function handleFailedAnswer(current: Place, answerHead: AnswerHead): void {
-        health.record(current.endpoint.id, ExchangeResult.Failed, timers.now());
-        if (isRetryAllowed(Verdict.MayHaveRun, endpointsRun + 1) && services.budget.acquire()) {
-            endpointsRun += 1;
-            avoid.add(current.endpoint.id);
-            retry(`status ${answerHead.status}`, Verdict.MayHaveRun);
-            return;
+    function handleFailedAnswer(current: Place, { status }: AnswerHead): void {
+        dropEndpoint(current, ExchangeResult.Failed, Verdict.MayHaveRun);
+        if (!retry(Verdict.MayHaveRun, `status ${status}`)) {
+            relay.deliverFailure();
+            end(EndKind.Answered, status);
         }
-        relay.deliverFailure();
-        end(EndKind.Answered, answerHead.status);
     }
 
     function handleSendFailure(kind: SendFailureKind, reason: string): void {
@@ -298,29 +243,37 @@
             services.crashes.recordBreak(place.endpoint.id, request.fingerprint);
         }
         services.connections.replace(place.endpoint.address);
-        handleBroken(ExchangeResult.Broken, reason);
-    }
-
-    function handleBroken(result: ExchangeResult, reason: string): void {
-        const { id } = place!.endpoint;
-        health.record(id, result, timers.now());
-        avoid.add(id);
-        endpointsRun += 1;
+        dropEndpoint(place, ExchangeResult.Broken, Verdict.MayHaveRun);
         handleFailure(Verdict.MayHaveRun, reason);
     }
 
     function handleSilence(): void {
-        if (!place || !isRetryAllowed(Verdict.MayHaveRun, endpointsRun + 1)) {
+        if (!place || !isFurtherRunAllowed()) {
             return;
         }
         const silentMs = timers.now() - (progress.getLastEventMs() ?? sentAtMs);
         const verdict = exchange?.hasStarted() ? Verdict.MayHaveRun : Verdict.NotRun;
-        health.record(place.endpoint.id, ExchangeResult.Silent, timers.now());
+        dropConnections(place);
+        dropEndpoint(place, ExchangeResult.Silent, verdict);
+        handleFailure(verdict, `silent for ${Math.round(silentMs)} ms`);
+    }
+
+    /** Ends the exchange, and the kept connections that may be as silent as its own. */
+    function dropConnections(current: Place): void {
         exchange?.abort();
-        services.connections.replace(place.endpoint.address);
-        avoid.add(place.endpoint.id);
+        services.connections.replace(current.endpoint.address);
+    }
+
+    /** Records what a dispatch says of its endpoint; the request does not come back there. */
+    function dropEndpoint({ endpoint }: Place, result: ExchangeResult, verdict: Verdict): void {
+        health.record(endpoint.id, result, timers.now());
+        avoid.add(endpoint.id);
         endpointsRun += verdict === Verdict.MayHaveRun ? 1 : 0;
-        handleFailure(verdict, `silent for ${Math.round(silentMs)} ms`);
+    }
+
+    /** Whether the request may run on another endpoint if it has run on the present one. */
+    function isFurtherRunAllowed(): boolean {
+        return isRetryAllowed(Verdict.MayHaveRun, endpointsRun + 1);
     }
 
     function isRetryAllowed(verdict: Verdict, ranOn: number): boolean {
@@ -337,29 +290,22 @@
     }
 
     function handleFailure(verdict: Verdict, reason: string): void {
-        if (isRetryAllowed(verdict, endpointsRun) && services.budget.acquire()) {
-            retry(reason, verdict);
-            return;
+        if (!retry(verdict, reason)) {
+            verdicts.push(verdict);
+            finishFailed(EndKind.Failed, reason);
         }
-        verdicts.push(verdict);
-        finishFailed(EndKind.Failed, reason);
     }
 
-    function retry(reason: string, verdict: Verdict): void {
+    /** Looks for another place, where the rules and the budget allow that. */
+    function retry(verdict: Verdict, reason: string): boolean {
+        if (!isRetryAllowed(verdict, endpointsRun) || !services.budget.acquire()) {
+            return false;
+        }
         verdicts.push(verdict);
-        log(
-            LogEvent.RequestRetried,
-            describe({
-                endpoint: place?.endpoint.id,
-                reason,
-                verdict,
-                afterMs: Math.round(timers.now() - sentAtMs),
-                attempt: dispatches,
-            }),
-        );
-        metrics.count("jujubelane_redispatches_total", "Further dispatches by verdict.", { verdict });
+        report.recordRetry({ endpoint: place?.endpoint.id, reason, verdict, sentAtMs, attempt: dispatches });
         dropDispatch();
         submit();
+        return true;
     }
 
     function dropDispatch(): void {
@@ -414,7 +360,7 @@
         }
         const endpoint = place?.endpoint.id;
         dropDispatch();
-        recordRequestEnd(request, {
+        report.recordEnd({
             kind,
             reason,
             status,
@@ -426,7 +372,7 @@
             firstEventAtMs: progress.getFirstEventMs(),
             longestPauseMs: progress.getLongestPauseMs(),
             readMs: needs?.readMs,
-        }, services);
+        });
     }
 }
 
