--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -196,10 +196,8 @@
 
     function applyCell(addresses: readonly string[]): void {
         const previous = cell;
-        const membership = decideCell(exchangeAddress, addresses);
-        const { members } = membership;
-        cell = membership.cell;
-        const others = addresses.filter(address => !members.includes(address) && address !== exchangeAddress);
+        const { cell: decided, members, others } = decideCell(exchangeAddress, addresses);
+        cell = decided;
         exchange.setPeers(members, others);
         if (cell.index !== previous.index || cell.count !== previous.count) {
             share.invalidate();
--- a/src/gateway/loadExchange.ts
+++ b/src/gateway/loadExchange.ts
@@ -87,7 +87,6 @@
         removed: readonly string[],
         targets: Iterable<string> = listTargets(),
     ): void {
-        const nowMs = timers.now();
         sequence += 1;
         const message: LoadMessage = {
             host: options.host,
@@ -97,9 +96,9 @@
             isWhole,
             items,
             removed,
-            crashes: crashes.filter(item => nowMs < item.untilMs).map(item => item.notice),
+            crashes: crashes.map(item => item.notice),
         };
-        const bytes = encodeLoadMessage(message, nowMs);
+        const bytes = encodeLoadMessage(message, timers.now());
         for (const target of targets) {
             const [ip, port] = target.split(":");
             socket.send(bytes, Number(port), ip, handleSendResult);
@@ -195,7 +194,7 @@
         for (const [address, peer] of peers) {
             if (nowMs - peer.heardAtMs > peerTimeoutMs) {
                 peers.delete(address);
-                log(LogEvent.PeerLost, { address, silentMs: nowMs - peer.heardAtMs });
+                log(LogEvent.PeerLost, { address, silentMs: Math.round(nowMs - peer.heardAtMs) });
             }
         }
     }
--- a/src/gateway/place.ts
+++ b/src/gateway/place.ts
@@ -1,5 +1,6 @@
 import { EndpointRecord } from "../ports/endpointRecord.js";
 import { Service } from "../ports/servingConfiguration.js";
+import { PlacementStage } from "../routing/enginePlacement.js";
 
 /** What a model request needs of an engine. */
 export interface EngineNeeds {
@@ -14,7 +15,7 @@
     readonly engineIds: readonly string[];
     readonly freeInMs: number;
     readonly partMs: number;
-    readonly stage: string;
+    readonly stage: PlacementStage;
 }
 
 /** Work that asks for a place. Times are on the steady clock. */
--- a/src/gateway/placementDesk.ts
+++ b/src/gateway/placementDesk.ts
@@ -4,6 +4,7 @@
 import { EndpointDirectory } from "../membership/endpointDirectory.js";
 import { EndpointHealth, Standing } from "../membership/endpointHealth.js";
 import { EndpointShare } from "../membership/endpointShare.js";
+import { EndpointRecord } from "../ports/endpointRecord.js";
 import { EngineModel, Service } from "../ports/servingConfiguration.js";
 import { ClaimPolicy, defaultClaimSettings } from "../routing/engineClaim.js";
 import {
@@ -17,7 +18,7 @@
 import { LoadLedger, WorkItem } from "../routing/loadLedger.js";
 import { PaceEstimate } from "../routing/paceEstimate.js";
 import { placeOnPlainService, PlainView } from "../routing/plainPlacement.js";
-import { compareWaiting } from "../scheduling/waitingOrder.js";
+import { compareWaiting, WaitingWork } from "../scheduling/waitingOrder.js";
 import { EngineNeeds, Place, PlacementOrder } from "./place.js";
 import { createPlaceHolder, HeldClaim, plainAnswerMs } from "./placeHolder.js";
 
@@ -79,13 +80,15 @@
 /** Engines of each service, while nothing has changed there. */
 type ViewCache = Map<string, readonly EngineView[]>;
 
-interface Waiting {
+interface Waiting extends WaitingWork {
     readonly order: PlacementOrder;
-    readonly rank: number;
-    readonly arrivedAtMs: number;
-    readonly latestStartMs: number;
-    readonly lastStartMs: number;
-    readonly readMs: number;
+}
+
+/** An endpoint that is given work. */
+interface UsableEndpoint {
+    readonly record: EndpointRecord;
+    /** Whether only one request, which tries the endpoint, may be sent. */
+    readonly isTrial: boolean;
 }
 
 /**
@@ -102,6 +105,13 @@
     const claims = new Map<Waiting, HeldClaim>();
     const holder = createPlaceHolder({ ...options, onFreed: run });
 
+    function listUsable(service: Service, nowMs: number): UsableEndpoint[] {
+        return share.list(service.name)
+            .map(record => ({ record, standing: health.getStanding(record.id, nowMs) }))
+            .filter(({ standing }) => standing !== Standing.Down)
+            .map(({ record, standing }) => ({ record, isTrial: standing === Standing.Trial }));
+    }
+
     /** Lists engines as they are without the work under `ignoredKeys`. */
     function listEngineViews(
         service: Service,
@@ -109,35 +119,32 @@
         nowMs: number,
         ignoredKeys?: ReadonlySet<string>,
     ): EngineView[] {
-        return share.list(service.name).flatMap(record => {
-            const standing = health.getStanding(record.id, nowMs);
-            if (standing === Standing.Down) {
-                return [];
-            }
+        return listUsable(service, nowMs).map(({ record, isTrial }) => {
             const facts = {
                 id: record.id,
                 address: record.address,
                 order: murmurhash.v3(`${options.orderSeed} ${record.id}`),
-                isTrial: standing === Standing.Trial,
+                isTrial,
                 pace: pace.getPace(record.id, nowMs),
             };
             const items = ledger.listAt(record.id, nowMs).filter(item => !ignoredKeys?.has(item.key));
-            return [buildEngineView(facts, engine, items, nowMs)];
+            return buildEngineView(facts, engine, items, nowMs);
         });
     }
 
     function listPlainViews(service: Service, nowMs: number): PlainView[] {
-        return share.list(service.name).flatMap(record => {
-            const standing = health.getStanding(record.id, nowMs);
-            return standing === Standing.Down ? [] : [{
-                id: record.id,
-                address: record.address,
-                dataCentre: record.dataCentre,
-                isTrial: standing === Standing.Trial,
-                running: ledger.listAt(record.id, nowMs).length,
-                slots: record.slots,
-            }];
-        });
+        return listUsable(service, nowMs).map(({ record, isTrial }) => ({
+            id: record.id,
+            address: record.address,
+            dataCentre: record.dataCentre,
+            isTrial,
+            running: ledger.listAt(record.id, nowMs).length,
+            slots: record.slots,
+        }));
+    }
+
+    function startTrials(views: readonly { readonly id: string; readonly isTrial: boolean }[], nowMs: number): void {
+        views.filter(view => view.isTrial).forEach(view => health.startTrial(view.id, nowMs));
     }
 
     function decideStage(item: Waiting, nowMs: number): PlacementStage {
@@ -157,9 +164,7 @@
         if (!engine || !order.needs) {
             const request = { avoid: order.avoid, dataCentre: options.dataCentre, isUnsafe: order.isUnsafe };
             const view = placeOnPlainService(request, listPlainViews(order.service, nowMs));
-            if (view?.isTrial) {
-                health.startTrial(view.id, nowMs);
-            }
+            startTrials(view ? [view] : [], nowMs);
             return view && holder.holdPlain(order, view, nowMs);
         }
         return findEnginePlace(item, makePlacementRequest(order, order.needs, nowMs), engine, views, nowMs);
@@ -198,8 +203,7 @@
             return undefined;
         }
         views.delete(order.service.name);
-        [placement.endpoint, ...placement.helpers].filter(view => view.isTrial)
-            .forEach(view => health.startTrial(view.id, nowMs));
+        startTrials([placement.endpoint, ...placement.helpers], nowMs);
         return holder.holdEngines(order, engine, placement, stage, nowMs);
     }
 
@@ -309,10 +313,10 @@
 
     /** Describes what a request that waits or is refused was decided on, for the log. */
     function describeLoad(order: PlacementOrder, nowMs: number): string {
-        const known = share.list(order.service.name);
-        const usable = known.filter(record => health.getStanding(record.id, nowMs) !== Standing.Down);
-        const running = usable.reduce((sum, record) => sum + ledger.listAt(record.id, nowMs).length, 0);
-        return `endpoints=${known.length} usable=${usable.length} running=${running} waiting=${waiting.length}`;
+        const known = share.list(order.service.name).length;
+        const usable = listUsable(order.service, nowMs);
+        const running = usable.reduce((sum, { record }) => sum + ledger.listAt(record.id, nowMs).length, 0);
+        return `endpoints=${known} usable=${usable.length} running=${running} waiting=${waiting.length}`;
     }
 
     function makeWaiting(order: PlacementOrder): Waiting {
@@ -326,7 +330,6 @@
         return {
             order,
             rank: order.rank,
-            arrivedAtMs: order.arrivedAtMs,
             latestStartMs,
             lastStartMs,
             readMs: order.needs?.readMs ?? 0,
@@ -356,8 +359,7 @@
         predictRoomMs(service, needs) {
             const nowMs = timers.now();
             const ahead = waiting.filter(item => item.order.service.name === service.name);
-            const endpoints = share.list(service.name)
-                .filter(record => health.getStanding(record.id, nowMs) !== Standing.Down);
+            const endpoints = listUsable(service, nowMs);
             if (endpoints.length === 0) {
                 return Number.POSITIVE_INFINITY;
             }
--- a/src/routing/baselinePlacement.ts
+++ b/src/routing/baselinePlacement.ts
@@ -1,10 +1,5 @@
-import { Placement, PlacementPolicy, PlacementRequest } from "./enginePlacement.js";
-import { EngineView, passesToFirstEvent } from "./engineView.js";
-
-function makeWhole(view: EngineView, request: PlacementRequest): Placement {
-    const firstEventMs = view.unreadMs + request.readMs + passesToFirstEvent * view.passMs;
-    return { endpoint: view, helpers: [], partMs: request.readMs, reservedTokens: 0, firstEventMs };
-}
+import { makeWhole, PlacementPolicy, PlacementRequest } from "./enginePlacement.js";
+import { EngineView } from "./engineView.js";
 
 function listFree(request: PlacementRequest, views: readonly EngineView[], slots: number): EngineView[] {
     return views.filter(view =>
--- a/src/routing/engineClaim.ts
+++ b/src/routing/engineClaim.ts
@@ -1,4 +1,5 @@
-import { EngineView } from "./engineView.js";
+import { isUsable } from "./enginePlacement.js";
+import { EngineView, memoryMargin } from "./engineView.js";
 
 /** A long prompt for which engines are to be freed. Times are on the steady clock, in milliseconds. */
 export interface ClaimRequest {
@@ -55,9 +56,6 @@
 /** Engines that are free within this time of one another are chosen by their order, in milliseconds. */
 const similarMs = 300;
 
-/** Share of the free memory that a claim may count on. */
-const memoryMargin = 0.92;
-
 /**
  * Chooses the fewest engines that can read a prompt in its time once their present work has ended, those that are free
  * soonest first; `undefined` if no number of them can. Fewer engines stand idle for less time while the others end.
@@ -72,12 +70,12 @@
     nowMs: number,
     settings: ClaimSettings,
 ): EngineClaim | undefined {
-    if (request.readMs < settings.leastReadMs) {
+    // A suspect may crash the engines that were freed for it.
+    if (request.readMs < settings.leastReadMs || request.isSuspect) {
         return undefined;
     }
     const usable = views.filter(view =>
-        !view.isTrial && !view.hasSuspect && !request.isSuspect && !request.avoid.has(view.id) && view.running < slots
-        && view.unreadMs <= longReadMs
+        isUsable(view, request, slots) && !view.isTrial && !view.hasSuspect && view.unreadMs <= longReadMs
     ).sort((left, right) =>
         Math.round(left.freeInMs / similarMs) - Math.round(right.freeInMs / similarMs) || right.order - left.order
     );
--- a/src/routing/enginePlacement.ts
+++ b/src/routing/enginePlacement.ts
@@ -1,4 +1,4 @@
-import { EngineView, passesToFirstEvent } from "./engineView.js";
+import { EngineView, memoryMargin, passesToFirstEvent } from "./engineView.js";
 
 /** A request that needs a place on an engine. */
 export interface PlacementRequest {
@@ -84,8 +84,6 @@
     settings: PlacementSettings,
 ) => Placement | undefined;
 
-/** Share of the free memory that a placement may count on; other gateways may take some meanwhile. */
-const memoryMargin = 0.92;
 /**
  * Growth of the longest part with the time waited: longer parts on fewer engines are better than a longer wait. It is
  * slower for prompts above the usual read time, because a huge one holds up many others for one customer.
@@ -112,11 +110,10 @@
  * Places a request on engines, or returns `undefined` if it should wait.
  *
  * Short prompts fill engines in one order, long ones in the opposite order, so that the boundary between the two follows
- * the mix of requests. Long prompts are read in parts that fit between the events
- * of the answers that the engines write.
+ * the mix of requests. Long prompts are read in parts that fit between the events of the answers that the engines write.
  *
  * @example
- * placeOnEngines(request, views, slots, timers.now(), Protection.All, defaultPlacementSettings);
+ * placeOnEngines(request, views, slots, timers.now(), PlacementStage.InTime, defaultPlacementSettings);
  */
 export function placeOnEngines(
     request: PlacementRequest,
@@ -138,7 +135,12 @@
         : placeLong(request, usable, nowMs, stage, settings);
 }
 
-function isUsable(view: EngineView, request: PlacementRequest, slots: number): boolean {
+/** Tells whether an engine may have another request of this kind at all. */
+export function isUsable(
+    view: EngineView,
+    request: Pick<PlacementRequest, "avoid" | "isSuspect">,
+    slots: number,
+): boolean {
     if (request.avoid.has(view.id) || view.running >= slots) {
         return false;
     }
@@ -263,7 +265,8 @@
     };
 }
 
-function makeWhole(view: EngineView, request: PlacementRequest): Placement {
+/** Places a prompt on one engine, which reads all of it. */
+export function makeWhole(view: EngineView, request: PlacementRequest): Placement {
     return {
         endpoint: view,
         helpers: [],
@@ -277,8 +280,7 @@
     return stage !== PlacementStage.InTime || firstEventAtMs <= request.dueAtMs;
 }
 
-/** Tells whether an engine writes an answer with a shorter pause aim than that of a request. */
-export function isBesideStricter(view: EngineView, request: { readonly pauseAimMs: number }): boolean {
+function isBesideStricter(view: EngineView, request: PlacementRequest): boolean {
     return view.constraints.some(item => item.pauseAimMs < request.pauseAimMs);
 }
 
--- a/src/routing/engineView.ts
+++ b/src/routing/engineView.ts
@@ -39,6 +39,8 @@
     readonly roomMs: number;
 }
 
+/** Share of the free memory that a decision may count on; other gateways may take some meanwhile. */
+export const memoryMargin = 0.92;
 /** Share of a pause aim that predictions may use; the rest covers their error and the network. */
 const pauseMargin = 0.85;
 /** A prompt starts to be read half a pass after it arrives on average, and its first event ends a pass. */
--- a/src/routing/gatewayCell.ts
+++ b/src/routing/gatewayCell.ts
@@ -18,10 +18,13 @@
 /** Endpoints of a service in a cell at least; with fewer, requests of one cell wait while those of another are free. */
 const leastEndpoints = 8;
 
-/** The cell of a gateway and the other gateways in it. */
+/** The cell of a gateway, and the other gateways. */
 export interface CellMembership {
     readonly cell: Cell;
+    /** Gateways of the same cell. */
     readonly members: readonly string[];
+    /** Gateways of other cells. */
+    readonly others: readonly string[];
 }
 
 /**
@@ -35,8 +38,11 @@
     const known = sortByHash([...new Set([...addresses, ownAddress])]);
     const count = computePowerOfTwo(known.length / leastGateways);
     const index = known.indexOf(ownAddress) % count;
-    const members = known.filter((address, position) => position % count === index && address !== ownAddress);
-    return { cell: { index, count }, members };
+    return {
+        cell: { index, count },
+        members: known.filter((address, position) => position % count === index && address !== ownAddress),
+        others: known.filter((address, position) => position % count !== index),
+    };
 }
 
 /**
--- a/src/scheduling/waitingOrder.ts
+++ b/src/scheduling/waitingOrder.ts
@@ -2,7 +2,6 @@
 export interface WaitingWork {
     /** 0 is the most urgent. */
     readonly rank: number;
-    readonly arrivedAtMs: number;
     /** Start after which the first byte is late. */
     readonly latestStartMs: number;
     /** Start after which no answer can reach the customer in its time. */
--- a/test/gateway/parts.test.ts
+++ b/test/gateway/parts.test.ts
@@ -85,7 +85,6 @@
 describe("order of what waits", () => {
     const makeWork = (changes: Partial<WaitingWork>): WaitingWork => ({
         rank: 0,
-        arrivedAtMs: 0,
         latestStartMs: 1_000,
         lastStartMs: 5_000,
         readMs: 30,
