Drop what the gateway decodes and does not use

Cause: a service's bound of connections, an endpoint's time of slowness and the interface PeerAddress had no reader; Retry-After was rendered in two places. Change: the fields and the interface are gone, renderRetryAfter is one function.

--- a/bench/replay/replay.ts
+++ b/bench/replay/replay.ts
@@ -110,11 +110,10 @@
             dataCentre: "a",
             slots: replayEngine.slots,
             state: EndpointState.Ready,
-            coldMs: 0,
         }, 0);
     }
     const pace = createPaceEstimate();
-    const service: Service = { name: "models", maxConnections: 100, engine: replayEngine };
+    const service: Service = { name: "models", engine: replayEngine };
     const desk = createPlacementDesk({
         timers,
         directory,
--- a/src/gateway/loadExchange.ts
+++ b/src/gateway/loadExchange.ts
@@ -17,12 +17,6 @@
 /** Messages stay within one datagram of a usual network. */
 const itemsPerMessage = 20;
 
-/** Address of another gateway. */
-export interface PeerAddress {
-    readonly ip: string;
-    readonly port: number;
-}
-
 /** Tells other gateways of its cell of this one's work, and the ledger of theirs. */
 export interface LoadExchange extends Disposable {
     /** Sets the gateways that the store lists: those of the own cell, which are told everything, and the others. */
--- a/src/gateway/requestIntake.ts
+++ b/src/gateway/requestIntake.ts
@@ -6,6 +6,7 @@
 import { Customer, Route } from "../ports/servingConfiguration.js";
 import { Treatment } from "../quarantine/quarantine.js";
 import { chooseService, RouteTable } from "../routing/routeTable.js";
+import { renderRetryAfter } from "../scheduling/returnTime.js";
 import { AcceptedRequest } from "./acceptedRequest.js";
 import { computeFingerprint } from "./crashRegistry.js";
 import { createCustomerAnswer } from "./customerAnswer.js";
@@ -66,7 +67,7 @@
         logRefusal(log, metrics, head, refusal, options.getTable()?.version);
         const headers = codec.encodeOwnAnswer(head);
         if (refusal.retryAfterMs !== undefined) {
-            headers.push("Retry-After", (refusal.retryAfterMs / 1000).toFixed(2));
+            headers.push(...renderRetryAfter(refusal.retryAfterMs));
         }
         // The rest of a body that is not wanted would be taken for the next request.
         const mustClose = options.isDraining() || !request.complete;
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -4,7 +4,7 @@
 import { AnswerHead } from "../ports/exchange.js";
 import { RouteKind } from "../ports/servingConfiguration.js";
 import { isIdempotent, isRedispatchAllowed } from "../retries/dispatchDecision.js";
-import { computeReturnMs } from "../scheduling/returnTime.js";
+import { computeReturnMs, renderRetryAfter } from "../scheduling/returnTime.js";
 import { AcceptedRequest, computeNeeds, computeTimes } from "./acceptedRequest.js";
 import { AnswerOutcome, AnswerOutcomeKind, createAnswerRelay } from "./answerRelay.js";
 import { CustomerAnswer } from "./customerAnswer.js";
@@ -338,7 +338,7 @@
         }
         const isNotRun = verdict === Verdict.NotRun;
         const status = isNotRun ? 503 : kind === EndKind.Deadline ? 504 : 502;
-        const retryAfter = isNotRun ? ["Retry-After", formatSeconds(predictReturnMs())] : [];
+        const retryAfter = isNotRun ? renderRetryAfter(predictReturnMs()) : [];
         answer.sendWhole(status, [...codec.encodeOwnAnswer(head), ...retryAfter], Buffer.alloc(0));
         end(kind, status, reason, inputs);
     }
@@ -375,7 +375,3 @@
         });
     }
 }
-
-function formatSeconds(durationMs: number): string {
-    return (durationMs / 1000).toFixed(2);
-}
--- a/src/ports/endpointRecord.ts
+++ b/src/ports/endpointRecord.ts
@@ -16,6 +16,4 @@
     readonly dataCentre: string;
     readonly slots: number;
     readonly state: EndpointState;
-    /** How much longer the endpoint stays slow after its start, in milliseconds. */
-    readonly coldMs: number;
 }
--- a/src/ports/servingConfiguration.ts
+++ b/src/ports/servingConfiguration.ts
@@ -66,8 +66,6 @@
 /** A group of interchangeable endpoints. */
 export interface Service {
     readonly name: string;
-    /** Connections that one endpoint accepts from all clients together. */
-    readonly maxConnections: number;
     /** Absent for a plain service. */
     readonly engine?: EngineModel;
 }
--- a/src/scheduling/returnTime.ts
+++ b/src/scheduling/returnTime.ts
@@ -16,3 +16,15 @@
     const wantedMs = Math.max(leastReturnMs, roomInMs) * (1 + spreadShare * random);
     return Math.min(latestMs, wantedMs);
 }
+
+const millisecondsPerSecond = 1000;
+
+/**
+ * Renders the header that tells a customer when to come back, as name and value.
+ *
+ * @example
+ * renderRetryAfter(450); // ["Retry-After", "0.45"]
+ */
+export function renderRetryAfter(returnMs: number): string[] {
+    return ["Retry-After", (returnMs / millisecondsPerSecond).toFixed(2)];
+}
--- a/test/membership/endpointDirectory.test.ts
+++ b/test/membership/endpointDirectory.test.ts
@@ -14,7 +14,6 @@
         dataCentre: "a",
         slots: 8,
         state: EndpointState.Ready,
-        coldMs: 0,
         ...changes,
     };
 }
