--- a/src/scheduling/fairScheduler.ts
+++ b/src/scheduling/fairScheduler.ts
@@ -8,6 +8,7 @@
 import { computeLane, createPrefillModel } from "./prefillModel.js";
 import { QueueEntry } from "./queueEntry.js";
 import { AdmitDecision, AdmitKind, RankPolicy, Scheduler, SchedulerPolicy, WorkItem } from "./scheduler.js";
+import { buildSchedulerReport } from "./schedulerReport.js";
 import { createServiceEstimate } from "./serviceEstimate.js";
 import { createServiceShares } from "./serviceShares.js";
 import { createWaitCorrection, WaitCorrection } from "./waitCorrection.js";
@@ -20,8 +21,6 @@
 /** Part of a rank's queue whose service is waited for before a dropped request comes back. */
 const retryQueuePart = 0.1;
 const minRetryAfterMs = 1_000;
-/** Long prompts queued beside which the endpoint still asks for more. */
-const maxWaitingLongPrompts = 2;
 const millisecondsPerSecond = 1000;
 
 interface RunningEntry {
@@ -388,33 +387,6 @@
         },
         update: applyPolicy,
         getPriority: item => prefill.getPriority(item.id) ?? Number.MAX_SAFE_INTEGER,
-        report() {
-            const tokens = (fromLane: number, throughLane: number) => {
-                const waiting = lanes.slice(fromLane, throughLane + 1)
-                    .reduce((sum, lane) => sum + lane.getQueuedTokens(), 0);
-                return Math.round(waiting + prefill.computePendingTokens(fromLane, throughLane));
-            };
-            const longWaiting = lanes.filter((queue, lane) => lane % lengthClassCount === Number(LengthClass.Long))
-                .reduce((sum, queue) => sum + queue.getSize(), 0);
-            return {
-                running: ledger.getRunning(),
-                queued: backlog.getSize(),
-                queuedBytes: backlog.getBytes(),
-                pendingPrefillTokens: tokens(0, lanes.length - 1),
-                reservedTokens: ledger.getReservedTokens(),
-                largestRequestTokens: ledger.getLargestReservation(LengthClass.Long),
-                ranks: ranks.map((rank, rankIndex) => {
-                    const first = rankIndex * lengthClassCount;
-                    return {
-                        rank: rank.name,
-                        queued: backlog.getRankSize(rankIndex),
-                        queuedTokens: backlog.getRankTokens(rankIndex),
-                        pendingShortTokens: tokens(first, first),
-                        pendingLongTokens: tokens(first + 1, first + lengthClassCount - 1),
-                    };
-                }),
-                acceptsLongPrompts: longWaiting < maxWaitingLongPrompts,
-            };
-        },
+        report: () => buildSchedulerReport({ ranks, lanes, prefill, ledger, backlog }),
     };
 }
--- /dev/null
+++ b/src/scheduling/schedulerReport.ts
@@ -0,0 +1,54 @@
+import { Backlog } from "./backlog.js";
+import { CustomerQueue } from "./customerQueue.js";
+import { LengthClass, lengthClassCount } from "./lengthClass.js";
+import { MemoryLedger } from "./memoryLedger.js";
+import { PrefillModel } from "./prefillModel.js";
+import { RankPolicy, SchedulerReport } from "./scheduler.js";
+
+/** Long prompts queued beside which the endpoint still asks for more. */
+const maxWaitingLongPrompts = 2;
+
+/** State of a scheduler that its report is built from. */
+export interface SchedulerState {
+    readonly ranks: readonly RankPolicy[];
+    /** A queue for each length class of each rank, the most urgent rank first. */
+    readonly lanes: readonly CustomerQueue[];
+    readonly prefill: PrefillModel;
+    readonly ledger: MemoryLedger;
+    readonly backlog: Backlog;
+}
+
+/**
+ * Builds what an endpoint tells entries of its load.
+ *
+ * @example
+ * const { queued, acceptsLongPrompts } = buildSchedulerReport(state);
+ */
+export function buildSchedulerReport({ ranks, lanes, prefill, ledger, backlog }: SchedulerState): SchedulerReport {
+    const countTokens = (fromLane: number, throughLane: number) => {
+        const waiting = lanes.slice(fromLane, throughLane + 1)
+            .reduce((sum, lane) => sum + lane.getQueuedTokens(), 0);
+        return Math.round(waiting + prefill.computePendingTokens(fromLane, throughLane));
+    };
+    const longWaiting = lanes.filter((queue, lane) => lane % lengthClassCount === Number(LengthClass.Long))
+        .reduce((sum, queue) => sum + queue.getSize(), 0);
+    return {
+        running: ledger.getRunning(),
+        queued: backlog.getSize(),
+        queuedBytes: backlog.getBytes(),
+        pendingPrefillTokens: countTokens(0, lanes.length - 1),
+        reservedTokens: ledger.getReservedTokens(),
+        largestRequestTokens: ledger.getLargestReservation(LengthClass.Long),
+        ranks: ranks.map((rank, rankIndex) => {
+            const first = rankIndex * lengthClassCount;
+            return {
+                rank: rank.name,
+                queued: backlog.getRankSize(rankIndex),
+                queuedTokens: backlog.getRankTokens(rankIndex),
+                pendingShortTokens: countTokens(first, first),
+                pendingLongTokens: countTokens(first + 1, first + lengthClassCount - 1),
+            };
+        }),
+        acceptsLongPrompts: longWaiting < maxWaitingLongPrompts,
+    };
+}
