--- a/bench/replay/loads.ts
+++ b/bench/replay/loads.ts
@@ -50,7 +50,7 @@
     kinds: [draft, read, { ...digest, perSecond: 1.5 }],
 };
 
-/** A flood with prompts that take an engine up to 40 seconds; half of all engines' time is asked for. */
+/** A flood with prompts that take an engine up to 40 seconds; reading alone asks for half of all engines' time. */
 export const hugeFlood: ReplayLoad = {
     name: "flood of huge digests",
     durationMs: 10_000,
