--- a/test/routing/engineClaim.test.ts
+++ b/test/routing/engineClaim.test.ts
@@ -48,7 +48,7 @@
 }
 
 describe("engines that are freed for a long prompt", () => {
-    test("a prompt that fits beside others' answers frees none", () => {
+    test("a prompt that fits beside others' answers frees none, so that engines do not stand idle for it", () => {
         assert.equal(claim(makeRequest(100_000), makeViews(14)), undefined);
     });
 
@@ -63,13 +63,13 @@
         assert.equal(found.engines.length, 8);
     });
 
-    test("engines that are free sooner are taken first", () => {
+    test("engines that are free sooner are taken first, so that the prompt does not wait for the others", () => {
         const views = [...makeViews(4, [makeWriter(4_000)]), makeView(10), makeView(11), makeView(12)];
         const orders = claim(makeRequest(250_000), views)?.engines.map(view => view.order).sort();
         assert.deepEqual(orders, [11, 12]);
     });
 
-    test("a slow engine needs longer, and the prompt more engines", () => {
+    test("a slow engine needs longer, so that the first event would be late on as few engines", () => {
         assert.equal(claim(makeRequest(400_000), makeViews(14, [], 2))?.engines.length, 8);
     });
 
@@ -84,11 +84,11 @@
         assert.ok(found && 601_000 / found.engines.length <= engine.memoryTokens);
     });
 
-    test("none where no number of them is in time", () => {
+    test("none where no number of them is in time, so that nobody yields to a prompt that is late all the same", () => {
         assert.equal(claim(makeRequest(700_000, { latestMs: 1_000 }), makeViews(14)), undefined);
     });
 
-    test("an engine that the request must avoid is left out", () => {
+    test("an engine that ran the request before is left out, so that it does not run there again", () => {
         const found = claim(makeRequest(250_000, { avoid: new Set(["engine-13"]) }), makeViews(14));
         assert.ok(found?.engines.every(view => view.id !== "engine-13"));
     });
