Let a gateway that cannot listen end whole, and tests of gateways stand a taken port

Cause: in a fresh clone on a quiet machine 'break-before: an unsafe request runs once at most' failed once with EADDRINUSE: the port that the test had found free was given to a connection of another test before the gateway listened. The gateway's timers and sockets then stayed open, and the file ran into its time limit of 120 s. Ruled out: the request itself; it was not sent. Change: startGateway closes what it has opened when an address is taken; the test start takes other ports where one was taken, five times at most. Measured: the new test fails without the closing ('bind EADDRINUSE'), passes with it.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -290,9 +290,18 @@
     metrics.registerGauge("jujubelane_configuration_version", "Version in force.", () => table?.version ?? 0);
 
     const isReady = () => table !== undefined && areEndpointsKnown && !customers.isDraining();
-    await customers.listen();
-    await serveReadiness(settings.readyAddress, isReady, disposables);
-    await serveMetrics({ ip: settings.ip, port: settings.metricsPort }, metrics, disposables);
+    try {
+        await customers.listen();
+        await serveReadiness(settings.readyAddress, isReady, disposables);
+        await serveMetrics({ ip: settings.ip, port: settings.metricsPort }, metrics, disposables);
+    }
+    catch (error) {
+        // An address is taken. Timers and sockets that stay open would keep the caller's process alive.
+        customers.close();
+        disposables.dispose();
+        await connections.close();
+        throw error;
+    }
 
     async function drain(): Promise<void> {
         const endAtMs = timers.now() + settings.graceMs - closeBeforeKillMs;
--- a/test/platform/bundle.test.ts
+++ b/test/platform/bundle.test.ts
@@ -3,22 +3,21 @@
 import { readFileSync } from "node:fs";
 import { test } from "node:test";
 import { createGatewayProcess } from "../soak/gatewayProcess.js";
-import { findFreePort, makeConfiguration, waitUntil } from "./support/deployment.js";
+import { findFreePorts } from "../soak/soak.js";
+import { makeConfiguration, waitUntil } from "./support/deployment.js";
 import { startStoreStandIn } from "./support/storeStandIn.js";
 
 const deployFile = readFileSync("deploy/system.toml", "utf8");
+/** No seed of the soak in CI has these ports. */
+const portSeed = 499;
 const [, run] = /^run = "node (.+)"$/mu.exec(deployFile)!;
 
 test("the bundle starts as it is deployed, with its compiled code, although modules of packages are left out", async () => {
     execFileSync(process.execPath, ["scripts/bundleGateway.mjs"]);
     const store = await startStoreStandIn();
     store.put("keyed.op", "config", makeConfiguration());
-    const ports = {
-        customers: await findFreePort(),
-        ready: await findFreePort(),
-        exchange: await findFreePort(),
-        metrics: await findFreePort(),
-    };
+    const [customers, ready, exchange, metrics] = await findFreePorts(portSeed, 4);
+    const ports = { customers: customers!, ready: ready!, exchange: exchange!, metrics: metrics! };
     const gateway = await createGatewayProcess("gateway-bundle", ports, store.address, run!.split(" "));
     try {
         gateway.start();
--- a/test/platform/gatewayPath.test.ts
+++ b/test/platform/gatewayPath.test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
+import { createSocket } from "node:dgram";
 import { after, before, describe, test } from "node:test";
 import { LogEvent } from "../../src/base/logEvents.js";
+import { findFreePorts } from "../soak/soak.js";
 import {
     customerKey,
     isReady,
@@ -9,6 +11,7 @@
     makeModelHeaders,
     send,
     startDeployment,
+    startGatewayWith,
     startTestGateway,
     TestDeployment,
     waitUntil,
@@ -16,6 +19,9 @@
 import { renderEvent } from "./support/endpointStandIn.js";
 import { startStoreStandIn } from "./support/storeStandIn.js";
 
+/** No seed of the soak in CI has these ports. */
+const portSeed = 498;
+
 describe("requests through a gateway", () => {
     let deployment: TestDeployment;
     before(async () => {
@@ -137,6 +143,19 @@
         assert.equal(lines[1]!.fields.status, 200);
     });
 
+    test("a gateway whose address is taken leaves nothing open, so that its process ends", async () => {
+        const [running] = deployment.gateways;
+        const [exchangePort] = await findFreePorts(portSeed, 1);
+        const taken = { ...running!.settings, host: "gateway-late", exchangePort: exchangePort! };
+        await assert.rejects(startGatewayWith(taken), { code: "EADDRINUSE" });
+        const socket = createSocket("udp4");
+        await new Promise<void>((resolve, reject) => {
+            socket.once("error", reject);
+            socket.bind(exchangePort, "127.0.0.1", resolve);
+        });
+        await new Promise<void>(resolve => socket.close(resolve));
+    });
+
     test("the metrics address serves counters and histograms", async () => {
         const { ip, port } = {
             ip: deployment.gateways[0]!.settings.ip,
--- a/test/platform/support/deployment.ts
+++ b/test/platform/support/deployment.ts
@@ -101,8 +101,9 @@
     };
 }
 
-/** Finds a port of loopback that nothing uses now. */
-export async function findFreePort(): Promise<number> {
+const mostStarts = 5;
+
+async function findFreePort(): Promise<number> {
     const server = createServer();
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     const address = server.address();
@@ -139,8 +140,23 @@
     storeAddress: string,
     graceMs = 1_000,
 ): Promise<TestGateway> {
-    const settings = await makeSettings(name, storeAddress, graceMs);
-    const store = createStoreClient(storeAddress);
+    for (let attempt = 1;; attempt++) {
+        try {
+            return await startGatewayWith(await makeSettings(name, storeAddress, graceMs));
+        }
+        catch (error) {
+            // A port that was free may be given to a connection of another test before the gateway listens on it.
+            const isTaken = (error as NodeJS.ErrnoException).code === "EADDRINUSE";
+            if (!isTaken || attempt === mostStarts) {
+                throw error;
+            }
+        }
+    }
+}
+
+/** Starts a gateway with settings of the test's own. */
+export async function startGatewayWith(settings: GatewaySettings): Promise<TestGateway> {
+    const store = createStoreClient(settings.storeAddress);
     const lines: LoggedLine[] = [];
     const gateway = await startGateway(settings, {
         configurationFeed: store.openFeed("keyed.op"),
@@ -154,6 +170,9 @@
         log: (event, fields = {}) => lines.push({ event, fields }),
         random: Math.random,
         incarnation: makeId(),
+    }).catch(async (error: unknown) => {
+        await store.close();
+        throw error;
     });
     return {
         url: `http://127.0.0.1:${settings.customerAddress.port}`,
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -67,7 +67,7 @@
 }
 
 /** Finds ports that no other seed uses at the same time. */
-async function findFreePorts(seed: number, count: number): Promise<number[]> {
+export async function findFreePorts(seed: number, count: number): Promise<number[]> {
     const free: number[] = [];
     for (let port = firstPort + (seed % portSets) * portsPerSeed; free.length < count; port++) {
         if (await isFree(port)) {
