Keep customers connected around planned stops and restarts

After a kill, connections were refused until the bundle was loaded, and requests that came before the first configuration got 503 and used up their customer's only retry. Ruled out: the endpoints (all sound in these seconds); readiness, which must stay false during a stop. Change: a stopping gateway accepts connections until it ends. A request that cannot end before the process does is refused at once as not run (src/scheduling/drainAdmission.ts), with the time at which another gateway or the next run will take it. The start script listens before it loads the bundle, and requests wait up to 400 ms for the first configuration. Tests: both drain tests failed before (connection refused; answered 200 and cut later).

--- a/src/gateway/customerServer.ts
+++ b/src/gateway/customerServer.ts
@@ -1,17 +1,17 @@
 import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
-import { Socket } from "node:net";
+import { Server as NetServer, Socket } from "node:net";
 import { CustomerLimits } from "../ports/servingConfiguration.js";
 import { ListenAddress } from "./gatewaySettings.js";
 
 /** HTTP server for customers, with support for draining. */
 export interface CustomerServer {
-    listen(): Promise<void>;
+    /** Starts to serve, on the socket of `existing` if that listens already. */
+    listen(existing?: NetServer): Promise<void>;
     /** Applies the limits of a new configuration. */
     setLimits(limits: CustomerLimits): void;
-    /** Makes all further answers ask customers to close their connections. */
-    startDraining(): void;
-    isDraining(): boolean;
-    /** Stops accepting connections and closes idle ones. */
+    /** Closes idle connections now, and the others as soon as their answer has ended. */
+    closeIdleConnections(): void;
+    /** Stops accepting connections, and closes idle ones. */
     stopAccepting(): void;
     countConnections(): number;
     countRequests(): number;
@@ -50,8 +50,7 @@
 ): CustomerServer {
     const connections = new Set<Socket>();
     const activeSockets = new Set<Socket>();
-    let isDraining = false;
-    let isStopped = false;
+    let mustCloseIdle = false;
 
     const server: Server = createServer({
         maxHeaderSize: maxParsedHeaderBytes,
@@ -62,7 +61,7 @@
         activeSockets.add(socket);
         response.once("close", () => {
             activeSockets.delete(socket);
-            if (isStopped) {
+            if (mustCloseIdle) {
                 socket.end();
             }
         });
@@ -87,24 +86,31 @@
         }
     });
 
+    function closeIdleConnections(): void {
+        mustCloseIdle = true;
+        [...connections].filter(socket => !activeSockets.has(socket)).forEach(socket => socket.end());
+    }
+
     return {
-        listen: () =>
+        listen: existing =>
             new Promise((resolve, reject) => {
                 server.once("error", reject);
-                server.listen(address.port, address.ip, () => resolve());
+                if (existing) {
+                    // Connections that were accepted before have only waited in the kernel's queue.
+                    server.listen(existing, () => resolve());
+                }
+                else {
+                    server.listen(address.port, address.ip, () => resolve());
+                }
             }),
         setLimits(limits) {
             server.headersTimeout = limits.headerTimeoutMs;
             server.keepAliveTimeout = limits.idleTimeoutMs + idleTimeoutMarginMs;
         },
-        startDraining() {
-            isDraining = true;
-        },
-        isDraining: () => isDraining,
+        closeIdleConnections,
         stopAccepting() {
-            isStopped = true;
             server.close();
-            [...connections].filter(socket => !activeSockets.has(socket)).forEach(socket => socket.end());
+            closeIdleConnections();
         },
         countConnections: () => connections.size,
         countRequests: () => activeSockets.size,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,4 +1,5 @@
 import { createServer } from "node:http";
+import { Server } from "node:net";
 import { createDisposableStore, Disposable, DisposableStore } from "../base/disposable.js";
 import { EventLog } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
@@ -25,6 +26,7 @@
 import { createLoadLedger } from "../routing/loadLedger.js";
 import { buildRouteTable, RouteTable } from "../routing/routeTable.js";
 import { createSlowdownEstimate } from "../routing/slowdownEstimate.js";
+import { Drain } from "../scheduling/drainAdmission.js";
 import { createCrashRegistry } from "./crashRegistry.js";
 import { createCustomerServer } from "./customerServer.js";
 import { createEndpointConnections } from "./endpointConnections.js";
@@ -35,6 +37,7 @@
 import { createPlacementQueue } from "./placementQueue.js";
 import { createRequestIntake } from "./requestIntake.js";
 import { createReservations } from "./reservations.js";
+import { createStartupGate } from "./startupGate.js";
 
 /** External dependencies of a gateway: the store, the endpoints' protocol, time and randomness. */
 export interface GatewayPorts {
@@ -50,6 +53,8 @@
     readonly random: () => number;
     /** Unique id of this run of the process. */
     readonly incarnation: string;
+    /** Server that already listens on the customers' address, if the process opened it before it loaded its modules. */
+    readonly customerListener?: Server;
 }
 
 /** A running gateway. */
@@ -73,17 +78,22 @@
  */
 const endpointReadPauseShare = 0.4;
 const endpointWaitMs = 300;
+/**
+ * Time for which a request waits for the first configuration, in milliseconds. A store that is reachable answers the
+ * first read within it; when the store is away, customers are told early enough to come back.
+ */
+const maxStartupWaitMs = 400;
 const expiryCheckIntervalMs = 100;
 /** Share of the memory limit for request bodies. The rest is for the heap and for connection buffers. */
 const bodyMemoryShare = 0.25;
 /** Share of the file descriptors for customer connections. The rest is for endpoints and the store. */
 const customerDescriptorShare = 0.6;
 /**
- * Time after SIGTERM for which connections are still accepted, in milliseconds. The load balancer notices the failing
- * readiness check meanwhile, and customers move to other gateways.
+ * Time after SIGTERM for which idle connections are kept and new ones accepted in any case, in milliseconds. The load
+ * balancer notices the failing readiness check meanwhile, and customers move to other gateways.
  */
-const acceptWhileDrainingMs = 3_000;
-/** Largest share of the time until SIGKILL for which connections are accepted. Requests need the rest to finish. */
+const minAcceptMs = 3_000;
+/** Largest share of the time until SIGKILL that `minAcceptMs` may take. */
 const maxAcceptShare = 0.4;
 /** Time before SIGKILL at which the remaining requests are aborted, in milliseconds. */
 const closeBeforeKillMs = 400;
@@ -111,6 +121,7 @@
     const endpointSubset = createEndpointSubset(directory, endpoints => selectCellEndpoints(cell, endpoints));
     let routeTable: RouteTable | undefined;
     let areEndpointsKnown = false;
+    let drainState: Drain | undefined;
 
     const exchange = disposables.register(createLoadExchange({
         host: settings.host,
@@ -148,6 +159,7 @@
         ratio: computeBudgetRatio(settings.retryRatio),
         burst: computeBudgetBurst(settings.retrySlack, 0),
     });
+    const startupGate = disposables.register(createStartupGate(timers, maxStartupWaitMs));
     const reservations = createReservations({
         memoryReservations: ports.memoryReservations,
         timers,
@@ -168,6 +180,7 @@
             }
             routeTable = buildRouteTable(configuration);
             customers.setLimits(configuration.limits);
+            startupGate.open();
             log(LogEvent.ServingConfigurationInForce, {
                 version: configuration.version,
                 previous,
@@ -244,7 +257,8 @@
                 },
             },
             getTable: () => routeTable,
-            isDraining: () => customers.isDraining(),
+            startupGate,
+            getDrain: () => drainState,
             maxBufferedBytes: settings.memoryBytes * bodyMemoryShare,
         }),
     );
@@ -307,9 +321,9 @@
     metrics.registerGauge("jujubelane_connections", "Customers' connections.", () => customers.countConnections());
     metrics.registerGauge("jujubelane_configuration_version", "Version in force.", () => routeTable?.version ?? 0);
 
-    const isReady = () => routeTable !== undefined && areEndpointsKnown && !customers.isDraining();
+    const isReady = () => routeTable !== undefined && areEndpointsKnown && !drainState;
     try {
-        await customers.listen();
+        await customers.listen(ports.customerListener);
         await serveReadiness(settings.readyAddress, isReady, disposables);
         await serveMetrics({ ip: settings.ip, port: settings.metricsPort }, metrics, disposables);
     }
@@ -322,15 +336,18 @@
     }
 
     async function drain(): Promise<void> {
-        const endAtMs = timers.now() + settings.graceMs - closeBeforeKillMs;
+        const startedAtMs = timers.now();
+        const endsAtMs = startedAtMs + settings.graceMs - closeBeforeKillMs;
         log(LogEvent.ProcessDraining, { requests: customers.countRequests() });
-        customers.startDraining();
-        await waitFor(timers, Math.min(acceptWhileDrainingMs, settings.graceMs * maxAcceptShare));
-        customers.stopAccepting();
-        while (customers.countRequests() > 0 && timers.now() < endAtMs) {
+        drainState = { startedAtMs, endsAtMs };
+        await waitFor(timers, Math.min(minAcceptMs, settings.graceMs * maxAcceptShare));
+        customers.closeIdleConnections();
+        // Connections are accepted to the end: if other gateways stop too, customers have nowhere else to go.
+        while (customers.countRequests() > 0 && timers.now() < endsAtMs) {
             await waitFor(timers, drainCheckIntervalMs);
         }
         log(LogEvent.ProcessStopped, { brokenOff: customers.countRequests() });
+        customers.stopAccepting();
         customers.close();
         disposables.dispose();
         await connections.close();
--- a/src/gateway/requestIntake.ts
+++ b/src/gateway/requestIntake.ts
@@ -6,18 +6,23 @@
 import { Customer, Route } from "../ports/servingConfiguration.js";
 import { Treatment } from "../quarantine/quarantine.js";
 import { chooseService, RouteTable } from "../routing/routeTable.js";
-import { renderRetryAfter } from "../scheduling/retryAfter.js";
-import { AcceptedRequest } from "./acceptedRequest.js";
+import { decideDrainAdmission, Drain } from "../scheduling/drainAdmission.js";
+import { computeRetryAfterMs, renderRetryAfter } from "../scheduling/retryAfter.js";
+import { AcceptedRequest, computeTimes, predictDuration } from "./acceptedRequest.js";
 import { computeFingerprint } from "./crashRegistry.js";
 import { createCustomerAnswer } from "./customerAnswer.js";
 import { RequestServices } from "./requestServices.js";
 import { startRequestTask } from "./requestTask.js";
+import { StartupGate } from "./startupGate.js";
 
 export interface RequestIntakeOptions {
     readonly services: RequestServices;
     /** Returns the routes of the newest configuration, or `undefined` until one is known. */
     readonly getTable: () => RouteTable | undefined;
-    readonly isDraining: () => boolean;
+    /** Opens when the first configuration is known. */
+    readonly startupGate: StartupGate;
+    /** Returns the planned stop of this process once it has begun. */
+    readonly getDrain: () => Drain | undefined;
     /** Limit of the bytes of all request bodies in memory. */
     readonly maxBufferedBytes: number;
 }
@@ -59,6 +64,7 @@
 ): (request: IncomingMessage, response: ServerResponse) => void {
     const { services } = options;
     const { timers, log, metrics, codec } = services;
+    const isDraining = () => options.getDrain() !== undefined;
     let bufferedBytes = 0;
 
     function refuse(request: IncomingMessage, response: ServerResponse, refusal: Refusal): void {
@@ -69,7 +75,7 @@
             headers.push(...renderRetryAfter(refusal.retryAfterMs));
         }
         // The unread rest of the body would be parsed as the next request.
-        const mustClose = options.isDraining() || !request.complete;
+        const mustClose = isDraining() || !request.complete;
         createCustomerAnswer(response, () => mustClose).sendComplete(refusal.status, headers, Buffer.alloc(0));
     }
 
@@ -180,17 +186,44 @@
             isSuspect: treatment === Treatment.Isolated,
             configurationVersion: table.version,
         };
-        startRequestTask(accepted, createCustomerAnswer(response, options.isDraining), services);
+        const drainRefusal = checkDrain(accepted);
+        if (drainRefusal) {
+            refuse(request, response, drainRefusal);
+            return;
+        }
+        startRequestTask(accepted, createCustomerAnswer(response, isDraining), services);
     }
 
-    return (request, response) => {
-        const arrivedAtMs = timers.now();
+    function checkDrain(request: AcceptedRequest): Refusal | undefined {
+        const drain = options.getDrain();
+        const nowMs = timers.now();
+        const returnMs = drain && decideDrainAdmission(drain, predictDuration(request), nowMs);
+        if (returnMs === undefined) {
+            return undefined;
+        }
+        const remainingMs = computeTimes(request).deadlineAtMs - nowMs;
+        return {
+            status: 503,
+            reason: `would outlast this process, which ends in ${Math.round(drain!.endsAtMs - nowMs)} ms`,
+            retryAfterMs: computeRetryAfterMs(returnMs, remainingMs, services.random()),
+        };
+    }
+
+    function handle(request: IncomingMessage, response: ServerResponse, arrivedAtMs: number): void {
+        if (response.destroyed) {
+            return;
+        }
         const checked = checkHead(request);
         if ("status" in checked) {
             refuse(request, response, checked);
             return;
         }
         receiveBody(request, response, checked, arrivedAtMs);
+    }
+
+    return (request, response) => {
+        const arrivedAtMs = timers.now();
+        options.startupGate.run(() => handle(request, response, arrivedAtMs));
     };
 }
 
--- a/test/platform/bundle.test.ts
+++ b/test/platform/bundle.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { execFileSync } from "node:child_process";
 import { readFileSync } from "node:fs";
+import { connect } from "node:net";
 import { test } from "node:test";
 import { createGatewayProcess } from "../soak/gatewayProcess.js";
 import { findFreePorts } from "../soak/soak.js";
@@ -21,6 +22,9 @@
     const gateway = await createGatewayProcess("gateway-bundle", ports, store.address, run!.split(" "));
     try {
         gateway.start();
+        // The process starts to listen before it loads the bundle, which prints its first line when it is loaded.
+        await waitUntil("a connection", () => canConnect(ports.customers));
+        assert.equal(gateway.hasStarted(), false);
         await waitUntil("ready", () => gateway.isReady(), 20_000);
         const answer = await fetch(`${gateway.url}/unknown`);
         assert.equal(answer.status, 404);
@@ -33,3 +37,14 @@
         await store.close();
     }
 });
+
+function canConnect(port: number): Promise<boolean> {
+    return new Promise(resolve => {
+        const socket = connect(port, "127.0.0.1");
+        socket.once("connect", () => {
+            socket.destroy();
+            resolve(true);
+        });
+        socket.once("error", () => resolve(false));
+    });
+}
--- a/test/platform/gatewayDrain.test.ts
+++ b/test/platform/gatewayDrain.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import { Agent, request } from "undici";
-import { isReady, makeHeaders, makeModelHeaders, send, startDeployment } from "./support/deployment.js";
+import { isReady, makeHeaders, makeModelHeaders, send, startDeployment, TestDeployment } from "./support/deployment.js";
 import { renderEvent } from "./support/endpointStandIn.js";
 
 describe("draining a gateway", () => {
@@ -18,8 +18,43 @@
         assert.equal((await running).body, Array.from({ length: 12 }, (unused, id) => renderEvent(id)).join(""));
         await drained;
         await assert.rejects(send(gateway, { path: "/look/1", headers: makeHeaders() }));
-        await Promise.all([...deployment.engines, ...deployment.services].map(endpoint => endpoint.close()));
-        await deployment.store.close();
+        await closeEndpoints(deployment);
+    });
+
+    /**
+     * Guards against refused connections while a planned stop waits for one long stream. If all gateways of a data centre
+     * stop at about the same time, the load balancer has no other host to send customers to.
+     */
+    test("connections are accepted for as long as a stream is still running", async context => {
+        const deployment = await startDeployment({ events: 500, graceMs: 4_000 });
+        context.after(() => closeEndpoints(deployment));
+        const gateway = deployment.gateways[0]!;
+        const running = send(gateway, { method: "POST", path: "/draft/1", headers: makeModelHeaders(), body: "long" });
+        await new Promise(resolve => setTimeout(resolve, 20));
+        const drained = gateway.drain();
+        await new Promise(resolve => setTimeout(resolve, 1_900));
+        const late = await send(gateway, { path: "/look/1", headers: makeHeaders() });
+        assert.equal(late.status, 200);
+        assert.equal((await running).status, 200);
+        await drained;
+    });
+
+    /** Guards against requests that are accepted just before the gateway ends, and then cut off. */
+    test("a prompt that would outlast the gateway is refused at once, as not run", async context => {
+        const deployment = await startDeployment({ graceMs: 1_500 });
+        context.after(() => closeEndpoints(deployment));
+        const gateway = deployment.gateways[0]!;
+        const drained = gateway.drain();
+        const headers = makeModelHeaders({ "x-token-count": "90000,4000", "x-deadline-ms": "15000" });
+        const startedAtMs = performance.now();
+        const refused = await send(gateway, { method: "POST", path: "/digest/1", headers, body: "long" });
+        assert.equal(refused.status, 503);
+        assert.ok(performance.now() - startedAtMs < 300);
+        assert.ok(Number(refused.headers["retry-after"]) >= 0.1);
+        assert.ok(Number(refused.headers["retry-after"]) <= 5);
+        const runs = deployment.engines.flatMap(engine => engine.requests);
+        assert.equal(runs.length, 0);
+        await drained;
     });
 
     test("a keep-alive connection is told to close and loses no request", async () => {
@@ -34,11 +69,16 @@
         assert.equal(last.connection, "close");
         await drained;
         await customer.destroy();
-        await Promise.all([...deployment.engines, ...deployment.services].map(endpoint => endpoint.close()));
-        await deployment.store.close();
+        await closeEndpoints(deployment);
     });
 });
 
+/** Closes everything but the gateways, which a test has drained itself. */
+async function closeEndpoints({ engines, services, store }: TestDeployment): Promise<void> {
+    await Promise.all([...engines, ...services].map(endpoint => endpoint.close()));
+    await store.close();
+}
+
 async function readHead(answer: Awaited<ReturnType<typeof request>>) {
     await answer.body.dump();
     return { status: answer.statusCode, connection: answer.headers.connection };
--- a/test/soak/gatewayProcess.ts
+++ b/test/soak/gatewayProcess.ts
@@ -87,7 +87,11 @@
         start() {
             hasOutput = false;
             child = spawn(process.execPath, command, {
-                env: { ...process.env, JUJUBELANE_CONFIG: settingsPath },
+                env: {
+                    ...process.env,
+                    JUJUBELANE_CONFIG: settingsPath,
+                    JUJUBELANE_CUSTOMER_ADDRESS: `127.0.0.1:${ports.customers}`,
+                },
                 stdio: ["ignore", "pipe", "pipe"],
             });
             child.stdout!.on("data", record);
