Bound what an endpoint in trouble can make the gateway read and keep

Cause: bytes that are no answer may come without end. The splitter joined and searched all bytes since the last event at each piece; an error answer without end was relayed to the customer; status lines, chunk extensions and informational answers have no limit in the parser; comments counted as events and kept a stalled stream alive. A plain answer over 1 MiB that broke off after its beginning was relayed was retried, and the customer received the beginning of one answer and the whole of another as one complete answer. Ruled out: headers and trailers, which the parser limits to 16 KiB.

--- a/src/gateway/answerRelay.ts
+++ b/src/gateway/answerRelay.ts
@@ -35,6 +35,8 @@
     acceptEnd(): AnswerOutcome;
     /** Sends the endpoint's error answer to the customer unchanged. */
     deliverFailure(): void;
+    /** Whether a further attempt can continue the answer: nothing was sent yet, or what was sent are whole events. */
+    canContinue(): boolean;
     /** Returns the id of the last event that was sent to the customer, in this request or an earlier one. */
     getLastEventId(): number | undefined;
     countEvents(): number;
@@ -50,6 +52,7 @@
 
 /**
  * Answers up to this size are buffered until they are complete, so that the request can be retried if one is cut off.
+ * Also the largest event and the largest error answer: an endpoint in trouble may send bytes without end.
  */
 const maxBufferedBytes = 1024 * 1024;
 
@@ -90,7 +93,9 @@
         const countBefore = splitter.countEvents();
         const events = splitter.add(bytes);
         if (!events) {
-            return pending;
+            return splitter.countPendingBytes() > maxBufferedBytes
+                ? makeInvalid(`no event ends within ${maxBufferedBytes} bytes`)
+                : pending;
         }
         const firstId = splitter.getFirstId();
         if (countBefore === 0 && lastEventId !== undefined && firstId !== undefined && firstId !== lastEventId + 1) {
@@ -109,12 +114,16 @@
         }
         buffered.push(bytes);
         bufferedBytes += bytes.length;
-        if (bufferedBytes > maxBufferedBytes) {
-            startCustomerAnswer();
-            answer.write(Buffer.concat(buffered), onDrained);
-            buffered = [];
+        if (bufferedBytes <= maxBufferedBytes) {
+            return pending;
         }
-        return pending;
+        if (head!.status >= 300) {
+            return makeInvalid(`answer with status ${head!.status} is longer than ${maxBufferedBytes} bytes`);
+        }
+        startCustomerAnswer();
+        const isReady = answer.write(Buffer.concat(buffered), onDrained);
+        buffered = [];
+        return isReady ? pending : { kind: AnswerOutcomeKind.Blocked, reason: "" };
     }
 
     function endStream(): AnswerOutcome {
@@ -125,6 +134,10 @@
         if (isAnswerFramed && !head!.isFramed) {
             return makeInvalid("stream may be truncated: the answer has no framing");
         }
+        const comments = splitter.takeComments();
+        if (comments.length > 0) {
+            answer.write(comments, () => undefined);
+        }
         answer.end();
         return { kind: AnswerOutcomeKind.Complete, reason: "" };
     }
@@ -185,6 +198,7 @@
             return { kind: AnswerOutcomeKind.Complete, reason: "" };
         },
         deliverFailure: () => sendBuffered(head!),
+        canContinue: () => options.isStream || !answer.isStarted(),
         getLastEventId: () => lastEventId,
         countEvents: () => eventCount,
     };
--- a/src/gateway/endpointConnections.ts
+++ b/src/gateway/endpointConnections.ts
@@ -62,11 +62,19 @@
 /** Idle connections are closed before the endpoint would usually close them, in milliseconds. */
 const keepAliveTimeoutMs = 4_000;
 
+/**
+ * Bytes that a connection may receive without a head, a piece of a body or an end of an answer, before it is closed.
+ * The parser sets no limit to status lines, chunk extensions and informational answers.
+ */
+const maxFramingBytes = 256 * 1024;
+
 /** Connection pool of one endpoint that tells resets from regular ends of a connection. */
 interface ResetTrackingPool {
     readonly pool: Pool;
     /** Returns whether the pool callback that is running now was caused by a connection reset. */
     isReset(): boolean;
+    /** Records that the connection whose bytes are being parsed now has received a part of an answer. */
+    recordProgress(): void;
 }
 
 interface EndpointPools {
@@ -134,11 +142,26 @@
 /**
  * Creates a pool that detects connection resets. When a connection is reset, undici reports an answer without a length
  * as complete. The error listener added here runs before undici's own listener for the same event, so that the flag is
- * set when undici reports the end of the answer.
+ * set when undici reports the end of the answer. In the same way, the listener for received bytes runs before they are
+ * parsed.
  */
 function createPool(address: string, pipelining: number): ResetTrackingPool {
     let isResetNow = false;
+    let resetFramingBytes = () => {};
     const connector = buildConnector({ timeout: connectTimeoutMs });
+
+    function checkFramingBytes(socket: Socket): void {
+        let progressAtBytes = 0;
+        socket.on("readable", () => {
+            resetFramingBytes = () => {
+                progressAtBytes = socket.bytesRead;
+            };
+            if (socket.bytesRead - progressAtBytes > maxFramingBytes) {
+                socket.destroy(new Error(`${maxFramingBytes} bytes received that are no part of an answer`));
+            }
+        });
+    }
+
     const pool = new Pool(`http://${address}`, {
         connect(options, callback) {
             const socket = connector(options, callback) as Socket | undefined;
@@ -148,13 +171,16 @@
                     isResetNow = false;
                 });
             });
+            if (socket) {
+                checkFramingBytes(socket);
+            }
         },
         pipelining,
         keepAliveTimeout: keepAliveTimeoutMs,
         headersTimeout: 0,
         bodyTimeout: 0,
     });
-    return { pool, isReset: () => isResetNow };
+    return { pool, isReset: () => isResetNow, recordProgress: () => resetFramingBytes() };
 }
 
 function checkConnection(address: string): Promise<boolean> {
@@ -192,11 +218,16 @@
             }
         },
         onResponseStart(started, status) {
-            if (!isAborted && status >= 200) {
+            if (status < 200) {
+                return;
+            }
+            trackingPool.recordProgress();
+            if (!isAborted) {
                 listener.onHead(status, decodeRawHeaders(started));
             }
         },
         onResponseData(unused, bytes) {
+            trackingPool.recordProgress();
             if (!isAborted) {
                 listener.onData(bytes);
             }
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -293,7 +293,7 @@
             dispatches,
             remainingMs: deadlineAtMs - timers.now(),
             hasCustomerLeft: hasEnded,
-        });
+        }) && relay.canContinue();
     }
 
     function handleFailure(verdict: Verdict, reason: string): void {
