Divide gateways and engines into cells that change little

One host that joined or left moved 14 of 28 gateways to another cell, each at its own next read of the store, up to 10 s apart. From second 26 on gateways of different cells placed work on the same engines without knowing of each other's: 60 of 671 drafts had a gap of 380 to 434 ms, the time of a long part and a pass. Engines were divided by hash: of 112, cells got 24 to 31 (of the test's ids). Ruled out: slow engines (pace 1.0 on all of them); the small twin has one cell and no such gaps. Change: sets are halved repeatedly, each member to the half that its hash names unless that is full. One more member moves about one other, and sizes differ by one. Gateways read the list again 1 s and 4 s after their start.

--- a/src/gateway/peerDiscovery.ts
+++ b/src/gateway/peerDiscovery.ts
@@ -17,6 +17,11 @@
 
 /** Long, because calls to the store have a cost and running gateways also learn of each other from their messages. */
 const refreshIntervalMs = 10_000;
+/**
+ * Delays before the second and the third read. Gateways that start together register within a second, and those that
+ * read first would divide the endpoints without the others until the next read.
+ */
+const firstDelaysMs: readonly number[] = [1_000, 3_000];
 const retryDelayMs = 500;
 /** A registration that was not renewed for this many refreshes belongs to a host that is gone. */
 const maxUnchangedRefreshes = 4;
@@ -31,6 +36,7 @@
     const { feed, timers, log } = options;
     const registrations = new Map<string, { readonly value: string; readonly refreshes: number }>();
     let renewalCount = 0;
+    let readCount = 0;
     let isDisposed = false;
     let wasStoreUnavailable = false;
     let nextRefresh: Disposable | undefined;
@@ -73,7 +79,9 @@
             log(LogEvent.StoreFeedBack, { feed: "gateways" });
         }
         wasStoreUnavailable = hasFailed;
-        nextRefresh = timers.schedule(hasFailed ? retryDelayMs : refreshIntervalMs, start);
+        const intervalMs = firstDelaysMs[readCount] ?? refreshIntervalMs;
+        readCount += hasFailed ? 0 : 1;
+        nextRefresh = timers.schedule(hasFailed ? retryDelayMs : intervalMs, start);
     }
 
     function start(): void {
--- a/src/routing/gatewayCell.ts
+++ b/src/routing/gatewayCell.ts
@@ -43,13 +43,21 @@
  * decideCell("10.1.0.4:7340", addresses).cell.index;
  */
 export function decideCell(ownAddress: string, addresses: readonly string[]): CellMembership {
-    const known = sortByHash([...new Set([...addresses, ownAddress])]);
+    const known = [...new Set([...addresses, ownAddress])];
     const count = computePowerOfTwo(known.length / minGateways);
-    const index = known.indexOf(ownAddress) % count;
+    let index = 0;
+    let members: readonly string[] = known;
+    for (let level = 0; 1 << level < count; level++) {
+        const [lower, upper] = splitEvenly(members, address => address, level);
+        const isUpper = upper.includes(ownAddress);
+        members = isUpper ? upper : lower;
+        index += isUpper ? 1 << level : 0;
+    }
+    const memberSet = new Set(members);
     return {
         cell: { index, count },
-        members: known.filter((address, position) => position % count === index && address !== ownAddress),
-        others: known.filter((address, position) => position % count !== index),
+        members: members.filter(address => address !== ownAddress),
+        others: known.filter(address => !memberSet.has(address)),
     };
 }
 
@@ -65,17 +73,39 @@
     endpoints: readonly Endpoint[],
 ): readonly Endpoint[] {
     const count = Math.min(cell.count, computePowerOfTwo(endpoints.length / minEndpoints));
-    return count === 1
-        ? endpoints
-        : endpoints.filter(endpoint => murmurhash.v3(endpoint.id) % count === cell.index % count);
+    let selected = endpoints;
+    for (let level = 0; 1 << level < count; level++) {
+        const [lower, upper] = splitEvenly(selected, endpoint => endpoint.id, level);
+        selected = (cell.index >> level) & 1 ? upper : lower;
+    }
+    return selected;
 }
 
 function computePowerOfTwo(value: number): number {
     return 2 ** Math.max(0, Math.floor(Math.log2(Math.max(1, value))));
 }
 
-function sortByHash(addresses: readonly string[]): readonly string[] {
-    return addresses.map(address => ({ address, hash: murmurhash.v3(address) }))
-        .sort((left, right) => left.hash - right.hash || (left.address < right.address ? -1 : 1))
-        .map(({ address }) => address);
+/**
+ * Splits items into two halves whose sizes differ by one at most. Each item goes to the half that its hash names, unless
+ * that is full, so that one item more or less moves few others. Gateways that know different items for some seconds
+ * thereby still agree on most of them.
+ *
+ * @param level distinguishes the hashes of successive splits
+ */
+function splitEvenly<Item>(
+    items: readonly Item[],
+    getId: (item: Item) => string,
+    level: number,
+): readonly [readonly Item[], readonly Item[]] {
+    const maxSize = Math.ceil(items.length / 2);
+    const lower: Item[] = [];
+    const upper: Item[] = [];
+    const ordered = items.map(item => ({ item, id: getId(item), hash: murmurhash.v3(getId(item), 2 * level) }))
+        .sort((left, right) => left.hash - right.hash || (left.id < right.id ? -1 : 1));
+    for (const { item, id } of ordered) {
+        const isUpperPreferred = (murmurhash.v3(id, 2 * level + 1) & 1) === 1;
+        const [preferred, other] = isUpperPreferred ? [upper, lower] : [lower, upper];
+        (preferred.length < maxSize ? preferred : other).push(item);
+    }
+    return [lower, upper];
 }
--- a/test/routing/gatewayCell.test.ts
+++ b/test/routing/gatewayCell.test.ts
@@ -45,6 +45,43 @@
         assert.ok(Math.min(...shares) > 60 && Math.max(...shares) < 130, String(shares));
     });
 
+    /** Guards against a cell that has to serve its customers with fewer engines than the others. */
+    test("the partitions of a service differ by one endpoint at most", () => {
+        for (const count of [112, 113, 60, 45]) {
+            const endpoints = makeEndpoints(count);
+            const shares = [0, 1, 2, 3].map(index => selectCellEndpoints({ index, count: 4 }, endpoints).length);
+            assert.equal(shares.reduce((sum, share) => sum + share, 0), count);
+            assert.ok(Math.max(...shares) - Math.min(...shares) <= 1, String(shares));
+        }
+    });
+
+    /**
+     * Guards against gateways of different cells on the same engines: gateways learn of a change at times that differ by
+     * seconds, and those that have not learned of it divide the engines as before.
+     */
+    test("a gateway that joins or leaves changes the cell of few others", () => {
+        const addresses = makeAddresses(29);
+        const indexOf = (own: string, known: readonly string[]) => decideCell(own, known).cell.index;
+        const moves = addresses.map(left => {
+            const known = addresses.filter(address => address !== left);
+            return known.filter(own => indexOf(own, known) !== indexOf(own, addresses)).length;
+        });
+        const meanMoves = moves.reduce((sum, count) => sum + count, 0) / moves.length;
+        assert.ok(meanMoves < 3, `${meanMoves} of 28 gateways change their cell on average`);
+    });
+
+    test("an endpoint that leaves changes the cell of few others", () => {
+        const endpoints = makeEndpoints(112);
+        const cells = [0, 1, 2, 3].map(index => ({ index, count: 4 }));
+        const list = (known: typeof endpoints) => cells.map(cell => new Set(selectCellEndpoints(cell, known)));
+        const before = list(endpoints);
+        const after = list(endpoints.slice(1));
+        const moved = endpoints.slice(1).filter(endpoint =>
+            before.findIndex(set => set.has(endpoint)) !== after.findIndex(set => set.has(endpoint))
+        );
+        assert.ok(moved.length <= 4, `${moved.length} endpoints change their cell`);
+    });
+
     test("cells share a service with few endpoints, so that every cell has endpoints of it", () => {
         const endpoints = makeEndpoints(9);
         assert.equal(selectCellEndpoints({ index: 7, count: 32 }, endpoints).length, 9);
