Survive malformed datagrams and unexpected errors

Cause: a datagram that was CBOR with a field of a wrong type threw in the socket's listener and ended the process. An error in the listener of a feed ended the only reader of the configuration or the endpoints for good, and one in the refresh of the peers ended that. Ruled out: the store's answers and the settings file, which are checked against schemas. Change: every field of a datagram is checked, and that it comes from the address that it names.

--- a/src/gateway/feedFollower.ts
+++ b/src/gateway/feedFollower.ts
@@ -34,6 +34,8 @@
 
 /** Delay before a failed read is retried, in milliseconds. */
 const retryDelayMs = 150;
+/** Delay after an unexpected error, which may occur again at once. */
+const failedReadDelayMs = 1_000;
 
 /**
  * Follows a feed until disposed. Reads a snapshot, then updates. Reads a new snapshot if updates have expired unread.
@@ -103,13 +105,25 @@
         await waitFor(timers, retryDelayMs);
     }
 
+    /** Reads once. After an unexpected error, everything is read again, as some of it may not have been applied. */
+    async function readOnce(): Promise<void> {
+        try {
+            await (offset === undefined ? readSnapshot() : readUpdates(offset));
+        }
+        catch (error) {
+            log(LogEvent.TaskFailed, { task: options.name, error: String(error) });
+            offset = undefined;
+            await waitFor(timers, failedReadDelayMs);
+        }
+    }
+
     async function follow(): Promise<void> {
         while (!isDisposed) {
-            await (offset === undefined ? readSnapshot() : readUpdates(offset));
+            await readOnce();
         }
     }
 
-    follow().catch((error: unknown) => log(LogEvent.TaskFailed, { task: options.name, error: String(error) }));
+    void follow();
     return {
         dispose() {
             isDisposed = true;
--- a/src/gateway/loadExchange.ts
+++ b/src/gateway/loadExchange.ts
@@ -1,4 +1,4 @@
-import { createSocket } from "node:dgram";
+import { createSocket, RemoteInfo } from "node:dgram";
 import { Disposable } from "../base/disposable.js";
 import { EventLog } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
@@ -153,11 +153,15 @@
         }
     }
 
-    function receive(bytes: Buffer): void {
+    function receive(bytes: Buffer, sender: RemoteInfo): void {
         const message = decodeLoadMessage(bytes, timers.now());
         if (!message || message.address === ownAddress) {
             return;
         }
+        // Gateways send from the address at which they receive.
+        if (message.address !== `${sender.address}:${sender.port}`) {
+            return;
+        }
         if (others.has(message.address)) {
             message.crashes.forEach(options.onCrash);
             return;
--- a/src/gateway/loadMessage.ts
+++ b/src/gateway/loadMessage.ts
@@ -73,28 +73,74 @@
 
 /** Decodes a message. Returns `undefined` for datagrams that are not valid messages. */
 export function decodeLoadMessage(bytes: Buffer, nowMs: number): LoadMessage | undefined {
+    const wire = decodeWire(bytes);
+    if (!isWireMessage(wire)) {
+        return undefined;
+    }
+    const [, host, address, incarnation, sequence, isSnapshot, items, removed, crashes] = wire;
+    return {
+        host,
+        address,
+        incarnation,
+        sequence,
+        isSnapshot,
+        items: items.map(item => decodeItem(item, nowMs)),
+        removed,
+        crashes: crashes.map(([crash, fingerprints]) => ({ crash, fingerprints })),
+    };
+}
+
+function decodeWire(bytes: Buffer): unknown {
     try {
-        const wire = decoder.decode(bytes) as WireMessage;
-        if (!Array.isArray(wire) || wire[0] !== messageVersion) {
-            return undefined;
-        }
-        const [, host, address, incarnation, sequence, isSnapshot, items, removed, crashes] = wire;
-        return {
-            host,
-            address,
-            incarnation,
-            sequence,
-            isSnapshot,
-            items: items.map(item => decodeItem(item, nowMs)),
-            removed,
-            crashes: crashes.map(([crash, fingerprints]) => ({ crash, fingerprints })),
-        };
+        return decoder.decode(bytes) as unknown;
     }
     catch {
+        // Not CBOR, and thereby no message.
         return undefined;
     }
 }
 
+type Check = (value: unknown) => boolean;
+
+const isText: Check = value => typeof value === "string";
+const isNumber: Check = value => Number.isFinite(value);
+const isFlag: Check = value => typeof value === "boolean";
+const isVersion: Check = value => value === messageVersion;
+const isAddress: Check = value => typeof value === "string" && /^\d+\.\d+\.\d+\.\d+:\d+$/u.test(value);
+const isListOf = (isElement: Check): Check => value => Array.isArray(value) && value.every(isElement);
+const isTupleOf = (...checks: readonly Check[]): Check => value =>
+    Array.isArray(value) && value.length === checks.length && checks.every((check, index) => check(value[index]));
+
+const isItem = isTupleOf(
+    isText,
+    isText,
+    isNumber,
+    isNumber,
+    isNumber,
+    isNumber,
+    isFlag,
+    isNumber,
+    isNumber,
+    isFlag,
+);
+const isCrash = isTupleOf(isText, isListOf(isText));
+const isMessage = isTupleOf(
+    isVersion,
+    isText,
+    isAddress,
+    isText,
+    isNumber,
+    isFlag,
+    isListOf(isItem),
+    isListOf(isText),
+    isListOf(isCrash),
+);
+
+/** Checks every field, because datagrams can come from anywhere. */
+function isWireMessage(value: unknown): value is WireMessage {
+    return isMessage(value);
+}
+
 function decodeItem(item: WireItem, nowMs: number): WorkItem {
     const [key, endpoint, prefillMs, tokens, gapTargetMs, dueInMs, isDecoding, phaseAgeMs, endsInMs, isSuspect] = item;
     return {
--- a/src/gateway/peerDiscovery.ts
+++ b/src/gateway/peerDiscovery.ts
@@ -85,7 +85,10 @@
     }
 
     function start(): void {
-        refresh().catch((error: unknown) => log(LogEvent.TaskFailed, { task: "peers", error: String(error) }));
+        refresh().catch((error: unknown) => {
+            log(LogEvent.TaskFailed, { task: "peers", error: String(error) });
+            nextRefresh = timers.schedule(refreshIntervalMs, start);
+        });
     }
 
     start();
--- a/test/gateway/loadExchange.test.ts
+++ b/test/gateway/loadExchange.test.ts
@@ -1,9 +1,10 @@
+import { Encoder } from "cbor-x";
 import assert from "node:assert/strict";
 import { createSocket } from "node:dgram";
 import { describe, test, TestContext } from "node:test";
 import { createSystemTimerService } from "../../src/base/systemTimerService.js";
 import { createLoadExchange } from "../../src/gateway/loadExchange.js";
-import { CrashNotice } from "../../src/gateway/loadMessage.js";
+import { CrashNotice, encodeLoadMessage, LoadMessage } from "../../src/gateway/loadMessage.js";
 import { createLoadLedger, WorkItem, WorkPhase } from "../../src/routing/loadLedger.js";
 import { waitUntil } from "../platform/support/deployment.js";
 
@@ -83,4 +84,59 @@
         member.exchange.setPeers([], [sender.address]);
         assert.equal(countWork(), 0);
     });
+
+    /** Guards against one datagram ending the process, and against work that nobody has placed. */
+    test("ignores datagrams that are malformed or name another sender", async context => {
+        const receiver = await startExchange("receiver", context);
+        const socket = createSocket("udp4");
+        context.after(() => socket.close());
+        await new Promise<void>(resolve => socket.bind(0, ip, resolve));
+        const own = `${ip}:${socket.address().port}`;
+        const nowMs = receiver.timers.now();
+        const message: LoadMessage = {
+            host: "b",
+            address: own,
+            incarnation: "b-1",
+            sequence: 1,
+            isSnapshot: false,
+            items: [makeItem(nowMs)],
+            removed: [],
+            crashes: [],
+        };
+        const encoder = new Encoder();
+        const valid = encoder.decode(encodeLoadMessage(message, nowMs)) as unknown[];
+        const wrongValues = [undefined, null, 7, "text", [1], {}, Number.NaN];
+        let sequence = 1;
+        const encodeWith = (index: number, value: unknown) => {
+            sequence += 1;
+            return encoder.encode(
+                valid.map((field, position) => position === index ? value : position === 4 ? sequence : field),
+            );
+        };
+        const malformed = valid.flatMap((field, index) =>
+            wrongValues.filter(value => typeof value !== typeof field || Array.isArray(field))
+                .map(value => encodeWith(index, value))
+        );
+        const wrongItems = makeWrongItems(valid[6] as unknown[][]).map(items => encodeWith(6, items));
+        const foreign = encodeLoadMessage({ ...message, address: `${ip}:1` }, nowMs);
+        const datagrams = [Buffer.from("not CBOR"), Buffer.alloc(0), foreign, ...malformed, ...wrongItems];
+        const [, port] = receiver.address.split(":");
+        for (const datagram of datagrams) {
+            await new Promise(resolve => socket.send(datagram, Number(port), ip, resolve));
+        }
+        const last = { ...message, incarnation: "b-2", items: [{ ...makeItem(nowMs), key: "last" }] };
+        socket.send(encodeLoadMessage(last, nowMs), Number(port), ip);
+        const listKeys = () => receiver.ledger.listAt("engine-1", receiver.timers.now()).map(item => item.key);
+        await waitUntil("the valid message", () => listKeys().includes("last"));
+        assert.deepEqual(listKeys(), ["last"]);
+    });
 });
+
+/** Makes lists of items with one field of a wrong type each. */
+function makeWrongItems(items: readonly unknown[][]): unknown[][][] {
+    const [item] = items;
+    return item!.flatMap((unused, index) =>
+        [null, {}, Number.NaN, "text"].filter(value => typeof value !== typeof item![index])
+            .map(value => [item!.map((field, position) => position === index ? value : field)])
+    );
+}
