Let slow streams go on when the retry budget is used up

Cause: a stream without an event for the stall time-out was dropped before the budget was asked; without budget it was cut, although its endpoint could be sound and slow. Change: without budget, the endpoint's address is tried. If it accepts a connection, the answer is awaited and the check repeated every 250 ms; otherwise the stream is cut, so that the customer resumes it.

--- a/src/gateway/dispatchWatch.ts
+++ b/src/gateway/dispatchWatch.ts
@@ -26,6 +26,8 @@
     /** Starts watching a dispatch, until `dispose` is called. */
     start(place: Place): void;
     recordEvent(place: Place): void;
+    /** Delays the report of a stall by a short time. An event that arrives meanwhile prevents it. */
+    delay(): void;
 }
 
 /** The first byte times out after this multiple of its predicted time plus the margin. */
@@ -41,6 +43,8 @@
 /** A stream times out after this multiple of its gap target without an event, but not before the minimum. */
 const gapTimeoutFactor = 3;
 const minGapTimeoutMs = 1_000;
+/** Delay before a stall is reported again that nothing could be done about, in milliseconds. */
+const stallRecheckMs = 250;
 
 /**
  * Creates the watch of one request. It is reused for the request's dispatches, one after another.
@@ -86,6 +90,7 @@
                 idleTimer.extend(Math.max(minGapTimeoutMs, gapTimeoutFactor * options.gapTargetMs));
             }
         },
+        delay: () => idleTimer.extend(stallRecheckMs),
         dispose() {
             idleTimer.dispose();
             reachabilityWatch?.dispose();
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -255,10 +255,35 @@
         if (!place || !isFurtherRunAllowed()) {
             return;
         }
+        if (services.retryBudget.getBalance() < 1) {
+            void dropIfUnreachable(place);
+            return;
+        }
+        dropSilentDispatch(place);
+    }
+
+    /**
+     * Handles a stall while the retry budget is used up. An endpoint that still accepts connections may only be slow, so
+     * its answer is awaited. Otherwise the customer is told, and may resume the stream with another request.
+     */
+    async function dropIfUnreachable(stalled: Place): Promise<void> {
+        const isReachable = await services.connections.checkConnection(stalled.endpoint.address);
+        if (hasEnded || place !== stalled) {
+            return;
+        }
+        if (isReachable) {
+            watch.delay();
+        }
+        else {
+            dropSilentDispatch(stalled);
+        }
+    }
+
+    function dropSilentDispatch(stalled: Place): void {
         const silentMs = timers.now() - (progress.getLastEventMs() ?? sentAtMs);
         const verdict = exchange?.hasStarted() ? Verdict.MayHaveRun : Verdict.NotRun;
-        dropConnections(place);
-        recordEndpointFailure(place, ExchangeResult.Silent, verdict);
+        dropConnections(stalled);
+        recordEndpointFailure(stalled, ExchangeResult.Silent, verdict);
         handleFailure(verdict, `silent for ${Math.round(silentMs)} ms`);
     }
 
--- a/test/platform/support/deployment.ts
+++ b/test/platform/support/deployment.ts
@@ -112,7 +112,8 @@
     return address.port;
 }
 
-async function makeSettings(name: string, storeAddress: string, graceMs: number): Promise<GatewaySettings> {
+/** Makes the settings of a gateway on free ports. */
+export async function makeSettings(name: string, storeAddress: string, graceMs: number): Promise<GatewaySettings> {
     const ip = "127.0.0.1";
     return {
         host: name,
--- a/test/platform/support/rawEndpoint.ts
+++ b/test/platform/support/rawEndpoint.ts
@@ -17,8 +17,8 @@
 export interface RawScript {
     /** Bytes that begin the answer. */
     readonly start: string;
-    /** Bytes that are repeated until the caller closes the connection. */
-    readonly repeated: string;
+    /** Bytes that are repeated until the caller closes the connection, or what makes them for each repetition. */
+    readonly repeated: string | ((index: number) => string);
     /** Pause between two repetitions, in milliseconds. Without it, the caller is sent as much as it takes. */
     readonly pauseMs?: number;
 }
@@ -44,13 +44,16 @@
             writtenBytes += socket.bytesWritten - socket.writableLength;
         });
         socket.write(start);
-        const block = pauseMs === undefined ? repeated.repeat(Math.ceil(writeBytes / repeated.length)) : repeated;
+        let index = 0;
+        const makeText = () => typeof repeated === "string" ? repeated : repeated(index++);
+        const text = pauseMs === undefined ? makeText() : "";
+        const block = text.repeat(Math.ceil(writeBytes / Math.max(1, text.length)));
         const writeMore = () => {
             if (socket.destroyed) {
                 return;
             }
             if (pauseMs !== undefined) {
-                socket.write(block);
+                socket.write(makeText());
                 setTimeout(writeMore, pauseMs);
             }
             else if (socket.write(block)) {
@@ -60,7 +63,12 @@
                 socket.once("drain", writeMore);
             }
         };
-        writeMore();
+        if (pauseMs === undefined) {
+            writeMore();
+        }
+        else {
+            setTimeout(writeMore, pauseMs);
+        }
     }
 
     const server = createServer(socket => {
