Bound the answers that a sidecar reads from its endpoint

Cause: a report, an error answer, a line of a stream and the answer of a plain service were read without a bound; an endpoint that sends bytes without end filled the heap of the sidecar and ended it (heap limit 1 GB: fatal error after some seconds).

--- a/src/adapters/httpModelEngine.ts
+++ b/src/adapters/httpModelEngine.ts
@@ -12,6 +12,7 @@
     EngineUsage,
     ModelEngine,
 } from "../ports/modelEngine.js";
+import { BodyTooLongError, readBounded } from "./boundedBody.js";
 
 /** Server-sent event of a generation, in the format of the completions API with an added token sequence number. */
 interface CompletionEvent {
@@ -27,6 +28,8 @@
 const connectTimeoutMs = 2_000;
 const answerTimeoutMs = 5_000;
 const doneMarker = "[DONE]";
+/** Largest answer to a call, and most bytes of a stream without a complete event. */
+const maxAnswerBytes = 1024 * 1024;
 
 /** A model engine that is called over HTTP. */
 export interface HttpModelEngine extends ModelEngine, Disposable {}
@@ -54,7 +57,7 @@
             headersTimeout: answerTimeoutMs,
             bodyTimeout: answerTimeoutMs,
         });
-        const text = await response.body.text();
+        const text = (await readBounded(response.body, maxAnswerBytes)).toString("utf8");
         if (response.statusCode >= 300) {
             throw new Error(`engine answered ${response.statusCode} to ${method} ${path}: ${text.slice(0, 200)}`);
         }
@@ -87,14 +90,26 @@
                 signal: controller.signal,
             });
             if (response.statusCode !== 200) {
-                const message = (await response.body.text()).slice(0, 200);
+                const text = (await readBounded(response.body, maxAnswerBytes)).toString("utf8");
+                const message = text.slice(0, 200);
                 emit({ kind: EngineEventKind.Refused, status: response.statusCode, message });
                 return;
             }
-            const parser = createParser({ onEvent: event => emitCompletion(event.data, emit) });
+            let bytesWithoutEvent = 0;
+            const parser = createParser({
+                onEvent(event) {
+                    bytesWithoutEvent = 0;
+                    emitCompletion(event.data, emit);
+                },
+            });
             const utf8 = new TextDecoder();
-            for await (const bytes of response.body) {
-                parser.feed(utf8.decode(bytes as Uint8Array, { stream: true }));
+            for await (const chunk of response.body) {
+                const bytes = chunk as Uint8Array;
+                bytesWithoutEvent += bytes.length;
+                if (bytesWithoutEvent > maxAnswerBytes) {
+                    throw new BodyTooLongError(maxAnswerBytes);
+                }
+                parser.feed(utf8.decode(bytes, { stream: true }));
             }
             emit({ kind: EngineEventKind.Broken, message: "the stream ended without a final event" });
         }
--- a/src/adapters/httpPlainService.ts
+++ b/src/adapters/httpPlainService.ts
@@ -1,8 +1,11 @@
 import { Agent, request } from "undici";
 import { Disposable } from "../base/disposable.js";
 import { PlainService, ServiceResultKind } from "../ports/plainService.js";
+import { readBounded } from "./boundedBody.js";
 
 const connectTimeoutMs = 2_000;
+/** Largest answer, which is kept whole until it has arrived. */
+const maxAnswerBytes = 16 * 1024 * 1024;
 
 /** Error codes of `undici` and the operating system for connections that could not be established. */
 const notSentCodes = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
@@ -31,7 +34,7 @@
                     body: call.body.length === 0 ? undefined : call.body,
                     signal,
                 });
-                const body = new Uint8Array(await response.body.arrayBuffer());
+                const body = new Uint8Array(await readBounded(response.body, maxAnswerBytes));
                 return {
                     kind: ServiceResultKind.Answered,
                     status: response.statusCode,
