Take no answer without a request id for a success

Cause: a late copy of an earlier answer on a connection in use again was recognized by its request id only if it had one; without, the next customer received it. Endpoints echo the id in every answer. Change: a success without an id is invalid, and the request is tried elsewhere where that is allowed. Tests: test/platform/lateAnswers.test.ts, the case without id gave a customer another one's answer before. New guards that pass on the former code as well: test/gateway/brokenAnswers.test.ts, answers that break off at each byte.

--- a/src/gateway/answerRelay.ts
+++ b/src/gateway/answerRelay.ts
@@ -173,6 +173,10 @@
             if (received.isNotRun) {
                 return { kind: AnswerOutcomeKind.NotRun, reason: "" };
             }
+            // On a connection in use again, this can be a late copy of an earlier answer.
+            if (received.status < 300 && received.requestId === undefined) {
+                return makeInvalid("answer carries no request id");
+            }
             if (received.status < 300 && (!received.isSealed || received.isEncoded)) {
                 return makeInvalid("answer lacks the endpoint's seal or is content-encoded");
             }
