--- a/test/gateway/brokenAnswers.test.ts
+++ b/test/gateway/brokenAnswers.test.ts
@@ -9,7 +9,8 @@
 const firstChunk = "01234";
 const answers = {
     length: `HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
-    chunks: `HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n${firstChunk}\r\n5\r\n56789\r\n0\r\n\r\n`,
+    chunks:
+        `HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n${firstChunk}\r\n5\r\n56789\r\n0\r\n\r\n`,
     neither: `HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n${body}`,
 } as const;
 type Framing = keyof typeof answers;
