--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -267,11 +267,12 @@
      * its answer is awaited. Otherwise the customer is told, and may resume the stream with another request.
      */
     async function dropIfUnreachable(stalled: Place): Promise<void> {
+        const lastEventMs = progress.getLastEventMs();
         const isReachable = await services.connections.checkConnection(stalled.endpoint.address);
         if (hasEnded || place !== stalled) {
             return;
         }
-        if (isReachable) {
+        if (isReachable || progress.getLastEventMs() !== lastEventMs) {
             watch.delay();
         }
         else {
