Run no request that crossed the close of its connection

Change: a request on a connection that this process has ended is not handled, so that its customer may send it again.

--- a/src/gateway/customerServer.ts
+++ b/src/gateway/customerServer.ts
@@ -58,6 +58,11 @@
         requestTimeout: bodyTimeoutMs,
     }, (request, response) => {
         const { socket } = request;
+        if (socket.writableEnded) {
+            // The request crossed the close of its connection. It must not run, since its answer would reach nobody.
+            socket.destroy();
+            return;
+        }
         activeSockets.add(socket);
         response.once("close", () => {
             activeSockets.delete(socket);
