--- a/test/platform/endlessAnswers.test.ts
+++ b/test/platform/endlessAnswers.test.ts
@@ -17,7 +17,10 @@
  */
 
 const completeStream = [0, 1, 2, 3, 4, 5].map(renderEvent).join("");
-/** Bytes of one answer that a gateway may take before it closes the connection, socket buffers included. */
+/**
+ * Bytes that a gateway may take of all answers of one round before it closes the connections: 1 MiB for each of up to
+ * seven requests, and what the sockets of both sides buffer.
+ */
 const maxTakenBytes = 32 * 1024 * 1024;
 /** Time limit of the customers' requests, in milliseconds. */
 const timeLimitMs = 3_000;
