Log the shared prompt parts of requests and the evidence of crashes

EndpointChosen names the shared parts, RequestRetried the events received, SuspectFound the fingerprints and the time between the broken connection and the recognised crash; jujubelane_endpoint_crashes_total counts crashes. No decision changes.

--- a/src/gateway/crashRegistry.ts
+++ b/src/gateway/crashRegistry.ts
@@ -1,6 +1,7 @@
 import { createHash } from "node:crypto";
 import { EventLog } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
+import { Metrics } from "../base/metrics.js";
 import { TimerService } from "../base/timerService.js";
 import {
     applyCrash,
@@ -30,6 +31,7 @@
     readonly idPrefix: string;
     readonly timers: TimerService;
     readonly log: EventLog;
+    readonly metrics: Metrics;
     readonly reportCrash: (notice: CrashNotice) => void;
 }
 
@@ -53,18 +55,24 @@
  * registry.recordEndpointLoss("engine-1");
  */
 export function createCrashRegistry(options: CrashRegistryOptions): CrashRegistry {
-    const { timers, log } = options;
+    const { timers, log, metrics } = options;
     const brokenConnections = new Map<string, BrokenConnection[]>();
     let state = createQuarantineState();
     let crashCount = 0;
 
-    function apply(notice: CrashNotice): void {
+    function apply(notice: CrashNotice, detectedAfterMs?: number): void {
         const before = state;
         const update = applyCrash(state, notice, timers.now(), defaultQuarantineSettings);
         state = update.state;
         if (state !== before) {
             const quarantined = update.changed.filter(item => state.suspects.get(item)?.quarantined === true);
-            log(LogEvent.SuspectFound, { crash: notice.crash, suspects: update.changed.length });
+            log(LogEvent.SuspectFound, {
+                crash: notice.crash,
+                suspects: update.changed.length,
+                fingerprints: update.changed.join(","),
+                detectedAfterMs,
+            });
+            metrics.count("jujubelane_endpoint_crashes_total", "Crashes of endpoints that requests may have caused.");
             quarantined.forEach(fingerprint => log(LogEvent.FingerprintQuarantined, { fingerprint }));
         }
     }
@@ -80,18 +88,18 @@
         },
         recordEndpointLoss(endpoint) {
             const nowMs = timers.now();
-            const fingerprints = (brokenConnections.get(endpoint) ?? []).filter(item =>
+            const recent = (brokenConnections.get(endpoint) ?? []).filter(item =>
                 nowMs - item.atMs < crashDetectionWindowMs
-            )
-                .map(item => item.fingerprint);
+            );
+            const fingerprints = recent.map(item => item.fingerprint);
             brokenConnections.delete(endpoint);
             if (fingerprints.length > 0) {
                 const notice = { crash: `${options.idPrefix}/${endpoint}/${crashCount++}`, fingerprints };
-                apply(notice);
+                apply(notice, Math.round(nowMs - recent[0]!.atMs));
                 options.reportCrash(notice);
             }
         },
-        applyNotice: apply,
+        applyNotice: notice => apply(notice),
     };
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -138,6 +138,7 @@
         idPrefix: `${settings.host}/${keyPrefix}`,
         timers,
         log,
+        metrics,
         reportCrash: notice => exchange.reportCrash(notice),
     });
     const placementQueue = disposables.register(createPlacementQueue({
--- a/src/gateway/requestReport.ts
+++ b/src/gateway/requestReport.ts
@@ -56,6 +56,8 @@
     readonly verdict: Verdict;
     readonly sentAtMs: number;
     readonly attempt: number;
+    /** Events of the answer that were received before the failure, in all attempts. */
+    readonly events: number;
 }
 
 /**
@@ -83,6 +85,7 @@
                 endpoint: place.endpoint.id,
                 address: place.endpoint.address,
                 helpers: place.helpers.map(helper => helper.id).join(",") || undefined,
+                parts: request.head.sharedPromptParts.join(",") || undefined,
                 partMs: Math.round(place.partMs),
                 waitedMs: Math.round(timers.now() - request.arrivedAtMs),
                 predictedMs: Math.round(place.firstByteMs),
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -335,7 +335,14 @@
             return false;
         }
         verdicts.push(verdict);
-        report.recordRetry({ endpoint: place?.endpoint.id, reason, verdict, sentAtMs, attempt: dispatches });
+        report.recordRetry({
+            endpoint: place?.endpoint.id,
+            reason,
+            verdict,
+            sentAtMs,
+            attempt: dispatches,
+            events: relay.countEvents(),
+        });
         releaseDispatch();
         submit();
         return true;
--- a/src/ports/exchange.ts
+++ b/src/ports/exchange.ts
@@ -17,6 +17,11 @@
     /** Time limit that the customer sets, in milliseconds from the request's arrival. */
     readonly deadlineMs?: number;
     readonly prompt?: PromptSize;
+    /**
+     * Ids of the parts of the prompt that other requests may share, in order. The last part belongs to the request itself
+     * and is left out.
+     */
+    readonly sharedPromptParts: readonly string[];
     /** Id of the last event that the customer received; set when it resumes a broken stream. */
     readonly lastEventId?: number;
     /** Headers that are forwarded to the endpoint. */
--- a/test/gateway/parts.test.ts
+++ b/test/gateway/parts.test.ts
@@ -2,6 +2,7 @@
 import { describe, test } from "node:test";
 import { LogEvent } from "../../src/base/logEvents.js";
 import { createManualTimerService } from "../../src/base/manualTimerService.js";
+import { createMetrics } from "../../src/base/metrics.js";
 import { makeFailure, makeSuccess } from "../../src/base/result.js";
 import { createCrashRegistry } from "../../src/gateway/crashRegistry.js";
 import { createEventStreamSplitter } from "../../src/gateway/eventStreamSplitter.js";
@@ -229,6 +230,7 @@
             idPrefix: "g",
             timers,
             log: () => undefined,
+            metrics: createMetrics(),
             reportCrash: notice => notices.push(notice),
         });
         return { timers, notices, registry };
--- a/test/platform/codecs.test.ts
+++ b/test/platform/codecs.test.ts
@@ -169,6 +169,13 @@
         "b",
     ]);
 
+    test("the last part of a prompt, which is the request's own, is not among the shared parts", () => {
+        const decodeParts = (text: string) => exchangeCodec.decodeRequest(["X-Prompt-Prefix", text]).sharedPromptParts;
+        assert.deepEqual(decodeParts("5c1e07a2:800,91bd3f06:410,e4402b7d:250"), ["5c1e07a2", "91bd3f06"]);
+        assert.deepEqual(decodeParts("e4402b7d:250"), []);
+        assert.deepEqual(decodeParts("not an id:3,,e4402b7d"), []);
+    });
+
     test("a request's head is decoded", () => {
         assert.equal(head.id, "r1");
         assert.equal(head.key, "secret");
