--- a/test/platform/support/deployment.ts
+++ b/test/platform/support/deployment.ts
@@ -50,6 +50,9 @@
     readonly events?: number;
     readonly graceMs?: number;
     readonly configuration?: object;
+    /** Prompt part that crashes engines, which restart under another id. */
+    readonly crashingPart?: string;
+    readonly eventIntervalMs?: number;
 }
 
 /** Makes the configuration of a deployment, with the platform's field names. */
@@ -213,7 +216,15 @@
     const engines = await Promise.all(
         Array.from(
             { length: options.engines ?? 2 },
-            (unused, index) => startEndpointStandIn({ id: `engine-${index}`, events: options.events ?? 6 }),
+            (unused, index) =>
+                startEndpointStandIn({
+                    id: `engine-${index}`,
+                    events: options.events ?? 6,
+                    eventIntervalMs: options.eventIntervalMs,
+                    crashingPart: options.crashingPart,
+                    onCrashed: previousId => store.remove("keyed.servers", previousId),
+                    onRestarted: engine => register(engine, "models"),
+                }),
         ),
     );
     const services = await Promise.all(
--- a/test/platform/support/endpointStandIn.ts
+++ b/test/platform/support/endpointStandIn.ts
@@ -1,5 +1,6 @@
 import { IncomingHttpHeaders, IncomingMessage, ServerResponse } from "node:http";
-import { readBody, startHttpServer } from "../../../src/emulator/httpServer.js";
+import { Socket } from "node:net";
+import { readBody, RunningServer, startHttpServer } from "../../../src/emulator/httpServer.js";
 
 /** A fault that an endpoint simulates for one request. */
 export enum EndpointFault {
@@ -62,6 +63,8 @@
     /** Sets whether calls that reserve or release memory are left unanswered. */
     setReservationCallsSilent(isSilent: boolean): void;
     countConnections(): number;
+    /** Times of crashes, in milliseconds since the process started. */
+    readonly crashesAtMs: readonly number[];
     close(): Promise<void>;
 }
 
@@ -71,8 +74,20 @@
     /** Events of a stream; 0 for a plain service. */
     readonly events: number;
     readonly eventIntervalMs?: number;
+    /**
+     * Prompt part that crashes the endpoint shortly after it began to answer a request with it: connections close, and
+     * new ones are refused until the restart at the same address under another id.
+     */
+    readonly crashingPart?: string;
+    /** Called when the endpoint has crashed and when it is back, with the ids that it had before and has now. */
+    readonly onCrashed?: (previousId: string) => void;
+    readonly onRestarted?: (endpoint: EndpointStandIn) => void;
 }
 
+/** Time from the first event of an answer to the crash that it causes, in milliseconds. */
+const crashDelayMs = 20;
+const restartDelayMs = 400;
+
 /** Renders the event with an id. The text is the same at every stand-in, so that a resumed stream can be compared. */
 export function renderEvent(id: number): string {
     return `id: ${id}\ndata: piece ${id}\n\n`;
@@ -83,8 +98,36 @@
     const requests: ReceivedRequest[] = [];
     const reservationCalls: ReceivedReservationCall[] = [];
     const faults: EndpointFault[] = [];
+    const sockets = new Set<Socket>();
+    const crashesAtMs: number[] = [];
     let areReservationCallsSilent = false;
     let connections = 0;
+    let isClosed = false;
+    let id = options.id;
+
+    async function crash(): Promise<void> {
+        if (isClosed || !isListening) {
+            return;
+        }
+        isListening = false;
+        crashesAtMs.push(performance.now());
+        const closed = server.close();
+        sockets.forEach(socket => socket.destroy());
+        await closed;
+        options.onCrashed?.(id);
+        await wait(restartDelayMs);
+        if (!isClosed) {
+            id = `${options.id}.${crashesAtMs.length}`;
+            server = await startServer(server.port);
+            isListening = true;
+            options.onRestarted?.(standIn);
+        }
+    }
+
+    function hasCrashingPart(request: IncomingMessage): boolean {
+        const parts = String(request.headers["x-prompt-prefix"] ?? "").split(",").map(part => part.split(":")[0]);
+        return options.crashingPart !== undefined && parts.includes(options.crashingPart);
+    }
 
     async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const body = (await readBody(request)).toString("utf8");
@@ -96,7 +139,7 @@
             return;
         }
         const fault = faults.shift() ?? EndpointFault.None;
-        const isMisdirected = request.headers["x-expect-instance"] !== options.id;
+        const isMisdirected = request.headers["x-expect-instance"] !== id;
         const received: ReceivedRequest = {
             method: request.method ?? "",
             path: request.url ?? "",
@@ -110,18 +153,18 @@
             received.isCancelled = !response.writableFinished;
         });
         if (isMisdirected) {
-            response.writeHead(421, { "x-runner-id": options.id }).end();
+            response.writeHead(421, { "x-runner-id": id }).end();
             return;
         }
         await answer(request, response, fault);
     }
 
     async function answer(request: IncomingMessage, response: ServerResponse, fault: EndpointFault): Promise<void> {
-        const id = request.headers["x-request-id"] as string;
-        const headers: Record<string, string> = { "x-request-id": id, "x-response-seal": `seal-${options.id}` };
+        const requestId = request.headers["x-request-id"] as string;
+        const headers: Record<string, string> = { "x-request-id": requestId, "x-response-seal": `seal-${id}` };
         switch (fault) {
             case EndpointFault.Full:
-                response.writeHead(503, { "x-request-id": id, "x-not-executed": "1" }).end();
+                response.writeHead(503, { "x-request-id": requestId, "x-not-executed": "1" }).end();
                 return;
             case EndpointFault.Error:
                 response.writeHead(500, headers).end("failed");
@@ -159,14 +202,20 @@
     ): Promise<void> {
         const first = Number(request.headers["last-event-id"] ?? -1) + 1;
         response.writeHead(200, { ...headers, "content-type": "text/event-stream" });
-        for (let id = first; id < options.events; id++) {
-            if (fault === EndpointFault.CloseWithinAnswer && id === first + 2) {
-                response.write(renderEvent(id).slice(0, 5));
+        if (hasCrashingPart(request)) {
+            response.write(renderEvent(first));
+            await wait(crashDelayMs);
+            await crash();
+            return;
+        }
+        for (let eventId = first; eventId < options.events; eventId++) {
+            if (fault === EndpointFault.CloseWithinAnswer && eventId === first + 2) {
+                response.write(renderEvent(eventId).slice(0, 5));
                 await wait(5);
                 request.socket.destroy();
                 return;
             }
-            response.write(renderEvent(id));
+            response.write(renderEvent(eventId));
             await wait(fault === EndpointFault.Slow ? 200 : options.eventIntervalMs ?? 5);
         }
         response.end();
@@ -178,7 +227,7 @@
         fault: EndpointFault,
         headers: Record<string, string>,
     ): Promise<void> {
-        const body = `done by ${options.id}`;
+        const body = `done by ${id}`;
         if (fault === EndpointFault.Slow) {
             await wait(500);
         }
@@ -208,12 +257,22 @@
         }
     }
 
-    const server = await startHttpServer(0, handle, () => {
-        connections += 1;
-    });
-    return {
-        id: options.id,
+    function startServer(port: number): Promise<RunningServer> {
+        return startHttpServer(port, handle, socket => {
+            connections += 1;
+            sockets.add(socket);
+            socket.once("close", () => sockets.delete(socket));
+        });
+    }
+
+    let isListening = true;
+    let server = await startServer(0);
+    const standIn: EndpointStandIn = {
+        get id() {
+            return id;
+        },
         address: `127.0.0.1:${server.port}`,
+        crashesAtMs,
         requests,
         reservationCalls,
         setFaults: (...next) => faults.splice(0, faults.length, ...next),
@@ -221,8 +280,12 @@
             areReservationCallsSilent = isSilent;
         },
         countConnections: () => connections,
-        close: () => server.close(),
+        async close() {
+            isClosed = true;
+            await (isListening ? server.close() : undefined);
+        },
     };
+    return standIn;
 }
 
 function wait(durationMs: number): Promise<void> {
