--- a/src/gateway/acceptedRequest.ts
+++ b/src/gateway/acceptedRequest.ts
@@ -18,10 +18,11 @@
     readonly customer?: string;
     readonly rank: number;
     readonly arrivedAtMs: number;
-    /** Absent for a request without a body, which is indistinguishable from others to the same path. */
-    readonly fingerprint?: string;
-    /** Whether an endpoint crashed while it ran the same request. */
-    readonly isSuspect: boolean;
+    /**
+     * What may crash endpoints and other requests may share: the shared parts of the prompt, then the fingerprint. Empty
+     * for a request without a body or a prompt, which is indistinguishable from others to the same path.
+     */
+    readonly traits: readonly string[];
     readonly configurationVersion: number;
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -24,10 +24,11 @@
 import { placeOnEngines } from "../routing/enginePlacement.js";
 import { decideCell, onlyCell, selectCellEndpoints } from "../routing/gatewayCell.js";
 import { createLoadLedger } from "../routing/loadLedger.js";
+import { pickByRendezvous } from "../routing/rendezvous.js";
 import { buildRouteTable, RouteTable } from "../routing/routeTable.js";
 import { createSlowdownEstimate } from "../routing/slowdownEstimate.js";
 import { Drain } from "../scheduling/drainAdmission.js";
-import { createCrashRegistry } from "./crashRegistry.js";
+import { createCrashDetector } from "./crashDetector.js";
 import { createCustomerServer } from "./customerServer.js";
 import { createEndpointConnections } from "./endpointConnections.js";
 import { followFeed } from "./feedFollower.js";
@@ -35,6 +36,8 @@
 import { createLoadExchange } from "./loadExchange.js";
 import { followPeers } from "./peerDiscovery.js";
 import { createPlacementQueue } from "./placementQueue.js";
+import { createQuarantineRegistry, QuarantineSource } from "./quarantineRegistry.js";
+import { createQuarantineStore } from "./quarantineStore.js";
 import { createRequestIntake } from "./requestIntake.js";
 import { createReservations } from "./reservations.js";
 import { createStartupGate } from "./startupGate.js";
@@ -44,6 +47,8 @@
     readonly configurationFeed: RecordFeed;
     readonly endpointFeed: RecordFeed;
     readonly gatewayFeed: WritableFeed;
+    /** Quarantines, which all gateways read and write. */
+    readonly quarantineFeed: WritableFeed;
     decodeConfiguration(record: KeyedRecord): ServingConfiguration | undefined;
     decodeEndpoint(record: KeyedRecord): EndpointRecord | undefined;
     readonly codec: ExchangeCodec;
@@ -118,6 +123,8 @@
     const keyPrefix = ports.incarnation.slice(-8);
     const exchangeAddress = `${settings.ip}:${settings.exchangePort}`;
     let cell = onlyCell;
+    /** Exchange addresses of all gateways that the store lists. */
+    let gatewayAddresses: readonly string[] = [];
     const endpointSubset = createEndpointSubset(directory, endpoints => selectCellEndpoints(cell, endpoints));
     let routeTable: RouteTable | undefined;
     let areEndpointsKnown = false;
@@ -132,14 +139,37 @@
         ledger,
         log,
         onChange: () => placementQueue.run(),
-        onCrash: notice => crashRegistry.applyNotice(notice),
+        onCrash: report => quarantineRegistry.applyCrash(report, false),
+        onQuarantine(term) {
+            quarantineRegistry.applyTerm(term, QuarantineSource.Gateway);
+            quarantineStore.writeMissing(term);
+        },
+        listQuarantines: () => quarantineRegistry.listTerms(),
     }));
-    const crashRegistry = createCrashRegistry({
-        idPrefix: `${settings.host}/${keyPrefix}`,
+    const quarantineRegistry = createQuarantineRegistry({
         timers,
         log,
         metrics,
-        reportCrash: notice => exchange.reportCrash(notice),
+        reportCrash: report => exchange.reportCrash(report),
+        reportTerm(term) {
+            exchange.reportQuarantine(term);
+            quarantineStore.writeDecision(term);
+        },
+        isTester: trait =>
+            quarantineStore.isAvailable() && gatewayAddresses.length > 0
+            && pickByRendezvous(trait, gatewayAddresses, address => address, 1)[0] === exchangeAddress,
+    });
+    const quarantineStore = disposables.register(createQuarantineStore({
+        feed: ports.quarantineFeed,
+        timers,
+        log,
+        random: ports.random,
+        onTerm: term => quarantineRegistry.applyTerm(term, QuarantineSource.Store),
+    }));
+    const crashDetector = createCrashDetector({
+        timers,
+        connect: address => connections.checkConnection(address),
+        onCrash: report => quarantineRegistry.applyCrash(report, true),
     });
     const placementQueue = disposables.register(createPlacementQueue({
         timers,
@@ -201,7 +231,7 @@
                 dataCentre: record.dataCentre,
             });
             if (kind === EndpointChangeKind.Restarted || kind === EndpointChangeKind.Left) {
-                crashRegistry.recordEndpointLoss(record.id);
+                crashDetector.recordEndpointLoss(record.id);
                 health.forget(record.id);
                 slowdownEstimate.forget(record.id);
                 ledger.forgetEndpoint(record.id);
@@ -250,7 +280,8 @@
                 health,
                 slowdownEstimate,
                 reservations,
-                crashRegistry,
+                crashDetector,
+                quarantineRegistry,
                 retryBudget,
                 random: ports.random,
                 onMisdirected(endpointId) {
@@ -303,6 +334,7 @@
         timers,
         log,
         onPeers(addresses) {
+            gatewayAddresses = addresses;
             applyCell(addresses);
             retryBudget.setBurst(computeBudgetBurst(settings.retrySlack, addresses.length));
         },
@@ -313,6 +345,11 @@
         "Requests that wait for a place.",
         () => placementQueue.countWaiting(),
     );
+    metrics.registerGauge(
+        "jujubelane_quarantines",
+        "Prompt parts and requests that are refused because they crash endpoints.",
+        () => quarantineRegistry.countActive(),
+    );
     metrics.registerGauge("jujubelane_reservations", "Memory reservations held.", () => reservations.countHeld());
     metrics.registerGauge(
         "jujubelane_gateways",
--- a/src/gateway/loadExchange.ts
+++ b/src/gateway/loadExchange.ts
@@ -3,8 +3,10 @@
 import { EventLog } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
 import { TimerService } from "../base/timerService.js";
+import { CrashReport } from "../quarantine/crashEvidence.js";
+import { QuarantineTerm } from "../quarantine/quarantineTerm.js";
 import { LoadLedger, WorkItem, WorkPhase } from "../routing/loadLedger.js";
-import { CrashNotice, decodeLoadMessage, encodeLoadMessage, LoadMessage } from "./loadMessage.js";
+import { decodeLoadMessage, encodeLoadMessage, LoadMessage } from "./loadMessage.js";
 
 /** Changes other than new work are collected for this time and sent in one message, in milliseconds. */
 const batchDelayMs = 5;
@@ -14,8 +16,13 @@
  * Time after which a gateway that has sent nothing is no longer sent changes. Its work is removed at its predicted end.
  */
 const peerTimeoutMs = 3_000;
-/** Time for which each message repeats a crash, because messages can be lost. */
-const crashRepeatMs = 2_000;
+/** Time for which snapshots repeat news of crashes and quarantines, because messages can be lost, in milliseconds. */
+const noticeRepeatMs = 2_000;
+/** Number of snapshots after which all quarantines are sent again, to gateways that were cut off in the meantime. */
+const snapshotsPerQuarantineList = 4;
+const quarantinesPerMessage = 20;
+/** Largest number of crashes in one message; the rest of many crashes at once is sent with the next snapshots. */
+const crashesPerMessage = 4;
 /** Keeps a message within one datagram of a usual network. */
 const itemsPerMessage = 20;
 
@@ -23,12 +30,15 @@
 export interface LoadExchange extends Disposable {
     /**
      * Sets the gateways that the store lists: members of the own cell, which receive all messages, and others, which
-     * receive crashes.
+     * receive crashes and quarantines.
      */
     setPeers(members: readonly string[], others: readonly string[]): void;
     /** Reports that an item of the own work was added, changed or, without `item`, removed. */
     reportChange(key: string, item: WorkItem | undefined): void;
-    reportCrash(notice: CrashNotice): void;
+    /** Sends a crash to all gateways, because requests that crash endpoints can arrive at any of them. */
+    reportCrash(report: CrashReport): void;
+    /** Sends a decision about a quarantine to all gateways. */
+    reportQuarantine(term: QuarantineTerm): void;
     /** Counts the gateways that have sent messages lately, and this one. */
     countGateways(): number;
 }
@@ -43,9 +53,15 @@
     readonly log: EventLog;
     /** Called when the work of another gateway has changed. */
     readonly onChange: () => void;
-    readonly onCrash: (notice: CrashNotice) => void;
+    readonly onCrash: (report: CrashReport) => void;
+    readonly onQuarantine: (term: QuarantineTerm) => void;
+    readonly listQuarantines: () => readonly QuarantineTerm[];
 }
 
+type Notices = Pick<LoadMessage, "crashes" | "quarantines">;
+
+const noNotices: Notices = { crashes: [], quarantines: [] };
+
 interface Peer {
     incarnation: string;
     sequence: number;
@@ -66,7 +82,9 @@
     const socket = createSocket("udp4");
     const peers = new Map<string, Peer>();
     const changes = new Map<string, WorkItem | undefined>();
-    const recentCrashes: { readonly notice: CrashNotice; readonly untilMs: number }[] = [];
+    let recentCrashes: { readonly report: CrashReport; readonly reportedAtMs: number }[] = [];
+    let recentTerms: { readonly term: QuarantineTerm; readonly reportedAtMs: number }[] = [];
+    let snapshotCount = 0;
     let members: readonly string[] = [];
     let others: ReadonlySet<string> = new Set();
     let sequence = 0;
@@ -84,6 +102,7 @@
         items: readonly WorkItem[],
         removed: readonly string[],
         targets: Iterable<string> = listTargets(),
+        notices: Notices = noNotices,
     ): void {
         sequence += 1;
         const message: LoadMessage = {
@@ -94,7 +113,7 @@
             isSnapshot,
             items,
             removed,
-            crashes: recentCrashes.map(item => item.notice),
+            ...notices,
         };
         const bytes = encodeLoadMessage(message, timers.now());
         for (const target of targets) {
@@ -118,19 +137,37 @@
     function sendSnapshot(): void {
         const items = ledger.listOwn();
         changes.clear();
-        send(true, items.slice(0, itemsPerMessage), []);
+        send(true, items.slice(0, itemsPerMessage), [], listTargets(), listSnapshotNotices());
         for (let start = itemsPerMessage; start < items.length; start += itemsPerMessage) {
             send(false, items.slice(start, start + itemsPerMessage), []);
         }
     }
 
-    /** Sends crashes to the other cells, because a request that crashes endpoints can arrive at any gateway. */
-    function sendCrashesToOthers(): void {
-        if (recentCrashes.length > 0) {
-            send(false, [], [], others);
+    /** Lists recent crashes, and recent or, now and then, all quarantines. */
+    function listSnapshotNotices(): Notices {
+        const isFullList = snapshotCount++ % snapshotsPerQuarantineList === 0;
+        const quarantines = isFullList ? options.listQuarantines() : recentTerms.map(item => item.term);
+        return { crashes: listRecentCrashes(), quarantines: quarantines.slice(-quarantinesPerMessage) };
+    }
+
+    function listRecentCrashes(): CrashReport[] {
+        const nowMs = timers.now();
+        return recentCrashes.slice(-crashesPerMessage)
+            .map(({ report, reportedAtMs }) => ({ ...report, ageMs: report.ageMs + nowMs - reportedAtMs }));
+    }
+
+    /** Repeats recent news to the other cells. */
+    function sendNoticesToOthers(): void {
+        if (recentCrashes.length + recentTerms.length > 0) {
+            const quarantines = recentTerms.map(item => item.term).slice(-quarantinesPerMessage);
+            send(false, [], [], others, { crashes: listRecentCrashes(), quarantines });
         }
     }
 
+    function sendToAll(notices: Notices): void {
+        send(false, [], [], [...listTargets(), ...others], notices);
+    }
+
     function sendChanges(): void {
         batchTimer?.dispose();
         batchTimer = undefined;
@@ -163,7 +200,7 @@
             return;
         }
         if (others.has(message.address)) {
-            message.crashes.forEach(options.onCrash);
+            receiveNotices(message);
             return;
         }
         const known = peers.get(message.address);
@@ -186,16 +223,20 @@
         else {
             ledger.updatePeer(message.address, message.items, message.removed);
         }
-        message.crashes.forEach(options.onCrash);
+        receiveNotices(message);
         options.onChange();
     }
 
+    function receiveNotices({ crashes, quarantines }: Notices): void {
+        crashes.forEach(options.onCrash);
+        quarantines.forEach(options.onQuarantine);
+    }
+
     function expirePeers(): void {
         const nowMs = timers.now();
         ledger.expire(nowMs);
-        while (recentCrashes[0] && recentCrashes[0].untilMs <= nowMs) {
-            recentCrashes.shift();
-        }
+        recentCrashes = recentCrashes.filter(item => nowMs - item.reportedAtMs < noticeRepeatMs);
+        recentTerms = recentTerms.filter(item => nowMs - item.reportedAtMs < noticeRepeatMs);
         for (const [address, peer] of peers) {
             if (nowMs - peer.lastReceivedAtMs > peerTimeoutMs) {
                 peers.delete(address);
@@ -209,7 +250,7 @@
     socket.bind(options.port, options.ip);
     const snapshotTimer = timers.subscribe(snapshotIntervalMs, () => {
         sendSnapshot();
-        sendCrashesToOthers();
+        sendNoticesToOthers();
         expirePeers();
     });
 
@@ -232,10 +273,13 @@
                 batchTimer ??= timers.schedule(batchDelayMs, sendChanges);
             }
         },
-        reportCrash(notice) {
-            recentCrashes.push({ notice, untilMs: timers.now() + crashRepeatMs });
-            scheduleSend();
-            sendCrashesToOthers();
+        reportCrash(report) {
+            recentCrashes.push({ report, reportedAtMs: timers.now() });
+            sendToAll({ crashes: [report], quarantines: [] });
+        },
+        reportQuarantine(term) {
+            recentTerms.push({ term, reportedAtMs: timers.now() });
+            sendToAll({ crashes: [], quarantines: [term] });
         },
         countGateways: () => 1 + peers.size,
         dispose() {
--- a/src/gateway/loadMessage.ts
+++ b/src/gateway/loadMessage.ts
@@ -1,4 +1,6 @@
 import { Decoder, Encoder } from "cbor-x";
+import { CrashReport } from "../quarantine/crashEvidence.js";
+import { QuarantineTerm } from "../quarantine/quarantineTerm.js";
 import { WorkItem, WorkPhase } from "../routing/loadLedger.js";
 
 /** Report of a gateway to its peers about the work that it has dispatched. */
@@ -18,22 +20,30 @@
     readonly items: readonly WorkItem[];
     readonly removed: readonly string[];
     /** Recent endpoint crashes. */
-    readonly crashes: readonly CrashNotice[];
+    readonly crashes: readonly CrashReport[];
+    readonly quarantines: readonly QuarantineTerm[];
 }
 
-/** An endpoint crash and the fingerprints of the requests that were running there. */
-export interface CrashNotice {
-    readonly crash: string;
-    readonly fingerprints: readonly string[];
-}
-
-const messageVersion = 1;
+const messageVersion = 2;
 const options = { useRecords: false, tagUint8Array: false } as const;
 const encoder = new Encoder(options);
 const decoder = new Decoder(options);
 
 type WireItem = [string, string, number, number, number, number, boolean, number, number, boolean];
-type WireMessage = [number, string, string, string, number, boolean, WireItem[], string[], [string, string[]][]];
+type WireCrash = [string, number, string[][]];
+type WireTerm = [string, boolean, number, number, number, number];
+type WireMessage = [
+    number,
+    string,
+    string,
+    string,
+    number,
+    boolean,
+    WireItem[],
+    string[],
+    WireCrash[],
+    WireTerm[],
+];
 
 /**
  * Encodes a message. Times are sent relative to the time of sending, because the clocks of hosts differ.
@@ -51,7 +61,8 @@
         message.isSnapshot,
         message.items.map(item => encodeItem(item, nowMs)),
         [...message.removed],
-        message.crashes.map(item => [item.crash, [...item.fingerprints]]),
+        message.crashes.map(item => [item.crash, Math.round(item.ageMs), item.suspects.map(traits => [...traits])]),
+        message.quarantines.map(encodeTerm),
     ];
     return encoder.encode(wire);
 }
@@ -71,13 +82,18 @@
     ];
 }
 
+function encodeTerm(term: QuarantineTerm): WireTerm {
+    const { trait, isActive, decidedAtMs, untilMs, crashes, firstCrashAtMs } = term;
+    return [trait, isActive, decidedAtMs, untilMs, crashes, firstCrashAtMs];
+}
+
 /** Decodes a message. Returns `undefined` for datagrams that are not valid messages. */
 export function decodeLoadMessage(bytes: Buffer, nowMs: number): LoadMessage | undefined {
     const wire = decodeWire(bytes);
     if (!isWireMessage(wire)) {
         return undefined;
     }
-    const [, host, address, incarnation, sequence, isSnapshot, items, removed, crashes] = wire;
+    const [, host, address, incarnation, sequence, isSnapshot, items, removed, crashes, quarantines] = wire;
     return {
         host,
         address,
@@ -86,7 +102,15 @@
         isSnapshot,
         items: items.map(item => decodeItem(item, nowMs)),
         removed,
-        crashes: crashes.map(([crash, fingerprints]) => ({ crash, fingerprints })),
+        crashes: crashes.map(([crash, ageMs, suspects]) => ({ crash, ageMs, suspects })),
+        quarantines: quarantines.map(([trait, isActive, decidedAtMs, untilMs, crashCount, firstCrashAtMs]) => ({
+            trait,
+            isActive,
+            decidedAtMs,
+            untilMs,
+            crashes: crashCount,
+            firstCrashAtMs,
+        })),
     };
 }
 
@@ -123,7 +147,8 @@
     isNumber,
     isFlag,
 );
-const isCrash = isTupleOf(isText, isListOf(isText));
+const isCrash = isTupleOf(isText, isNumber, isListOf(isListOf(isText)));
+const isTerm = isTupleOf(isText, isFlag, isNumber, isNumber, isNumber, isNumber);
 const isMessage = isTupleOf(
     isVersion,
     isText,
@@ -134,6 +159,7 @@
     isListOf(isItem),
     isListOf(isText),
     isListOf(isCrash),
+    isListOf(isTerm),
 );
 
 /** Checks every field, because datagrams can come from anywhere. */
--- a/src/gateway/requestIntake.ts
+++ b/src/gateway/requestIntake.ts
@@ -4,13 +4,12 @@
 import { Metrics } from "../base/metrics.js";
 import { RequestHead } from "../ports/exchange.js";
 import { Customer, Route } from "../ports/servingConfiguration.js";
-import { Treatment } from "../quarantine/quarantine.js";
 import { chooseService, RouteTable } from "../routing/routeTable.js";
 import { decideDrainAdmission, Drain } from "../scheduling/drainAdmission.js";
-import { computeRetryAfterMs, renderRetryAfter } from "../scheduling/retryAfter.js";
+import { computeQuarantineRetryAfterMs, computeRetryAfterMs, renderRetryAfter } from "../scheduling/retryAfter.js";
 import { AcceptedRequest, computeTimes, predictDuration } from "./acceptedRequest.js";
-import { computeFingerprint } from "./crashRegistry.js";
 import { createCustomerAnswer } from "./customerAnswer.js";
+import { computeFingerprint, listTraits } from "./quarantineRegistry.js";
 import { RequestServices } from "./requestServices.js";
 import { startRequestTask } from "./requestTask.js";
 import { StartupGate } from "./startupGate.js";
@@ -48,7 +47,6 @@
 const unconfiguredRetryMs = 500;
 /** Time after which a customer should retry if request bodies have reached their memory limit. */
 const memoryRetryMs = 300;
-const quarantineRetryMs = 5_000;
 const headerSeparatorBytes = 4;
 
 /**
@@ -163,11 +161,20 @@
             return;
         }
         const fingerprint = body && computeFingerprint(customer?.name ?? "", checked.path, body);
-        const treatment = fingerprint === undefined
-            ? Treatment.Free
-            : services.crashRegistry.decideTreatment(fingerprint);
-        if (treatment === Treatment.Quarantined) {
-            refuse(request, response, { status: 503, reason: "crashes endpoints", retryAfterMs: quarantineRetryMs });
+        const hasParts = head.sharedPromptParts.length > 0;
+        const traits = listTraits(
+            service.name,
+            head.sharedPromptParts,
+            fingerprint ?? (hasParts ? head.id : undefined),
+        );
+        const quarantine = services.quarantineRegistry.findQuarantine(traits);
+        if (quarantine) {
+            refuse(request, response, {
+                status: 503,
+                reason: `${quarantine.trait} crashes endpoints`,
+                retryAfterMs: computeQuarantineRetryAfterMs(quarantine.remainingMs),
+            });
+            metrics.count("jujubelane_quarantine_refusals_total", "Requests refused because they crash endpoints.");
             return;
         }
         const accepted: AcceptedRequest = {
@@ -182,8 +189,7 @@
             customer: customer?.name,
             rank: customer?.rank ?? route.rank,
             arrivedAtMs,
-            fingerprint,
-            isSuspect: treatment === Treatment.Isolated,
+            traits,
             configurationVersion: table.version,
         };
         const drainRefusal = checkDrain(accepted);
--- a/src/gateway/requestReport.ts
+++ b/src/gateway/requestReport.ts
@@ -14,6 +14,8 @@
     NoCapacity = "no-room",
     /** All attempts that the rules and the retry budget allow have failed. */
     Failed = "failed",
+    /** Refused or aborted, because requests like it crash endpoints. */
+    Quarantined = "quarantined",
 }
 
 /** Describes a request at its end. */
--- a/src/gateway/requestServices.ts
+++ b/src/gateway/requestServices.ts
@@ -5,9 +5,10 @@
 import { ExchangeCodec } from "../ports/exchange.js";
 import { RetryBudget } from "../retries/retryBudget.js";
 import { SlowdownEstimate } from "../routing/slowdownEstimate.js";
-import { CrashRegistry } from "./crashRegistry.js";
+import { CrashDetector } from "./crashDetector.js";
 import { EndpointConnections } from "./endpointConnections.js";
 import { PlacementQueue } from "./placementQueue.js";
+import { QuarantineRegistry } from "./quarantineRegistry.js";
 import { Reservations } from "./reservations.js";
 
 /** Services that all request tasks share. */
@@ -21,7 +22,8 @@
     readonly health: EndpointHealth;
     readonly slowdownEstimate: SlowdownEstimate;
     readonly reservations: Reservations;
-    readonly crashRegistry: CrashRegistry;
+    readonly crashDetector: CrashDetector;
+    readonly quarantineRegistry: QuarantineRegistry;
     readonly retryBudget: RetryBudget;
     readonly random: () => number;
     /** Called when the endpoint at an address turns out not to be the registered one. */
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -3,6 +3,7 @@
 import { ExchangeResult } from "../membership/endpointHealth.js";
 import { AnswerHead } from "../ports/exchange.js";
 import { RouteKind } from "../ports/servingConfiguration.js";
+import { Treatment } from "../quarantine/quarantine.js";
 import { isIdempotent, isRedispatchAllowed } from "../retries/dispatchDecision.js";
 import { computeRetryAfterMs, renderRetryAfter } from "../scheduling/retryAfter.js";
 import { AcceptedRequest, computeEngineNeeds, computeTimes } from "./acceptedRequest.js";
@@ -11,6 +12,7 @@
 import { createDispatchWatch } from "./dispatchWatch.js";
 import { Exchange, SendFailureKind } from "./endpointConnections.js";
 import { Place } from "./place.js";
+import { createQuarantineWatch } from "./quarantineWatch.js";
 import { sendDispatch } from "./requestDispatch.js";
 import { createRequestReport, EndKind } from "./requestReport.js";
 import { RequestServices } from "./requestServices.js";
@@ -50,6 +52,11 @@
         resumeAfterEventId: head.lastEventId,
     });
     const progress = createStreamProgress(services.slowdownEstimate);
+    const quarantineWatch = createQuarantineWatch({
+        ...services,
+        traits: request.traits,
+        onQuarantined: handleQuarantined,
+    });
     const report = createRequestReport(request, services);
     let dispatches = 0;
     let endpointsRun = 0;
@@ -67,6 +74,11 @@
     submit();
 
     function submit(): void {
+        const treatment = quarantineWatch.decideTreatment();
+        if (treatment === Treatment.Quarantined) {
+            finishWithError(EndKind.Quarantined, quarantineWatch.describe());
+            return;
+        }
         // If an endpoint has capacity, `onPlaced` is called before `submit` returns.
         const submitted = placementQueue.submit({
             service: request.service,
@@ -77,7 +89,7 @@
             needs,
             isUnsafe: !isRepeatable,
             avoid,
-            isSuspect: request.isSuspect,
+            isSuspect: treatment === Treatment.Isolated,
             onPlaced: handlePlaced,
             onWaiting: inputs => report.recordWaiting(inputs, dispatches + 1),
             onClaimed: claim => report.recordClaim(claim),
@@ -86,6 +98,17 @@
         waiting = place || hasEnded ? undefined : submitted;
     }
 
+    /**
+     * Ends the request because requests like it crash endpoints. Its endpoint cancels it when the connection closes, which
+     * prevents the crash if the answer has not begun.
+     */
+    function handleQuarantined(): void {
+        if (exchange?.hasStarted()) {
+            verdicts.push(Verdict.MayHaveRun);
+        }
+        finishWithError(EndKind.Quarantined, quarantineWatch.describe());
+    }
+
     function handlePlaced(found: Place): void {
         waiting = undefined;
         if (hasEnded) {
@@ -124,6 +147,7 @@
     function send(found: Place): void {
         dispatches += 1;
         sentAtMs = timers.now();
+        quarantineWatch.startAttempt(found, relay.countEvents());
         report.recordDispatch(found, dispatches);
         relay.startAttempt();
         progress.startAttempt(found);
@@ -176,6 +200,7 @@
                 break;
             case AnswerOutcomeKind.Complete:
                 health.record(place.endpoint.id, ExchangeResult.Answered, timers.now());
+                quarantineWatch.recordAnswer();
                 end(EndKind.Answered, answerHead?.status);
                 break;
             case AnswerOutcomeKind.NotRun:
@@ -199,6 +224,7 @@
             report.recordFirstEvent();
             current.startDecode();
         }
+        quarantineWatch.recordEvents(relay.countEvents());
         watch.recordEvent(current);
     }
 
@@ -239,13 +265,11 @@
         }
         if (kind === SendFailureKind.NotSent) {
             health.record(place.endpoint.id, ExchangeResult.Unreachable, timers.now());
-            services.crashRegistry.recordEndpointLoss(place.endpoint.id);
+            services.crashDetector.recordEndpointLoss(place.endpoint.id);
             handleFailure(Verdict.NotRun, reason);
             return;
         }
-        if (request.fingerprint !== undefined) {
-            services.crashRegistry.recordBrokenConnection(place.endpoint.id, request.fingerprint);
-        }
+        quarantineWatch.recordBrokenConnection(relay.countEvents());
         services.connections.replace(place.endpoint.address);
         recordEndpointFailure(place, ExchangeResult.Broken, Verdict.MayHaveRun);
         handleFailure(Verdict.MayHaveRun, reason);
@@ -380,7 +404,9 @@
         }
         const isNotRun = verdict === Verdict.NotRun;
         const status = isNotRun ? 503 : kind === EndKind.Deadline ? 504 : 502;
-        const retryAfter = isNotRun ? renderRetryAfter(predictRetryAfterMs()) : [];
+        const retryAfter = isNotRun
+            ? renderRetryAfter(quarantineWatch.computeRetryAfterMs() ?? predictRetryAfterMs())
+            : [];
         answer.sendComplete(status, [...codec.encodeGatewayAnswer(head), ...retryAfter], Buffer.alloc(0));
         end(kind, status, reason, inputs);
     }
@@ -396,6 +422,7 @@
         }
         hasEnded = true;
         deadline.dispose();
+        quarantineWatch.dispose();
         waiting?.dispose();
         if (kind !== EndKind.Answered) {
             exchange?.abort();
--- /dev/null
+++ b/src/quarantine/crashEvidence.ts
@@ -0,0 +1,326 @@
+/**
+ * Requests whose answers were beginning on an endpoint when it crashed. A request is described by its traits, what other
+ * requests may share with it: its shared prompt parts in order, then its fingerprint.
+ */
+export interface CrashReport {
+    /** Id of the crashed incarnation of the endpoint, the same in all gateways' reports. */
+    readonly crash: string;
+    /** Time since the crash, in milliseconds. */
+    readonly ageMs: number;
+    /** Traits of each request, from the most widely shared to the fingerprint. */
+    readonly suspects: readonly (readonly string[])[];
+}
+
+/** Trait that is held to crash the endpoints that answer requests with it. */
+export interface Culprit {
+    readonly trait: string;
+    readonly crashes: number;
+    /** Different requests with the trait that were beginning on crashed endpoints. */
+    readonly requests: number;
+    /** Time since the first of the crashes, in milliseconds. */
+    readonly firstCrashAgeMs: number;
+}
+
+export interface EvidenceSettings {
+    /** Crashes without an answer in between after which a prompt part, or a request that has parts, is a culprit. */
+    readonly minCrashes: number;
+    /** The same for a request that shares nothing with others. */
+    readonly minCrashesOfPlainRequest: number;
+    /** Different requests that a culprit part must have. With fewer, the request itself is the more likely cause. */
+    readonly minRequestsOfPart: number;
+    /** Crashes from which on a culprit is chosen even if other parts explain the crashes as well. */
+    readonly maxAmbiguousCrashes: number;
+    /**
+     * Crashes that follow each other within this time count once, in milliseconds. Endpoints that share a rack or a link
+     * fail together.
+     */
+    readonly minSpacingMs: number;
+    readonly evidenceMs: number;
+    readonly maxCrashes: number;
+    readonly maxAnsweredTraits: number;
+}
+
+/**
+ * Default settings. The number of crashes bounds the damage and the error rate, see the simulation in `bench/replay`;
+ * the evidence outlasts customers' retries.
+ */
+export const defaultEvidenceSettings: EvidenceSettings = {
+    minCrashes: 3,
+    minCrashesOfPlainRequest: 2,
+    minRequestsOfPart: 2,
+    maxAmbiguousCrashes: 5,
+    minSpacingMs: 250,
+    evidenceMs: 10 * 60 * 1000,
+    maxCrashes: 256,
+    maxAnsweredTraits: 4_096,
+};
+
+/** Collects crashes and answers, and finds the traits that explain the crashes. Times are on the monotonic clock. */
+export interface CrashEvidence {
+    /** Records a crash, or adds the suspects of another report of it. Returns whether anything was new. */
+    recordCrash(report: CrashReport, nowMs: number): boolean;
+    /** Records that an answer to a request with these traits has progressed beyond its beginning. */
+    recordAnswer(traits: readonly string[], nowMs: number): void;
+    /** Returns the next culprit. Its crashes then no longer count against other traits. */
+    takeCulprit(nowMs: number): Culprit | undefined;
+    /** Counts the crashes that a trait may have caused since its last answer. */
+    countCrashes(trait: string, nowMs: number): number;
+    /** Returns the time of the last known answer to a request with the trait. */
+    getLastAnswerMs(trait: string): number | undefined;
+    /** Assigns the crashes of a trait to it, because another process found it to be the culprit. */
+    assignCrashes(trait: string): void;
+    /** Lets crashes from now on count against a former culprit again. */
+    forgetCulprit(trait: string): void;
+}
+
+interface Crash {
+    readonly atMs: number;
+    /** Traits of the suspects, by fingerprint. */
+    readonly suspects: Map<string, readonly string[]>;
+    culprit?: string;
+}
+
+/** What speaks against a trait. */
+interface Tally {
+    readonly trait: string;
+    readonly isRequest: boolean;
+    readonly hasParts: boolean;
+    readonly requests: Set<string>;
+    readonly crashTimesMs: Set<number>;
+    /** Position among the traits of a request; later ones are shared by fewer requests. */
+    readonly depth: number;
+}
+
+/**
+ * Creates the evidence of one process.
+ *
+ * A trait is a suspect as long as no answer to a request with it has progressed since the crash. The culprit is the most
+ * specific trait that has enough crashes, since a trait that more requests share would be refused to more customers; of
+ * several, it is the one with the most crashes. The crashes of a culprit are explained by it and do not count against
+ * the requests that only happened to run beside it.
+ *
+ * @example
+ * const evidence = createCrashEvidence(defaultEvidenceSettings);
+ * evidence.recordCrash({ crash: "engine-1/1", ageMs: 0, suspects: [["part/models/5c1e", "request/x"]] }, nowMs);
+ * evidence.takeCulprit(nowMs); // undefined
+ */
+export function createCrashEvidence(settings: EvidenceSettings): CrashEvidence {
+    const crashes = new Map<string, Crash>();
+    const suspected = new Set<string>();
+    const culprits = new Set<string>();
+    /** Traits by the time of their last answer, oldest first. */
+    const answeredAtMs = new Map<string, number>();
+
+    function expire(nowMs: number): void {
+        for (const [id, crash] of crashes) {
+            if (nowMs - crash.atMs > settings.evidenceMs || crashes.size > settings.maxCrashes) {
+                crashes.delete(id);
+            }
+        }
+        refreshSuspected();
+    }
+
+    function refreshSuspected(): void {
+        suspected.clear();
+        for (const crash of crashes.values()) {
+            for (const fingerprint of crash.suspects.keys()) {
+                listOpenTraits(crash, fingerprint).forEach(trait => suspected.add(trait));
+            }
+        }
+    }
+
+    /** Lists the tallies of all traits that still count. */
+    function countTraits(): Tally[] {
+        const tallies = new Map<string, Tally>();
+        for (const crash of crashes.values()) {
+            for (const fingerprint of crash.suspects.keys()) {
+                const traits = listOpenTraits(crash, fingerprint);
+                traits.forEach((trait, depth) => {
+                    const tally = tallies.get(trait) ?? {
+                        trait,
+                        isRequest: trait === fingerprint,
+                        hasParts: traits.length > 1,
+                        requests: new Set(),
+                        crashTimesMs: new Set(),
+                        depth,
+                    };
+                    tallies.set(trait, tally);
+                    tally.requests.add(fingerprint);
+                    tally.crashTimesMs.add(crash.atMs);
+                });
+            }
+        }
+        return [...tallies.values()];
+    }
+
+    function countSpacedCrashes(tally: Tally): number {
+        return countSpaced([...tally.crashTimesMs], settings.minSpacingMs);
+    }
+
+    function isSufficient(tally: Tally): boolean {
+        const count = countSpacedCrashes(tally);
+        if (!tally.isRequest) {
+            return count >= settings.minCrashes && tally.requests.size >= settings.minRequestsOfPart;
+        }
+        return count >= (tally.hasParts ? settings.minCrashes : settings.minCrashesOfPlainRequest);
+    }
+
+    function assignCulprit(crash: Crash): void {
+        crash.culprit ??= [...crash.suspects.values()].flat().find(trait => culprits.has(trait));
+    }
+
+    function assignCrashes(trait: string): void {
+        culprits.add(trait);
+        crashes.forEach(assignCulprit);
+        refreshSuspected();
+    }
+
+    return {
+        recordCrash(report, nowMs) {
+            const known = crashes.get(report.crash);
+            const crash: Crash = known ?? { atMs: nowMs - report.ageMs, suspects: new Map() };
+            let isNew = false;
+            for (const traits of report.suspects) {
+                const fingerprint = traits.at(-1);
+                const remaining = traits.filter(trait => (answeredAtMs.get(trait) ?? -Infinity) < crash.atMs);
+                if (fingerprint !== undefined && remaining.length > 0 && !crash.suspects.has(fingerprint)) {
+                    crash.suspects.set(fingerprint, remaining);
+                    isNew = true;
+                }
+            }
+            if (isNew) {
+                crashes.set(report.crash, crash);
+                assignCulprit(crash);
+                expire(nowMs);
+            }
+            return isNew;
+        },
+        recordAnswer(traits, nowMs) {
+            for (const trait of traits) {
+                const isSuspected = suspected.delete(trait);
+                if (isSuspected) {
+                    crashes.forEach(crash => removeTrait(crash, trait));
+                }
+                // Fingerprints of sound requests do not recur, so that their answers are not worth remembering.
+                if (isSuspected || trait !== traits.at(-1)) {
+                    answeredAtMs.delete(trait);
+                    answeredAtMs.set(trait, nowMs);
+                }
+            }
+            while (answeredAtMs.size > settings.maxAnsweredTraits) {
+                answeredAtMs.delete(answeredAtMs.keys().next().value!);
+            }
+        },
+        takeCulprit(nowMs) {
+            expire(nowMs);
+            const sufficient = countTraits().filter(isSufficient);
+            const unanswered = sufficient.filter(tally => !answeredAtMs.has(tally.trait));
+            const candidates = selectMostSpecific(unanswered.length > 0 ? unanswered : sufficient)
+                .sort((left, right) => countSpacedCrashes(right) - countSpacedCrashes(left));
+            const best = candidates[0];
+            if (!best) {
+                return undefined;
+            }
+            const isAmbiguous = candidates.some(other =>
+                other !== best && isSubset(best.crashTimesMs, other.crashTimesMs)
+            );
+            if (isAmbiguous && countSpacedCrashes(best) < settings.maxAmbiguousCrashes) {
+                return undefined;
+            }
+            assignCrashes(best.trait);
+            return {
+                trait: best.trait,
+                crashes: best.crashTimesMs.size,
+                requests: best.requests.size,
+                firstCrashAgeMs: nowMs - Math.min(...best.crashTimesMs),
+            };
+        },
+        countCrashes(trait, nowMs) {
+            if (!suspected.has(trait)) {
+                return 0;
+            }
+            const recent = [...crashes.values()].filter(crash =>
+                nowMs - crash.atMs <= settings.evidenceMs
+                && [...crash.suspects.keys()].some(name => listOpenTraits(crash, name).includes(trait))
+            );
+            return countSpaced(recent.map(crash => crash.atMs), settings.minSpacingMs);
+        },
+        getLastAnswerMs: trait => answeredAtMs.get(trait),
+        assignCrashes,
+        forgetCulprit: trait => void culprits.delete(trait),
+    };
+}
+
+/**
+ * Lists the traits of a suspect that its crash still counts against. A culprit explains its crashes. A culprit that is a
+ * request explains them for other requests only: one of its own parts may be the cause.
+ */
+function listOpenTraits(crash: Crash, fingerprint: string): readonly string[] {
+    const traits = crash.suspects.get(fingerprint)!;
+    if (crash.culprit === undefined) {
+        return traits;
+    }
+    return crash.culprit === fingerprint ? traits.filter(trait => trait !== fingerprint) : [];
+}
+
+function removeTrait(crash: Crash, trait: string): void {
+    for (const [fingerprint, traits] of crash.suspects) {
+        const remaining = traits.filter(item => item !== trait);
+        if (remaining.length === 0) {
+            crash.suspects.delete(fingerprint);
+        }
+        else if (remaining.length < traits.length) {
+            crash.suspects.set(fingerprint, remaining);
+        }
+    }
+}
+
+/** Counts points in time, of which those within the spacing of the one counted before are left out. */
+function countSpaced(timesMs: readonly number[], spacingMs: number): number {
+    let count = 0;
+    let lastMs = Number.NEGATIVE_INFINITY;
+    for (const atMs of [...timesMs].sort((left, right) => left - right)) {
+        if (atMs - lastMs >= spacingMs) {
+            count += 1;
+            lastMs = atMs;
+        }
+    }
+    return count;
+}
+
+/** Selects the traits whose requests do not include all requests of a more specific trait. */
+function selectMostSpecific(tallies: readonly Tally[]): Tally[] {
+    const isCovered = (tally: Tally, other: Tally) =>
+        other !== tally && isSubset(other.requests, tally.requests)
+        && (other.requests.size < tally.requests.size || other.depth > tally.depth);
+    return tallies.filter(tally => !tallies.some(other => isCovered(tally, other)));
+}
+
+function isSubset<Item>(smaller: ReadonlySet<Item>, larger: ReadonlySet<Item>): boolean {
+    return [...smaller].every(item => larger.has(item));
+}
+
+/** Events after which an answer has progressed beyond its beginning: a crash later than that has another cause. */
+export const progressEvents = 4;
+/** Share of the predicted time to the first event before which an endpoint does not begin an answer. */
+const minPredictedShare = 0.5;
+
+/** State of a request on an endpoint at the time of a crash. */
+export interface RunningRequest {
+    /** Events that the endpoint has sent for the request. */
+    readonly events: number;
+    readonly elapsedMs: number;
+    /** Predicted time to the first event. */
+    readonly predictedMs: number;
+}
+
+/**
+ * Returns whether a request may have caused the crash of its endpoint. Endpoints crash as they begin an answer: a request
+ * whose prompt was still being prefilled, or whose answer had progressed, is not the cause.
+ *
+ * @example
+ * isCrashSuspect({ events: 1, elapsedMs: 150, predictedMs: 100 }); // true
+ */
+export function isCrashSuspect({ events, elapsedMs, predictedMs }: RunningRequest): boolean {
+    return events < progressEvents && (events > 0 || elapsedMs >= minPredictedShare * predictedMs);
+}
--- a/src/scheduling/retryAfter.ts
+++ b/src/scheduling/retryAfter.ts
@@ -19,6 +19,22 @@
     return Math.min(latestMs, jitteredMs);
 }
 
+/** Bounds of the retry delay for requests that crash endpoints, in milliseconds. */
+const minQuarantineRetryMs = 5_000;
+const maxQuarantineRetryMs = 60_000;
+
+/**
+ * Computes after how many milliseconds a customer should retry whose requests are refused because they crash endpoints.
+ *
+ * @param remainingMs time until such requests are tested again
+ *
+ * @example
+ * computeQuarantineRetryAfterMs(42_000); // 42_000
+ */
+export function computeQuarantineRetryAfterMs(remainingMs: number): number {
+    return Math.min(maxQuarantineRetryMs, Math.max(minQuarantineRetryMs, remainingMs));
+}
+
 const millisecondsPerSecond = 1000;
 
 /**
--- a/test/gateway/loadExchange.test.ts
+++ b/test/gateway/loadExchange.test.ts
@@ -4,7 +4,9 @@
 import { describe, test, TestContext } from "node:test";
 import { createSystemTimerService } from "../../src/base/systemTimerService.js";
 import { createLoadExchange } from "../../src/gateway/loadExchange.js";
-import { CrashNotice, encodeLoadMessage, LoadMessage } from "../../src/gateway/loadMessage.js";
+import { encodeLoadMessage, LoadMessage } from "../../src/gateway/loadMessage.js";
+import { CrashReport } from "../../src/quarantine/crashEvidence.js";
+import { QuarantineTerm } from "../../src/quarantine/quarantineTerm.js";
 import { createLoadLedger, WorkItem, WorkPhase } from "../../src/routing/loadLedger.js";
 import { waitUntil } from "../platform/support/deployment.js";
 
@@ -21,7 +23,9 @@
 async function startExchange(host: string, context: TestContext) {
     const timers = createSystemTimerService();
     const ledger = createLoadLedger();
-    const crashes: CrashNotice[] = [];
+    const crashes: CrashReport[] = [];
+    const quarantines: QuarantineTerm[] = [];
+    const known: QuarantineTerm[] = [];
     const port = await findFreeUdpPort();
     const exchange = createLoadExchange({
         host,
@@ -32,10 +36,12 @@
         ledger,
         log: () => undefined,
         onChange: () => undefined,
-        onCrash: notice => crashes.push(notice),
+        onCrash: report => crashes.push(report),
+        onQuarantine: term => quarantines.push(term),
+        listQuarantines: () => known,
     });
     context.after(() => exchange.dispose());
-    return { timers, ledger, crashes, exchange, address: `${ip}:${port}` };
+    return { timers, ledger, crashes, quarantines, known, exchange, address: `${ip}:${port}` };
 }
 
 function makeItem(nowMs: number): WorkItem {
@@ -62,12 +68,23 @@
         const item = makeItem(sender.timers.now());
         sender.ledger.add(item);
         sender.exchange.reportChange(item.key, item);
-        sender.exchange.reportCrash({ crash: "a/1/engine-1/0", fingerprints: ["request"] });
+        sender.exchange.reportCrash({ crash: "engine-1/0", ageMs: 0, suspects: [["request"]] });
         await waitUntil(
             "work and crash reported to the member",
             () => member.ledger.listAt("engine-1", member.timers.now()).length === 1 && member.crashes.length > 0,
         );
         await waitUntil("crash reported to the other cell", () => other.crashes.length > 0);
+        const term = { trait: "part/a", isActive: true, decidedAtMs: 1, untilMs: 2, crashes: 3, firstCrashAtMs: 0 };
+        sender.exchange.reportQuarantine(term);
+        await waitUntil(
+            "quarantine reported to all",
+            () => [member, other].every(item => item.quarantines.some(({ trait }) => trait === "part/a")),
+        );
+        sender.known.push({ ...term, trait: "part/b" });
+        await waitUntil(
+            "quarantine repeated to a member that missed the report",
+            () => member.quarantines.some(({ trait }) => trait === "part/b"),
+        );
         assert.equal(other.ledger.listAt("engine-1", other.timers.now()).length, 0);
         assert.equal(other.exchange.countGateways(), 1);
     });
@@ -102,6 +119,7 @@
             items: [makeItem(nowMs)],
             removed: [],
             crashes: [],
+            quarantines: [],
         };
         const encoder = new Encoder();
         const valid = encoder.decode(encodeLoadMessage(message, nowMs)) as unknown[];
--- a/test/gateway/parts.test.ts
+++ b/test/gateway/parts.test.ts
@@ -4,14 +4,17 @@
 import { createManualTimerService } from "../../src/base/manualTimerService.js";
 import { createMetrics } from "../../src/base/metrics.js";
 import { makeFailure, makeSuccess } from "../../src/base/result.js";
-import { createCrashRegistry } from "../../src/gateway/crashRegistry.js";
+import { createCrashDetector } from "../../src/gateway/crashDetector.js";
 import { createEventStreamSplitter } from "../../src/gateway/eventStreamSplitter.js";
 import { followFeed } from "../../src/gateway/feedFollower.js";
 import { createIdleTimer } from "../../src/gateway/idleTimer.js";
-import { CrashNotice, decodeLoadMessage, encodeLoadMessage } from "../../src/gateway/loadMessage.js";
+import { decodeLoadMessage, encodeLoadMessage } from "../../src/gateway/loadMessage.js";
+import { createQuarantineRegistry } from "../../src/gateway/quarantineRegistry.js";
 import { createReservations } from "../../src/gateway/reservations.js";
+import { EndpointRecord, EndpointState } from "../../src/ports/endpointRecord.js";
 import { MemoryReservationService, ReservationOutcome } from "../../src/ports/memoryReservationService.js";
 import { FeedErrorKind, RecordFeed } from "../../src/ports/recordFeed.js";
+import { CrashReport } from "../../src/quarantine/crashEvidence.js";
 import { Treatment } from "../../src/quarantine/quarantine.js";
 import { WorkItem, WorkPhase } from "../../src/routing/loadLedger.js";
 import { compareWaiting, WaitingWork } from "../../src/scheduling/compareWaiting.js";
@@ -65,7 +68,15 @@
         isSnapshot: false,
         items: [item],
         removed: ["g/0"],
-        crashes: [{ crash: "c", fingerprints: ["f"] }],
+        crashes: [{ crash: "c", ageMs: 40, suspects: [["part/models/a1", "request/f"], ["request/g"]] }],
+        quarantines: [{
+            trait: "part/models/b2",
+            isActive: true,
+            decidedAtMs: 5,
+            untilMs: 60_005,
+            crashes: 3,
+            firstCrashAtMs: 1,
+        }],
     };
 
     test("converts times between hosts whose clocks differ", () => {
@@ -222,56 +233,96 @@
     });
 });
 
-describe("crash registry", () => {
-    function setUp() {
+describe("crashes of endpoints", () => {
+    const settlingMs = 2_000;
+
+    function makeEndpoint(id: string): EndpointRecord {
+        return {
+            id,
+            startedAtMs: 1,
+            service: "models",
+            address: `10.0.0.1:${id.length}`,
+            dataCentre: "a",
+            slots: 8,
+            state: EndpointState.Ready,
+        };
+    }
+
+    function setUp(isReachable = true) {
         const timers = createManualTimerService();
-        const notices: CrashNotice[] = [];
-        const registry = createCrashRegistry({
-            idPrefix: "g",
+        const reports: CrashReport[] = [];
+        const registry = createQuarantineRegistry({
             timers,
             log: () => undefined,
             metrics: createMetrics(),
-            reportCrash: notice => notices.push(notice),
+            reportCrash: report => reports.push(report),
+            reportTerm: () => undefined,
+            isTester: () => false,
+        });
+        const detector = createCrashDetector({
+            timers,
+            connect: () => Promise.resolve(isReachable),
+            onCrash: report => registry.applyCrash(report, true),
         });
-        return { timers, notices, registry };
+        const recordBroken = (endpoint: string, request: string) =>
+            detector.recordBrokenConnection(makeEndpoint(endpoint), [request]);
+        return { timers, reports, registry, detector, recordBroken };
     }
 
-    test("does not suspect a request because of a broken connection alone", () => {
-        const { registry, notices } = setUp();
-        registry.recordBrokenConnection("e1", "f");
-        assert.equal(registry.decideTreatment("f"), Treatment.Free);
-        assert.equal(notices.length, 0);
+    test("a broken connection to an endpoint that still accepts connections makes no request a suspect", async () => {
+        const { timers, reports, registry, detector, recordBroken } = setUp();
+        recordBroken("e1", "f");
+        assert.equal(registry.decideTreatment(["f"]), Treatment.Free);
+        for (let step = 0; step < 10; step++) {
+            await flushMicrotasks();
+            timers.advance(settlingMs / 10);
+        }
+        detector.recordEndpointLoss("e1");
+        assert.equal(registry.decideTreatment(["f"]), Treatment.Free);
+        assert.equal(reports.length, 0);
+    });
+
+    test("a broken connection to an endpoint that accepts no connection is a crash, without a further request to it", async () => {
+        const { timers, reports, registry, recordBroken } = setUp(false);
+        recordBroken("e1", "f");
+        recordBroken("e1", "g");
+        timers.advance(0);
+        await flushMicrotasks();
+        assert.equal(registry.decideTreatment(["f"]), Treatment.Isolated);
+        assert.deepEqual(reports.map(report => report.suspects), [[["f"], ["g"]]]);
     });
 
     test("isolates requests that ran on a lost endpoint, and quarantines one that ran on two", () => {
-        const { timers, registry, notices } = setUp();
-        registry.recordBrokenConnection("e1", "f");
-        registry.recordBrokenConnection("e1", "innocent");
+        const { timers, registry, detector, reports, recordBroken } = setUp();
+        recordBroken("e1", "f");
+        recordBroken("e1", "innocent");
         timers.advance(500);
-        registry.recordEndpointLoss("e1");
-        assert.equal(registry.decideTreatment("f"), Treatment.Isolated);
-        registry.recordBrokenConnection("e2", "f");
-        registry.recordBrokenConnection("e2", "other");
-        registry.recordEndpointLoss("e2");
-        assert.equal(registry.decideTreatment("f"), Treatment.Quarantined);
-        assert.equal(registry.decideTreatment("innocent"), Treatment.Isolated);
-        assert.equal(notices.length, 2);
+        detector.recordEndpointLoss("e1");
+        assert.equal(registry.decideTreatment(["f"]), Treatment.Isolated);
+        recordBroken("e2", "f");
+        recordBroken("e2", "other");
+        detector.recordEndpointLoss("e2");
+        assert.equal(registry.decideTreatment(["f"]), Treatment.Quarantined);
+        assert.equal(reports.length, 2);
+        // The crashes are explained by the other request, so that this one runs without conditions again.
+        assert.equal(registry.decideTreatment(["innocent"]), Treatment.Free);
     });
 
     test("does not suspect a request whose connection broke long before the endpoint was lost", () => {
-        const { timers, registry } = setUp();
-        registry.recordBrokenConnection("e1", "f");
+        const { timers, registry, detector, recordBroken } = setUp();
+        recordBroken("e1", "f");
         timers.advance(7_000);
-        registry.recordEndpointLoss("e1");
-        assert.equal(registry.decideTreatment("f"), Treatment.Free);
+        detector.recordEndpointLoss("e1");
+        assert.equal(registry.decideTreatment(["f"]), Treatment.Free);
     });
 
-    test("counts a repeated notice of another gateway once", () => {
+    test("counts reports of several gateways about one crash once", () => {
         const { registry } = setUp();
-        const notice = { crash: "h/e1/0", fingerprints: ["f"] };
-        registry.applyNotice(notice);
-        registry.applyNotice(notice);
-        assert.equal(registry.decideTreatment("f"), Treatment.Isolated);
+        const report: CrashReport = { crash: "e1/1", ageMs: 0, suspects: [["f"]] };
+        registry.applyCrash(report, false);
+        registry.applyCrash(report, false);
+        registry.applyCrash({ ...report, ageMs: 800 }, false);
+        assert.equal(registry.decideTreatment(["f"]), Treatment.Isolated);
     });
 });
 
--- /dev/null
+++ b/test/gateway/quarantine.test.ts
@@ -0,0 +1,229 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { createManualTimerService } from "../../src/base/manualTimerService.js";
+import { createMetrics } from "../../src/base/metrics.js";
+import { makeFailure, makeSuccess } from "../../src/base/result.js";
+import { createQuarantineRegistry, listTraits, QuarantineSource } from "../../src/gateway/quarantineRegistry.js";
+import { createQuarantineStore, decodeTerm } from "../../src/gateway/quarantineStore.js";
+import { FeedErrorKind, KeyedRecord, WritableFeed } from "../../src/ports/recordFeed.js";
+import { Treatment } from "../../src/quarantine/quarantine.js";
+import { QuarantineTerm } from "../../src/quarantine/quarantineTerm.js";
+
+const badPart = "part/models/bad";
+const firstTermMs = 60_000;
+const testSettlingMs = 6_000;
+
+function setUp(isTester = true) {
+    const timers = createManualTimerService();
+    const decisions: QuarantineTerm[] = [];
+    const registry = createQuarantineRegistry({
+        timers,
+        log: () => undefined,
+        metrics: createMetrics(),
+        reportCrash: () => undefined,
+        reportTerm: term => decisions.push(term),
+        isTester: () => isTester,
+    });
+    let crashCount = 0;
+    const crash = () => {
+        const suspects = [listTraits("models", ["first", "bad"], `request-${crashCount}`)];
+        registry.applyCrash({ crash: `engine/${crashCount++}`, ageMs: 0, suspects }, true);
+        timers.advance(1_000);
+    };
+    return { timers, decisions, registry, crash };
+}
+
+function quarantine(isTester = true) {
+    const parts = setUp(isTester);
+    parts.crash();
+    parts.crash();
+    parts.crash();
+    return parts;
+}
+
+describe("quarantine of a prompt part", () => {
+    test("begins with the third crash, for all requests with the part and for no others", () => {
+        const { registry, decisions } = quarantine();
+        assert.equal(registry.decideTreatment(listTraits("models", ["first", "bad"], "new")), Treatment.Quarantined);
+        assert.equal(registry.decideTreatment(listTraits("models", ["first", "good"], "new")), Treatment.Free);
+        assert.equal(registry.decideTreatment(listTraits("others", ["first", "bad"], "new")), Treatment.Free);
+        assert.deepEqual(decisions.map(term => [term.trait, term.isActive, term.crashes]), [[badPart, true, 3]]);
+    });
+
+    test("separates requests with the part after two crashes, so that the third tells more", () => {
+        const { registry, crash } = setUp();
+        crash();
+        assert.equal(registry.decideTreatment(listTraits("models", ["first", "bad"], "new")), Treatment.Free);
+        crash();
+        assert.equal(registry.decideTreatment(listTraits("models", ["first", "bad"], "new")), Treatment.Isolated);
+    });
+
+    test("ends the requests that wait or run", () => {
+        const { registry, crash } = setUp();
+        const ended: string[] = [];
+        registry.onQuarantine(trait => ended.push(trait));
+        crash();
+        crash();
+        crash();
+        assert.deepEqual(ended, [badPart]);
+    });
+
+    test("is tested by one request of one gateway after its term, and renewed for longer if that fails", () => {
+        const { timers, registry, crash } = quarantine();
+        const traits = listTraits("models", ["first", "bad"], "test");
+        assert.equal(registry.startTest(traits), undefined, "the term is not over");
+        timers.advance(firstTermMs);
+        assert.equal(registry.decideTreatment(traits), Treatment.Isolated);
+        const running = registry.startTest(traits)!;
+        assert.equal(registry.decideTreatment(traits), Treatment.Quarantined, "a second test at the same time");
+        crash();
+        running.dispose();
+        timers.advance(firstTermMs + testSettlingMs);
+        assert.equal(registry.decideTreatment(traits), Treatment.Quarantined);
+        timers.advance(3 * firstTermMs);
+        assert.equal(registry.decideTreatment(traits), Treatment.Isolated);
+    });
+
+    test("is not tested by a gateway that cannot tell that it is the only one", () => {
+        const { timers, registry } = quarantine(false);
+        timers.advance(10 * firstTermMs);
+        const traits = listTraits("models", ["first", "bad"], "test");
+        assert.equal(registry.decideTreatment(traits), Treatment.Quarantined);
+        assert.equal(registry.startTest(traits), undefined);
+    });
+
+    test("ends with an answer, and crashes after that count again", () => {
+        const { timers, registry, decisions, crash } = quarantine();
+        timers.advance(firstTermMs);
+        const traits = listTraits("models", ["first", "bad"], "test");
+        registry.startTest(traits);
+        registry.recordAnswer(traits);
+        assert.equal(registry.decideTreatment(traits), Treatment.Free);
+        assert.deepEqual(decisions.map(term => term.isActive), [true, false]);
+        timers.advance(1);
+        crash();
+        crash();
+        crash();
+        assert.equal(registry.decideTreatment(traits), Treatment.Quarantined);
+    });
+
+    test("is taken over from another gateway, and an older statement does not undo it", () => {
+        const { decisions } = quarantine();
+        const other = setUp();
+        other.registry.applyTerm(decisions[0]!, QuarantineSource.Gateway);
+        assert.equal(other.registry.decideTreatment([badPart, "r"]), Treatment.Quarantined);
+        const older = { ...decisions[0]!, isActive: false, decidedAtMs: decisions[0]!.decidedAtMs - 1 };
+        other.registry.applyTerm(older, QuarantineSource.Store);
+        assert.equal(other.registry.decideTreatment([badPart, "r"]), Treatment.Quarantined);
+    });
+
+    test("is contradicted by a gateway that has seen an answer since the first crash", () => {
+        const { decisions, timers } = quarantine();
+        const other = setUp();
+        other.timers.advance(timers.now());
+        other.registry.recordAnswer(listTraits("models", ["first", "bad"], "sound"));
+        other.registry.applyTerm(decisions[0]!, QuarantineSource.Gateway);
+        assert.equal(other.registry.decideTreatment([badPart, "r"]), Treatment.Free);
+        assert.deepEqual(other.decisions.map(term => term.isActive), [false]);
+    });
+
+    test("of any number of parts takes a bounded amount of memory", () => {
+        const { registry, decisions } = quarantine();
+        for (let index = 0; index < 500; index++) {
+            registry.applyTerm({ ...decisions[0]!, trait: `part/models/${index}` }, QuarantineSource.Gateway);
+        }
+        assert.ok(registry.listTerms().length <= 64);
+    });
+});
+
+describe("quarantines in the store", () => {
+    const term: QuarantineTerm = {
+        trait: badPart,
+        isActive: true,
+        decidedAtMs: 10,
+        untilMs: 60_010,
+        crashes: 3,
+        firstCrashAtMs: 1,
+    };
+
+    function setUpStore(written: KeyedRecord[], failures = 0) {
+        const timers = createManualTimerService();
+        const terms: QuarantineTerm[] = [];
+        let remainingFailures = failures;
+        const feed: WritableFeed = {
+            readNewest: () => Promise.resolve(makeSuccess({ records: [...written], nextOffset: written.length })),
+            readFrom: offset =>
+                new Promise(resolve =>
+                    timers.schedule(
+                        100,
+                        () => resolve(makeSuccess({ records: written.slice(offset), nextOffset: written.length })),
+                    )
+                ),
+            write(key, value) {
+                if (remainingFailures > 0) {
+                    remainingFailures -= 1;
+                    return Promise.resolve(makeFailure({ kind: FeedErrorKind.Unavailable, reason: "busy" }));
+                }
+                written.push({ key, value });
+                return Promise.resolve(makeSuccess(undefined));
+            },
+        };
+        const store = createQuarantineStore({
+            feed,
+            timers,
+            log: () => undefined,
+            random: () => 0.5,
+            onTerm: item => terms.push(item),
+        });
+        const advance = async (durationMs: number) => {
+            for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 50) {
+                for (let turn = 0; turn < 10; turn++) {
+                    await Promise.resolve();
+                }
+                timers.advance(50);
+            }
+        };
+        return { store, terms, advance };
+    }
+
+    test("are known to a gateway that starts later", async () => {
+        const written: KeyedRecord[] = [];
+        const first = setUpStore(written);
+        first.store.writeDecision(term);
+        await first.advance(500);
+        const later = setUpStore(written);
+        await later.advance(200);
+        assert.deepEqual(later.terms, [term]);
+        assert.ok(later.store.isAvailable());
+        first.store.dispose();
+        later.store.dispose();
+    });
+
+    test("are written again after a failure, and once by all gateways that know them", async () => {
+        const written: KeyedRecord[] = [];
+        const first = setUpStore(written, 2);
+        const second = setUpStore(written);
+        first.store.writeDecision(term);
+        await first.advance(4_000);
+        await second.advance(500);
+        second.store.writeMissing(term);
+        await second.advance(4_000);
+        assert.deepEqual(written.map(decodeTerm), [term]);
+        first.store.dispose();
+        second.store.dispose();
+    });
+
+    test("that cannot be read are ignored", () => {
+        for (
+            const value of [
+                undefined,
+                Buffer.from(""),
+                Buffer.from("{"),
+                Buffer.from("[]"),
+                Buffer.from('{"isActive":1}'),
+            ]
+        ) {
+            assert.equal(decodeTerm({ key: "part/models/x", value }), undefined);
+        }
+    });
+});
--- a/test/platform/support/deployment.ts
+++ b/test/platform/support/deployment.ts
@@ -166,6 +166,7 @@
         configurationFeed: store.openFeed("keyed.op"),
         endpointFeed: store.openFeed("keyed.servers"),
         gatewayFeed: store.openFeed("keyed.gateways"),
+        quarantineFeed: store.openFeed("keyed.quarantines"),
         decodeConfiguration: record => record.value && decodeConfiguration(record.value),
         decodeEndpoint,
         codec: exchangeCodec,
