--- a/src/gateway/crashDetector.ts
+++ b/src/gateway/crashDetector.ts
@@ -82,7 +82,7 @@
         const connections = broken.get(endpointId);
         broken.delete(endpointId);
         const ageMs = timers.now() - (connections?.firstAtMs ?? 0);
-        if (connections && connections.suspects.length > 0 && ageMs <= crashDetectionWindowMs) {
+        if (connections && ageMs <= crashDetectionWindowMs) {
             options.onCrash({ crash: connections.crash, ageMs, suspects: connections.suspects });
         }
     }
--- a/src/quarantine/crashEvidence.ts
+++ b/src/quarantine/crashEvidence.ts
@@ -35,6 +35,10 @@
      * fail together.
      */
     readonly minSpacingMs: number;
+    /** Share of the crashes within this time that a trait must have part in. A rack takes bystanders of all kinds along. */
+    readonly minShareOfGroup: number;
+    /** Crashes that a part needs while one of the parts that only some of its requests have is a suspect as well. */
+    readonly minCrashesOfWidePart: number;
     readonly evidenceMs: number;
     readonly maxCrashes: number;
     readonly maxAnsweredTraits: number;
@@ -50,6 +54,8 @@
     minRequestsOfPart: 2,
     maxAmbiguousCrashes: 5,
     minSpacingMs: 250,
+    minShareOfGroup: 0.25,
+    minCrashesOfWidePart: 10,
     evidenceMs: 10 * 60 * 1000,
     maxCrashes: 256,
     maxAnsweredTraits: 4_096,
@@ -153,12 +159,24 @@
         return [...tallies.values()];
     }
 
-    function countSpacedCrashes(tally: Tally): number {
-        return countSpaced([...tally.crashTimesMs], settings.minSpacingMs);
+    /** Counts the crashes of a trait, those of each rack once or, if the trait has too little part in them, not at all. */
+    function countSeparate(timesMs: readonly number[]): number {
+        const groups = groupTimes(timesMs, settings.minSpacingMs);
+        return groups.filter(({ startMs, count }) => {
+            const isNear = ({ atMs }: Crash) => Math.abs(atMs - startMs) < settings.minSpacingMs;
+            const total = [...crashes.values()].filter(isNear).length;
+            return count >= settings.minShareOfGroup * total;
+        }).length;
+    }
+
+    function countSeparateCrashes(tally: Tally): number {
+        return tally.crashTimesMs.size < settings.minCrashesOfPlainRequest
+            ? tally.crashTimesMs.size
+            : countSeparate([...tally.crashTimesMs]);
     }
 
     function isSufficient(tally: Tally): boolean {
-        const count = countSpacedCrashes(tally);
+        const count = countSeparateCrashes(tally);
         if (!tally.isRequest) {
             return count >= settings.minCrashes && tally.requests.size >= settings.minRequestsOfPart;
         }
@@ -179,7 +197,7 @@
         recordCrash(report, nowMs) {
             const known = crashes.get(report.crash);
             const crash: Crash = known ?? { atMs: nowMs - report.ageMs, suspects: new Map() };
-            let isNew = false;
+            let isNew = known === undefined;
             for (const traits of report.suspects) {
                 const fingerprint = traits.at(-1);
                 const remaining = traits.filter(trait => (answeredAtMs.get(trait) ?? -Infinity) < crash.atMs);
@@ -213,10 +231,15 @@
         },
         takeCulprit(nowMs) {
             expire(nowMs);
-            const sufficient = countTraits().filter(isSufficient);
+            const tallies = countTraits();
+            const repeated = tallies.filter(tally => !tally.isRequest && tally.crashTimesMs.size > 1);
+            // A part that many requests have looks guilty before the evidence against one of their own parts suffices.
+            const isWide = (tally: Tally) => repeated.some(other => isCovered(tally, other));
+            const sufficient = tallies.filter(isSufficient)
+                .filter(tally => !isWide(tally) || countSeparateCrashes(tally) >= settings.minCrashesOfWidePart);
             const unanswered = sufficient.filter(tally => !answeredAtMs.has(tally.trait));
             const candidates = selectMostSpecific(unanswered.length > 0 ? unanswered : sufficient)
-                .sort((left, right) => countSpacedCrashes(right) - countSpacedCrashes(left));
+                .sort((left, right) => countSeparateCrashes(right) - countSeparateCrashes(left));
             const best = candidates[0];
             if (!best) {
                 return undefined;
@@ -224,7 +247,7 @@
             const isAmbiguous = candidates.some(other =>
                 other !== best && isSubset(best.crashTimesMs, other.crashTimesMs)
             );
-            if (isAmbiguous && countSpacedCrashes(best) < settings.maxAmbiguousCrashes) {
+            if (isAmbiguous && countSeparateCrashes(best) < settings.maxAmbiguousCrashes) {
                 return undefined;
             }
             assignCrashes(best.trait);
@@ -243,7 +266,7 @@
                 nowMs - crash.atMs <= settings.evidenceMs
                 && [...crash.suspects.keys()].some(name => listOpenTraits(crash, name).includes(trait))
             );
-            return countSpaced(recent.map(crash => crash.atMs), settings.minSpacingMs);
+            return countSeparate(recent.map(crash => crash.atMs));
         },
         getLastAnswerMs: trait => answeredAtMs.get(trait),
         assignCrashes,
@@ -275,24 +298,29 @@
     }
 }
 
-/** Counts points in time, of which those within the spacing of the one counted before are left out. */
-function countSpaced(timesMs: readonly number[], spacingMs: number): number {
-    let count = 0;
-    let lastMs = Number.NEGATIVE_INFINITY;
+/** Groups points in time that follow the first one of their group within the spacing. */
+function groupTimes(timesMs: readonly number[], spacingMs: number): { readonly startMs: number; count: number }[] {
+    const groups: { readonly startMs: number; count: number }[] = [];
     for (const atMs of [...timesMs].sort((left, right) => left - right)) {
-        if (atMs - lastMs >= spacingMs) {
-            count += 1;
-            lastMs = atMs;
+        const last = groups.at(-1);
+        if (last && atMs - last.startMs < spacingMs) {
+            last.count += 1;
+        }
+        else {
+            groups.push({ startMs: atMs, count: 1 });
         }
     }
-    return count;
+    return groups;
+}
+
+/** Returns whether the requests of a trait include those of another one that is more specific. */
+function isCovered(tally: Tally, other: Tally): boolean {
+    return other !== tally && isSubset(other.requests, tally.requests)
+        && (other.requests.size < tally.requests.size || other.depth > tally.depth);
 }
 
 /** Selects the traits whose requests do not include all requests of a more specific trait. */
 function selectMostSpecific(tallies: readonly Tally[]): Tally[] {
-    const isCovered = (tally: Tally, other: Tally) =>
-        other !== tally && isSubset(other.requests, tally.requests)
-        && (other.requests.size < tally.requests.size || other.depth > tally.depth);
     return tallies.filter(tally => !tallies.some(other => isCovered(tally, other)));
 }
 
