Reset the customer's connection if an answer without a length breaks off

A stream that came with neither a length nor chunks and broke off within an event reached the customer without its last events as a complete answer, where it must not run twice: the gateway closed the connection in order, which is how such an answer ends. Found by the new test 'a stream without a length that ends within an event and must not run twice ...', which failed before. Whole ones, and those that another endpoint may resume, were relayed correctly; tests for both are new. Answers with a length or chunks are still closed in order, since their end shows that they are incomplete.

--- a/src/gateway/customerAnswer.ts
+++ b/src/gateway/customerAnswer.ts
@@ -29,6 +29,8 @@
  * createCustomerAnswer(response, () => isDraining).sendComplete(503, [], Buffer.alloc(0));
  */
 export function createCustomerAnswer(response: ServerResponse, mustClose: () => boolean): CustomerAnswer {
+    let isUnframed = false;
+
     function writeHead(status: number, headers: string[]): void {
         const closing = mustClose() ? ["Connection", "close"] : [];
         response.writeHead(status, [...headers, ...closing]);
@@ -43,6 +45,7 @@
         },
         start(status, headers, isFramed) {
             if (!isFramed) {
+                isUnframed = true;
                 response.useChunkedEncodingByDefault = false;
                 response.shouldKeepAlive = false;
             }
@@ -56,7 +59,13 @@
             return isReady;
         },
         end: () => void response.end(),
-        abort: () => void response.destroy(),
+        abort() {
+            if (isUnframed) {
+                // The regular end of the connection would complete the answer.
+                response.socket?.resetAndDestroy();
+            }
+            response.destroy();
+        },
         onCustomerLeft(callback) {
             response.once("close", () => {
                 if (!response.writableFinished) {
--- a/test/platform/gatewayFaults.test.ts
+++ b/test/platform/gatewayFaults.test.ts
@@ -130,6 +130,39 @@
             assert.equal(answer.headers.connection, "close");
         }));
 
+    test("a stream without a length or chunks is relayed whole, and ends with the customer's connection", () =>
+        runWithDeployment(async deployment => {
+            setFaultEverywhere(deployment.engines, EndpointFault.Unframed);
+            const headers = makeModelHeaders();
+            const sent = { method: "POST", path: "/draft/1", headers, body: "prompt" } as const;
+            const answer = await send(deployment.gateways[0]!, sent);
+            assert.equal(answer.status, 200);
+            assert.equal(answer.body, completeStream);
+            assert.equal(answer.headers["transfer-encoding"], undefined);
+            assert.equal(countRuns(deployment.engines, headers["x-request-id"]!), 1);
+        }));
+
+    test("a stream without a length that ends within an event has been broken off, and is resumed", () =>
+        runWithDeployment(async deployment => {
+            const first = await findFirstEngine(deployment);
+            first.setFaults(EndpointFault.UnframedWithinAnswer);
+            const headers = makeModelHeaders();
+            const sent = { method: "POST", path: "/draft/1", headers, body: "prompt" } as const;
+            const answer = await send(deployment.gateways[0]!, sent);
+            assert.equal(answer.body, completeStream);
+            assert.equal(countRuns([first], headers["x-request-id"]!), 1, "the fault did not occur");
+            assert.equal(countRuns(deployment.engines, headers["x-request-id"]!), 2);
+        }));
+
+    test("a stream without a length that ends within an event and must not run twice is not passed on as complete", () =>
+        runWithDeployment(async deployment => {
+            setFaultEverywhere(deployment.engines, EndpointFault.UnframedWithinAnswer);
+            const headers = makeModelHeaders();
+            const sent = { method: "POST", path: "/once/1", headers, body: "prompt" } as const;
+            await assert.rejects(send(deployment.gateways[0]!, sent));
+            assert.equal(countRuns(deployment.engines, headers["x-request-id"]!), 1);
+        }));
+
     test("an unsolicited second answer on a keep-alive connection is discarded", () =>
         runWithDeployment(async deployment => {
             setFaultEverywhere(deployment.services, ...Array<EndpointFault>(20).fill(EndpointFault.DuplicateAnswer));
--- a/test/platform/support/endpointStandIn.ts
+++ b/test/platform/support/endpointStandIn.ts
@@ -29,6 +29,8 @@
     Unframed = "unframed",
     /** Like `Unframed`, but resets the connection before the body is complete. */
     UnframedReset = "unframed-reset",
+    /** Like `Unframed`, but ends the connection in order within an event of a stream. */
+    UnframedWithinAnswer = "unframed-within",
     /** Makes long pauses between the events of a stream, or before a plain answer. */
     Slow = "slow",
 }
@@ -40,6 +42,8 @@
     readonly headers: IncomingHttpHeaders;
     readonly body: string;
     readonly hasRun: boolean;
+    /** Time of arrival, in milliseconds since the process started. */
+    readonly atMs: number;
     /** Whether the connection was closed before the answer was complete. */
     isCancelled: boolean;
 }
@@ -145,6 +149,7 @@
             path: request.url ?? "",
             headers: request.headers,
             body,
+            atMs: performance.now(),
             hasRun: !isMisdirected && fault !== EndpointFault.Full,
             isCancelled: false,
         };
@@ -201,6 +206,17 @@
         headers: Record<string, string>,
     ): Promise<void> {
         const first = Number(request.headers["last-event-id"] ?? -1) + 1;
+        if (fault === EndpointFault.Unframed || fault === EndpointFault.UnframedWithinAnswer) {
+            const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
+            const isCut = fault === EndpointFault.UnframedWithinAnswer;
+            const ids = Array.from({ length: options.events - first }, (unused, index) => first + index);
+            const events = ids.slice(0, isCut ? 2 : undefined).map(renderEvent).join("");
+            const cutEvent = isCut ? renderEvent(first + 2).slice(0, 5) : "";
+            request.socket.end(
+                `HTTP/1.1 200 OK\r\n${lines}Content-Type: text/event-stream\r\nConnection: close\r\n\r\n${events}${cutEvent}`,
+            );
+            return;
+        }
         response.writeHead(200, { ...headers, "content-type": "text/event-stream" });
         if (hasCrashingPart(request)) {
             response.write(renderEvent(first));
