--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -10,6 +10,7 @@
         jobs: { type: "string", default: "2" },
         gateways: { type: "string", default: "3" },
         engines: { type: "string", default: "5" },
+        crashing: { type: "string", default: "0" },
         out: { type: "string", default: "out/soak" },
     },
 });
@@ -26,6 +27,7 @@
             engines: Number(values.engines),
             services: 3,
             requestsPerSecond: 40,
+            ...(Number(values.crashing) > 0 ? { crashingShare: Number(values.crashing), faultFreeMs: 7_000 } : {}),
         });
         results.push(result);
         console.log(
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -10,6 +10,21 @@
     [19, "SIGTERM arrived before the runtime had started the program"],
 ];
 
+test("invariants hold while faults overlap and a prompt part crashes engines, seed 24: gateways that were away did not know it", async () => {
+    const result = await runSoak({
+        seed: 24,
+        faultMs: 4_000,
+        gateways: 3,
+        engines: 6,
+        services: 2,
+        requestsPerSecond: 40,
+        crashingShare: 0.4,
+        faultFreeMs: 7_000,
+    });
+    assert.ok(result.requests > 50, `${result.requests} requests`);
+    assert.deepEqual(result.violations, [], result.logs.slice(-200).join("\n"));
+});
+
 for (const [seed, cause] of seeds) {
     test(`invariants hold while faults overlap, seed ${seed}: ${cause}`, async () => {
         const result = await runSoak({
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -16,6 +16,10 @@
     readonly engines: number;
     readonly services: number;
     readonly requestsPerSecond: number;
+    /** Share of the streams whose prompt has a part that crashes engines. */
+    readonly crashingShare?: number;
+    /** Length of the period without faults at the end of the run. */
+    readonly faultFreeMs?: number;
 }
 
 /** Result of one run. */
@@ -31,8 +35,13 @@
 }
 
 const deadlineMs = 2_500;
-/** Length of the period without faults at the end of a run. */
-const faultFreeMs = 4_000;
+const defaultFaultFreeMs = 4_000;
+const crashingPart = "bad1";
+/** Crashes after which, and time within which, all gateways know a part that crashes engines. */
+const allowedCrashes = 5;
+const knownWithinMs = 3_000;
+/** Later requests with such a part that may reach engines. */
+const maxLaterArrivals = 3;
 /** Last part of the period without faults, whose requests must be served. */
 const servedWindowMs = 2_500;
 /** Share of those requests that must be served. A few may still use connections that were silenced before. */
@@ -91,6 +100,9 @@
  */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
     const random = createSeededRandomSource(options.seed);
+    // A source of its own leaves the faults of a seed as they are without crashing parts.
+    const crashRandom = createSeededRandomSource(options.seed + 1_000);
+    const faultFreeMs = options.faultFreeMs ?? defaultFaultFreeMs;
     const pick = <Item>(items: readonly Item[]): Item => items[Math.floor(random() * items.length)]!;
     const store = await startStoreStandIn();
     const storeProxy = await startFaultyProxy(Number(store.address.split(":")[1]));
@@ -106,7 +118,14 @@
 
     async function addEndpoint(service: string, index: number): Promise<void> {
         const events = service === "models" ? eventsPerStream : 0;
-        const endpoint = await startEndpointStandIn({ id: `${service}-${index}`, events, eventIntervalMs: 15 });
+        const endpoint = await startEndpointStandIn({
+            id: `${service}-${index}`,
+            events,
+            eventIntervalMs: 15,
+            crashingPart: options.crashingShare === undefined ? undefined : crashingPart,
+            onCrashed: previousId => store.remove("keyed.servers", previousId),
+            onRestarted: restarted => register(restarted, proxy, "ready"),
+        });
         const proxy = await startFaultyProxy(Number(endpoint.address.split(":")[1]));
         endpoints.push(endpoint);
         proxies.push(proxy);
@@ -145,7 +164,14 @@
         const isRevoked = key === revokedKey && sentAtMs > revokedAtMs + revocationMs;
         const path = { [SoakKind.Stream]: "/draft/", [SoakKind.Safe]: "/look/", [SoakKind.Unsafe]: "/book/" }[kind];
         const headers = { host: hostName, "x-request-id": id, "x-deadline-ms": String(deadlineMs), "api-key": key };
-        const model = kind === SoakKind.Stream ? { "x-token-count": "1000,100", "x-model": "m" } : {};
+        const isCrashing = kind === SoakKind.Stream && crashRandom() < (options.crashingShare ?? 0);
+        const part = isCrashing ? crashingPart : `c${nextId % 16}`;
+        const prompt = {
+            "x-token-count": "1000,100",
+            "x-model": "m",
+            "x-prompt-prefix": `a1:40,${part}:900,${nextId}:60`,
+        };
+        const model = kind === SoakKind.Stream ? prompt : {};
         let status: number | undefined;
         let body: string | undefined;
         let isComplete = false;
@@ -173,6 +199,7 @@
             body,
             isComplete,
             isRevoked,
+            isCrashing,
         });
     }
 
@@ -307,6 +334,7 @@
     }
     const sending = Promise.all([sendRequests(gateways), supervise(gateways)]);
     await injectFaults(gateways);
+    const faultsEndedAtMs = performance.now();
     await wait(faultFreeMs);
     const servedWindowStartMs = performance.now() - faultFreeMs + (faultFreeMs - servedWindowMs);
     isSending = false;
@@ -314,13 +342,24 @@
     if (!await areReady()) {
         violations.push("every gateway is ready again after the faults");
     }
-    const windowOutcomes = outcomes.filter(item => item.sentAtMs >= servedWindowStartMs && !item.isRevoked);
+    const windowOutcomes = outcomes.filter(item =>
+        item.sentAtMs >= servedWindowStartMs && !item.isRevoked && !item.isCrashing
+    );
     const served = windowOutcomes.filter(item => item.status === 200 && item.isComplete).length;
     const isUnauthorized = (item: SoakOutcome) => item.status === 401;
     const expected = windowOutcomes.filter(item => !isUnauthorized(item)).length;
     if (served < expected * minServedShare) {
         violations.push(`requests are served again after the faults: ${served} of ${expected}`);
     }
+    const crashes = endpoints.flatMap(endpoint => endpoint.crashesAtMs).sort((left, right) => left - right);
+    const knownAtMs = Math.max(faultsEndedAtMs, crashes[allowedCrashes - 1] ?? Infinity) + knownWithinMs;
+    const laterArrivals = endpoints.flatMap(endpoint => endpoint.requests)
+        .filter(item => item.atMs > knownAtMs && String(item.headers["x-prompt-prefix"]).includes(crashingPart)).length;
+    if (laterArrivals > maxLaterArrivals) {
+        violations.push(
+            `a part that crashes engines is refused by all gateways: ${laterArrivals} requests reached engines`,
+        );
+    }
     gateways.forEach(gateway => gateway.signal("SIGTERM"));
     const exits = await Promise.all(gateways.map(gateway => gateway.waitForExit()));
     exits.filter(end => end !== 0).forEach(end => violations.push(`a drained gateway exits with 0: ended with ${end}`));
--- a/test/soak/soakOutcome.ts
+++ b/test/soak/soakOutcome.ts
@@ -21,6 +21,8 @@
     readonly isComplete: boolean;
     /** Whether the request was sent so long after the revocation of its API key that it has to be refused. */
     readonly isRevoked: boolean;
+    /** Whether the prompt of the request has a part that crashes engines. */
+    readonly isCrashing: boolean;
 }
 
 /** Number of events in each stream. */
--- a/test/system/quarantine.test.ts
+++ b/test/system/quarantine.test.ts
@@ -23,6 +23,39 @@
     return { status: response.status, text: await response.text() };
 }
 
+/** Crashes of one message after which every entry refuses requests with it, and later crashes that may still occur. */
+const allowedCrashes = 5;
+const maxLaterCrashes = 3;
+const knownWithinMs = 3_000;
+
+test("different prompts that share a message which crashes engines do not go on crashing them", async () => {
+    const system = await startSystem({ engines: 6, entries: 2, engine: { poison } });
+    const origins = [system.url, system.otherEntries[0]!.url];
+    const sendChat = async (index: number) => {
+        const messages = [{ role: "system", content: poisonedPrompt }, { role: "user", content: `question ${index}` }];
+        const body = { model: "demo", messages, max_tokens: 20 };
+        const response = await system.send("/v1/chat/completions", body, {}, origins[index % 2]);
+        await response.text();
+    };
+    try {
+        let count = 0;
+        while (countCrashes(system) < allowedCrashes && count < 40) {
+            await sendChat(count++);
+        }
+        assert.ok(countCrashes(system) >= 2, "the fault did not occur");
+        await new Promise(resolve => setTimeout(resolve, knownWithinMs));
+        const crashesBefore = countCrashes(system);
+        for (let later = 0; later < 8; later++) {
+            await sendChat(count++);
+        }
+        const laterCrashes = countCrashes(system) - crashesBefore;
+        assert.ok(laterCrashes <= maxLaterCrashes, `${laterCrashes} later crashes`);
+    }
+    finally {
+        await system.close();
+    }
+});
+
 interface PoisonCase {
     readonly name: string;
     /** Pause between the customer's attempts. */
