--- a/bench/run.ts
+++ b/bench/run.ts
@@ -1,5 +1,5 @@
 // Runs the experiments and measures the cost that the entry adds; writes the results to bench/results or --out.
-// With --replay it only prints the table of placement policies, from simulated engines.
+// With --replay it only prints the table of placement policies, from simulated engines; with --crashes that of crashing prompt parts.
 import { execFileSync } from "node:child_process";
 import { mkdir, writeFile } from "node:fs/promises";
 import { loadavg } from "node:os";
@@ -17,6 +17,7 @@
 import { PlotRow, renderPlot } from "./lib/plot.js";
 import { readUsage } from "./lib/processes.js";
 import { formatComparison, formatMeasures, PolicyResult } from "./lib/results.js";
+import { renderCrashTable } from "./replay/crashReplay.js";
 import { renderReplayTable } from "./replay/main.js";
 
 const quickPhaseScale = 0.1;
@@ -27,12 +28,17 @@
     options: {
         quick: { type: "boolean", default: false },
         replay: { type: "boolean", default: false },
+        crashes: { type: "boolean", default: false },
         only: { type: "string" },
         policy: { type: "string" },
         out: { type: "string", default: "bench/results" },
     },
 });
 
+if (options.crashes) {
+    console.log(renderCrashTable());
+    process.exit(0);
+}
 if (options.replay) {
     console.log(renderReplayTable());
     process.exit(0);
