--- a/src/quarantine/crashEvidence.ts
+++ b/src/quarantine/crashEvidence.ts
@@ -161,7 +161,7 @@
 
     /** Counts the crashes of a trait, those of each rack once or, if the trait has too little part in them, not at all. */
     function countSeparate(timesMs: readonly number[]): number {
-        const groups = groupTimes(timesMs, settings.minSpacingMs);
+        const groups = collectGroups(timesMs, settings.minSpacingMs);
         return groups.filter(({ startMs, count }) => {
             const isNear = ({ atMs }: Crash) => Math.abs(atMs - startMs) < settings.minSpacingMs;
             const total = [...crashes.values()].filter(isNear).length;
@@ -299,7 +299,7 @@
 }
 
 /** Groups points in time that follow the first one of their group within the spacing. */
-function groupTimes(timesMs: readonly number[], spacingMs: number): { readonly startMs: number; count: number }[] {
+function collectGroups(timesMs: readonly number[], spacingMs: number): { readonly startMs: number; count: number }[] {
     const groups: { readonly startMs: number; count: number }[] = [];
     for (const atMs of [...timesMs].sort((left, right) => left - right)) {
         const last = groups.at(-1);
