Log the limit of requests that an endpoint names

The logs of second1 could not tell which limit an endpoint names, since when, and who knows it. Answers' limits are decoded; EndpointLimitChanged has the limit, the one before and the age, jujubelane_limited_endpoints counts them. No decision changes.

--- a/src/base/logEvents.ts
+++ b/src/base/logEvents.ts
@@ -55,6 +55,7 @@
     PeerLost = 5012,
     PeerMessageNotSent = 5013,
     CellChanged = 5014,
+    EndpointLimitChanged = 5015,
     EngineReached = 6001,
     EngineLost = 6002,
     EngineRefusing = 6003,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -12,6 +12,7 @@
     EndpointChangeKind,
 } from "../membership/endpointDirectory.js";
 import { createEndpointHealth, ExchangeResult } from "../membership/endpointHealth.js";
+import { createEndpointLimits, EndpointLimit } from "../membership/endpointLimits.js";
 import { createEndpointSubset } from "../membership/endpointSubset.js";
 import { EndpointRecord } from "../ports/endpointRecord.js";
 import { ExchangeCodec } from "../ports/exchange.js";
@@ -62,6 +63,12 @@
     readonly customerListener?: Server;
 }
 
+/** Where a gateway learned of a limit, as logged. */
+enum LimitSource {
+    Answer = "answer",
+    Gateway = "gateway",
+}
+
 /** A running gateway. */
 export interface Gateway {
     /**
@@ -118,6 +125,7 @@
     const directory = createEndpointDirectory(defaultDirectorySettings);
     const health = createEndpointHealth();
     const slowdownEstimate = createSlowdownEstimate();
+    const endpointLimits = createEndpointLimits();
     const ledger = createLoadLedger();
     const connections = createEndpointConnections();
     const keyPrefix = ports.incarnation.slice(-8);
@@ -199,6 +207,22 @@
         idPrefix: keyPrefix,
     });
 
+    /** Applies what an answer of an endpoint says about its limit. Returns whether the limit has changed. */
+    function applyLimit(limit: EndpointLimit, source: LimitSource): boolean {
+        const previous = endpointLimits.find(limit.endpoint)?.perSecond;
+        const hasChanged = endpointLimits.record(limit);
+        if (hasChanged) {
+            log(LogEvent.EndpointLimitChanged, {
+                endpoint: limit.endpoint,
+                perSecond: limit.perSecond,
+                previous,
+                source,
+                ageMs: Math.round(timers.now() - limit.observedAtMs),
+            });
+        }
+        return hasChanged;
+    }
+
     function applyConfiguration(records: readonly KeyedRecord[]): void {
         for (const record of records) {
             const configuration = ports.decodeConfiguration(record);
@@ -234,6 +258,7 @@
                 crashDetector.recordEndpointLoss(record.id);
                 health.forget(record.id);
                 slowdownEstimate.forget(record.id);
+                endpointLimits.forget(record.id);
                 ledger.forgetEndpoint(record.id);
                 connections.replace(record.address);
             }
@@ -284,6 +309,9 @@
                 quarantineRegistry,
                 retryBudget,
                 random: ports.random,
+                onLimitNamed(endpoint, perSecond) {
+                    applyLimit({ endpoint, perSecond, observedAtMs: timers.now() }, LimitSource.Answer);
+                },
                 onMisdirected(endpointId) {
                     health.record(endpointId, ExchangeResult.Unreachable, timers.now());
                 },
@@ -345,6 +373,11 @@
         "Requests that wait for a place.",
         () => placementQueue.countWaiting(),
     );
+    metrics.registerGauge(
+        "jujubelane_limited_endpoints",
+        "Endpoints that name a limit of requests a second.",
+        () => endpointLimits.countActive(),
+    );
     metrics.registerGauge(
         "jujubelane_quarantines",
         "Prompt parts and requests that are refused because they crash endpoints.",
--- a/src/gateway/requestServices.ts
+++ b/src/gateway/requestServices.ts
@@ -26,6 +26,8 @@
     readonly quarantineRegistry: QuarantineRegistry;
     readonly retryBudget: RetryBudget;
     readonly random: () => number;
+    /** Called with the requests a second that an endpoint accepts, or `undefined` if its answer names no limit. */
+    readonly onLimitNamed: (endpointId: string, perSecond: number | undefined) => void;
     /** Called when the endpoint at an address turns out not to be the registered one. */
     readonly onMisdirected: (endpointId: string) => void;
 }
--- a/src/ports/exchange.ts
+++ b/src/ports/exchange.ts
@@ -68,6 +68,8 @@
     readonly isFramed: boolean;
     /** Whether the body has a content encoding. Requests never ask for one. */
     readonly isEncoded: boolean;
+    /** Requests a second that the endpoint accepts from all gateways together, if it names a limit. */
+    readonly requestsPerSecond?: number;
     /** Address or id of the endpoint that failed, if it is not the one that answered. */
     readonly faultyEndpoint?: string;
     /** Headers that are forwarded to the customer. */
--- a/test/platform/codecs.test.ts
+++ b/test/platform/codecs.test.ts
@@ -169,6 +169,14 @@
         "b",
     ]);
 
+    test("the limit of requests a second that an endpoint names is a decimal number", () => {
+        const decodeLimit = (text: string) => exchangeCodec.decodeAnswer(200, ["Server-Limit", text]).requestsPerSecond;
+        assert.equal(decodeLimit("0.25"), 0.25);
+        assert.equal(decodeLimit("12"), 12);
+        assert.equal(decodeLimit("soon"), undefined);
+        assert.equal(decodeLimit("-1"), undefined);
+    });
+
     test("the last part of a prompt, which is the request's own, is not among the shared parts", () => {
         const decodeParts = (text: string) => exchangeCodec.decodeRequest(["X-Prompt-Prefix", text]).sharedPromptParts;
         assert.deepEqual(decodeParts("5c1e07a2:800,91bd3f06:410,e4402b7d:250"), ["5c1e07a2", "91bd3f06"]);
--- a/test/platform/support/endpointStandIn.ts
+++ b/test/platform/support/endpointStandIn.ts
@@ -66,6 +66,8 @@
     setFaults(...faults: EndpointFault[]): void;
     /** Sets whether calls that reserve or release memory are left unanswered. */
     setReservationCallsSilent(isSilent: boolean): void;
+    /** Names a limit in every answer from now on, in requests a second, or none. */
+    setRequestLimit(perSecond: number | undefined): void;
     countConnections(): number;
     /** Times of crashes, in milliseconds since the process started. */
     readonly crashesAtMs: readonly number[];
@@ -105,6 +107,7 @@
     const sockets = new Set<Socket>();
     const crashesAtMs: number[] = [];
     let areReservationCallsSilent = false;
+    let requestLimit: number | undefined;
     let connections = 0;
     let isClosed = false;
     let id = options.id;
@@ -167,6 +170,9 @@
     async function answer(request: IncomingMessage, response: ServerResponse, fault: EndpointFault): Promise<void> {
         const requestId = request.headers["x-request-id"] as string;
         const headers: Record<string, string> = { "x-request-id": requestId, "x-response-seal": `seal-${id}` };
+        if (requestLimit !== undefined) {
+            headers["server-limit"] = String(requestLimit);
+        }
         switch (fault) {
             case EndpointFault.Full:
                 response.writeHead(503, { "x-request-id": requestId, "x-not-executed": "1" }).end();
@@ -295,6 +301,9 @@
         setReservationCallsSilent(isSilent) {
             areReservationCallsSilent = isSilent;
         },
+        setRequestLimit(perSecond) {
+            requestLimit = perSecond;
+        },
         countConnections: () => connections,
         async close() {
             isClosed = true;
