Keep the requests of all gateways within the limit that an endpoint names

Callers saw nothing; endpoints in need got as many requests as before they named a limit: 12 and 13 in 4 s from one gateway alone, where one a second was named and 11 are allowed.

Cause: the header was forwarded to customers and read by nobody.

Gateways that hear of each other's requests draw on one allowance; the part of gateways that are not heard is left to them, and a fifth of a gateway's equal share is never lent. Unused requests do not accumulate beyond a second. Placement takes endpoints without a limit first; a request that the limits allow too late is refused at once with the predicted time. An endpoint that nobody used for two seconds gets a request, since only its answers show that the limit has ended. Health is not touched.

Ruled out: gateways that each keep to the limit (one gateway alone exceeded it) and retries (all dispatches were first attempts).

--- a/bench/replay/replay.ts
+++ b/bench/replay/replay.ts
@@ -1,7 +1,7 @@
 import { createManualTimerService } from "../../src/base/manualTimerService.js";
 import { createSeededRandomSource } from "../../src/base/randomSource.js";
 import { Place } from "../../src/gateway/place.js";
-import { createPlacementQueue } from "../../src/gateway/placementQueue.js";
+import { createPlacementQueue, PlacementQuota } from "../../src/gateway/placementQueue.js";
 import { createEndpointDirectory, defaultDirectorySettings } from "../../src/membership/endpointDirectory.js";
 import { createEndpointHealth } from "../../src/membership/endpointHealth.js";
 import { createEndpointSubset } from "../../src/membership/endpointSubset.js";
@@ -72,6 +72,13 @@
 const baseValueShare = 0.3;
 const maxValueFactor = 4;
 
+const unlimitedQuota: PlacementQuota = {
+    isOpen: () => true,
+    isLastChoice: () => false,
+    getShare: () => Infinity,
+    recordDispatch: () => undefined,
+};
+
 interface Outcome {
     promptTokens: number;
     firstMs?: number;
@@ -131,6 +138,7 @@
         placeOnEngines,
         chooseClaim: claimPolicy,
         reportChange: () => undefined,
+        quota: unlimitedQuota,
     });
 
     function start(place: Place, kind: ReplayKind, promptTokens: number, arrivedAtMs: number, outcome: Outcome): void {
--- a/bench/run.ts
+++ b/bench/run.ts
@@ -1,5 +1,6 @@
 // Runs the experiments and measures the cost that the entry adds; writes the results to bench/results or --out.
-// With --replay it only prints the table of placement policies, from simulated engines; with --crashes that of crashing prompt parts.
+// With --replay it only prints the table of placement policies, from simulated engines; with --crashes that of crashing prompt parts, with --limits
+// that of divided limits.
 import { execFileSync } from "node:child_process";
 import { mkdir, writeFile } from "node:fs/promises";
 import { loadavg } from "node:os";
@@ -18,6 +19,7 @@
 import { readUsage } from "./lib/processes.js";
 import { formatComparison, formatMeasures, PolicyResult } from "./lib/results.js";
 import { renderCrashTable } from "./replay/crashReplay.js";
+import { renderLimitTable } from "./replay/limitReplay.js";
 import { renderReplayTable } from "./replay/main.js";
 
 const quickPhaseScale = 0.1;
@@ -29,6 +31,7 @@
         quick: { type: "boolean", default: false },
         replay: { type: "boolean", default: false },
         crashes: { type: "boolean", default: false },
+        limits: { type: "boolean", default: false },
         only: { type: "string" },
         policy: { type: "string" },
         out: { type: "string", default: "bench/results" },
@@ -39,6 +42,10 @@
     console.log(renderCrashTable());
     process.exit(0);
 }
+if (options.limits) {
+    console.log(renderLimitTable());
+    process.exit(0);
+}
 if (options.replay) {
     console.log(renderReplayTable());
     process.exit(0);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -12,7 +12,6 @@
     EndpointChangeKind,
 } from "../membership/endpointDirectory.js";
 import { createEndpointHealth, ExchangeResult } from "../membership/endpointHealth.js";
-import { createEndpointLimits, EndpointLimit } from "../membership/endpointLimits.js";
 import { createEndpointSubset } from "../membership/endpointSubset.js";
 import { EndpointRecord } from "../ports/endpointRecord.js";
 import { ExchangeCodec } from "../ports/exchange.js";
@@ -23,15 +22,17 @@
 import { createRetryBudget } from "../retries/retryBudget.js";
 import { chooseClaim } from "../routing/engineClaim.js";
 import { placeOnEngines } from "../routing/enginePlacement.js";
-import { decideCell, onlyCell, selectCellEndpoints } from "../routing/gatewayCell.js";
+import { countSharingGateways, decideCell, onlyCell, selectCellEndpoints } from "../routing/gatewayCell.js";
 import { createLoadLedger } from "../routing/loadLedger.js";
 import { pickByRendezvous } from "../routing/rendezvous.js";
 import { buildRouteTable, RouteTable } from "../routing/routeTable.js";
 import { createSlowdownEstimate } from "../routing/slowdownEstimate.js";
 import { Drain } from "../scheduling/drainAdmission.js";
+import { LimitSharing } from "../scheduling/limitBudget.js";
 import { createCrashDetector } from "./crashDetector.js";
 import { createCustomerServer } from "./customerServer.js";
 import { createEndpointConnections } from "./endpointConnections.js";
+import { createEndpointQuota } from "./endpointQuota.js";
 import { followFeed } from "./feedFollower.js";
 import { GatewaySettings, ListenAddress } from "./gatewaySettings.js";
 import { createLoadExchange } from "./loadExchange.js";
@@ -63,12 +64,6 @@
     readonly customerListener?: Server;
 }
 
-/** Where a gateway learned of a limit, as logged. */
-enum LimitSource {
-    Answer = "answer",
-    Gateway = "gateway",
-}
-
 /** A running gateway. */
 export interface Gateway {
     /**
@@ -96,6 +91,10 @@
  */
 const maxStartupWaitMs = 400;
 const expiryCheckIntervalMs = 100;
+/** Time without a message, of two snapshots, after which the requests of another gateway are not heard of. */
+const maxPeerSilenceMs = 1_200;
+/** Gateways that are assumed until the list of gateways has been read. */
+const assumedGateways = 4;
 /** Share of the memory limit for request bodies. The rest is for the heap and for connection buffers. */
 const bodyMemoryShare = 0.25;
 /** Share of the file descriptors for customer connections. The rest is for endpoints and the store. */
@@ -125,7 +124,6 @@
     const directory = createEndpointDirectory(defaultDirectorySettings);
     const health = createEndpointHealth();
     const slowdownEstimate = createSlowdownEstimate();
-    const endpointLimits = createEndpointLimits();
     const ledger = createLoadLedger();
     const connections = createEndpointConnections();
     const keyPrefix = ports.incarnation.slice(-8);
@@ -153,7 +151,17 @@
             quarantineStore.writeMissing(term);
         },
         listQuarantines: () => quarantineRegistry.listTerms(),
+        onLimit: limit => endpointQuota.applyNotice(limit),
+        listLimits: () => endpointQuota.list(),
+        onPeerDispatch: endpoint => endpointQuota.recordPeerDispatch(endpoint),
     }));
+    const endpointQuota = createEndpointQuota({
+        timers,
+        log,
+        random: ports.random,
+        getSharing: countSharing,
+        reportChange: limit => exchange.reportLimit(limit),
+    });
     const quarantineRegistry = createQuarantineRegistry({
         timers,
         log,
@@ -192,6 +200,7 @@
         random: ports.random,
         placeOnEngines,
         chooseClaim,
+        quota: endpointQuota,
         reportChange: (key, item) => exchange.reportChange(key, item),
     }));
     const retryBudget = createRetryBudget({
@@ -207,20 +216,14 @@
         idPrefix: keyPrefix,
     });
 
-    /** Applies what an answer of an endpoint says about its limit. Returns whether the limit has changed. */
-    function applyLimit(limit: EndpointLimit, source: LimitSource): boolean {
-        const previous = endpointLimits.find(limit.endpoint)?.perSecond;
-        const hasChanged = endpointLimits.record(limit);
-        if (hasChanged) {
-            log(LogEvent.EndpointLimitChanged, {
-                endpoint: limit.endpoint,
-                perSecond: limit.perSecond,
-                previous,
-                source,
-                ageMs: Math.round(timers.now() - limit.observedAtMs),
-            });
-        }
-        return hasChanged;
+    /** Counts the gateways that use an endpoint, and those of them whose requests are heard of. */
+    function countSharing(endpoint: string): LimitSharing {
+        const service = directory.find(endpoint)?.record.service;
+        const endpoints = service === undefined ? 0 : directory.listUsable(service).length;
+        const heard = exchange.countHeard(maxPeerSilenceMs);
+        const known = gatewayAddresses.length > 0 ? gatewayAddresses.length : assumedGateways;
+        const gateways = Math.max(heard, countSharingGateways(cell, known, endpoints));
+        return { gateways, heard };
     }
 
     function applyConfiguration(records: readonly KeyedRecord[]): void {
@@ -258,7 +261,7 @@
                 crashDetector.recordEndpointLoss(record.id);
                 health.forget(record.id);
                 slowdownEstimate.forget(record.id);
-                endpointLimits.forget(record.id);
+                endpointQuota.forget(record.id);
                 ledger.forgetEndpoint(record.id);
                 connections.replace(record.address);
             }
@@ -309,9 +312,7 @@
                 quarantineRegistry,
                 retryBudget,
                 random: ports.random,
-                onLimitNamed(endpoint, perSecond) {
-                    applyLimit({ endpoint, perSecond, observedAtMs: timers.now() }, LimitSource.Answer);
-                },
+                endpointQuota,
                 onMisdirected(endpointId) {
                     health.record(endpointId, ExchangeResult.Unreachable, timers.now());
                 },
@@ -376,7 +377,7 @@
     metrics.registerGauge(
         "jujubelane_limited_endpoints",
         "Endpoints that name a limit of requests a second.",
-        () => endpointLimits.countActive(),
+        () => endpointQuota.countLimited(),
     );
     metrics.registerGauge(
         "jujubelane_quarantines",
--- a/src/gateway/loadExchange.ts
+++ b/src/gateway/loadExchange.ts
@@ -3,6 +3,7 @@
 import { EventLog } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
 import { TimerService } from "../base/timerService.js";
+import { EndpointLimit } from "../membership/endpointLimits.js";
 import { CrashReport } from "../quarantine/crashEvidence.js";
 import { QuarantineTerm } from "../quarantine/quarantineTerm.js";
 import { LoadLedger, WorkItem, WorkPhase } from "../routing/loadLedger.js";
@@ -18,9 +19,10 @@
 const peerTimeoutMs = 3_000;
 /** Time for which snapshots repeat news of crashes and quarantines, because messages can be lost, in milliseconds. */
 const noticeRepeatMs = 2_000;
-/** Number of snapshots after which all quarantines are sent again, to gateways that were cut off in the meantime. */
-const snapshotsPerQuarantineList = 4;
+/** Number of snapshots after which all quarantines and limits are sent again, to gateways that were cut off in the meantime. */
+const snapshotsPerFullList = 4;
 const quarantinesPerMessage = 20;
+const limitsPerMessage = 40;
 /** Largest number of crashes in one message; the rest of many crashes at once is sent with the next snapshots. */
 const crashesPerMessage = 4;
 /** Keeps a message within one datagram of a usual network. */
@@ -37,8 +39,12 @@
     reportChange(key: string, item: WorkItem | undefined): void;
     /** Sends a crash to all gateways, because requests that crash endpoints can arrive at any of them. */
     reportCrash(report: CrashReport): void;
+    /** Sends a change of an endpoint's limit to all gateways. */
+    reportLimit(limit: EndpointLimit): void;
     /** Sends a decision about a quarantine to all gateways. */
     reportQuarantine(term: QuarantineTerm): void;
+    /** Counts the gateways of the cell whose last message is no older than `maxSilenceMs`, and this one. */
+    countHeard(maxSilenceMs: number): number;
     /** Counts the gateways that have sent messages lately, and this one. */
     countGateways(): number;
 }
@@ -55,12 +61,16 @@
     readonly onChange: () => void;
     readonly onCrash: (report: CrashReport) => void;
     readonly onQuarantine: (term: QuarantineTerm) => void;
+    readonly onLimit: (limit: EndpointLimit) => void;
+    readonly listLimits: () => readonly EndpointLimit[];
+    /** Called for each request that another gateway has sent to an endpoint. */
+    readonly onPeerDispatch: (endpoint: string) => void;
     readonly listQuarantines: () => readonly QuarantineTerm[];
 }
 
-type Notices = Pick<LoadMessage, "crashes" | "quarantines">;
+type Notices = Pick<LoadMessage, "crashes" | "quarantines" | "limits">;
 
-const noNotices: Notices = { crashes: [], quarantines: [] };
+const noNotices: Notices = { crashes: [], quarantines: [], limits: [] };
 
 interface Peer {
     incarnation: string;
@@ -84,6 +94,7 @@
     const changes = new Map<string, WorkItem | undefined>();
     let recentCrashes: { readonly report: CrashReport; readonly reportedAtMs: number }[] = [];
     let recentTerms: { readonly term: QuarantineTerm; readonly reportedAtMs: number }[] = [];
+    let recentLimits: { readonly limit: EndpointLimit; readonly reportedAtMs: number }[] = [];
     let snapshotCount = 0;
     let members: readonly string[] = [];
     let others: ReadonlySet<string> = new Set();
@@ -143,11 +154,25 @@
         }
     }
 
-    /** Lists recent crashes, and recent or, now and then, all quarantines. */
+    /** Lists recent crashes, and recent or, now and then, all quarantines and limits. */
     function listSnapshotNotices(): Notices {
-        const isFullList = snapshotCount++ % snapshotsPerQuarantineList === 0;
+        const isFullList = snapshotCount++ % snapshotsPerFullList === 0;
         const quarantines = isFullList ? options.listQuarantines() : recentTerms.map(item => item.term);
-        return { crashes: listRecentCrashes(), quarantines: quarantines.slice(-quarantinesPerMessage) };
+        const limits = isFullList ? selectLimits(options.listLimits()) : recentLimits.map(item => item.limit);
+        return {
+            crashes: listRecentCrashes(),
+            quarantines: quarantines.slice(-quarantinesPerMessage),
+            limits: limits.slice(-limitsPerMessage),
+        };
+    }
+
+    /** Selects the limits of one message. If there are more, each message has the next ones. */
+    function selectLimits(limits: readonly EndpointLimit[]): readonly EndpointLimit[] {
+        if (limits.length <= limitsPerMessage) {
+            return limits;
+        }
+        const start = (snapshotCount * limitsPerMessage) % limits.length;
+        return [...limits, ...limits].slice(start, start + limitsPerMessage);
     }
 
     function listRecentCrashes(): CrashReport[] {
@@ -158,9 +183,10 @@
 
     /** Repeats recent news to the other cells. */
     function sendNoticesToOthers(): void {
-        if (recentCrashes.length + recentTerms.length > 0) {
+        if (recentCrashes.length + recentTerms.length + recentLimits.length > 0) {
             const quarantines = recentTerms.map(item => item.term).slice(-quarantinesPerMessage);
-            send(false, [], [], others, { crashes: listRecentCrashes(), quarantines });
+            const limits = recentLimits.map(item => item.limit).slice(-limitsPerMessage);
+            send(false, [], [], others, { crashes: listRecentCrashes(), quarantines, limits });
         }
     }
 
@@ -217,6 +243,8 @@
             sequence: message.sequence,
             lastReceivedAtMs: timers.now(),
         });
+        message.items.filter(item => !ledger.hasPeerItem(message.address, item.key))
+            .forEach(item => options.onPeerDispatch(item.endpoint));
         if (message.isSnapshot) {
             ledger.replacePeer(message.address, message.items);
         }
@@ -227,7 +255,8 @@
         options.onChange();
     }
 
-    function receiveNotices({ crashes, quarantines }: Notices): void {
+    function receiveNotices({ crashes, quarantines, limits }: Notices): void {
+        limits.forEach(options.onLimit);
         crashes.forEach(options.onCrash);
         quarantines.forEach(options.onQuarantine);
     }
@@ -236,6 +265,7 @@
         const nowMs = timers.now();
         ledger.expire(nowMs);
         recentCrashes = recentCrashes.filter(item => nowMs - item.reportedAtMs < noticeRepeatMs);
+        recentLimits = recentLimits.filter(item => nowMs - item.reportedAtMs < noticeRepeatMs);
         recentTerms = recentTerms.filter(item => nowMs - item.reportedAtMs < noticeRepeatMs);
         for (const [address, peer] of peers) {
             if (nowMs - peer.lastReceivedAtMs > peerTimeoutMs) {
@@ -275,11 +305,20 @@
         },
         reportCrash(report) {
             recentCrashes.push({ report, reportedAtMs: timers.now() });
-            sendToAll({ crashes: [report], quarantines: [] });
+            sendToAll({ ...noNotices, crashes: [report] });
+        },
+        reportLimit(limit) {
+            recentLimits = recentLimits.filter(item => item.limit.endpoint !== limit.endpoint);
+            recentLimits.push({ limit, reportedAtMs: timers.now() });
+            sendToAll({ ...noNotices, limits: [limit] });
         },
         reportQuarantine(term) {
             recentTerms.push({ term, reportedAtMs: timers.now() });
-            sendToAll({ crashes: [], quarantines: [term] });
+            sendToAll({ ...noNotices, quarantines: [term] });
+        },
+        countHeard(maxSilenceMs) {
+            const nowMs = timers.now();
+            return 1 + [...peers.values()].filter(peer => nowMs - peer.lastReceivedAtMs <= maxSilenceMs).length;
         },
         countGateways: () => 1 + peers.size,
         dispose() {
--- a/src/gateway/loadMessage.ts
+++ b/src/gateway/loadMessage.ts
@@ -1,4 +1,5 @@
 import { Decoder, Encoder } from "cbor-x";
+import { EndpointLimit } from "../membership/endpointLimits.js";
 import { CrashReport } from "../quarantine/crashEvidence.js";
 import { QuarantineTerm } from "../quarantine/quarantineTerm.js";
 import { WorkItem, WorkPhase } from "../routing/loadLedger.js";
@@ -22,9 +23,10 @@
     /** Recent endpoint crashes. */
     readonly crashes: readonly CrashReport[];
     readonly quarantines: readonly QuarantineTerm[];
+    readonly limits: readonly EndpointLimit[];
 }
 
-const messageVersion = 2;
+const messageVersion = 3;
 const options = { useRecords: false, tagUint8Array: false } as const;
 const encoder = new Encoder(options);
 const decoder = new Decoder(options);
@@ -32,6 +34,8 @@
 type WireItem = [string, string, number, number, number, number, boolean, number, number, boolean];
 type WireCrash = [string, number, string[][]];
 type WireTerm = [string, boolean, number, number, number, number];
+/** Endpoint, requests a second or `null` for no limit, and age. */
+type WireLimit = [string, number | null, number];
 type WireMessage = [
     number,
     string,
@@ -43,6 +47,7 @@
     string[],
     WireCrash[],
     WireTerm[],
+    WireLimit[],
 ];
 
 /**
@@ -63,6 +68,11 @@
         [...message.removed],
         message.crashes.map(item => [item.crash, Math.round(item.ageMs), item.suspects.map(traits => [...traits])]),
         message.quarantines.map(encodeTerm),
+        message.limits.map(({ endpoint, perSecond, observedAtMs }) => [
+            endpoint,
+            perSecond ?? null,
+            Math.round(nowMs - observedAtMs),
+        ]),
     ];
     return encoder.encode(wire);
 }
@@ -93,7 +103,7 @@
     if (!isWireMessage(wire)) {
         return undefined;
     }
-    const [, host, address, incarnation, sequence, isSnapshot, items, removed, crashes, quarantines] = wire;
+    const [, host, address, incarnation, sequence, isSnapshot, items, removed, crashes, quarantines, limits] = wire;
     return {
         host,
         address,
@@ -111,6 +121,11 @@
             crashes: crashCount,
             firstCrashAtMs,
         })),
+        limits: limits.map(([endpoint, perSecond, ageMs]) => ({
+            endpoint,
+            perSecond: perSecond ?? undefined,
+            observedAtMs: nowMs - ageMs,
+        })),
     };
 }
 
@@ -149,6 +164,8 @@
 );
 const isCrash = isTupleOf(isText, isNumber, isListOf(isListOf(isText)));
 const isTerm = isTupleOf(isText, isFlag, isNumber, isNumber, isNumber, isNumber);
+const isRate: Check = value => value === null || (isNumber(value) && (value as number) >= 0);
+const isLimit = isTupleOf(isText, isRate, isNumber);
 const isMessage = isTupleOf(
     isVersion,
     isText,
@@ -160,6 +177,7 @@
     isListOf(isText),
     isListOf(isCrash),
     isListOf(isTerm),
+    isListOf(isLimit),
 );
 
 /** Checks every field, because datagrams can come from anywhere. */
--- a/src/gateway/placeAllocator.ts
+++ b/src/gateway/placeAllocator.ts
@@ -40,6 +40,8 @@
     readonly keyPrefix: string;
     /** Reports a change to other gateways. `item` is absent for work that has ended. */
     readonly reportChange: (key: string, item: WorkItem | undefined) => void;
+    /** Called for each endpoint that gets a request or a part of one. */
+    readonly recordDispatch: (endpoint: string) => void;
     /** Called when a place was released or needs less than before. */
     readonly onCapacityFreed: () => void;
 }
@@ -80,6 +82,7 @@
     ): Place {
         const needs = job.needs!;
         const { endpoint, helpers, partMs, reservedTokens } = placement;
+        [endpoint, ...helpers].forEach(view => options.recordDispatch(view.id));
         const passes = needs.outputTokens / engine.stepsPerPass + 1;
         const endsAtMs = nowMs + placement.firstEventMs + passes * endpoint.passMs;
         const shared = { prefillMs: partMs, dueAtMs: job.dueAtMs, isSuspect: job.isSuspect };
@@ -137,6 +140,7 @@
     }
 
     function assignPlainEndpoint(job: PlacementJob, view: PlainView, nowMs: number): Place {
+        options.recordDispatch(view.id);
         const key = addWork({
             endpoint: view.id,
             prefillMs: 0,
--- a/src/gateway/placementQueue.ts
+++ b/src/gateway/placementQueue.ts
@@ -19,6 +19,7 @@
 import { placeOnPlainService, PlainView } from "../routing/plainPlacement.js";
 import { SlowdownEstimate } from "../routing/slowdownEstimate.js";
 import { compareWaiting, WaitingWork } from "../scheduling/compareWaiting.js";
+import { EndpointQuota } from "./endpointQuota.js";
 import { EngineNeeds, Place, PlacementJob } from "./place.js";
 import { createPlaceAllocator, minPlainAnswerMs, RegisteredClaim } from "./placeAllocator.js";
 
@@ -52,8 +53,13 @@
     /** Chooses engines to be kept free for a long prompt that no engines have capacity for. */
     readonly chooseClaim: ClaimPolicy;
     readonly reportChange: (key: string, item: WorkItem | undefined) => void;
+    /** Limits that endpoints have named. */
+    readonly quota: PlacementQuota;
 }
 
+/** Limits of endpoints, as far as placement depends on them. */
+export type PlacementQuota = Pick<EndpointQuota, "isOpen" | "isLastChoice" | "getShare" | "recordDispatch">;
+
 /**
  * Delay between two placement runs while requests are queued. Runs are repeated because engines gain capacity as they
  * work through prompts, which causes no event here. The delay is random and its jitter longer than the latency of a
@@ -84,6 +90,8 @@
  */
 const claimOverdueToleranceMs = 500;
 
+const millisecondsPerSecond = 1_000;
+
 /** Engine views by service name. An entry is deleted when work is assigned to the service. */
 type ViewCache = Map<string, readonly EngineView[]>;
 
@@ -106,13 +114,22 @@
  * waiting.dispose(); // the customer has left
  */
 export function createPlacementQueue(options: PlacementQueueOptions): PlacementQueue {
-    const { timers, endpointSubset, health, slowdownEstimate, ledger } = options;
+    const { timers, endpointSubset, health, slowdownEstimate, ledger, quota } = options;
     let waiting: WaitingItem[] = [];
     let nextRun: Disposable | undefined;
     const claims = new Map<WaitingItem, RegisteredClaim>();
-    const allocator = createPlaceAllocator({ ...options, onCapacityFreed: run });
+    const allocator = createPlaceAllocator({
+        ...options,
+        recordDispatch: endpoint => quota.recordDispatch(endpoint),
+        onCapacityFreed: run,
+    });
 
+    /** Lists the endpoints that may be sent a request now. */
     function listUsableEndpoints(service: Service, nowMs: number): UsableEndpoint[] {
+        return listHealthyEndpoints(service, nowMs).filter(({ record }) => quota.isOpen(record.id));
+    }
+
+    function listHealthyEndpoints(service: Service, nowMs: number): UsableEndpoint[] {
         return endpointSubset.list(service.name)
             .map(record => ({ record, standing: health.getStatus(record.id, nowMs) }))
             .filter(({ standing }) => standing !== HealthStatus.Down)
@@ -171,13 +188,26 @@
         const { engine } = job.service;
         if (!engine || !job.needs) {
             const request = { avoid: job.avoid, dataCentre: options.dataCentre, isUnsafe: job.isUnsafe };
-            const view = placeOnPlainService(request, listPlainViews(job.service, nowMs));
+            const view = tryPreferredFirst(
+                listPlainViews(job.service, nowMs),
+                views => placeOnPlainService(request, views),
+            );
             startTrials(view ? [view] : [], nowMs);
             return view && allocator.assignPlainEndpoint(job, view, nowMs);
         }
         return findEnginePlace(item, makePlacementRequest(job, job.needs, nowMs), engine, views, nowMs);
     }
 
+    /** Tries to place on endpoints without a limit first, then on all. */
+    function tryPreferredFirst<View extends { readonly id: string }, Result>(
+        views: readonly View[],
+        place: (views: readonly View[]) => Result | undefined,
+    ): Result | undefined {
+        const preferred = views.filter(view => !quota.isLastChoice(view.id));
+        const found = place(preferred);
+        return found === undefined && preferred.length < views.length ? place(views) : found;
+    }
+
     function findEnginePlace(
         item: WaitingItem,
         request: PlacementRequest,
@@ -195,16 +225,12 @@
         }
         const known = getEngineViews(views, job.service, engine, nowMs);
         const stage = decideStage(item, nowMs);
-        const placement = options.placeOnEngines(
-            request,
+        const placement = tryPreferredFirst(
             known,
-            engine.slots,
-            nowMs,
-            stage,
-            defaultPlacementSettings,
+            some => options.placeOnEngines(request, some, engine.slots, nowMs, stage, defaultPlacementSettings),
         );
         if (!placement) {
-            claimEngines(item, request, engine, known, stage, nowMs);
+            claimEngines(item, request, engine, known.filter(view => !quota.isLastChoice(view.id)), stage, nowMs);
             if (claims.has(item)) {
                 views.delete(job.service.name);
             }
@@ -326,6 +352,22 @@
         expired.forEach(item => item.job.onExpired(describeLoad(item.job, nowMs)));
     }
 
+    /**
+     * Predicts the time until the limits of the endpoints allow the requests that wait and one more, in milliseconds.
+     * Zero if an endpoint has no limit.
+     */
+    function predictLimitWaitMs(service: Service, nowMs: number): number {
+        const healthy = listHealthyEndpoints(service, nowMs);
+        const perSecond = healthy.reduce((sum, { record }) => sum + quota.getShare(record.id), 0);
+        const ahead = waiting.filter(item => item.job.service.name === service.name).length;
+        return healthy.length === 0 || perSecond === Infinity ? 0 : (ahead + 1) * millisecondsPerSecond / perSecond;
+    }
+
+    /** Returns whether the limits of all endpoints allow a request only when it can no longer start in time. */
+    function isLimitedTooLong({ job, hardStartDeadlineMs }: WaitingItem, nowMs: number): boolean {
+        return nowMs + predictLimitWaitMs(job.service, nowMs) > hardStartDeadlineMs;
+    }
+
     /** Describes the load on which the decision to queue or refuse a request was based, for the log. */
     function describeLoad(job: PlacementJob, nowMs: number): string {
         const known = endpointSubset.list(job.service.name).length;
@@ -361,6 +403,10 @@
                 job.onPlaced(place);
                 return createDisposable(() => undefined);
             }
+            if (isLimitedTooLong(item, timers.now())) {
+                job.onExpired(describeLoad(job, timers.now()));
+                return createDisposable(() => undefined);
+            }
             waiting.push(item);
             job.onWaiting(describeLoad(job, timers.now()));
             run();
@@ -375,20 +421,21 @@
         predictWaitMs(service, needs) {
             const nowMs = timers.now();
             const queued = waiting.filter(item => item.job.service.name === service.name);
-            const endpoints = listUsableEndpoints(service, nowMs);
+            const endpoints = listHealthyEndpoints(service, nowMs);
             if (endpoints.length === 0) {
                 return Number.POSITIVE_INFINITY;
             }
+            const limitWaitMs = predictLimitWaitMs(service, nowMs);
             const engine = service.engine;
             if (!engine || !needs) {
-                return 0;
+                return limitWaitMs;
             }
             const queuedPrefillMs = queued.reduce((sum, item) => sum + (item.job.needs?.prefillMs ?? 0), 0);
             const pendingPrefillMs = listEngineViews(service, engine, nowMs).reduce(
                 (sum, view) => sum + view.pendingPrefillMs,
                 0,
             );
-            return (queuedPrefillMs + pendingPrefillMs + needs.prefillMs) / endpoints.length;
+            return Math.max(limitWaitMs, (queuedPrefillMs + pendingPrefillMs + needs.prefillMs) / endpoints.length);
         },
         dispose() {
             nextRun?.dispose();
--- a/src/gateway/requestServices.ts
+++ b/src/gateway/requestServices.ts
@@ -7,6 +7,7 @@
 import { SlowdownEstimate } from "../routing/slowdownEstimate.js";
 import { CrashDetector } from "./crashDetector.js";
 import { EndpointConnections } from "./endpointConnections.js";
+import { EndpointQuota } from "./endpointQuota.js";
 import { PlacementQueue } from "./placementQueue.js";
 import { QuarantineRegistry } from "./quarantineRegistry.js";
 import { Reservations } from "./reservations.js";
@@ -24,10 +25,9 @@
     readonly reservations: Reservations;
     readonly crashDetector: CrashDetector;
     readonly quarantineRegistry: QuarantineRegistry;
+    readonly endpointQuota: EndpointQuota;
     readonly retryBudget: RetryBudget;
     readonly random: () => number;
-    /** Called with the requests a second that an endpoint accepts, or `undefined` if its answer names no limit. */
-    readonly onLimitNamed: (endpointId: string, perSecond: number | undefined) => void;
     /** Called when the endpoint at an address turns out not to be the registered one. */
     readonly onMisdirected: (endpointId: string) => void;
 }
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -184,7 +184,7 @@
     ): void {
         const isOwn = isSealed && status < 300;
         if (!isMisdirected && (isOwn || requestsPerSecond !== undefined)) {
-            services.onLimitNamed(endpoint.id, requestsPerSecond);
+            services.endpointQuota.recordAnswer(endpoint.id, requestsPerSecond);
         }
     }
 
--- a/src/routing/gatewayCell.ts
+++ b/src/routing/gatewayCell.ts
@@ -81,6 +81,16 @@
     return selected;
 }
 
+/**
+ * Counts the gateways that use the same endpoints of a service as one of them does.
+ *
+ * @example
+ * countSharingGateways({ index: 0, count: 2 }, 16, 4); // 16, since four endpoints are not divided
+ */
+export function countSharingGateways(cell: Cell, gateways: number, endpoints: number): number {
+    return Math.ceil(gateways / Math.min(cell.count, computePowerOfTwo(endpoints / minEndpoints)));
+}
+
 function computePowerOfTwo(value: number): number {
     return 2 ** Math.max(0, Math.floor(Math.log2(Math.max(1, value))));
 }
--- a/src/routing/loadLedger.ts
+++ b/src/routing/loadLedger.ts
@@ -38,6 +38,7 @@
     replacePeer(peer: string, items: readonly WorkItem[]): void;
     updatePeer(peer: string, changed: readonly WorkItem[], removed: readonly string[]): void;
     removePeer(peer: string): void;
+    hasPeerItem(peer: string, key: string): boolean;
     /** Lists the work of all gateways at an endpoint. */
     listAt(endpoint: string, nowMs: number): readonly WorkItem[];
     /** Lists the work of this process at all endpoints. */
@@ -116,6 +117,7 @@
             removed.forEach(key => drop(peer, key));
             changed.forEach(item => setItem(peer, item));
         },
+        hasPeerItem: (peer, key) => owners.get(peer)?.has(key) ?? false,
         removePeer(peer) {
             dropAll(peer);
             owners.delete(peer);
--- a/test/gateway/loadExchange.test.ts
+++ b/test/gateway/loadExchange.test.ts
@@ -5,6 +5,7 @@
 import { createSystemTimerService } from "../../src/base/systemTimerService.js";
 import { createLoadExchange } from "../../src/gateway/loadExchange.js";
 import { encodeLoadMessage, LoadMessage } from "../../src/gateway/loadMessage.js";
+import { EndpointLimit } from "../../src/membership/endpointLimits.js";
 import { CrashReport } from "../../src/quarantine/crashEvidence.js";
 import { QuarantineTerm } from "../../src/quarantine/quarantineTerm.js";
 import { createLoadLedger, WorkItem, WorkPhase } from "../../src/routing/loadLedger.js";
@@ -26,6 +27,8 @@
     const crashes: CrashReport[] = [];
     const quarantines: QuarantineTerm[] = [];
     const known: QuarantineTerm[] = [];
+    const limits: EndpointLimit[] = [];
+    const dispatches: string[] = [];
     const port = await findFreeUdpPort();
     const exchange = createLoadExchange({
         host,
@@ -39,9 +42,12 @@
         onCrash: report => crashes.push(report),
         onQuarantine: term => quarantines.push(term),
         listQuarantines: () => known,
+        onLimit: limit => limits.push(limit),
+        listLimits: () => [],
+        onPeerDispatch: endpoint => dispatches.push(endpoint),
     });
     context.after(() => exchange.dispose());
-    return { timers, ledger, crashes, quarantines, known, exchange, address: `${ip}:${port}` };
+    return { timers, ledger, crashes, quarantines, known, limits, dispatches, exchange, address: `${ip}:${port}` };
 }
 
 function makeItem(nowMs: number): WorkItem {
@@ -80,6 +86,13 @@
             "quarantine reported to all",
             () => [member, other].every(item => item.quarantines.some(({ trait }) => trait === "part/a")),
         );
+        sender.exchange.reportLimit({ endpoint: "engine-1", perSecond: 0.5, observedAtMs: sender.timers.now() });
+        await waitUntil(
+            "limit reported to all",
+            () => [member, other].every(item => item.limits[0]?.perSecond === 0.5),
+        );
+        // A request that is reported several times counts once.
+        assert.deepEqual(member.dispatches, ["engine-1"]);
         sender.known.push({ ...term, trait: "part/b" });
         await waitUntil(
             "quarantine repeated to a member that missed the report",
@@ -120,6 +133,7 @@
             removed: [],
             crashes: [],
             quarantines: [],
+            limits: [{ endpoint: "engine-1", perSecond: 0.5, observedAtMs: nowMs }],
         };
         const encoder = new Encoder();
         const valid = encoder.decode(encodeLoadMessage(message, nowMs)) as unknown[];
--- a/test/gateway/parts.test.ts
+++ b/test/gateway/parts.test.ts
@@ -77,6 +77,10 @@
             crashes: 3,
             firstCrashAtMs: 1,
         }],
+        limits: [
+            { endpoint: "e", perSecond: 0.5, observedAtMs: 900 },
+            { endpoint: "f", perSecond: undefined, observedAtMs: 950 },
+        ],
     };
 
     test("converts times between hosts whose clocks differ", () => {
@@ -84,6 +88,7 @@
         assert.deepEqual(decoded, {
             ...message,
             items: [{ ...item, dueAtMs: 502_500, phaseSinceMs: 500_900, endsAtMs: 504_000 }],
+            limits: [{ ...message.limits[0], observedAtMs: 500_900 }, { ...message.limits[1], observedAtMs: 500_950 }],
         });
     });
 
