Recognise a crashing part by the first crash after a burst

Crashes within 250 ms count once, so that the endpoints of a rack do not make everything suspect that ran on them. Five crashes of a bad part in that time counted once as well; after a pause, requests with it would have reached endpoints until two more groups had passed, above the three that are allowed later than 3 s after the fifth crash. Seen in the same pattern at entries, not with the gateway. Five crashes in two groups now suffice for a part.

--- a/src/quarantine/crashEvidence.ts
+++ b/src/quarantine/crashEvidence.ts
@@ -28,7 +28,10 @@
     readonly minCrashesOfPlainRequest: number;
     /** Different requests that a culprit part must have. With fewer, the request itself is the more likely cause. */
     readonly minRequestsOfPart: number;
-    /** Crashes from which on a culprit is chosen even if other parts explain the crashes as well. */
+    /**
+     * Crashes from which on a culprit is chosen even if other parts explain the crashes as well, or, if they came in more
+     * than one group, even if most of them followed each other closely.
+     */
     readonly maxAmbiguousCrashes: number;
     /**
      * Crashes that follow each other within this time count once, in milliseconds. Endpoints that share a rack or a link
@@ -178,7 +181,8 @@
     function isSufficient(tally: Tally): boolean {
         const count = countSeparateCrashes(tally);
         if (!tally.isRequest) {
-            return count >= settings.minCrashes && tally.requests.size >= settings.minRequestsOfPart;
+            const hasMany = count > 1 && tally.crashTimesMs.size >= settings.maxAmbiguousCrashes;
+            return (count >= settings.minCrashes || hasMany) && tally.requests.size >= settings.minRequestsOfPart;
         }
         return count >= (tally.hasParts ? settings.minCrashes : settings.minCrashesOfPlainRequest);
     }
--- a/test/quarantine/crashEvidence.test.ts
+++ b/test/quarantine/crashEvidence.test.ts
@@ -97,6 +97,19 @@
         assert.equal(takeCulprit(), undefined);
     });
 
+    test("is known with the first crash after five that followed each other closely", () => {
+        const { evidence, getNow, crash, takeCulprit, advance } = setUp();
+        for (let engine = 0; engine < 5; engine++) {
+            const suspects = [["first", "bad", `r${engine}`]];
+            evidence.recordCrash({ crash: `burst/${engine}`, ageMs: 0, suspects }, getNow());
+            advance(20);
+        }
+        assert.equal(takeCulprit(), undefined, "a rack may have ended");
+        advance(spacingMs);
+        crash(["first", "bad", "r5"]);
+        assert.equal(takeCulprit(), "bad");
+    });
+
     test("does not depend on the number of gateways that report a crash", () => {
         const { evidence, getNow, takeCulprit, advance } = setUp();
         for (let gateway = 0; gateway < 6; gateway++) {
