Refuse chats with a message that crashes engines at entries and sidecars

Callers of the product's own interface saw engines end under different chats that share a message: 16 crashes for 8 requests sent 3 s after the first five crashes; three are allowed.

Cause: as at the gateway, a suspect was a digest of customer and whole prompt. Change: all messages of a chat but the last are traits of its model; dispatches carry them, a sidecar's crash report has those of requests whose answers were beginning, and entries decide by the gateway's evidence and registry. Decisions go into the log stream control, so that other entries know them, also those that start later. The quarantine of whole requests is unchanged.

--- a/src/entry/completionFormat.ts
+++ b/src/entry/completionFormat.ts
@@ -16,6 +16,8 @@
     readonly model: string;
     readonly adapter: string | undefined;
     readonly prompt: string;
+    /** Messages before the last one, as in the prompt. Other requests may have them in common with this one. */
+    readonly sharedMessages: readonly string[];
     readonly maxOutputTokens: number | undefined;
     readonly stream: boolean;
     readonly includeUsage: boolean;
@@ -72,14 +74,14 @@
     if (!parsed.success) {
         return refuseBody(describeIssues(parsed.error));
     }
-    const prompt = parsed.data.messages.map(message => {
+    const messages = parsed.data.messages.map(message => {
         const content = typeof message.content === "string"
             ? message.content
             : message.content.map(part => part.text).join("");
         return `${message.role}: ${content}`;
-    }).join("\n");
+    });
     const limit = parsed.data.max_completion_tokens ?? parsed.data.max_tokens;
-    return makeSuccess(makeRequest(CompletionApi.Chat, parsed.data, prompt, limit));
+    return makeSuccess(makeRequest(CompletionApi.Chat, parsed.data, messages, limit));
 }
 
 function parseText(value: unknown): Result<CompletionRequest, RequestError> {
@@ -87,20 +89,21 @@
     if (!parsed.success) {
         return refuseBody(describeIssues(parsed.error));
     }
-    return makeSuccess(makeRequest(CompletionApi.Text, parsed.data, parsed.data.prompt, parsed.data.max_tokens));
+    return makeSuccess(makeRequest(CompletionApi.Text, parsed.data, [parsed.data.prompt], parsed.data.max_tokens));
 }
 
 function makeRequest(
     api: CompletionApi,
     fields: z.infer<z.ZodObject<typeof commonFields>>,
-    prompt: string,
+    messages: readonly string[],
     limit: number | null | undefined,
 ): CompletionRequest {
     return {
         api,
         model: fields.model,
         adapter: fields.adapter,
-        prompt,
+        prompt: messages.join("\n"),
+        sharedMessages: messages.slice(0, -1),
         maxOutputTokens: limit ?? undefined,
         stream: fields.stream ?? false,
         includeUsage: fields.stream_options?.include_usage ?? false,
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -130,6 +130,7 @@
     const quarantineManager = store.register(createQuarantineManager({
         timers,
         log,
+        metrics,
         logService: parts.logService,
         broadcast: message => directory.list().forEach(link => link.send(message)),
     }));
@@ -194,6 +195,7 @@
 
     function start(plan: RequestPlan, listener: RequestListener): RequestTask {
         const observed = observe(plan, listener, timers.now());
+        const progress = quarantineManager.followRequest(plan.traits);
         log(LogEvent.RequestAdmitted, {
             request: plan.id,
             customer: plan.customer,
@@ -210,13 +212,14 @@
             policy: parts.policy,
             dataCentre: settings.dataCentre,
             retryBudget,
-            checkFingerprint: fingerprint => quarantineManager.check(fingerprint),
+            checkQuarantine: plan => quarantineManager.check(plan),
             countDecision: () => decisionCount++,
         }, event => {
             if (event.kind === AttemptEventKind.Completed || event.kind === AttemptEventKind.Failed) {
                 // The request may end before startRequest returns.
                 queueMicrotask(() => release(task));
             }
+            progress.recordEvent(event);
             observed(event);
         });
         requests.add(task);
--- a/src/entry/modelRoute.ts
+++ b/src/entry/modelRoute.ts
@@ -7,6 +7,7 @@
 import { TimerService } from "../base/timerService.js";
 import { Verdict } from "../base/verdict.js";
 import { Configuration, findObject } from "../config/objects.js";
+import { listTraits } from "../gateway/quarantineRegistry.js";
 import { computeLargestRequestTokens } from "../routing/modelCapacity.js";
 import { AttemptEvent, AttemptEventKind } from "./attempt.js";
 import {
@@ -38,6 +39,9 @@
 /** Length of the prompt prefix that is digested for cache affinity, in UTF-16 code units. */
 const prefixLength = 2_048;
 
+/** Messages of a chat beyond this number are not held to crash endpoints by themselves. */
+const maxSharedMessages = 16;
+
 /** Serves `POST /v1/chat/completions` and `POST /v1/completions`. */
 export async function handleCompletion(
     api: CompletionApi,
@@ -77,12 +81,15 @@
         return sendError(response, refuseModel(completion.model, configuration));
     }
     const id = makeId();
+    const fingerprint = computeDigest(`${customer.name}\n${completion.prompt}`);
+    const messages = completion.sharedMessages.slice(0, maxSharedMessages).map(computeDigest);
     const plan: RequestPlan = {
         id,
         customer: customer.name,
         ...parameters.value,
         waitedMs: context.tickets.readWaitedMs(request.headers, subject),
-        fingerprint: computeDigest(`${customer.name}\n${completion.prompt}`),
+        fingerprint,
+        traits: messages.length > 0 ? listTraits(completion.model, [...new Set(messages)], fingerprint) : [],
         streamed: completion.stream,
         model: {
             model: completion.model,
--- a/src/entry/quarantineManager.ts
+++ b/src/entry/quarantineManager.ts
@@ -2,12 +2,15 @@
 import { Disposable } from "../base/disposable.js";
 import { EventLog } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
+import { Metrics } from "../base/metrics.js";
 import { buildRequestError, ErrorCode, RequestError } from "../base/requestError.js";
 import { TimerService, waitFor } from "../base/timerService.js";
 import { Verdict } from "../base/verdict.js";
+import { createQuarantineRegistry, QuarantineSource } from "../gateway/quarantineRegistry.js";
 import { CrashReportMessage, LinkMessageType, QuarantineMessage } from "../link/messages.js";
 import { LogService } from "../ports/logService.js";
-import { buildCrashRecord, parseCrashRecord } from "../quarantine/crashRecord.js";
+import { progressEvents } from "../quarantine/crashEvidence.js";
+import { buildCrashRecord, buildTermRecord, parseCrashRecord, parseTermRecord } from "../quarantine/crashRecord.js";
 import {
     applyCrash,
     CrashRecord,
@@ -17,11 +20,14 @@
     QuarantineSettings,
     Treatment,
 } from "../quarantine/quarantine.js";
+import { AttemptEvent, AttemptEventKind } from "./attempt.js";
+import { RequestPlan } from "./requestTask.js";
 
 /** Dependencies of a quarantine manager. */
 export interface QuarantineManagerParts {
     readonly timers: TimerService;
     readonly log: EventLog;
+    readonly metrics: Metrics;
     /** Log in which entries share crashes; without it an entry only knows the crashes that its sidecars report. */
     readonly logService?: LogService;
     readonly settings?: QuarantineSettings;
@@ -35,7 +41,14 @@
     /** Returns the messages with which a sidecar must be brought up to date when its link opens. */
     listMessages(): readonly QuarantineMessage[];
     /** Returns the error for a quarantined request, or `undefined` if the request may run. */
-    check(fingerprint: string): RequestError | undefined;
+    check(request: Pick<RequestPlan, "fingerprint" | "traits">): RequestError | undefined;
+    /** Follows a request, to find out whether requests that share messages with it crash endpoints. */
+    followRequest(traits: readonly string[]): RequestProgress;
+}
+
+/** Progress of one request. */
+export interface RequestProgress {
+    recordEvent(event: AttemptEvent): void;
 }
 
 const controlStream = "control";
@@ -55,8 +68,21 @@
     const { timers, log, logService } = parts;
     const settings = parts.settings ?? defaultQuarantineSettings;
     const appender = logService && createLogAppender(logService, timers);
+    const decidedHere = new Set<string>();
     let state = createQuarantineState();
     let disposed = false;
+    const registry = createQuarantineRegistry({
+        timers,
+        log,
+        metrics: parts.metrics,
+        // Sidecars report crashes to every entry that has a link to them.
+        reportCrash: () => undefined,
+        reportTerm(term) {
+            decidedHere.add(term.trait);
+            void publish(buildTermRecord(term), term.trait);
+        },
+        isTester: trait => decidedHere.has(trait),
+    });
 
     function buildMessage(fingerprint: string): QuarantineMessage | undefined {
         const suspect = state.suspects.get(fingerprint);
@@ -81,15 +107,16 @@
         }
     }
 
-    async function publishRecord(record: CrashRecord): Promise<void> {
+    /** Appends a record to the log until that succeeds. `crash` names it in the log lines of this process. */
+    async function publish(record: { readonly id: string }, crash: string): Promise<void> {
         // If the entry stops before the record is appended, the sidecar's other entries still know of the crash.
         for (let attempt = 1; appender && !disposed; attempt++) {
-            const outcome = await appender.append(controlStream, buildCrashRecord(record), appendTimeoutMs);
+            const outcome = await appender.append(controlStream, record, appendTimeoutMs);
             if (outcome.kind === AppendOutcomeKind.Appended) {
                 return;
             }
             if (attempt === 1) {
-                log(LogEvent.CrashNotShared, { crash: record.crash, reason: outcome.error.message });
+                log(LogEvent.CrashNotShared, { crash, reason: outcome.error.message });
             }
             await waitFor(timers, retryDelayMs);
         }
@@ -104,6 +131,10 @@
                 for (const { offset, timeMs, value } of page.records) {
                     nextOffset = offset + 1;
                     const record = parseCrashRecord(value);
+                    const term = parseTermRecord(value);
+                    if (term && !disposed) {
+                        registry.applyTerm(term, QuarantineSource.Store);
+                    }
                     if (record && !disposed) {
                         applyRecord(record, timeMs);
                     }
@@ -123,20 +154,46 @@
         handleCrashReport(message) {
             const record = { crash: message.crash, fingerprints: message.fingerprints };
             if (!state.crashes.has(record.crash)) {
+                registry.applyCrash(
+                    { crash: record.crash, ageMs: 0, suspects: message.suspects ?? [] },
+                    true,
+                );
                 applyRecord(record, timers.wallNow());
-                void publishRecord(record);
+                void publish(buildCrashRecord(record), record.crash);
             }
         },
         listMessages: () =>
             [...state.suspects.keys()].flatMap(fingerprint => buildMessage(fingerprint) ?? [])
                 .filter(message => message.untilMs > timers.wallNow()),
-        check(fingerprint) {
-            if (decideTreatment(state, fingerprint, timers.wallNow()) !== Treatment.Quarantined) {
+        check({ fingerprint, traits }) {
+            const isRequestRefused = decideTreatment(state, fingerprint, timers.wallNow()) === Treatment.Quarantined;
+            if (!isRequestRefused && registry.decideTreatment(traits) !== Treatment.Quarantined) {
                 return undefined;
             }
             const message = "the request has crashed endpoints and is quarantined";
             return buildRequestError(ErrorCode.Quarantined, message, Verdict.NotRun);
         },
+        followRequest(traits) {
+            if (traits.length === 0) {
+                return { recordEvent: () => undefined };
+            }
+            const test = registry.startTest(traits);
+            let items = 0;
+            let isAnswerRecorded = false;
+            return {
+                recordEvent(event) {
+                    items += event.kind === AttemptEventKind.Items ? event.items.length : 0;
+                    const hasCompleted = event.kind === AttemptEventKind.Completed;
+                    if (!isAnswerRecorded && (hasCompleted || items >= progressEvents)) {
+                        isAnswerRecorded = true;
+                        registry.recordAnswer(traits);
+                    }
+                    if (hasCompleted || event.kind === AttemptEventKind.Failed) {
+                        test?.dispose();
+                    }
+                },
+            };
+        },
         dispose() {
             disposed = true;
         },
--- a/src/entry/requestTask.ts
+++ b/src/entry/requestTask.ts
@@ -24,6 +24,8 @@
     readonly limitMs: number;
     readonly waitedMs: number;
     readonly fingerprint: string;
+    /** What other requests to the model may share with this one, then what identifies it; empty if it shares nothing. */
+    readonly traits: readonly string[];
     readonly model?: ModelWork;
     readonly service?: ServiceWork;
     /** Whether the answer is delivered to the customer while it is generated. */
@@ -49,7 +51,7 @@
     readonly dataCentre: string;
     readonly retryBudget: RetryBudget;
     /** Returns the error for a quarantined request, or `undefined` if the request may run. */
-    checkFingerprint(fingerprint: string): RequestError | undefined;
+    checkQuarantine(plan: RequestPlan): RequestError | undefined;
     /** Returns the sequence number of a routing decision, for round-robin policies. */
     countDecision(): number;
 }
@@ -217,7 +219,7 @@
     }
 
     function attempt(lastError: RequestError | undefined) {
-        const refusal = context.checkFingerprint(plan.fingerprint);
+        const refusal = context.checkQuarantine(plan);
         if (refusal) {
             fail(refusal);
             return;
@@ -267,6 +269,7 @@
                 remainingMs,
                 waitedMs: plan.waitedMs + (timers.now() - startedMs),
                 fingerprint: plan.fingerprint,
+                traits: plan.traits,
                 attempt: attempts,
                 model: plan.model,
                 service: plan.service,
--- a/src/entry/serviceRoute.ts
+++ b/src/entry/serviceRoute.ts
@@ -82,6 +82,7 @@
         ...parameters.value,
         waitedMs: context.tickets.readWaitedMs(request.headers, subject),
         fingerprint: computeDigest(`${customer.name}\n${method} ${target.path}\n${computeDigest(body.value)}`),
+        traits: [],
         streamed: false,
         service: {
             service: target.service,
--- a/src/entry/splitRequest.ts
+++ b/src/entry/splitRequest.ts
@@ -101,6 +101,8 @@
             limitMs: Math.max(1, Math.floor(plan.limitMs - elapsedMs)),
             waitedMs: plan.waitedMs + elapsedMs,
             fingerprint: computeDigest(`${plan.customer}\n${prompt}`),
+            // A part of a prompt holds only some of the messages.
+            traits: [],
             streamed,
             model: {
                 ...plan.model!,
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -116,6 +116,8 @@
     readonly waitedMs: number;
     /** Digest of customer and body, for the isolation of requests that crash endpoints. */
     readonly fingerprint: string;
+    /** What other requests to the model may share with this one, then what identifies it. */
+    readonly traits?: readonly string[];
     readonly attempt: number;
     readonly model?: ModelWork;
     readonly service?: ServiceWork;
@@ -278,6 +280,8 @@
     /** Identifies the crash. Every entry receives the same identifier. */
     readonly crash: string;
     readonly fingerprints: readonly string[];
+    /** Traits of those requests whose answers were beginning. */
+    readonly suspects?: readonly (readonly string[])[];
 }
 
 /** Messages from an entry to a sidecar. */
--- a/src/quarantine/crashRecord.ts
+++ b/src/quarantine/crashRecord.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
 import { CrashRecord } from "./quarantine.js";
+import { QuarantineTerm } from "./quarantineTerm.js";
 
 /** Type of crash records in the log stream `control`. */
 export const crashRecordType = "crash";
@@ -26,3 +27,37 @@
     const parsed = crashRecordSchema.safeParse(value);
     return parsed.success ? { crash: parsed.data.id, fingerprints: parsed.data.fingerprints } : undefined;
 }
+
+/** Type of records of quarantined traits in the log stream `control`. */
+export const termRecordType = "quarantine";
+
+const termRecordSchema = z.object({
+    type: z.literal(termRecordType),
+    trait: z.string().min(1),
+    isActive: z.boolean(),
+    decidedAtMs: z.number(),
+    untilMs: z.number(),
+    crashes: z.number(),
+    firstCrashAtMs: z.number(),
+});
+
+/**
+ * Builds the log record of a decision about a quarantine. Its id is the trait with the time of the decision, so that
+ * records of the same decision count once.
+ *
+ * @example
+ * buildTermRecord(term);
+ */
+export function buildTermRecord(term: QuarantineTerm): z.infer<typeof termRecordSchema> & { readonly id: string } {
+    return { type: termRecordType, id: `${term.trait}/${term.decidedAtMs}`, ...term };
+}
+
+/** Parses a value of the log stream `control`. Returns `undefined` if it is not a record of a quarantine. */
+export function parseTermRecord(value: unknown): QuarantineTerm | undefined {
+    const parsed = termRecordSchema.safeParse(value);
+    if (!parsed.success) {
+        return undefined;
+    }
+    const { trait, isActive, decidedAtMs, untilMs, crashes, firstCrashAtMs } = parsed.data;
+    return { trait, isActive, decidedAtMs, untilMs, crashes, firstCrashAtMs };
+}
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -17,6 +17,7 @@
     SidecarMessage,
 } from "../link/messages.js";
 import { EngineReport, EngineRequestState } from "../ports/modelEngine.js";
+import { progressEvents } from "../quarantine/crashEvidence.js";
 import { LoadReport } from "../routing/loadReport.js";
 import { Scheduler, SchedulerPolicy } from "../scheduling/scheduler.js";
 import { createConfigurationStore } from "./configurationStore.js";
@@ -297,8 +298,11 @@
             listReserved: () => listIds(listRunning().filter(work => !work.inherited)),
             listRunningFingerprints: () =>
                 listRunning().map(work => work.item.fingerprint).filter(fingerprint => fingerprint !== ""),
-            handleCrash: (crash, fingerprints) =>
-                links.broadcast({ type: LinkMessageType.CrashReport, crash, fingerprints }),
+            handleCrash(crash, fingerprints) {
+                const suspects = listRunning().filter(work => work.output.length < progressEvents)
+                    .map(work => work.dispatch.traits ?? []).filter(traits => traits.length > 0);
+                links.broadcast({ type: LinkMessageType.CrashReport, crash, fingerprints, suspects });
+            },
             handleChange: () => handleEngineChange(engineSupervisor),
             handleList: requests => checkProgress(requests),
         });
--- a/test/system/quarantine.test.ts
+++ b/test/system/quarantine.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createManualTimerService } from "../../src/base/manualTimerService.js";
+import { createMetrics } from "../../src/base/metrics.js";
 import { ErrorCode } from "../../src/base/requestError.js";
 import { createSystemTimerService } from "../../src/base/systemTimerService.js";
 import { makeExpectedOutput } from "../../src/emulator/engine/tokens.js";
@@ -110,7 +111,7 @@
     const model = createLogModel(defaultLogModelSettings, timers);
     const logService = createMemoryLogService(model, timers);
     const sent: QuarantineMessage[] = [];
-    const dependencies = { timers, log: () => undefined, logService };
+    const dependencies = { timers, log: () => undefined, metrics: createMetrics(), logService };
     const advanceTime = async () => {
         for (let round = 0; round < 20; round++) {
             timers.advance(100);
@@ -127,15 +128,15 @@
         }) as const;
     first.handleCrashReport(report("1"));
     await advanceTime();
-    assert.equal(second.check("a"), undefined);
+    assert.equal(second.check({ fingerprint: "a", traits: [] }), undefined);
     assert.deepEqual(sent.map(message => [message.fingerprint, message.isolated]), [["a", true], ["b", true]]);
     second.handleCrashReport(report("2"));
     await advanceTime();
     const lateManager = createQuarantineManager({ ...dependencies, broadcast: () => undefined });
     await advanceTime();
     for (const manager of [first, second, lateManager]) {
-        assert.equal(manager.check("a")?.code, ErrorCode.Quarantined);
-        assert.equal(manager.check("b"), undefined);
+        assert.equal(manager.check({ fingerprint: "a", traits: [] })?.code, ErrorCode.Quarantined);
+        assert.equal(manager.check({ fingerprint: "b", traits: [] }), undefined);
         manager.dispose();
     }
 });
