--- a/src/gateway/endpointQuota.ts
+++ b/src/gateway/endpointQuota.ts
@@ -2,12 +2,16 @@
 import { LogEvent } from "../base/logEvents.js";
 import { TimerService } from "../base/timerService.js";
 import { createEndpointLimits, EndpointLimit } from "../membership/endpointLimits.js";
+import { AnswerHead } from "../ports/exchange.js";
 import { createLimitBudget, LimitSharing } from "../scheduling/limitBudget.js";
 
+/** What an answer says about the limit of its endpoint. */
+export type LimitAnswer = Pick<AnswerHead, "status" | "isSealed" | "isMisdirected" | "requestsPerSecond">;
+
 /** Keeps the requests of all gateways within the limits that endpoints name in their answers. */
 export interface EndpointQuota {
-    /** Records the requests a second that an answer names, or `undefined` if it names none. */
-    recordAnswer(endpoint: string, perSecond: number | undefined): void;
+    /** Records the limit that an answer names. Only an answer that is certainly the endpoint's says that it names none. */
+    recordAnswer(endpoint: string, answer: LimitAnswer): void;
     /** Applies what another gateway knows. */
     applyNotice(limit: EndpointLimit): void;
     recordDispatch(endpoint: string): void;
@@ -48,7 +52,7 @@
  * Creates quotas without limits.
  *
  * @example
- * quota.recordAnswer("engine-1", 0.5);
+ * quota.recordAnswer("engine-1", answerHead);
  * quota.isOpen("engine-1"); // false until the first request may be sent, two seconds later at the earliest
  */
 export function createEndpointQuota(options: EndpointQuotaOptions): EndpointQuota {
@@ -71,7 +75,11 @@
     }
 
     return {
-        recordAnswer(endpoint, perSecond) {
+        recordAnswer(endpoint, { status, isSealed, isMisdirected, requestsPerSecond: perSecond }) {
+            const isOwn = isSealed && status < 300;
+            if (isMisdirected || (!isOwn && perSecond === undefined)) {
+                return;
+            }
             const limit = { endpoint, perSecond, observedAtMs: timers.now() };
             if (apply(limit, LimitSource.Answer)) {
                 options.reportChange(limit);
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -166,7 +166,7 @@
                 isCurrent: () => place === found && !hasEnded,
                 onHead(decoded) {
                     answerHead = decoded;
-                    recordLimit(found, decoded);
+                    services.endpointQuota.recordAnswer(found.endpoint.id, decoded);
                     handleOutcome(relay.acceptHead(decoded, request.id));
                 },
                 onData: bytes => handleOutcome(relay.acceptData(bytes, () => exchange?.resume())),
@@ -177,17 +177,6 @@
         watch.start(found);
     }
 
-    /** Records the limit that the endpoint names. Only an answer that is certainly its own says that it names none. */
-    function recordLimit(
-        { endpoint }: Place,
-        { status, isSealed, isMisdirected, requestsPerSecond }: AnswerHead,
-    ): void {
-        const isOwn = isSealed && status < 300;
-        if (!isMisdirected && (isOwn || requestsPerSecond !== undefined)) {
-            services.endpointQuota.recordAnswer(endpoint.id, requestsPerSecond);
-        }
-    }
-
     function handleUnreachable(): void {
         // The endpoint may only have lost its network link and still answer. If no retry is allowed, the task waits for
         // that, unless helpers keep memory for the request.
