Recognise a crash that ends an answer without a length in order

Found while reading the diff.

An answer without a length now clears its traits only by events that went on, and its end is followed by the check that a broken connection gets. An error status no longer clears them either: such an answer had not begun to be written.

--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -177,6 +177,17 @@
         watch.start(found);
     }
 
+    /** Records whether requests like this one are answered, as far as the end of the answer shows it. */
+    function recordCompletion({ status, isFramed }: AnswerHead): void {
+        if (!isFramed) {
+            // The endpoint may have crashed: that ends an answer without a length like a whole one.
+            quarantineWatch.recordBrokenConnection(relay.countEvents());
+        }
+        else if (status < 300) {
+            quarantineWatch.recordAnswer();
+        }
+    }
+
     function handleUnreachable(): void {
         // The endpoint may only have lost its network link and still answer. If no retry is allowed, the task waits for
         // that, unless helpers keep memory for the request.
@@ -201,7 +212,7 @@
                 break;
             case AnswerOutcomeKind.Complete:
                 health.record(place.endpoint.id, ExchangeResult.Answered, timers.now());
-                quarantineWatch.recordAnswer();
+                recordCompletion(answerHead!);
                 end(EndKind.Answered, answerHead?.status);
                 break;
             case AnswerOutcomeKind.NotRun:
--- a/test/platform/support/deployment.ts
+++ b/test/platform/support/deployment.ts
@@ -53,6 +53,7 @@
     readonly configuration?: object;
     /** Prompt part that crashes engines, which restart under another id. */
     readonly crashingPart?: string;
+    readonly isCrashUnframed?: boolean;
     readonly eventIntervalMs?: number;
 }
 
@@ -224,6 +225,7 @@
                     events: options.events ?? 6,
                     eventIntervalMs: options.eventIntervalMs,
                     crashingPart: options.crashingPart,
+                    isCrashUnframed: options.isCrashUnframed,
                     onCrashed: previousId => store.remove("keyed.servers", previousId),
                     onRestarted: engine => register(engine, "models"),
                 }),
--- a/test/platform/support/endpointStandIn.ts
+++ b/test/platform/support/endpointStandIn.ts
@@ -85,6 +85,8 @@
      * new ones are refused until the restart at the same address under another id.
      */
     readonly crashingPart?: string;
+    /** Whether the answer that the crash breaks off has neither a length nor chunks, so that it seems to end in order. */
+    readonly isCrashUnframed?: boolean;
     /** Called when the endpoint has crashed and when it is back, with the ids that it had before and has now. */
     readonly onCrashed?: (previousId: string) => void;
     readonly onRestarted?: (endpoint: EndpointStandIn) => void;
@@ -99,6 +101,13 @@
     return `id: ${id}\ndata: piece ${id}\n\n`;
 }
 
+/** Renders the head of a stream that has neither a length nor chunks and ends with its connection. */
+function renderUnframedHead(headers: Readonly<Record<string, string>>): string {
+    const lines = Object.entries({ ...headers, "content-type": "text/event-stream", connection: "close" })
+        .map(([name, value]) => `${name}: ${value}\r\n`).join("");
+    return `HTTP/1.1 200 OK\r\n${lines}\r\n`;
+}
+
 /** Starts an endpoint on a free loopback port. */
 export async function startEndpointStandIn(options: EndpointStandInOptions): Promise<EndpointStandIn> {
     const requests: ReceivedRequest[] = [];
@@ -213,14 +222,17 @@
     ): Promise<void> {
         const first = Number(request.headers["last-event-id"] ?? -1) + 1;
         if (fault === EndpointFault.Unframed || fault === EndpointFault.UnframedWithinAnswer) {
-            const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
             const isCut = fault === EndpointFault.UnframedWithinAnswer;
             const ids = Array.from({ length: options.events - first }, (unused, index) => first + index);
             const events = ids.slice(0, isCut ? 2 : undefined).map(renderEvent).join("");
             const cutEvent = isCut ? renderEvent(first + 2).slice(0, 5) : "";
-            request.socket.end(
-                `HTTP/1.1 200 OK\r\n${lines}Content-Type: text/event-stream\r\nConnection: close\r\n\r\n${events}${cutEvent}`,
-            );
+            request.socket.end(renderUnframedHead(headers) + events + cutEvent);
+            return;
+        }
+        if (hasCrashingPart(request) && options.isCrashUnframed) {
+            request.socket.write(renderUnframedHead(headers) + renderEvent(first));
+            await wait(crashDelayMs);
+            await crash();
             return;
         }
         response.writeHead(200, { ...headers, "content-type": "text/event-stream" });
