Bound what quarantines keep in memory

Timers of writes to the store were kept after they had fired, and a trait whose quarantine was dropped for a newer one stayed a culprit. Found while reading the diff; both grow only with quarantines.

--- a/src/gateway/quarantineRegistry.ts
+++ b/src/gateway/quarantineRegistry.ts
@@ -89,7 +89,9 @@
         terms.delete(term.trait);
         terms.set(term.trait, term);
         if (terms.size > maxTerms) {
-            terms.delete(terms.keys().next().value!);
+            const oldest = terms.keys().next().value!;
+            terms.delete(oldest);
+            evidence.forgetCulprit(oldest);
         }
         tests.delete(term.trait);
         const { trait, crashes } = term;
--- a/src/gateway/quarantineStore.ts
+++ b/src/gateway/quarantineStore.ts
@@ -71,7 +71,7 @@
 export function createQuarantineStore(options: QuarantineStoreOptions): QuarantineStore {
     const { feed, timers, log } = options;
     const stored = new Map<string, QuarantineTerm>();
-    const pending = new Map<string, QuarantineTerm>();
+    const pending = new Map<string, { readonly term: QuarantineTerm; readonly timer: Disposable }>();
     const disposables = createDisposableStore();
     let hasRead = false;
     let isReachable = true;
@@ -88,7 +88,7 @@
     }
 
     async function write(trait: string): Promise<void> {
-        const term = pending.get(trait);
+        const term = pending.get(trait)?.term;
         pending.delete(trait);
         if (!term || !isNewerTerm(term, stored.get(trait))) {
             return;
@@ -101,12 +101,10 @@
     }
 
     function schedule(term: QuarantineTerm, delayMs: number): void {
-        const isScheduled = pending.has(term.trait);
-        if (isNewerTerm(term, pending.get(term.trait))) {
-            pending.set(term.trait, term);
-        }
-        if (!isScheduled) {
-            disposables.register(timers.schedule(delayMs, () => void write(term.trait)));
+        const known = pending.get(term.trait);
+        if (isNewerTerm(term, known?.term)) {
+            const timer = known?.timer ?? timers.schedule(delayMs, () => void write(term.trait));
+            pending.set(term.trait, { term, timer });
         }
     }
 
@@ -132,6 +130,9 @@
         writeDecision: term => schedule(term, decisionJitterMs * options.random()),
         writeMissing: term => schedule(term, missingDelayMs + missingJitterMs * options.random()),
         isAvailable: () => hasRead && isReachable,
-        dispose: () => disposables.dispose(),
+        dispose() {
+            disposables.dispose();
+            pending.forEach(({ timer }) => timer.dispose());
+        },
     };
 }
