Ask an endpoint now and then whatever limit it names

An endpoint that named a limit of zero was never sent anything again, so that nobody saw the limit end. All gateways together ask it every 20 s at least.

--- a/src/scheduling/limitBudget.ts
+++ b/src/scheduling/limitBudget.ts
@@ -35,6 +35,11 @@
 /** Most requests beyond the limit that are made up for later. Others may know nothing of the limit for some time. */
 const maxDebtSeconds = 2;
 const minDebt = 3;
+/**
+ * Lowest rate at which an endpoint is asked, in requests a second of all gateways together, whatever limit it names: only
+ * its answers show that the limit has ended.
+ */
+const minPerSecond = 0.05;
 const millisecondsPerSecond = 1_000;
 
 interface Bucket {
@@ -87,12 +92,13 @@
                 buckets.delete(endpoint);
                 return;
             }
+            const usedPerSecond = Math.max(minPerSecond, perSecond);
             if (known) {
-                known.perSecond = perSecond;
+                known.perSecond = usedPerSecond;
                 return;
             }
             buckets.set(endpoint, {
-                perSecond,
+                perSecond: usedPerSecond,
                 // Gateways that do not hear of each other begin at different times.
                 shared: random(),
                 own: random(),
--- a/test/scheduling/limitBudget.test.ts
+++ b/test/scheduling/limitBudget.test.ts
@@ -30,6 +30,10 @@
         assert.equal(countSent(0.1, alone, 60_000), 5);
     });
 
+    test("an endpoint that accepts none is still asked, since only an answer shows that it accepts more", () => {
+        assert.equal(countSent(0, alone, 200_000), 9);
+    });
+
     test("requests of others use up what a gateway could lend, but not its own part", () => {
         const sharing = { gateways: 4, heard: 4 };
         const budget = createLimitBudget(() => 0);
