Do not take endpoints for silent after a time in which the gateway did not run

Cause: when the event loop of a gateway stalls, its timers run before its sockets are read, so that the time-out for silence ended although the answer waited in the socket. The sound endpoint was given up, the retry went to the endpoint in trouble, and the route's two attempts were used up.

Change: a time-out that ends late begins anew, as the watch for acknowledgements of entries has done; both use one function. The time service of tests can now pause.

--- a/src/base/manualTimerService.ts
+++ b/src/base/manualTimerService.ts
@@ -12,6 +12,8 @@
 export interface ManualTimerService extends TimerService {
     /** Advances time by `durationMs` and runs the callbacks that become due, in order of due time. */
     advance(durationMs: number): void;
+    /** Lets time pass in which the process does not run, so that callbacks that become due run late. */
+    pause(durationMs: number): void;
     /** Returns the due time of the next callback, or `undefined` when none is scheduled. */
     getNextDue(): number | undefined;
 }
@@ -53,15 +55,18 @@
         schedule: (delayMs, callback) => register(delayMs, undefined, callback),
         subscribe: (intervalMs, callback) => register(intervalMs, intervalMs, callback),
         getNextDue: () => findNext()?.dueMs,
+        pause(durationMs) {
+            nowMs += durationMs;
+        },
         advance(durationMs) {
             const endMs = nowMs + durationMs;
             for (let next = findNext(); next && next.dueMs <= endMs; next = findNext()) {
-                nowMs = next.dueMs;
+                nowMs = Math.max(nowMs, next.dueMs);
                 if (next.intervalMs === undefined) {
                     entries.delete(next);
                 }
                 else {
-                    next.dueMs += next.intervalMs;
+                    next.dueMs = nowMs + next.intervalMs;
                 }
                 next.callback();
             }
--- a/src/entry/acknowledgementWatch.ts
+++ b/src/entry/acknowledgementWatch.ts
@@ -1,10 +1,9 @@
 import { Disposable } from "../base/disposable.js";
+import { hasStalled } from "../base/stall.js";
 import { TimerService } from "../base/timerService.js";
 
 /** Sidecars acknowledge a dispatch immediately. Only a dead connection or a stopped process exceeds this timeout. */
 const acknowledgementTimeoutMs = 1_000;
-/** A check that runs later than this shows that this process was busy or paused. */
-const maxCheckDelayMs = 100;
 
 /** A connection whose acknowledgement of a dispatch is awaited. */
 export interface WatchedConnection {
@@ -30,7 +29,7 @@
         if (connection.isAnswered()) {
             return;
         }
-        if (timers.now() - dueMs > maxCheckDelayMs || connection.hasUnsentBytes()) {
+        if (hasStalled(dueMs, timers.now()) || connection.hasUnsentBytes()) {
             scheduleCheck();
             return;
         }
--- a/test/gateway/parts.test.ts
+++ b/test/gateway/parts.test.ts
@@ -175,6 +175,23 @@
     });
 });
 
+describe("idle timer of a process that did not run", () => {
+    /** Guards against endpoints that are held to be silent although their answers have only not been read yet. */
+    test("does not count that time, and fires if nothing comes after it", () => {
+        const timers = createManualTimerService();
+        const firedAtMs: number[] = [];
+        const idleTimer = createIdleTimer(timers, () => firedAtMs.push(timers.now()));
+        idleTimer.extend(500);
+        timers.advance(100);
+        timers.pause(3_000);
+        timers.advance(10);
+        assert.deepEqual(firedAtMs, []);
+        timers.advance(10_000);
+        assert.equal(firedAtMs.length, 1);
+        assert.ok(firedAtMs[0]! >= 3_100 + 400, `fired at ${firedAtMs[0]}`);
+    });
+});
+
 describe("reservations", () => {
     function setUp(reply: (op: string, address: string) => ReservationOutcome) {
         const timers = createManualTimerService();
