Do not take links for dead after a time in which the process did not run

On a busy core requests failed during a graceful stop of an engine or a sidecar as may-have-run. Cause: entry and sidecar close a link on which nothing arrived for three heartbeats, also when their own process did not run and had not read it; restartable requests then fail 0.5 s later. Change: a heartbeat that is late by over 0.1 s begins the silence anew, as the time-outs of the gateway do. Real silence is found as before, later by the time that the process did not run.

--- a/src/entry/endpointLinkTask.ts
+++ b/src/entry/endpointLinkTask.ts
@@ -4,6 +4,7 @@
 import { LogEvent } from "../base/logEvents.js";
 import { RandomSource } from "../base/randomSource.js";
 import { buildRequestError, ErrorCode } from "../base/requestError.js";
+import { hasStalled } from "../base/stall.js";
 import { TimerService } from "../base/timerService.js";
 import { Verdict } from "../base/verdict.js";
 import { LinkConnection } from "../link/connection.js";
@@ -332,11 +333,18 @@
         },
     };
 
+    let heartbeatDueMs = timers.now() + settings.heartbeatIntervalMs;
     store.register(timers.subscribe(settings.heartbeatIntervalMs, () => {
+        const nowMs = timers.now();
+        const isLate = hasStalled(heartbeatDueMs, nowMs);
+        heartbeatDueMs = nowMs + settings.heartbeatIntervalMs;
         if (state !== LinkState.Open) {
             return;
         }
-        const nowMs = timers.now();
+        if (isLate) {
+            // What the sidecar has sent meanwhile has not been read.
+            lastReceivedMs = nowMs;
+        }
         if (nowMs - lastReceivedMs > missedHeartbeatLimit * settings.heartbeatIntervalMs) {
             // The connection is open but delivers nothing. Closing it makes the link reconnect.
             log(LogEvent.LinkUnresponsive, { endpoint });
--- a/src/sidecar/linkServer.ts
+++ b/src/sidecar/linkServer.ts
@@ -3,6 +3,7 @@
 import { EventLog } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
 import { ErrorCode } from "../base/requestError.js";
+import { hasStalled } from "../base/stall.js";
 import { TimerService } from "../base/timerService.js";
 import { createLinkConnection, LinkConnection } from "../link/connection.js";
 import { LinkRole, makeNonce, signHandshake, verifyHandshake } from "../link/handshake.js";
@@ -178,12 +179,19 @@
             sessions.forEach(session => session.connection?.dispose());
         }
     }));
+    let heartbeatDueMs = timers.now() + settings.heartbeatIntervalMs;
     store.register(timers.subscribe(settings.heartbeatIntervalMs, () => {
         const nowMs = timers.now();
+        const isLate = hasStalled(heartbeatDueMs, nowMs);
+        heartbeatDueMs = nowMs + settings.heartbeatIntervalMs;
         for (const session of sessions.values()) {
             if (!session.connection) {
                 continue;
             }
+            if (isLate) {
+                // What the entry has sent meanwhile has not been read.
+                session.lastReceivedMs = nowMs;
+            }
             if (nowMs - session.lastReceivedMs > missedHeartbeatLimit * settings.heartbeatIntervalMs) {
                 session.connection.dispose();
                 continue;
