Give the stream of a drain test more time than it needs

Traced: its stream of 500 events, 5 ms apart, had the deadline of 3 s of all test requests. With 7 ms between events, as timers of a busy machine have, the old test fails with just this error each time: the gateway ends the stream at its deadline, as it must. The test now uses a route and a deadline of 12 s, a stream of four seconds and a grace of eight, asks 0.2 s after idle connections are closed instead of at a fixed 1.9 s, and checks that the stream still runs then, which it did not before.

--- a/test/platform/gatewayDrain.test.ts
+++ b/test/platform/gatewayDrain.test.ts
@@ -4,6 +4,9 @@
 import { isReady, makeHeaders, makeModelHeaders, send, startDeployment, TestDeployment } from "./support/deployment.js";
 import { renderEvent } from "./support/endpointStandIn.js";
 
+/** Time after SIGTERM at which a gateway closes idle connections. */
+const idleCloseMs = 3_000;
+
 describe("draining a gateway", () => {
     test("running streams finish, new requests are served, and the gateway is unready at once", async () => {
         const deployment = await startDeployment({ events: 12, graceMs: 2_500 });
@@ -26,13 +29,19 @@
      * stop at about the same time, the load balancer has no other host to send customers to.
      */
     test("connections are accepted for as long as a stream is still running", async context => {
-        const deployment = await startDeployment({ events: 500, graceMs: 4_000 });
+        const deployment = await startDeployment({ events: 800, graceMs: 8_000 });
         context.after(() => closeEndpoints(deployment));
         const gateway = deployment.gateways[0]!;
-        const running = send(gateway, { method: "POST", path: "/draft/1", headers: makeModelHeaders(), body: "long" });
+        const headers = makeModelHeaders({ "x-deadline-ms": "12000" });
+        const running = send(gateway, { method: "POST", path: "/digest/1", headers, body: "long" });
+        let isRunning = true;
+        void running.finally(() => {
+            isRunning = false;
+        }).catch(() => undefined);
         await new Promise(resolve => setTimeout(resolve, 20));
         const drained = gateway.drain();
-        await new Promise(resolve => setTimeout(resolve, 1_900));
+        await new Promise(resolve => setTimeout(resolve, idleCloseMs + 200));
+        assert.ok(isRunning, "the stream has ended before the idle connections were closed");
         const late = await send(gateway, { path: "/look/1", headers: makeHeaders() });
         assert.equal(late.status, 200);
         assert.equal((await running).status, 200);
