Log crashes without a suspect, and why nothing is quarantined

SuspectFound shows how many requests one gateway suspects, but not that none is left once all have reported, and nothing showed on what a decision not to quarantine rests. CrashUnexplained names a crash for which no gateway has reported a suspect within a second, with a counter; QuarantineWithheld names up to three traits that several crashes count against, with the counts that the rule uses. No decision is changed.

--- a/src/base/logEvents.ts
+++ b/src/base/logEvents.ts
@@ -72,6 +72,8 @@
     QuarantineEnded = 7006,
     QuarantineTested = 7007,
     QuarantineNotStored = 7008,
+    CrashUnexplained = 7009,
+    QuarantineWithheld = 7010,
     StoreFeedLost = 8001,
     StoreFeedBack = 8002,
     StoreFeedGap = 8003,
--- a/src/gateway/quarantineRegistry.ts
+++ b/src/gateway/quarantineRegistry.ts
@@ -65,6 +65,9 @@
 /** Crashes of a part, one less than a quarantine needs, after which its requests do not run beside each other. */
 const crashesUntilPartIsIsolated = 2;
 const crashesUntilRequestIsIsolated = 1;
+/** Time within which the gateways whose requests ran on a crashed endpoint report their suspects, in milliseconds. */
+const reportsCompleteMs = 1_000;
+const maxLoggedOpenSuspects = 3;
 
 /**
  * Creates a registry without quarantines.
@@ -78,6 +81,8 @@
     const evidence = createCrashEvidence(defaultEvidenceSettings);
     const terms = new Map<string, QuarantineTerm>();
     const tests = new Set<string>();
+    /** Crashes whose suspects may not all be known yet. */
+    const recentCrashes = new Set<string>();
     const listeners = new Set<(trait: string) => void>();
 
     /** Applies a statement. Returns whether it was news. */
@@ -156,6 +161,20 @@
         }
     }
 
+    /** Logs why nothing was quarantined, as the next requests with these traits may crash further endpoints. */
+    function logOpenSuspects(crash: string): void {
+        for (const suspect of evidence.listOpenSuspects(maxLoggedOpenSuspects)) {
+            log(LogEvent.QuarantineWithheld, { crash, ...suspect });
+        }
+    }
+
+    function logUnexplainedCrash(crash: string): void {
+        if (evidence.countSuspects(crash) === 0) {
+            log(LogEvent.CrashUnexplained, { crash });
+            metrics.count("jujubelane_unexplained_crashes_total", "Crashes of endpoints without a suspect.");
+        }
+    }
+
     /** Ends a quarantine that another process decided on although a request with the trait was answered meanwhile. */
     function checkContradiction(term: QuarantineTerm): void {
         const answeredAtMs = evidence.getLastAnswerMs(term.trait);
@@ -204,6 +223,13 @@
             if (!evidence.recordCrash(report, timers.now())) {
                 return;
             }
+            if (!recentCrashes.has(report.crash)) {
+                recentCrashes.add(report.crash);
+                timers.schedule(reportsCompleteMs, () => {
+                    recentCrashes.delete(report.crash);
+                    logUnexplainedCrash(report.crash);
+                });
+            }
             log(LogEvent.SuspectFound, {
                 crash: report.crash,
                 suspects: report.suspects.length,
@@ -217,6 +243,7 @@
             }
             renewFailedTests(report);
             startNewTerms();
+            logOpenSuspects(report.crash);
         },
         applyTerm(term, source) {
             if (apply(term, source)) {
--- a/src/quarantine/crashEvidence.ts
+++ b/src/quarantine/crashEvidence.ts
@@ -21,6 +21,18 @@
     readonly firstCrashAgeMs: number;
 }
 
+/** Trait that several crashes count against without making it a culprit, with what that was decided on. */
+export interface OpenSuspect {
+    readonly trait: string;
+    readonly crashes: number;
+    /** Crashes that count as separate, as against those of endpoints that failed together. */
+    readonly separateCrashes: number;
+    /** Different requests with the trait that were beginning on crashed endpoints. */
+    readonly requests: number;
+    /** Whether a request with the trait has been answered, before the crashes or between them. */
+    readonly hasAnswer: boolean;
+}
+
 export interface EvidenceSettings {
     /** Crashes without an answer in between after which a prompt part, or a request that has parts, is a culprit. */
     readonly minCrashes: number;
@@ -72,6 +84,10 @@
     recordAnswer(traits: readonly string[], nowMs: number): void;
     /** Returns the next culprit. Its crashes then no longer count against other traits. */
     takeCulprit(nowMs: number): Culprit | undefined;
+    /** Lists the traits that at least two crashes count against and that are no culprits, those with the most first. */
+    listOpenSuspects(maxCount: number): readonly OpenSuspect[];
+    /** Counts the requests that may have caused a crash, as far as they are known. */
+    countSuspects(crash: string): number;
     /** Counts the crashes that a trait may have caused since its last answer. */
     countCrashes(trait: string, nowMs: number): number;
     /** Returns the time of the last known answer to a request with the trait. */
@@ -262,6 +278,18 @@
                 firstCrashAgeMs: nowMs - Math.min(...best.crashTimesMs),
             };
         },
+        listOpenSuspects: maxCount =>
+            countTraits().filter(tally => tally.crashTimesMs.size > 1)
+                .sort((left, right) => right.crashTimesMs.size - left.crashTimesMs.size || right.depth - left.depth)
+                .slice(0, maxCount)
+                .map(tally => ({
+                    trait: tally.trait,
+                    crashes: tally.crashTimesMs.size,
+                    separateCrashes: countSeparateCrashes(tally),
+                    requests: tally.requests.size,
+                    hasAnswer: answeredAtMs.has(tally.trait),
+                })),
+        countSuspects: crash => crashes.get(crash)?.suspects.size ?? 0,
         countCrashes(trait, nowMs) {
             if (!suspected.has(trait)) {
                 return 0;
--- a/test/gateway/quarantine.test.ts
+++ b/test/gateway/quarantine.test.ts
@@ -1,5 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
+import { LogFields } from "../../src/base/log.js";
+import { LogEvent } from "../../src/base/logEvents.js";
 import { createManualTimerService } from "../../src/base/manualTimerService.js";
 import { createMetrics } from "../../src/base/metrics.js";
 import { makeFailure, makeSuccess } from "../../src/base/result.js";
@@ -136,6 +138,50 @@
     });
 });
 
+describe("a crash that leads to no quarantine", () => {
+    function setUpLog() {
+        const timers = createManualTimerService();
+        const lines: { readonly event: LogEvent; readonly fields: LogFields }[] = [];
+        const metrics = createMetrics();
+        const registry = createQuarantineRegistry({
+            timers,
+            log: (event, fields = {}) => lines.push({ event, fields }),
+            metrics,
+            reportCrash: () => undefined,
+            reportTerm: () => undefined,
+            isTester: () => true,
+        });
+        const list = (event: LogEvent) => lines.filter(line => line.event === event).map(line => line.fields);
+        return { timers, metrics, registry, list };
+    }
+
+    test("is logged and counted if no gateway has named a suspect", () => {
+        const { timers, metrics, registry, list } = setUpLog();
+        registry.applyCrash({ crash: "desk/1", ageMs: 0, suspects: [] }, true);
+        registry.applyCrash({ crash: "desk/2", ageMs: 0, suspects: [] }, true);
+        registry.applyCrash({ crash: "desk/2", ageMs: 20, suspects: [["request/x"]] }, false);
+        timers.advance(1_000);
+        assert.deepEqual(list(LogEvent.CrashUnexplained), [{ crash: "desk/1" }]);
+        assert.match(metrics.render(), /^jujubelane_unexplained_crashes_total 1$/m);
+    });
+
+    test("is logged with what was decided on, for the traits that several crashes count against", () => {
+        const { timers, registry, list } = setUpLog();
+        for (const crash of ["engine/1", "engine/2"]) {
+            registry.applyCrash({ crash, ageMs: 0, suspects: [["part/models/a", `request/${crash}`]] }, true);
+            timers.advance(1_000);
+        }
+        assert.deepEqual(list(LogEvent.QuarantineWithheld), [{
+            crash: "engine/2",
+            trait: "part/models/a",
+            crashes: 2,
+            separateCrashes: 2,
+            requests: 2,
+            hasAnswer: false,
+        }]);
+    });
+});
+
 describe("quarantines in the store", () => {
     const term: QuarantineTerm = {
         trait: badPart,
