--- a/test/platform/support/deployment.ts
+++ b/test/platform/support/deployment.ts
@@ -13,7 +13,7 @@
 import { createSystemTimerService } from "../../../src/base/systemTimerService.js";
 import { Gateway, startGateway } from "../../../src/gateway/gateway.js";
 import { GatewaySettings } from "../../../src/gateway/gatewaySettings.js";
-import { EndpointStandIn, startEndpointStandIn } from "./endpointStandIn.js";
+import { CrashPlan, EndpointStandIn, startEndpointStandIn } from "./endpointStandIn.js";
 import { startStoreStandIn, StoreStandIn } from "./storeStandIn.js";
 
 export const customerKey = "key-of-planner";
@@ -51,10 +51,16 @@
     readonly events?: number;
     readonly graceMs?: number;
     readonly configuration?: object;
+    /** Customers of the configuration instead of a single one, with the platform's field names. */
+    readonly customers?: readonly object[];
     /** Prompt part that crashes engines, which restart under another id. */
     readonly crashingPart?: string;
     readonly isCrashUnframed?: boolean;
     readonly eventIntervalMs?: number;
+    /** Requests under which an instance of the plain service ends. It restarts under another id. */
+    readonly serviceCrashPlan?: CrashPlan;
+    /** Time from the end of an instance of the plain service to the loss of its registration, in milliseconds. */
+    readonly lapseDelayMs?: number;
 }
 
 /** Makes the configuration of a deployment, with the platform's field names. */
@@ -234,7 +240,15 @@
     const services = await Promise.all(
         Array.from(
             { length: options.services ?? 2 },
-            (unused, index) => startEndpointStandIn({ id: `desk-${index}`, events: 0 }),
+            (unused, index) =>
+                startEndpointStandIn({
+                    id: `desk-${index}`,
+                    events: 0,
+                    crashPlan: options.serviceCrashPlan,
+                    onCrashed: previousId =>
+                        void setTimeout(() => store.remove("keyed.servers", previousId), options.lapseDelayMs ?? 0),
+                    onRestarted: service => register(service, "desk"),
+                }),
         ),
     );
     const register = (endpoint: EndpointStandIn, service: string, changes: object = {}) =>
@@ -252,7 +266,11 @@
         });
     engines.forEach(engine => register(engine, "models"));
     services.forEach(service => register(service, "desk"));
-    store.put("keyed.op", "config", options.configuration ?? makeConfiguration());
+    store.put(
+        "keyed.op",
+        "config",
+        options.configuration ?? makeConfiguration(1, options.customers ? { tenants: options.customers } : {}),
+    );
     const gateways = await Promise.all(
         Array.from(
             { length: options.gateways ?? 1 },
@@ -303,7 +321,7 @@
 
 /** A request to send as a customer. */
 export interface CustomerRequest {
-    readonly method?: "GET" | "POST";
+    readonly method?: "GET" | "HEAD" | "POST";
     readonly path: string;
     readonly headers: Record<string, string>;
     readonly body?: string;
--- a/test/platform/support/endpointStandIn.ts
+++ b/test/platform/support/endpointStandIn.ts
@@ -35,6 +35,29 @@
     Slow = "slow",
 }
 
+/** How an endpoint ends under a request. */
+export enum CrashKind {
+    /** Connections close and new ones are refused until the restart. */
+    Reset = "reset",
+    /** As `Reset`, after the head and a part of the answer. */
+    WithinAnswer = "within-answer",
+    /** As `Reset`, after a complete answer. */
+    AfterAnswer = "after-answer",
+    /** Nothing is answered and new connections are refused; the restart resets the connections of before. */
+    Dark = "dark",
+    /** Nothing is answered, new connections are accepted and stay silent; the restart resets all of them. */
+    Hung = "hung",
+}
+
+/** Requests under which an endpoint ends. */
+export interface CrashPlan {
+    readonly kind: CrashKind;
+    isCrashing(request: IncomingMessage, body: string): boolean;
+    /** Time from the arrival of the request, or from its answer, to the end. */
+    readonly delayMs: number;
+    readonly restartDelayMs: number;
+}
+
 /** A request as it arrived. */
 export interface ReceivedRequest {
     readonly method: string;
@@ -71,6 +94,8 @@
     countConnections(): number;
     /** Times of crashes, in milliseconds since the process started. */
     readonly crashesAtMs: readonly number[];
+    /** Ends the endpoint like a loss of power, and restarts it. */
+    losePower(restartDelayMs: number): Promise<void>;
     close(): Promise<void>;
 }
 
@@ -87,6 +112,7 @@
     readonly crashingPart?: string;
     /** Whether the answer that the crash breaks off has neither a length nor chunks, so that it seems to end in order. */
     readonly isCrashUnframed?: boolean;
+    readonly crashPlan?: CrashPlan;
     /** Called when the endpoint has crashed and when it is back, with the ids that it had before and has now. */
     readonly onCrashed?: (previousId: string) => void;
     readonly onRestarted?: (endpoint: EndpointStandIn) => void;
@@ -121,18 +147,27 @@
     let isClosed = false;
     let id = options.id;
 
-    async function crash(): Promise<void> {
+    async function crash(kind: CrashKind = CrashKind.Reset, restartMs = restartDelayMs): Promise<void> {
         if (isClosed || !isListening) {
             return;
         }
         isListening = false;
         crashesAtMs.push(performance.now());
-        const closed = server.close();
-        sockets.forEach(socket => socket.destroy());
-        await closed;
+        const isSilent = kind === CrashKind.Dark || kind === CrashKind.Hung;
+        isHung = isSilent;
+        if (kind === CrashKind.Dark) {
+            server.stopAccepting();
+        }
+        if (!isSilent) {
+            await closeServer();
+        }
         options.onCrashed?.(id);
-        await wait(restartDelayMs);
+        await wait(restartMs);
         if (!isClosed) {
+            if (isSilent) {
+                await closeServer();
+            }
+            isHung = false;
             id = `${options.id}.${crashesAtMs.length}`;
             server = await startServer(server.port);
             isListening = true;
@@ -140,6 +175,12 @@
         }
     }
 
+    async function closeServer(): Promise<void> {
+        const closed = server.close();
+        sockets.forEach(socket => socket.destroy());
+        await closed;
+    }
+
     function hasCrashingPart(request: IncomingMessage): boolean {
         const parts = String(request.headers["x-prompt-prefix"] ?? "").split(",").map(part => part.split(":")[0]);
         return options.crashingPart !== undefined && parts.includes(options.crashingPart);
@@ -147,6 +188,9 @@
 
     async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const body = (await readBody(request)).toString("utf8");
+        if (isHung) {
+            return;
+        }
         if (request.url === "/jujubelane/order") {
             reservationCalls.push(JSON.parse(body) as ReceivedReservationCall);
             if (!areReservationCallsSilent) {
@@ -173,9 +217,26 @@
             response.writeHead(421, { "x-runner-id": id }).end();
             return;
         }
+        const plan = options.crashPlan;
+        if (plan?.isCrashing(request, body)) {
+            await crashUnder(plan, request, response);
+            return;
+        }
         await answer(request, response, fault);
     }
 
+    async function crashUnder(plan: CrashPlan, request: IncomingMessage, response: ServerResponse): Promise<void> {
+        if (plan.kind === CrashKind.AfterAnswer) {
+            await answer(request, response, EndpointFault.None);
+        }
+        if (plan.kind === CrashKind.WithinAnswer) {
+            response.writeHead(200, { "x-request-id": request.headers["x-request-id"], "content-length": "1000" });
+            response.write("the beginning");
+        }
+        await wait(plan.delayMs);
+        await crash(plan.kind, plan.restartDelayMs);
+    }
+
     async function answer(request: IncomingMessage, response: ServerResponse, fault: EndpointFault): Promise<void> {
         const requestId = request.headers["x-request-id"] as string;
         const headers: Record<string, string> = { "x-request-id": requestId, "x-response-seal": `seal-${id}` };
@@ -300,6 +361,7 @@
     }
 
     let isListening = true;
+    let isHung = false;
     let server = await startServer(0);
     const standIn: EndpointStandIn = {
         get id() {
@@ -317,9 +379,10 @@
             requestLimit = perSecond;
         },
         countConnections: () => connections,
+        losePower: restartMs => crash(CrashKind.Reset, restartMs),
         async close() {
             isClosed = true;
-            await (isListening ? server.close() : undefined);
+            await (isListening || isHung ? closeServer() : undefined);
         },
     };
     return standIn;
