Recognise requests without a body that crash endpoints

Callers saw 502 and 503 of a service whose instances ended one after the other, each under the same GET. The class: evidence that exists only for the kinds of request that were thought of.

Every request now has a fingerprint: service, customer, method, host, path, what the headers say of the prompt, and body. Customers do not share one, except on routes without a key, where all callers send the same request. Such requests recur, so that three things change with them: answers to whole requests are remembered too, apart from those of parts; one that was answered within the memory needs three crashes instead of two; and any answer below 500 shows that the endpoint lived. A plain service has no prompt to read, so that a crash within 10 ms of the dispatch no longer lacks a suspect.

--- a/src/gateway/acceptedRequest.ts
+++ b/src/gateway/acceptedRequest.ts
@@ -19,8 +19,7 @@
     readonly rank: number;
     readonly arrivedAtMs: number;
     /**
-     * What may crash endpoints and other requests may share: the shared parts of the prompt, then the fingerprint. Empty
-     * for a request without a body or a prompt, which is indistinguishable from others to the same path.
+     * What may crash endpoints and other requests may share: the shared parts of the prompt, then the fingerprint.
      */
     readonly traits: readonly string[];
     readonly configurationVersion: number;
--- a/src/gateway/quarantineRegistry.ts
+++ b/src/gateway/quarantineRegistry.ts
@@ -73,8 +73,8 @@
  * Creates a registry without quarantines.
  *
  * @example
- * registry.applyCrash({ crash: "engine-1/1", ageMs: 0, suspects: [listTraits("models", ["5c1e"], undefined)] }, true);
- * registry.decideTreatment(listTraits("models", ["5c1e"], undefined)); // Treatment.Free
+ * registry.applyCrash({ crash: "engine-1/1", ageMs: 0, suspects: [listTraits("models", ["5c1e"], "x")] }, true);
+ * registry.decideTreatment(listTraits("models", ["5c1e"], "x")); // Treatment.Free
  */
 export function createQuarantineRegistry(options: QuarantineRegistryOptions): QuarantineRegistry {
     const { timers, log, metrics } = options;
@@ -269,20 +269,38 @@
  * @example
  * listTraits("models", ["5c1e"], "x"); // ["part/models/5c1e", "request/x"]
  */
-export function listTraits(service: string, sharedParts: readonly string[], fingerprint: string | undefined): string[] {
+export function listTraits(service: string, sharedParts: readonly string[], fingerprint: string): string[] {
     const names = sharedParts.map(part => `part/${service}/${part}`);
     const traits = names.map(name => name.length > maxTraitLength ? `part/${computeDigest(name)}` : name);
-    return fingerprint === undefined ? traits : [...traits, `request/${fingerprint}`];
+    return [...traits, `request/${fingerprint}`];
+}
+
+/** What makes a request the same request when it is sent again under another id. */
+export interface RequestIdentity {
+    readonly service: string;
+    /** Name of the customer; absent on routes that need no key, where all callers count as one. */
+    readonly customer?: string;
+    readonly method: string;
+    readonly host: string;
+    readonly path: string;
+    /** Text that identifies the prompt, if it is not in the body. */
+    readonly promptIdentity?: string;
+    readonly body?: Buffer;
 }
 
 /**
- * Computes the fingerprint that identifies a request that is sent again under another id.
+ * Computes the fingerprint that identifies a request that is sent again under another id. It includes the customer, so
+ * that no customer's request is refused because of another's.
  *
  * @example
- * computeFingerprint("customer-1", "/chat/1", body);
+ * computeFingerprint({ service: "desk", customer: "a", method: "GET", host: "x.example", path: "/look/1" });
  */
-export function computeFingerprint(customer: string, path: string, body: Buffer): string {
-    return createHash("sha256").update(`${customer}\n${path}\n`).update(body).digest("base64").slice(0, 16);
+export function computeFingerprint(request: RequestIdentity): string {
+    const { service, customer = "", method, host, path, promptIdentity = "", body = Buffer.alloc(0) } = request;
+    return createHash("sha256")
+        .update([service, customer, method, host, path, promptIdentity, ""].join("\n"))
+        .update(body)
+        .digest("base64").slice(0, 16);
 }
 
 function computeDigest(text: string): string {
--- a/src/gateway/quarantineWatch.ts
+++ b/src/gateway/quarantineWatch.ts
@@ -82,7 +82,8 @@
                 const running = {
                     events: events - eventsBefore,
                     elapsedMs: timers.now() - sentAtMs,
-                    predictedMs: place.firstByteMs,
+                    // A plain service has no prompt to read and begins at once.
+                    predictedMs: place.partMs > 0 ? place.firstByteMs : 0,
                 };
                 const isSuspect = traits.length > 0 && isCrashSuspect(running);
                 crashDetector.recordBrokenConnection(place.endpoint, isSuspect ? traits : undefined);
--- a/src/gateway/requestIntake.ts
+++ b/src/gateway/requestIntake.ts
@@ -160,13 +160,17 @@
             refuse(request, response, { status: 503, reason: "no service", retryAfterMs: unconfiguredRetryMs });
             return;
         }
-        const fingerprint = body && computeFingerprint(customer?.name ?? "", checked.path, body);
-        const hasParts = head.sharedPromptParts.length > 0;
-        const traits = listTraits(
-            service.name,
-            head.sharedPromptParts,
-            fingerprint ?? (hasParts ? head.id : undefined),
-        );
+        const method = request.method ?? "GET";
+        const fingerprint = computeFingerprint({
+            service: service.name,
+            customer: customer?.name,
+            method,
+            host: checked.host,
+            path: checked.path,
+            promptIdentity: head.promptIdentity,
+            body,
+        });
+        const traits = listTraits(service.name, head.sharedPromptParts, fingerprint);
         const quarantine = services.quarantineRegistry.findQuarantine(traits);
         if (quarantine) {
             refuse(request, response, {
@@ -180,7 +184,7 @@
         const accepted: AcceptedRequest = {
             head,
             id: head.id!,
-            method: request.method ?? "GET",
+            method,
             path: checked.path,
             host: checked.host,
             body,
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -183,7 +183,7 @@
             // The endpoint may have crashed: that ends an answer without a length like a whole one.
             quarantineWatch.recordBrokenConnection(relay.countEvents());
         }
-        else if (status < 300) {
+        else if (status < 500) {
             quarantineWatch.recordAnswer();
         }
     }
--- a/src/ports/exchange.ts
+++ b/src/ports/exchange.ts
@@ -22,6 +22,8 @@
      * and is left out.
      */
     readonly sharedPromptParts: readonly string[];
+    /** Text that is the same for the same prompt, if the headers describe one. */
+    readonly promptIdentity?: string;
     /** Id of the last event that the customer received; set when it resumes a broken stream. */
     readonly lastEventId?: number;
     /** Headers that are forwarded to the endpoint. */
--- a/src/quarantine/crashEvidence.ts
+++ b/src/quarantine/crashEvidence.ts
@@ -36,7 +36,7 @@
 export interface EvidenceSettings {
     /** Crashes without an answer in between after which a prompt part, or a request that has parts, is a culprit. */
     readonly minCrashes: number;
-    /** The same for a request that shares nothing with others. */
+    /** The same for a request that shares nothing with others and has never been answered. */
     readonly minCrashesOfPlainRequest: number;
     /** Different requests that a culprit part must have. With fewer, the request itself is the more likely cause. */
     readonly minRequestsOfPart: number;
@@ -57,6 +57,8 @@
     readonly evidenceMs: number;
     readonly maxCrashes: number;
     readonly maxAnsweredTraits: number;
+    /** Requests whose answers are remembered. They are many more than parts and must not displace those. */
+    readonly maxAnsweredRequests: number;
 }
 
 /**
@@ -74,6 +76,7 @@
     evidenceMs: 10 * 60 * 1000,
     maxCrashes: 256,
     maxAnsweredTraits: 4_096,
+    maxAnsweredRequests: 4_096,
 };
 
 /** Collects crashes and answers, and finds the traits that explain the crashes. Times are on the monotonic clock. */
@@ -133,8 +136,21 @@
     const crashes = new Map<string, Crash>();
     const suspected = new Set<string>();
     const culprits = new Set<string>();
-    /** Traits by the time of their last answer, oldest first. */
-    const answeredAtMs = new Map<string, number>();
+    /** Parts, and whole requests, by the time of their last answer, oldest first. */
+    const answeredParts = new Map<string, number>();
+    const answeredRequests = new Map<string, number>();
+
+    function getLastAnswerMs(trait: string): number | undefined {
+        return answeredParts.get(trait) ?? answeredRequests.get(trait);
+    }
+
+    function rememberAnswer(answers: Map<string, number>, trait: string, nowMs: number, maxCount: number): void {
+        answers.delete(trait);
+        answers.set(trait, nowMs);
+        if (answers.size > maxCount) {
+            answers.delete(answers.keys().next().value!);
+        }
+    }
 
     function expire(nowMs: number): void {
         for (const [id, crash] of crashes) {
@@ -200,7 +216,9 @@
             const hasMany = count > 1 && tally.crashTimesMs.size >= settings.maxAmbiguousCrashes;
             return (count >= settings.minCrashes || hasMany) && tally.requests.size >= settings.minRequestsOfPart;
         }
-        return count >= (tally.hasParts ? settings.minCrashes : settings.minCrashesOfPlainRequest);
+        // A request that has been answered is sent often, so that it is often there when an endpoint fails.
+        const isAnswered = answeredRequests.has(tally.trait);
+        return count >= (tally.hasParts || isAnswered ? settings.minCrashes : settings.minCrashesOfPlainRequest);
     }
 
     function assignCulprit(crash: Crash): void {
@@ -220,7 +238,7 @@
             let isNew = known === undefined;
             for (const traits of report.suspects) {
                 const fingerprint = traits.at(-1);
-                const remaining = traits.filter(trait => (answeredAtMs.get(trait) ?? -Infinity) < crash.atMs);
+                const remaining = traits.filter(trait => (getLastAnswerMs(trait) ?? -Infinity) < crash.atMs);
                 if (fingerprint !== undefined && remaining.length > 0 && !crash.suspects.has(fingerprint)) {
                     crash.suspects.set(fingerprint, remaining);
                     isNew = true;
@@ -235,18 +253,15 @@
         },
         recordAnswer(traits, nowMs) {
             for (const trait of traits) {
-                const isSuspected = suspected.delete(trait);
-                if (isSuspected) {
+                if (suspected.delete(trait)) {
                     crashes.forEach(crash => removeTrait(crash, trait));
                 }
-                // Fingerprints of sound requests do not recur, so that their answers are not worth remembering.
-                if (isSuspected || trait !== traits.at(-1)) {
-                    answeredAtMs.delete(trait);
-                    answeredAtMs.set(trait, nowMs);
+                if (trait === traits.at(-1)) {
+                    rememberAnswer(answeredRequests, trait, nowMs, settings.maxAnsweredRequests);
+                }
+                else {
+                    rememberAnswer(answeredParts, trait, nowMs, settings.maxAnsweredTraits);
                 }
-            }
-            while (answeredAtMs.size > settings.maxAnsweredTraits) {
-                answeredAtMs.delete(answeredAtMs.keys().next().value!);
             }
         },
         takeCulprit(nowMs) {
@@ -257,7 +272,7 @@
             const isWide = (tally: Tally) => repeated.some(other => isCovered(tally, other));
             const sufficient = tallies.filter(isSufficient)
                 .filter(tally => !isWide(tally) || countSeparateCrashes(tally) >= settings.minCrashesOfWidePart);
-            const unanswered = sufficient.filter(tally => !answeredAtMs.has(tally.trait));
+            const unanswered = sufficient.filter(tally => getLastAnswerMs(tally.trait) === undefined);
             const candidates = selectMostSpecific(unanswered.length > 0 ? unanswered : sufficient)
                 .sort((left, right) => countSeparateCrashes(right) - countSeparateCrashes(left));
             const best = candidates[0];
@@ -287,7 +302,7 @@
                     crashes: tally.crashTimesMs.size,
                     separateCrashes: countSeparateCrashes(tally),
                     requests: tally.requests.size,
-                    hasAnswer: answeredAtMs.has(tally.trait),
+                    hasAnswer: getLastAnswerMs(tally.trait) !== undefined,
                 })),
         countSuspects: crash => crashes.get(crash)?.suspects.size ?? 0,
         countCrashes(trait, nowMs) {
@@ -300,7 +315,7 @@
             );
             return countSeparate(recent.map(crash => crash.atMs));
         },
-        getLastAnswerMs: trait => answeredAtMs.get(trait),
+        getLastAnswerMs,
         assignCrashes,
         forgetCulprit: trait => void culprits.delete(trait),
     };
--- a/test/gateway/quarantine.test.ts
+++ b/test/gateway/quarantine.test.ts
@@ -5,7 +5,13 @@
 import { createManualTimerService } from "../../src/base/manualTimerService.js";
 import { createMetrics } from "../../src/base/metrics.js";
 import { makeFailure, makeSuccess } from "../../src/base/result.js";
-import { createQuarantineRegistry, listTraits, QuarantineSource } from "../../src/gateway/quarantineRegistry.js";
+import {
+    computeFingerprint,
+    createQuarantineRegistry,
+    listTraits,
+    QuarantineSource,
+    RequestIdentity,
+} from "../../src/gateway/quarantineRegistry.js";
 import { createQuarantineStore, decodeTerm } from "../../src/gateway/quarantineStore.js";
 import { FeedErrorKind, KeyedRecord, WritableFeed } from "../../src/ports/recordFeed.js";
 import { Treatment } from "../../src/quarantine/quarantine.js";
@@ -273,3 +279,33 @@
         }
     });
 });
+
+describe("fingerprint of a request", () => {
+    const request: RequestIdentity = {
+        service: "desk",
+        customer: "planner",
+        method: "GET",
+        host: "desk.example",
+        path: "/look/1?day=1",
+    };
+    const others: readonly (readonly [string, Partial<RequestIdentity>])[] = [
+        ["customer", { customer: "warden" }],
+        ["no customer", { customer: undefined }],
+        ["method", { method: "HEAD" }],
+        ["host", { host: "other.example" }],
+        ["path", { path: "/look/1?day=2" }],
+        ["service", { service: "archive" }],
+        ["prompt", { promptIdentity: "m a1:40,b2:60 100,10" }],
+        ["body", { body: Buffer.from("x") }],
+    ];
+
+    test("is the same when the request is sent again, without a body or with an empty one", () => {
+        assert.equal(computeFingerprint(request), computeFingerprint({ ...request, body: Buffer.alloc(0) }));
+    });
+
+    for (const [name, changes] of others) {
+        test(`differs with another ${name}`, () => {
+            assert.notEqual(computeFingerprint({ ...request, ...changes }), computeFingerprint(request));
+        });
+    }
+});
--- a/test/quarantine/crashEvidence.test.ts
+++ b/test/quarantine/crashEvidence.test.ts
@@ -76,6 +76,30 @@
         assert.equal(takeCulprit(), "r");
     });
 
+    test("is a request that has been answered before only after its third crash: it is often there when endpoints fail", () => {
+        const { evidence, getNow, crash, takeCulprit, advance } = setUp();
+        evidence.recordAnswer(["popular"], getNow());
+        advance(spacingMs);
+        crash(["popular"]);
+        crash(["popular"]);
+        assert.equal(takeCulprit(), undefined);
+        crash(["popular"]);
+        assert.equal(takeCulprit(), "popular");
+    });
+
+    test("is still found among parts after answers to any number of other requests", () => {
+        const { evidence, getNow, crash, answer, takeCulprit } = setUp();
+        answer("first", "sound");
+        for (let count = 0; count < 10_000; count++) {
+            evidence.recordAnswer([`r${count}`], getNow());
+        }
+        assert.notEqual(evidence.getLastAnswerMs("sound"), undefined);
+        assert.equal(evidence.getLastAnswerMs("r0"), undefined, "the memory is bounded");
+        crash(["bad"]);
+        crash(["bad"]);
+        assert.equal(takeCulprit(), "bad");
+    });
+
     test("is the request and not its part if only one request crashes endpoints", () => {
         const { crash, takeCulprit } = setUp();
         for (let count = 0; count < 3; count++) {
