Tell a request that is sent on from the failure of a rack

Crashes within 250 ms count once, as of a rack that fails. Now the evidence knows when a suspect was sent: of a group, the crashes under requests that were sent after its first crash count as well, and three such make a request that has never been answered known. One that has been answered needs three groups as before.

The running times travel with the reports of crashes; a process without this change refuses messages that carry them, which are those about crashes, and gets the quarantine itself as before.

--- a/src/gateway/crashDetector.ts
+++ b/src/gateway/crashDetector.ts
@@ -6,9 +6,9 @@
 export interface CrashDetector {
     /**
      * Records that the connection to an endpoint broke while a request was running. `traits` is absent if the request
-     * cannot have caused a crash.
+     * cannot have caused a crash. `sentAtMs` is when the request was sent.
      */
-    recordBrokenConnection(endpoint: EndpointRecord, traits: readonly string[] | undefined): void;
+    recordBrokenConnection(endpoint: EndpointRecord, traits: readonly string[] | undefined, sentAtMs: number): void;
     /**
      * Records that an endpoint is unreachable, has left or has restarted. Connections that broke shortly before then
      * count as a crash.
@@ -37,7 +37,7 @@
 interface BrokenConnections {
     readonly crash: string;
     readonly firstAtMs: number;
-    readonly suspects: (readonly string[])[];
+    readonly suspects: { readonly traits: readonly string[]; readonly sentAtMs: number }[];
 }
 
 /**
@@ -45,7 +45,7 @@
  * too: the address of the endpoint is checked at once, and does not accept connections after a crash.
  *
  * @example
- * detector.recordBrokenConnection(place.endpoint, ["part/models/5c1e", "request/x"]);
+ * detector.recordBrokenConnection(place.endpoint, ["part/models/5c1e", "request/x"], sentAtMs);
  */
 export function createCrashDetector(options: CrashDetectorOptions): CrashDetector {
     const { timers } = options;
@@ -83,12 +83,18 @@
         broken.delete(endpointId);
         const ageMs = timers.now() - (connections?.firstAtMs ?? 0);
         if (connections && ageMs <= crashDetectionWindowMs) {
-            options.onCrash({ crash: connections.crash, ageMs, suspects: connections.suspects });
+            const { crash, firstAtMs, suspects } = connections;
+            options.onCrash({
+                crash,
+                ageMs,
+                suspects: suspects.map(suspect => suspect.traits),
+                runningMs: suspects.map(suspect => firstAtMs - suspect.sentAtMs),
+            });
         }
     }
 
     return {
-        recordBrokenConnection(endpoint, traits) {
+        recordBrokenConnection(endpoint, traits, sentAtMs) {
             const nowMs = timers.now();
             for (const [id, connections] of broken) {
                 if (nowMs - connections.firstAtMs > crashDetectionWindowMs) {
@@ -97,7 +103,7 @@
             }
             const connections = getBroken(endpoint, nowMs);
             if (traits) {
-                connections.suspects.push(traits);
+                connections.suspects.push({ traits, sentAtMs });
             }
         },
         recordEndpointLoss,
--- a/src/gateway/loadMessage.ts
+++ b/src/gateway/loadMessage.ts
@@ -32,7 +32,8 @@
 const decoder = new Decoder(options);
 
 type WireItem = [string, string, number, number, number, number, boolean, number, number, boolean];
-type WireCrash = [string, number, string[][]];
+/** Id, age, traits of each suspect, and how long it had been running. Older processes send and accept none of the last. */
+type WireCrash = [string, number, string[][]] | [string, number, string[][], number[]];
 type WireTerm = [string, boolean, number, number, number, number];
 /** Endpoint, requests a second or `null` for no limit, and age. */
 type WireLimit = [string, number | null, number];
@@ -66,7 +67,7 @@
         message.isSnapshot,
         message.items.map(item => encodeItem(item, nowMs)),
         [...message.removed],
-        message.crashes.map(item => [item.crash, Math.round(item.ageMs), item.suspects.map(traits => [...traits])]),
+        message.crashes.map(encodeCrash),
         message.quarantines.map(encodeTerm),
         message.limits.map(({ endpoint, perSecond, observedAtMs }) => [
             endpoint,
@@ -92,6 +93,13 @@
     ];
 }
 
+function encodeCrash({ crash, ageMs, suspects, runningMs }: CrashReport): WireCrash {
+    const traits = suspects.map(item => [...item]);
+    return runningMs === undefined
+        ? [crash, Math.round(ageMs), traits]
+        : [crash, Math.round(ageMs), traits, runningMs.map(Math.round)];
+}
+
 function encodeTerm(term: QuarantineTerm): WireTerm {
     const { trait, isActive, decidedAtMs, untilMs, crashes, firstCrashAtMs } = term;
     return [trait, isActive, decidedAtMs, untilMs, crashes, firstCrashAtMs];
@@ -112,7 +120,12 @@
         isSnapshot,
         items: items.map(item => decodeItem(item, nowMs)),
         removed,
-        crashes: crashes.map(([crash, ageMs, suspects]) => ({ crash, ageMs, suspects })),
+        crashes: crashes.map(([crash, ageMs, suspects, runningMs]) => ({
+            crash,
+            ageMs,
+            suspects,
+            ...(runningMs && { runningMs }),
+        })),
         quarantines: quarantines.map(([trait, isActive, decidedAtMs, untilMs, crashCount, firstCrashAtMs]) => ({
             trait,
             isActive,
@@ -162,7 +175,10 @@
     isNumber,
     isFlag,
 );
-const isCrash = isTupleOf(isText, isNumber, isListOf(isListOf(isText)));
+const areSuspects = isListOf(isListOf(isText));
+const isCrash: Check = value =>
+    isTupleOf(isText, isNumber, areSuspects)(value)
+    || isTupleOf(isText, isNumber, areSuspects, isListOf(isNumber))(value);
 const isTerm = isTupleOf(isText, isFlag, isNumber, isNumber, isNumber, isNumber);
 const isRate: Check = value => value === null || (isNumber(value) && (value as number) >= 0);
 const isLimit = isTupleOf(isText, isRate, isNumber);
--- a/src/gateway/quarantineWatch.ts
+++ b/src/gateway/quarantineWatch.ts
@@ -86,7 +86,7 @@
                     predictedMs: place.partMs > 0 ? place.firstByteMs : 0,
                 };
                 const isSuspect = traits.length > 0 && isCrashSuspect(running);
-                crashDetector.recordBrokenConnection(place.endpoint, isSuspect ? traits : undefined);
+                crashDetector.recordBrokenConnection(place.endpoint, isSuspect ? traits : undefined, sentAtMs);
             }
         },
         describe: () => `${quarantineRegistry.findQuarantine(traits)?.trait ?? "the request"} crashes endpoints`,
--- a/src/quarantine/crashEvidence.ts
+++ b/src/quarantine/crashEvidence.ts
@@ -9,6 +9,8 @@
     readonly ageMs: number;
     /** Traits of each request, from the most widely shared to the fingerprint. */
     readonly suspects: readonly (readonly string[])[];
+    /** Time for which each suspect had been running at the crash, in milliseconds; absent if that is not known. */
+    readonly runningMs?: readonly number[];
 }
 
 /** Trait that is held to crash the endpoints that answer requests with it. */
@@ -101,10 +103,16 @@
     forgetCulprit(trait: string): void;
 }
 
+interface Suspect {
+    readonly traits: readonly string[];
+    /** When the request was sent, on the caller's clock; of several equal ones the last. Undefined if that is not known. */
+    readonly sentAtMs: number | undefined;
+}
+
 interface Crash {
     readonly atMs: number;
-    /** Traits of the suspects, by fingerprint. */
-    readonly suspects: Map<string, readonly string[]>;
+    /** Suspects by fingerprint. */
+    readonly suspects: Map<string, Suspect>;
     culprit?: string;
 }
 
@@ -115,6 +123,8 @@
     readonly hasParts: boolean;
     readonly requests: Set<string>;
     readonly crashTimesMs: Set<number>;
+    /** When the last request with the trait was sent to each crashed endpoint, by the time of the crash. */
+    readonly sentAtMs: Map<number, number>;
     /** Position among the traits of a request; later ones are shared by fewer requests. */
     readonly depth: number;
 }
@@ -174,7 +184,7 @@
     function countTraits(): Tally[] {
         const tallies = new Map<string, Tally>();
         for (const crash of crashes.values()) {
-            for (const fingerprint of crash.suspects.keys()) {
+            for (const [fingerprint, { sentAtMs }] of crash.suspects) {
                 const traits = listOpenTraits(crash, fingerprint);
                 traits.forEach((trait, depth) => {
                     const tally = tallies.get(trait) ?? {
@@ -183,11 +193,15 @@
                         hasParts: traits.length > 1,
                         requests: new Set(),
                         crashTimesMs: new Set(),
+                        sentAtMs: new Map<number, number>(),
                         depth,
                     };
                     tallies.set(trait, tally);
                     tally.requests.add(fingerprint);
                     tally.crashTimesMs.add(crash.atMs);
+                    if (sentAtMs !== undefined) {
+                        tally.sentAtMs.set(crash.atMs, Math.max(sentAtMs, tally.sentAtMs.get(crash.atMs) ?? sentAtMs));
+                    }
                 });
             }
         }
@@ -210,6 +224,21 @@
             : countSeparate([...tally.crashTimesMs]);
     }
 
+    /**
+     * Counts the first crash of each group and those of its other crashes for which the request was sent after the first:
+     * what was sent to the endpoints of a rack was mostly sent before the rack failed.
+     */
+    function countSuccessiveCrashes(tally: Tally): number {
+        const groups = collectGroups([...tally.crashTimesMs], settings.minSpacingMs);
+        const isSentAfter = (crashedAtMs: number, startMs: number) =>
+            crashedAtMs > startMs && crashedAtMs - startMs < settings.minSpacingMs
+            && (tally.sentAtMs.get(crashedAtMs) ?? -Infinity) >= startMs;
+        return groups.reduce(
+            (sum, { startMs }) => sum + 1 + [...tally.crashTimesMs].filter(atMs => isSentAfter(atMs, startMs)).length,
+            0,
+        );
+    }
+
     function isSufficient(tally: Tally): boolean {
         const count = countSeparateCrashes(tally);
         if (!tally.isRequest) {
@@ -217,12 +246,15 @@
             return (count >= settings.minCrashes || hasMany) && tally.requests.size >= settings.minRequestsOfPart;
         }
         // A request that has been answered is sent often, so that it is often there when an endpoint fails.
-        const isAnswered = answeredRequests.has(tally.trait);
-        return count >= (tally.hasParts || isAnswered ? settings.minCrashes : settings.minCrashesOfPlainRequest);
+        if (tally.hasParts || answeredRequests.has(tally.trait)) {
+            return count >= settings.minCrashes;
+        }
+        return count >= settings.minCrashesOfPlainRequest || countSuccessiveCrashes(tally) >= settings.minCrashes;
     }
 
     function assignCulprit(crash: Crash): void {
-        crash.culprit ??= [...crash.suspects.values()].flat().find(trait => culprits.has(trait));
+        crash.culprit ??= [...crash.suspects.values()].flatMap(suspect => suspect.traits)
+            .find(trait => culprits.has(trait));
     }
 
     function assignCrashes(trait: string): void {
@@ -236,11 +268,15 @@
             const known = crashes.get(report.crash);
             const crash: Crash = known ?? { atMs: nowMs - report.ageMs, suspects: new Map() };
             let isNew = known === undefined;
-            for (const traits of report.suspects) {
+            for (const [index, traits] of report.suspects.entries()) {
                 const fingerprint = traits.at(-1);
                 const remaining = traits.filter(trait => (getLastAnswerMs(trait) ?? -Infinity) < crash.atMs);
-                if (fingerprint !== undefined && remaining.length > 0 && !crash.suspects.has(fingerprint)) {
-                    crash.suspects.set(fingerprint, remaining);
+                const runningMs = report.runningMs?.[index];
+                const sentAtMs = runningMs === undefined ? undefined : crash.atMs - runningMs;
+                const other = fingerprint === undefined ? undefined : crash.suspects.get(fingerprint);
+                const isLater = !other || (sentAtMs ?? -Infinity) > (other.sentAtMs ?? -Infinity);
+                if (fingerprint !== undefined && remaining.length > 0 && isLater) {
+                    crash.suspects.set(fingerprint, { traits: other?.traits ?? remaining, sentAtMs });
                     isNew = true;
                 }
             }
@@ -326,7 +362,7 @@
  * request explains them for other requests only: one of its own parts may be the cause.
  */
 function listOpenTraits(crash: Crash, fingerprint: string): readonly string[] {
-    const traits = crash.suspects.get(fingerprint)!;
+    const { traits } = crash.suspects.get(fingerprint)!;
     if (crash.culprit === undefined) {
         return traits;
     }
@@ -334,13 +370,13 @@
 }
 
 function removeTrait(crash: Crash, trait: string): void {
-    for (const [fingerprint, traits] of crash.suspects) {
+    for (const [fingerprint, { traits, sentAtMs }] of crash.suspects) {
         const remaining = traits.filter(item => item !== trait);
         if (remaining.length === 0) {
             crash.suspects.delete(fingerprint);
         }
         else if (remaining.length < traits.length) {
-            crash.suspects.set(fingerprint, remaining);
+            crash.suspects.set(fingerprint, { traits: remaining, sentAtMs });
         }
     }
 }
--- a/test/gateway/parts.test.ts
+++ b/test/gateway/parts.test.ts
@@ -68,7 +68,10 @@
         isSnapshot: false,
         items: [item],
         removed: ["g/0"],
-        crashes: [{ crash: "c", ageMs: 40, suspects: [["part/models/a1", "request/f"], ["request/g"]] }],
+        crashes: [
+            { crash: "c", ageMs: 40, suspects: [["part/models/a1", "request/f"], ["request/g"]], runningMs: [20, 35] },
+            { crash: "of an older process", ageMs: 10, suspects: [["request/g"]] },
+        ],
         quarantines: [{
             trait: "part/models/b2",
             isActive: true,
@@ -287,7 +290,7 @@
             onCrash: report => registry.applyCrash(report, true),
         });
         const recordBroken = (endpoint: string, request: string) =>
-            detector.recordBrokenConnection(makeEndpoint(endpoint), [request]);
+            detector.recordBrokenConnection(makeEndpoint(endpoint), [request], timers.now());
         return { timers, reports, registry, detector, recordBroken };
     }
 
--- a/test/platform/crashingPlainRequest.test.ts
+++ b/test/platform/crashingPlainRequest.test.ts
@@ -37,6 +37,8 @@
     readonly request: CrashingRequest;
     readonly kind: CrashKind;
     readonly delayMs?: number;
+    /** Time between two of the requests. */
+    readonly spacingMs?: number;
     readonly restartDelayMs: number;
     readonly lapseDelayMs: number;
 }
@@ -88,7 +90,8 @@
         .map(received => received.atMs);
 }
 
-async function checkScenario({ request, kind, delayMs, restartDelayMs, lapseDelayMs }: Scenario): Promise<void> {
+async function checkScenario(scenario: Scenario): Promise<void> {
+    const { request, kind, delayMs, restartDelayMs, lapseDelayMs } = scenario;
     const deployment = await startDeployment({
         engines: 0,
         services: 3,
@@ -104,7 +107,7 @@
     });
     let isDone = false;
     try {
-        const bad = sendSeries(deployment.gateways, request, intervalMs, () => isDone);
+        const bad = sendSeries(deployment.gateways, request, scenario.spacingMs ?? intervalMs, () => isDone);
         const sound = sendSeries(deployment.gateways, { method: "GET", path: "/look/all" }, 100, () => isDone);
         // A request that is known after fewer crashes never causes a third one.
         const endsAtMs = performance.now() + maxCrashingMs;
@@ -139,6 +142,13 @@
 
 const scenarios: readonly (readonly [string, Scenario])[] = [
     ["a GET without a body; connections are reset", { request: get, ...reset }],
+    ["a GET that ends all instances within moments, until they have restarted", {
+        request: get,
+        ...reset,
+        delayMs: 30,
+        spacingMs: 40,
+        restartDelayMs: 3_500,
+    }],
     ["a GET; instances are back at once under another id", {
         request: get,
         kind: CrashKind.Reset,
--- a/test/quarantine/crashEvidence.test.ts
+++ b/test/quarantine/crashEvidence.test.ts
@@ -100,6 +100,39 @@
         assert.equal(takeCulprit(), "bad");
     });
 
+    test("is a request that was sent on each time after the crash before, although the crashes follow each other closely", () => {
+        const { evidence, getNow, takeCulprit, advance } = setUp();
+        for (let instance = 0; instance < 3; instance++) {
+            advance(80);
+            evidence.recordCrash(
+                { crash: `desk/${instance}`, ageMs: 0, suspects: [["bad"]], runningMs: [70] },
+                getNow(),
+            );
+            assert.equal(takeCulprit(), instance < 2 ? undefined : "bad");
+        }
+    });
+
+    test("is not a request that was sent to all of a rack's endpoints before the first of them failed", () => {
+        const { evidence, getNow, takeCulprit, advance } = setUp();
+        for (let instance = 0; instance < 3; instance++) {
+            advance(80);
+            const runningMs = [100 + 80 * instance];
+            evidence.recordCrash({ crash: `desk/${instance}`, ageMs: 0, suspects: [["s"]], runningMs }, getNow());
+        }
+        assert.equal(takeCulprit(), undefined);
+    });
+
+    test("is not a request that was answered before and was sent on from one failing endpoint to the next", () => {
+        const { evidence, getNow, takeCulprit, advance } = setUp();
+        evidence.recordAnswer(["popular"], getNow());
+        for (let instance = 0; instance < 3; instance++) {
+            advance(80);
+            const report = { crash: `desk/${instance}`, ageMs: 0, suspects: [["popular"]], runningMs: [70] };
+            evidence.recordCrash(report, getNow());
+        }
+        assert.equal(takeCulprit(), undefined);
+    });
+
     test("is the request and not its part if only one request crashes endpoints", () => {
         const { crash, takeCulprit } = setUp();
         for (let count = 0; count < 3; count++) {
