Recognise crashes of endpoints that fall silent, are back at once or end after an answer

Nothing was recorded when an endpoint fell silent (the request was dropped, ran into its deadline or its customer left), when it was back within a moment, also under another id, or when it ended right after its answer, which even cleared the request.

The detector now remembers for six seconds how requests ended on an endpoint, and reports them when its loss shows: by a refused connection, two of them after mere silence, by a lapsed or changed registration, by another endpoint at its address, or by a 421. A request that was abandoned before the last answer of the endpoint is no suspect. An answer counts once the endpoint has outlived it by 150 ms. An endpoint that leaves without notice and without a suspect is counted in jujubelane_idle_endpoint_losses_total; requests that must not run twice use a connection of their own, so that an end right after their answer leaves no other trace. The text servers of the gateway move to a module of their own.

--- a/src/gateway/crashDetector.ts
+++ b/src/gateway/crashDetector.ts
@@ -1,19 +1,43 @@
+import { Disposable } from "../base/disposable.js";
 import { TimerService, waitFor } from "../base/timerService.js";
 import { EndpointRecord } from "../ports/endpointRecord.js";
 import { CrashReport } from "../quarantine/crashEvidence.js";
 
-/** Tells crashes of endpoints from broken connections. */
-export interface CrashDetector {
-    /**
-     * Records that the connection to an endpoint broke while a request was running. `traits` is absent if the request
-     * cannot have caused a crash. `sentAtMs` is when the request was sent.
-     */
-    recordBrokenConnection(endpoint: EndpointRecord, traits: readonly string[] | undefined, sentAtMs: number): void;
-    /**
-     * Records that an endpoint is unreachable, has left or has restarted. Connections that broke shortly before then
-     * count as a crash.
-     */
-    recordEndpointLoss(endpointId: string): void;
+/** How a request ended on an endpoint. */
+export enum AttemptEnd {
+    /** The connection broke before the answer was complete. */
+    Broken = "broken",
+    /** The endpoint sent nothing for longer than a healthy one. */
+    Silent = "silent",
+    /** The customer left or the deadline passed before the answer was complete. */
+    Abandoned = "abandoned",
+    Answered = "answered",
+}
+
+/** A request that has ended on an endpoint. */
+export interface EndedAttempt {
+    readonly end: AttemptEnd;
+    /** Traits of the request, or `undefined` if it cannot have caused a crash. */
+    readonly traits: readonly string[] | undefined;
+    /** When the request was sent, on the monotonic clock. */
+    readonly sentAtMs: number;
+}
+
+/** How it shows that an endpoint does not serve any more. */
+export enum LossEvidence {
+    /** A connection could not be established. The cause may be the network. */
+    NoConnection = "no-connection",
+    /** The endpoint has restarted, is no longer registered, or another one has its address. */
+    Gone = "gone",
+}
+
+/** Tells crashes of endpoints from broken connections, and finds the requests that may have caused them. */
+export interface CrashDetector extends Disposable {
+    recordEnd(endpoint: EndpointRecord, attempt: EndedAttempt): void;
+    /** Records that an endpoint has closed a connection on which no request was running. */
+    recordIdleClose(address: string): void;
+    /** Records that an endpoint is lost. Requests that ended on it shortly before may have caused that. */
+    recordEndpointLoss(endpointId: string, evidence: LossEvidence): void;
 }
 
 export interface CrashDetectorOptions {
@@ -21,11 +45,15 @@
     /** Checks whether an address accepts a connection. */
     readonly connect: (address: string) => Promise<boolean>;
     readonly onCrash: (report: CrashReport) => void;
+    /** Called with the traits of a request whose endpoint has outlived its answer, and the age of the answer. */
+    readonly onAnswer: (traits: readonly string[], ageMs: number) => void;
+    /** Called when an endpoint is lost on which no request of this process had ended unanswered. */
+    readonly onIdleLoss: () => void;
 }
 
 /**
- * Time after a broken connection within which the loss of its endpoint counts as a crash. A crashed endpoint refuses
- * connections for some seconds until it has restarted.
+ * Time after the end of a request within which the loss of its endpoint counts as a crash. A crashed endpoint refuses
+ * connections for some seconds until it has restarted, and its registration lapses after some seconds.
  */
 const crashDetectionWindowMs = 6_000;
 /**
@@ -33,79 +61,233 @@
  * connections before it stops listening.
  */
 const checkDelaysMs: readonly number[] = [0, 150, 600];
+/** Failed checks that show a loss. A single packet may be lost, which a broken connection makes less likely. */
+const failedChecksIfBroken = 1;
+const failedChecksIfSilent = 2;
+/** Time for which an endpoint must outlive an answer until the request counts as harmless, in milliseconds. */
+const answerSettlingMs = 150;
+/** Ended requests that are remembered for one endpoint. */
+const maxAttempts = 64;
 
-interface BrokenConnections {
+interface RecentAttempt extends EndedAttempt {
+    readonly endedAtMs: number;
+}
+
+/** What happened on one endpoint lately that may prove to be a crash. */
+interface RecentTrouble {
+    readonly endpoint: EndpointRecord;
     readonly crash: string;
     readonly firstAtMs: number;
-    readonly suspects: { readonly traits: readonly string[]; readonly sentAtMs: number }[];
+    attempts: RecentAttempt[];
+    /** When the first connection broke. */
+    brokenAtMs?: number;
+    lastAnswerAtMs: number;
+    isLost: boolean;
+    isChecking: boolean;
+    /** Whether the address has accepted connections since, so that a later failure to connect has another cause. */
+    hasAcceptedConnections: boolean;
+}
+
+interface SettlingAnswer {
+    readonly endpoint: EndpointRecord;
+    readonly traits: readonly string[];
+    readonly sentAtMs: number;
+    readonly endedAtMs: number;
 }
 
 /**
- * Creates a detector. A broken connection alone does not count as a crash, because network faults break connections
- * too: the address of the endpoint is checked at once, and does not accept connections after a crash.
+ * Creates a detector. A request that ends without an answer does not prove a crash, because networks break connections
+ * too. It is remembered for some seconds, in which the loss of its endpoint can show.
  *
  * @example
- * detector.recordBrokenConnection(place.endpoint, ["part/models/5c1e", "request/x"], sentAtMs);
+ * detector.recordEnd(place.endpoint, { end: AttemptEnd.Broken, traits: ["part/models/5c1e", "request/x"], sentAtMs });
  */
 export function createCrashDetector(options: CrashDetectorOptions): CrashDetector {
     const { timers } = options;
-    const broken = new Map<string, BrokenConnections>();
-
-    function getBroken(endpoint: EndpointRecord, nowMs: number): BrokenConnections {
-        let found = broken.get(endpoint.id);
-        if (!found || nowMs - found.firstAtMs > crashDetectionWindowMs) {
-            const crash = `${endpoint.id}/${endpoint.startedAtMs ?? ""}`;
-            found = { crash, firstAtMs: nowMs, suspects: [] };
-            broken.set(endpoint.id, found);
-            void checkLoss(endpoint, found);
+    const troubles = new Map<string, RecentTrouble>();
+    /** Answers that their endpoints have not outlived yet, oldest first. */
+    let settling: SettlingAnswer[] = [];
+    let settlingTimer: Disposable | undefined;
+
+    function expireTroubles(nowMs: number): void {
+        for (const [id, trouble] of troubles) {
+            if (nowMs - trouble.firstAtMs > crashDetectionWindowMs) {
+                troubles.delete(id);
+                confirmAnswers(trouble, nowMs);
+            }
+        }
+    }
+
+    /** Confirms the answers of an endpoint of which no loss has become known. */
+    function confirmAnswers({ attempts, isLost }: RecentTrouble, nowMs: number): void {
+        for (const { end, traits, endedAtMs } of isLost ? [] : attempts) {
+            if (end === AttemptEnd.Answered && traits) {
+                options.onAnswer(traits, nowMs - endedAtMs);
+            }
+        }
+    }
+
+    function getTrouble(endpoint: EndpointRecord, nowMs: number): RecentTrouble {
+        const crash = `${endpoint.id}/${endpoint.startedAtMs ?? ""}`;
+        let trouble = troubles.get(endpoint.id);
+        if (trouble?.crash !== crash) {
+            trouble = {
+                endpoint,
+                crash,
+                firstAtMs: nowMs,
+                attempts: [],
+                lastAnswerAtMs: -Infinity,
+                isLost: false,
+                isChecking: false,
+                hasAcceptedConnections: false,
+            };
+            troubles.set(endpoint.id, trouble);
         }
-        return found;
+        return trouble;
     }
 
-    /** Checks the endpoint until it accepts no connection. If it always does, only its connections were broken. */
-    async function checkLoss(endpoint: EndpointRecord, connections: BrokenConnections): Promise<void> {
+    /** Moves the answers that an endpoint has just given to its recent attempts: a crash may follow an answer closely. */
+    function takeSettlingAnswers(trouble: RecentTrouble, nowMs: number): void {
+        const isTaken = ({ endpoint, endedAtMs }: SettlingAnswer) =>
+            endpoint.id === trouble.endpoint.id && nowMs - endedAtMs <= answerSettlingMs;
+        for (const { traits, sentAtMs, endedAtMs } of settling.filter(isTaken)) {
+            trouble.attempts.push({ end: AttemptEnd.Answered, traits, sentAtMs, endedAtMs });
+        }
+        settling = settling.filter(answer => !isTaken(answer));
+    }
+
+    function addAnswer(endpoint: EndpointRecord, { traits, sentAtMs }: EndedAttempt, nowMs: number): void {
+        const trouble = troubles.get(endpoint.id);
+        if (trouble) {
+            trouble.lastAnswerAtMs = nowMs;
+        }
+        if (traits) {
+            settling.push({ endpoint, traits, sentAtMs, endedAtMs: nowMs });
+            settlingTimer ??= timers.schedule(answerSettlingMs, settleAnswers);
+        }
+    }
+
+    function settleAnswers(): void {
+        const nowMs = timers.now();
+        const settled = settling.filter(({ endedAtMs }) => nowMs - endedAtMs >= answerSettlingMs);
+        settling = settling.filter(({ endedAtMs }) => nowMs - endedAtMs < answerSettlingMs);
+        settled.forEach(({ traits, endedAtMs }) => options.onAnswer(traits, nowMs - endedAtMs));
+        const first = settling[0];
+        settlingTimer = first && timers.schedule(first.endedAtMs + answerSettlingMs - nowMs, settleAnswers);
+    }
+
+    /** Checks the endpoint until it accepts no connection. If it always does, its loss may still show in another way. */
+    async function checkLoss(trouble: RecentTrouble): Promise<void> {
+        trouble.isChecking = true;
+        trouble.hasAcceptedConnections = false;
+        let failures = 0;
         for (const delayMs of checkDelaysMs) {
             await waitFor(timers, delayMs);
-            const isReachable = await options.connect(endpoint.address);
-            if (broken.get(endpoint.id) !== connections) {
+            const isReachable = await options.connect(trouble.endpoint.address);
+            if (trouble.isLost || troubles.get(trouble.endpoint.id) !== trouble) {
                 return;
             }
-            if (!isReachable) {
-                recordEndpointLoss(endpoint.id);
+            failures += isReachable ? 0 : 1;
+            if (failures >= (trouble.brokenAtMs === undefined ? failedChecksIfSilent : failedChecksIfBroken)) {
+                markLost(trouble);
                 return;
             }
         }
-        broken.delete(endpoint.id);
+        trouble.isChecking = false;
+        trouble.hasAcceptedConnections = failures === 0;
     }
 
-    function recordEndpointLoss(endpointId: string): void {
-        const connections = broken.get(endpointId);
-        broken.delete(endpointId);
-        const ageMs = timers.now() - (connections?.firstAtMs ?? 0);
-        if (connections && ageMs <= crashDetectionWindowMs) {
-            const { crash, firstAtMs, suspects } = connections;
-            options.onCrash({
-                crash,
-                ageMs,
-                suspects: suspects.map(suspect => suspect.traits),
-                runningMs: suspects.map(suspect => firstAtMs - suspect.sentAtMs),
-            });
+    function markLost(trouble: RecentTrouble): void {
+        if (!trouble.isLost) {
+            trouble.isLost = true;
+            reportCrash(trouble, trouble.attempts);
+        }
+    }
+
+    /**
+     * Returns whether a request may have been running when its endpoint crashed. One that was abandoned or silent before
+     * the last answer of the endpoint was not.
+     */
+    function isRunningAtCrash({ end, endedAtMs }: RecentAttempt, { lastAnswerAtMs }: RecentTrouble): boolean {
+        return end === AttemptEnd.Broken || end === AttemptEnd.Answered || endedAtMs >= lastAnswerAtMs;
+    }
+
+    function reportCrash(trouble: RecentTrouble, attempts: readonly RecentAttempt[]): void {
+        const nowMs = timers.now();
+        const running = attempts.filter(attempt => isRunningAtCrash(attempt, trouble));
+        const suspects = running.filter(attempt => attempt.traits !== undefined);
+        if (running.length === 0) {
+            return;
+        }
+        // Nothing tells when a silent endpoint crashed: not before its last answer and the first of these requests.
+        const firstSentAtMs = Math.min(...running.map(attempt => attempt.sentAtMs));
+        const crashedAtMs = trouble.brokenAtMs ?? Math.max(firstSentAtMs, trouble.lastAnswerAtMs);
+        options.onCrash({
+            crash: trouble.crash,
+            ageMs: nowMs - crashedAtMs,
+            suspects: suspects.map(attempt => attempt.traits!),
+            runningMs: suspects.map(attempt => crashedAtMs - attempt.sentAtMs),
+        });
+    }
+
+    function addUnanswered(endpoint: EndpointRecord, attempt: EndedAttempt, nowMs: number): void {
+        const trouble = getTrouble(endpoint, nowMs);
+        const recent: RecentAttempt = { ...attempt, endedAtMs: nowMs };
+        trouble.attempts.push(recent);
+        trouble.attempts.splice(0, trouble.attempts.length - maxAttempts);
+        if (attempt.end === AttemptEnd.Broken) {
+            trouble.brokenAtMs ??= nowMs;
+            takeSettlingAnswers(trouble, nowMs);
+        }
+        if (trouble.isLost) {
+            reportCrash(trouble, [recent]);
+        }
+        else if (attempt.end !== AttemptEnd.Abandoned && !trouble.isChecking) {
+            void checkLoss(trouble);
         }
     }
 
     return {
-        recordBrokenConnection(endpoint, traits, sentAtMs) {
+        recordEnd(endpoint, attempt) {
             const nowMs = timers.now();
-            for (const [id, connections] of broken) {
-                if (nowMs - connections.firstAtMs > crashDetectionWindowMs) {
-                    broken.delete(id);
+            expireTroubles(nowMs);
+            if (attempt.end === AttemptEnd.Answered) {
+                addAnswer(endpoint, attempt, nowMs);
+            }
+            else {
+                addUnanswered(endpoint, attempt, nowMs);
+            }
+        },
+        recordIdleClose(address) {
+            const nowMs = timers.now();
+            const last = settling.filter(answer => answer.endpoint.address === address).at(-1);
+            if (last) {
+                const trouble = getTrouble(last.endpoint, nowMs);
+                takeSettlingAnswers(trouble, nowMs);
+                trouble.brokenAtMs ??= nowMs;
+            }
+        },
+        recordEndpointLoss(endpointId, evidence) {
+            expireTroubles(timers.now());
+            const trouble = troubles.get(endpointId);
+            if (!trouble || trouble.isLost) {
+                if (!trouble && evidence === LossEvidence.Gone) {
+                    options.onIdleLoss();
                 }
+                return;
+            }
+            const isProof = trouble.brokenAtMs !== undefined && !trouble.hasAcceptedConnections;
+            if (evidence === LossEvidence.Gone || isProof) {
+                markLost(trouble);
             }
-            const connections = getBroken(endpoint, nowMs);
-            if (traits) {
-                connections.suspects.push({ traits, sentAtMs });
+            else if (trouble.brokenAtMs === undefined && !trouble.isChecking) {
+                void checkLoss(trouble);
             }
         },
-        recordEndpointLoss,
+        dispose() {
+            settlingTimer?.dispose();
+            settling = [];
+            troubles.clear();
+        },
     };
 }
--- a/src/gateway/endpointConnections.ts
+++ b/src/gateway/endpointConnections.ts
@@ -85,19 +85,24 @@
 }
 
 /**
- * Creates the endpoint connections of one process.
+ * Creates the endpoint connections of one process. `onClosedByEndpoint` is called with the address when an endpoint closes
+ * a connection.
  *
  * @example
+ * const connections = createEndpointConnections(address => detector.recordIdleClose(address));
  * const exchange = connections.send("10.2.64.3:8080", request, listener);
  * exchange.abort();
  */
-export function createEndpointConnections(): EndpointConnections {
+export function createEndpointConnections(
+    onClosedByEndpoint: (address: string) => void = () => undefined,
+): EndpointConnections {
     const pools = new Map<string, EndpointPools>();
 
     function getPools(address: string): EndpointPools {
         let found = pools.get(address);
         if (!found) {
-            found = { reusable: createPool(address, 1), singleUse: createPool(address, 0) };
+            const onClosed = () => onClosedByEndpoint(address);
+            found = { reusable: createPool(address, 1, onClosed), singleUse: createPool(address, 0, onClosed) };
             pools.set(address, found);
         }
         return found;
@@ -145,7 +150,7 @@
  * set when undici reports the end of the answer. In the same way, the listener for received bytes runs before they are
  * parsed.
  */
-function createPool(address: string, pipelining: number): ResetTrackingPool {
+function createPool(address: string, pipelining: number, onClosedByEndpoint: () => void): ResetTrackingPool {
     let isResetNow = false;
     let resetFramingBytes = () => {};
     const connector = buildConnector({ timeout: connectTimeoutMs });
@@ -165,7 +170,9 @@
     const pool = new Pool(`http://${address}`, {
         connect(options, callback) {
             const socket = connector(options, callback) as Socket | undefined;
+            socket?.once("end", onClosedByEndpoint);
             socket?.on("error", () => {
+                onClosedByEndpoint();
                 isResetNow = true;
                 queueMicrotask(() => {
                     isResetNow = false;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,9 +1,8 @@
-import { createServer } from "node:http";
 import { Server } from "node:net";
-import { createDisposableStore, Disposable, DisposableStore } from "../base/disposable.js";
+import { createDisposableStore } from "../base/disposable.js";
 import { EventLog } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
-import { createMetrics, Metrics } from "../base/metrics.js";
+import { createMetrics } from "../base/metrics.js";
 import { TimerService, waitFor } from "../base/timerService.js";
 import {
     createEndpointDirectory,
@@ -13,7 +12,7 @@
 } from "../membership/endpointDirectory.js";
 import { createEndpointHealth, ExchangeResult } from "../membership/endpointHealth.js";
 import { createEndpointSubset } from "../membership/endpointSubset.js";
-import { EndpointRecord } from "../ports/endpointRecord.js";
+import { EndpointRecord, EndpointState } from "../ports/endpointRecord.js";
 import { ExchangeCodec } from "../ports/exchange.js";
 import { MemoryReservationService } from "../ports/memoryReservationService.js";
 import { KeyedRecord, RecordFeed, WritableFeed } from "../ports/recordFeed.js";
@@ -29,12 +28,12 @@
 import { createSlowdownEstimate } from "../routing/slowdownEstimate.js";
 import { Drain } from "../scheduling/drainAdmission.js";
 import { LimitSharing } from "../scheduling/limitBudget.js";
-import { createCrashDetector } from "./crashDetector.js";
+import { createCrashDetector, LossEvidence } from "./crashDetector.js";
 import { createCustomerServer } from "./customerServer.js";
 import { createEndpointConnections } from "./endpointConnections.js";
 import { createEndpointQuota } from "./endpointQuota.js";
 import { followFeed } from "./feedFollower.js";
-import { GatewaySettings, ListenAddress } from "./gatewaySettings.js";
+import { GatewaySettings } from "./gatewaySettings.js";
 import { createLoadExchange } from "./loadExchange.js";
 import { followPeers } from "./peerDiscovery.js";
 import { createPlacementQueue } from "./placementQueue.js";
@@ -43,6 +42,7 @@
 import { createRequestIntake } from "./requestIntake.js";
 import { createReservations } from "./reservations.js";
 import { createStartupGate } from "./startupGate.js";
+import { serveText } from "./textServer.js";
 
 /** External dependencies of a gateway: the store, the endpoints' protocol, time and randomness. */
 export interface GatewayPorts {
@@ -125,7 +125,7 @@
     const health = createEndpointHealth();
     const slowdownEstimate = createSlowdownEstimate();
     const ledger = createLoadLedger();
-    const connections = createEndpointConnections();
+    const connections = createEndpointConnections(address => crashDetector.recordIdleClose(address));
     const keyPrefix = ports.incarnation.slice(-8);
     const exchangeAddress = `${settings.ip}:${settings.exchangePort}`;
     let cell = onlyCell;
@@ -182,11 +182,17 @@
         random: ports.random,
         onTerm: term => quarantineRegistry.applyTerm(term, QuarantineSource.Store),
     }));
-    const crashDetector = createCrashDetector({
+    const crashDetector = disposables.register(createCrashDetector({
         timers,
         connect: address => connections.checkConnection(address),
         onCrash: report => quarantineRegistry.applyCrash(report, true),
-    });
+        onAnswer: (traits, ageMs) => quarantineRegistry.recordAnswer(traits, ageMs),
+        onIdleLoss: () =>
+            metrics.count(
+                "jujubelane_idle_endpoint_losses_total",
+                "Endpoints lost without notice on which no request of this gateway had ended unanswered.",
+            ),
+    }));
     const placementQueue = disposables.register(createPlacementQueue({
         timers,
         directory,
@@ -248,6 +254,19 @@
         }
     }
 
+    function recordLoss(record: EndpointRecord): void {
+        if (record.state !== EndpointState.Draining) {
+            crashDetector.recordEndpointLoss(record.id, LossEvidence.Gone);
+        }
+    }
+
+    /** Records the loss of endpoints whose address a new one has, also while the store is away. */
+    function recordReplaced({ id, address }: EndpointRecord): void {
+        directory.listAll().map(item => item.record)
+            .filter(other => other.address === address && other.id !== id)
+            .forEach(recordLoss);
+    }
+
     function applyChanges(changes: readonly EndpointChange[]): void {
         for (const { kind, record } of changes) {
             log(LogEvent.EndpointChanged, {
@@ -257,8 +276,11 @@
                 address: record.address,
                 dataCentre: record.dataCentre,
             });
+            if (kind === EndpointChangeKind.Joined) {
+                recordReplaced(record);
+            }
             if (kind === EndpointChangeKind.Restarted || kind === EndpointChangeKind.Left) {
-                crashDetector.recordEndpointLoss(record.id);
+                recordLoss(record);
                 health.forget(record.id);
                 slowdownEstimate.forget(record.id);
                 endpointQuota.forget(record.id);
@@ -315,6 +337,7 @@
                 endpointQuota,
                 onMisdirected(endpointId) {
                     health.record(endpointId, ExchangeResult.Unreachable, timers.now());
+                    crashDetector.recordEndpointLoss(endpointId, LossEvidence.Gone);
                 },
             },
             getTable: () => routeTable,
@@ -396,8 +419,9 @@
     const isReady = () => routeTable !== undefined && areEndpointsKnown && !drainState;
     try {
         await customers.listen(ports.customerListener);
-        await serveReadiness(settings.readyAddress, isReady, disposables);
-        await serveMetrics({ ip: settings.ip, port: settings.metricsPort }, metrics, disposables);
+        const metricsAddress = { ip: settings.ip, port: settings.metricsPort };
+        await serveText(settings.readyAddress, () => ({ status: isReady() ? 200 : 503, text: "" }), disposables);
+        await serveText(metricsAddress, () => ({ status: 200, text: metrics.render() }), disposables);
     }
     catch (error) {
         // A listen address is in use. Timers and sockets that stay open would keep the caller's process alive.
@@ -427,36 +451,3 @@
 
     return { drain };
 }
-
-function serveReadiness(address: ListenAddress, isReady: () => boolean, disposables: DisposableStore): Promise<void> {
-    return serveText(address, () => ({ status: isReady() ? 200 : 503, text: "" }), disposables);
-}
-
-function serveMetrics(address: ListenAddress, metrics: Metrics, disposables: DisposableStore): Promise<void> {
-    return serveText(address, () => ({ status: 200, text: metrics.render() }), disposables);
-}
-
-/** Starts an HTTP server that answers every path with the rendered text. */
-function serveText(
-    address: ListenAddress,
-    render: () => { readonly status: number; readonly text: string },
-    disposables: DisposableStore,
-): Promise<void> {
-    const server = createServer((request, response) => {
-        request.resume();
-        const { status, text } = render();
-        response.writeHead(status, { "Content-Type": "text/plain", "Content-Length": Buffer.byteLength(text) });
-        response.end(text);
-    });
-    const closing: Disposable = {
-        dispose() {
-            server.close();
-            server.closeAllConnections();
-        },
-    };
-    disposables.register(closing);
-    return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(address.port, address.ip, () => resolve());
-    });
-}
--- a/src/gateway/quarantineRegistry.ts
+++ b/src/gateway/quarantineRegistry.ts
@@ -33,8 +33,8 @@
      * test, or `undefined`.
      */
     startTest(traits: readonly string[]): Disposable | undefined;
-    /** Records that an answer to a request with these traits has progressed beyond its beginning. */
-    recordAnswer(traits: readonly string[]): void;
+    /** Records that an answer to a request with these traits has progressed beyond its beginning, now or some time ago. */
+    recordAnswer(traits: readonly string[], ageMs?: number): void;
     /** Applies a crash that this gateway or another one has detected. */
     applyCrash(report: CrashReport, isOwn: boolean): void;
     /** Applies a statement of another gateway or of the store. */
@@ -210,8 +210,8 @@
             const forget = () => tested.forEach(trait => tests.delete(trait));
             return createDisposable(() => void timers.schedule(testSettlingMs, forget));
         },
-        recordAnswer(traits) {
-            evidence.recordAnswer(traits, timers.now());
+        recordAnswer(traits, ageMs = 0) {
+            evidence.recordAnswer(traits, timers.now() - ageMs);
             for (const trait of terms.size === 0 ? [] : traits) {
                 const term = terms.get(trait);
                 if (term?.isActive) {
--- a/src/gateway/quarantineWatch.ts
+++ b/src/gateway/quarantineWatch.ts
@@ -3,7 +3,7 @@
 import { isCrashSuspect, progressEvents } from "../quarantine/crashEvidence.js";
 import { Treatment } from "../quarantine/quarantine.js";
 import { computeQuarantineRetryAfterMs } from "../scheduling/retryAfter.js";
-import { CrashDetector } from "./crashDetector.js";
+import { AttemptEnd, CrashDetector } from "./crashDetector.js";
 import { Place } from "./place.js";
 import { QuarantineRegistry } from "./quarantineRegistry.js";
 
@@ -15,8 +15,8 @@
     startAttempt(place: Place, events: number): void;
     /** Records the number of events that all attempts have received. */
     recordEvents(events: number): void;
-    recordAnswer(): void;
-    recordBrokenConnection(events: number): void;
+    /** Records that the attempt has ended. `events` is the number of events that all attempts have received. */
+    recordEnd(end: AttemptEnd, events: number): void;
     describe(): string;
     /** Computes the time after which the customer should retry, or `undefined` if the request is not quarantined. */
     computeRetryAfterMs(): number | undefined;
@@ -51,13 +51,23 @@
         }
     });
 
-    function recordAnswer(): void {
+    function recordAnswer(current: Place): void {
         if (!isAnswerRecorded) {
             isAnswerRecorded = true;
-            quarantineRegistry.recordAnswer(traits);
+            crashDetector.recordEnd(current.endpoint, { end: AttemptEnd.Answered, traits, sentAtMs });
         }
     }
 
+    function recordUnanswered(end: AttemptEnd, current: Place, events: number): void {
+        const isSuspect = isCrashSuspect({
+            events: events - eventsBefore,
+            elapsedMs: timers.now() - sentAtMs,
+            // A plain service has no prompt to read and begins at once.
+            predictedMs: current.partMs > 0 ? current.firstByteMs : 0,
+        });
+        crashDetector.recordEnd(current.endpoint, { end, traits: isSuspect ? traits : undefined, sentAtMs });
+    }
+
     return {
         decideTreatment() {
             const treatment = quarantineRegistry.decideTreatment(traits);
@@ -72,22 +82,19 @@
             eventsBefore = events;
         },
         recordEvents(events) {
-            if (events - eventsBefore >= progressEvents) {
-                recordAnswer();
+            if (events - eventsBefore >= progressEvents && !isAnswerRecorded) {
+                isAnswerRecorded = true;
+                quarantineRegistry.recordAnswer(traits);
             }
         },
-        recordAnswer,
-        recordBrokenConnection(events) {
-            if (place) {
-                const running = {
-                    events: events - eventsBefore,
-                    elapsedMs: timers.now() - sentAtMs,
-                    // A plain service has no prompt to read and begins at once.
-                    predictedMs: place.partMs > 0 ? place.firstByteMs : 0,
-                };
-                const isSuspect = traits.length > 0 && isCrashSuspect(running);
-                crashDetector.recordBrokenConnection(place.endpoint, isSuspect ? traits : undefined, sentAtMs);
+        recordEnd(end, events) {
+            if (place && end === AttemptEnd.Answered) {
+                recordAnswer(place);
+            }
+            else if (place) {
+                recordUnanswered(end, place, events);
             }
+            place = undefined;
         },
         describe: () => `${quarantineRegistry.findQuarantine(traits)?.trait ?? "the request"} crashes endpoints`,
         computeRetryAfterMs() {
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -8,6 +8,7 @@
 import { computeRetryAfterMs, renderRetryAfter } from "../scheduling/retryAfter.js";
 import { AcceptedRequest, computeEngineNeeds, computeTimes } from "./acceptedRequest.js";
 import { AnswerOutcome, AnswerOutcomeKind, createAnswerRelay } from "./answerRelay.js";
+import { AttemptEnd, LossEvidence } from "./crashDetector.js";
 import { CustomerAnswer } from "./customerAnswer.js";
 import { createDispatchWatch } from "./dispatchWatch.js";
 import { Exchange, SendFailureKind } from "./endpointConnections.js";
@@ -181,10 +182,10 @@
     function recordCompletion({ status, isFramed }: AnswerHead): void {
         if (!isFramed) {
             // The endpoint may have crashed: that ends an answer without a length like a whole one.
-            quarantineWatch.recordBrokenConnection(relay.countEvents());
+            quarantineWatch.recordEnd(AttemptEnd.Broken, relay.countEvents());
         }
         else if (status < 500) {
-            quarantineWatch.recordAnswer();
+            quarantineWatch.recordEnd(AttemptEnd.Answered, relay.countEvents());
         }
     }
 
@@ -192,6 +193,7 @@
         // The endpoint may only have lost its network link and still answer. If no retry is allowed, the task waits for
         // that, unless helpers keep memory for the request.
         if (place && (isFurtherRunAllowed() || place.reservedTokens > 0)) {
+            quarantineWatch.recordEnd(AttemptEnd.Silent, relay.countEvents());
             dropConnections(place);
             recordEndpointFailure(place, ExchangeResult.Unreachable, Verdict.MayHaveRun);
             handleFailure(Verdict.MayHaveRun, "endpoint accepts no connections");
@@ -277,11 +279,11 @@
         }
         if (kind === SendFailureKind.NotSent) {
             health.record(place.endpoint.id, ExchangeResult.Unreachable, timers.now());
-            services.crashDetector.recordEndpointLoss(place.endpoint.id);
+            services.crashDetector.recordEndpointLoss(place.endpoint.id, LossEvidence.NoConnection);
             handleFailure(Verdict.NotRun, reason);
             return;
         }
-        quarantineWatch.recordBrokenConnection(relay.countEvents());
+        quarantineWatch.recordEnd(AttemptEnd.Broken, relay.countEvents());
         services.connections.replace(place.endpoint.address);
         recordEndpointFailure(place, ExchangeResult.Broken, Verdict.MayHaveRun);
         handleFailure(Verdict.MayHaveRun, reason);
@@ -319,6 +321,7 @@
     function dropSilentDispatch(stalled: Place): void {
         const silentMs = timers.now() - (progress.getLastEventMs() ?? sentAtMs);
         const verdict = exchange?.hasStarted() ? Verdict.MayHaveRun : Verdict.NotRun;
+        quarantineWatch.recordEnd(AttemptEnd.Silent, relay.countEvents());
         dropConnections(stalled);
         recordEndpointFailure(stalled, ExchangeResult.Silent, verdict);
         handleFailure(verdict, `silent for ${Math.round(silentMs)} ms`);
@@ -437,6 +440,9 @@
         quarantineWatch.dispose();
         waiting?.dispose();
         if (kind !== EndKind.Answered) {
+            if (exchange?.hasStarted()) {
+                quarantineWatch.recordEnd(AttemptEnd.Abandoned, relay.countEvents());
+            }
             exchange?.abort();
         }
         const endpoint = place?.endpoint.id;
--- a/src/quarantine/crashEvidence.ts
+++ b/src/quarantine/crashEvidence.ts
@@ -85,8 +85,8 @@
 export interface CrashEvidence {
     /** Records a crash, or adds the suspects of another report of it. Returns whether anything was new. */
     recordCrash(report: CrashReport, nowMs: number): boolean;
-    /** Records that an answer to a request with these traits has progressed beyond its beginning. */
-    recordAnswer(traits: readonly string[], nowMs: number): void;
+    /** Records that an answer to a request with these traits had progressed beyond its beginning at a time. */
+    recordAnswer(traits: readonly string[], answeredAtMs: number): void;
     /** Returns the next culprit. Its crashes then no longer count against other traits. */
     takeCulprit(nowMs: number): Culprit | undefined;
     /** Lists the traits that at least two crashes count against and that are no culprits, those with the most first. */
@@ -287,17 +287,20 @@
             }
             return isNew;
         },
-        recordAnswer(traits, nowMs) {
+        recordAnswer(traits, answeredAtMs) {
+            const cleared = traits.filter(trait => suspected.has(trait));
+            for (const trait of cleared) {
+                [...crashes.values()].filter(crash => crash.atMs <= answeredAtMs)
+                    .forEach(crash => removeTrait(crash, trait));
+            }
+            if (cleared.length > 0) {
+                refreshSuspected();
+            }
             for (const trait of traits) {
-                if (suspected.delete(trait)) {
-                    crashes.forEach(crash => removeTrait(crash, trait));
-                }
-                if (trait === traits.at(-1)) {
-                    rememberAnswer(answeredRequests, trait, nowMs, settings.maxAnsweredRequests);
-                }
-                else {
-                    rememberAnswer(answeredParts, trait, nowMs, settings.maxAnsweredTraits);
-                }
+                const isRequest = trait === traits.at(-1);
+                const answers = isRequest ? answeredRequests : answeredParts;
+                const maxCount = isRequest ? settings.maxAnsweredRequests : settings.maxAnsweredTraits;
+                rememberAnswer(answers, trait, answeredAtMs, maxCount);
             }
         },
         takeCulprit(nowMs) {
--- a/test/gateway/parts.test.ts
+++ b/test/gateway/parts.test.ts
@@ -4,7 +4,7 @@
 import { createManualTimerService } from "../../src/base/manualTimerService.js";
 import { createMetrics } from "../../src/base/metrics.js";
 import { makeFailure, makeSuccess } from "../../src/base/result.js";
-import { createCrashDetector } from "../../src/gateway/crashDetector.js";
+import { AttemptEnd, createCrashDetector, LossEvidence } from "../../src/gateway/crashDetector.js";
 import { createEventStreamSplitter } from "../../src/gateway/eventStreamSplitter.js";
 import { followFeed } from "../../src/gateway/feedFollower.js";
 import { createIdleTimer } from "../../src/gateway/idleTimer.js";
@@ -288,9 +288,15 @@
             timers,
             connect: () => Promise.resolve(isReachable),
             onCrash: report => registry.applyCrash(report, true),
+            onAnswer: (traits, ageMs) => registry.recordAnswer(traits, ageMs),
+            onIdleLoss: () => undefined,
         });
         const recordBroken = (endpoint: string, request: string) =>
-            detector.recordBrokenConnection(makeEndpoint(endpoint), [request], timers.now());
+            detector.recordEnd(makeEndpoint(endpoint), {
+                end: AttemptEnd.Broken,
+                traits: [request],
+                sentAtMs: timers.now(),
+            });
         return { timers, reports, registry, detector, recordBroken };
     }
 
@@ -302,7 +308,7 @@
             await flushMicrotasks();
             timers.advance(settlingMs / 10);
         }
-        detector.recordEndpointLoss("e1");
+        detector.recordEndpointLoss("e1", LossEvidence.NoConnection);
         assert.equal(registry.decideTreatment(["f"]), Treatment.Free);
         assert.equal(reports.length, 0);
     });
@@ -322,11 +328,11 @@
         recordBroken("e1", "f");
         recordBroken("e1", "innocent");
         timers.advance(500);
-        detector.recordEndpointLoss("e1");
+        detector.recordEndpointLoss("e1", LossEvidence.NoConnection);
         assert.equal(registry.decideTreatment(["f"]), Treatment.Isolated);
         recordBroken("e2", "f");
         recordBroken("e2", "other");
-        detector.recordEndpointLoss("e2");
+        detector.recordEndpointLoss("e2", LossEvidence.NoConnection);
         assert.equal(registry.decideTreatment(["f"]), Treatment.Quarantined);
         assert.equal(reports.length, 2);
         // The crashes are explained by the other request, so that this one runs without conditions again.
@@ -337,7 +343,7 @@
         const { timers, registry, detector, recordBroken } = setUp();
         recordBroken("e1", "f");
         timers.advance(7_000);
-        detector.recordEndpointLoss("e1");
+        detector.recordEndpointLoss("e1", LossEvidence.NoConnection);
         assert.equal(registry.decideTreatment(["f"]), Treatment.Free);
     });
 
