Do not end running requests for a quarantine that answers contradict

Plain requests recur, so that a gateway that has answered one can be told by another, which only knows of the crashes beside which it ran, that it crashes endpoints. The gateway then took the quarantine over, ended the requests that ran with it, and only then found the contradiction. It now checks first, and answers with the end of the quarantine. The extended test failed before: the listener that ends requests was called once.

--- a/src/gateway/quarantineRegistry.ts
+++ b/src/gateway/quarantineRegistry.ts
@@ -175,13 +175,11 @@
         }
     }
 
-    /** Ends a quarantine that another process decided on although a request with the trait was answered meanwhile. */
-    function checkContradiction(term: QuarantineTerm): void {
-        const answeredAtMs = evidence.getLastAnswerMs(term.trait);
-        const firstCrashAgeMs = timers.wallNow() - term.firstCrashAtMs;
-        if (term.isActive && answeredAtMs !== undefined && timers.now() - answeredAtMs < firstCrashAgeMs) {
-            decide(endTerm(term, timers.wallNow()), QuarantineSource.Answer);
-        }
+    /** Returns whether a request with the trait was answered here since the first of the crashes that a decision rests on. */
+    function isContradicted({ trait, isActive, firstCrashAtMs }: QuarantineTerm): boolean {
+        const answeredAtMs = evidence.getLastAnswerMs(trait);
+        const firstCrashAgeMs = timers.wallNow() - firstCrashAtMs;
+        return isActive && answeredAtMs !== undefined && timers.now() - answeredAtMs < firstCrashAgeMs;
     }
 
     return {
@@ -246,8 +244,14 @@
             logOpenSuspects(report.crash);
         },
         applyTerm(term, source) {
-            if (apply(term, source)) {
-                checkContradiction(term);
+            if (!isNewerTerm(term, terms.get(term.trait))) {
+                return;
+            }
+            if (isContradicted(term)) {
+                decide(endTerm(term, timers.wallNow()), QuarantineSource.Answer);
+            }
+            else {
+                apply(term, source);
             }
         },
         listTerms: () => [...terms.values()],
--- a/test/gateway/quarantine.test.ts
+++ b/test/gateway/quarantine.test.ts
@@ -130,7 +130,10 @@
         const other = setUp();
         other.timers.advance(timers.now());
         other.registry.recordAnswer(listTraits("models", ["first", "bad"], "sound"));
+        const ended: string[] = [];
+        other.registry.onQuarantine(trait => ended.push(trait));
         other.registry.applyTerm(decisions[0]!, QuarantineSource.Gateway);
+        assert.deepEqual(ended, [], "requests that run there are not ended");
         assert.equal(other.registry.decideTreatment([badPart, "r"]), Treatment.Free);
         assert.deepEqual(other.decisions.map(term => term.isActive), [false]);
     });
