--- a/bench/run.ts
+++ b/bench/run.ts
@@ -1,5 +1,5 @@
 // Runs the experiments and measures the cost that the entry adds; writes the results to bench/results or --out.
-// With --replay it only prints the table of placement policies, from simulated engines; with --crashes that of crashing prompt parts, with --limits
+// With --replay it only prints the table of placement policies, from simulated engines; with --crashes those of requests that crash endpoints, with --limits
 // that of divided limits.
 import { execFileSync } from "node:child_process";
 import { mkdir, writeFile } from "node:fs/promises";
@@ -21,6 +21,7 @@
 import { renderCrashTable } from "./replay/crashReplay.js";
 import { renderLimitTable } from "./replay/limitReplay.js";
 import { renderReplayTable } from "./replay/main.js";
+import { renderPlainCrashTable } from "./replay/plainCrashReplay.js";
 
 const quickPhaseScale = 0.1;
 const quickPolicyCount = 2;
@@ -39,7 +40,7 @@
 });
 
 if (options.crashes) {
-    console.log(renderCrashTable());
+    console.log(`${renderCrashTable()}\n\n${renderPlainCrashTable()}`);
     process.exit(0);
 }
 if (options.limits) {
