--- a/src/gateway/crashDetector.ts
+++ b/src/gateway/crashDetector.ts
@@ -113,13 +113,13 @@
         for (const [id, trouble] of troubles) {
             if (nowMs - trouble.firstAtMs > crashDetectionWindowMs) {
                 troubles.delete(id);
-                confirmAnswers(trouble, nowMs);
+                recordOutlivedAnswers(trouble, nowMs);
             }
         }
     }
 
-    /** Confirms the answers of an endpoint of which no loss has become known. */
-    function confirmAnswers({ attempts, isLost }: RecentTrouble, nowMs: number): void {
+    /** Records the answers of an endpoint of which no loss has become known. */
+    function recordOutlivedAnswers({ attempts, isLost }: RecentTrouble, nowMs: number): void {
         for (const { end, traits, endedAtMs } of isLost ? [] : attempts) {
             if (end === AttemptEnd.Answered && traits) {
                 options.onAnswer(traits, nowMs - endedAtMs);
--- a/src/quarantine/crashEvidence.ts
+++ b/src/quarantine/crashEvidence.ts
@@ -154,7 +154,7 @@
         return answeredParts.get(trait) ?? answeredRequests.get(trait);
     }
 
-    function rememberAnswer(answers: Map<string, number>, trait: string, nowMs: number, maxCount: number): void {
+    function addAnswer(answers: Map<string, number>, trait: string, nowMs: number, maxCount: number): void {
         answers.delete(trait);
         answers.set(trait, nowMs);
         if (answers.size > maxCount) {
@@ -300,7 +300,7 @@
                 const isRequest = trait === traits.at(-1);
                 const answers = isRequest ? answeredRequests : answeredParts;
                 const maxCount = isRequest ? settings.maxAnsweredRequests : settings.maxAnsweredTraits;
-                rememberAnswer(answers, trait, answeredAtMs, maxCount);
+                addAnswer(answers, trait, answeredAtMs, maxCount);
             }
         },
         takeCulprit(nowMs) {
--- a/test/platform/support/endpointStandIn.ts
+++ b/test/platform/support/endpointStandIn.ts
@@ -65,6 +65,8 @@
     readonly headers: IncomingHttpHeaders;
     readonly body: string;
     readonly hasRun: boolean;
+    /** Id that the endpoint had when the request arrived. */
+    readonly endpointId: string;
     /** Time of arrival, in milliseconds since the process started. */
     readonly atMs: number;
     /** Whether the connection was closed before the answer was complete. */
@@ -206,6 +208,7 @@
             headers: request.headers,
             body,
             atMs: performance.now(),
+            endpointId: id,
             hasRun: !isMisdirected && fault !== EndpointFault.Full,
             isCancelled: false,
         };
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -11,11 +11,14 @@
         gateways: { type: "string", default: "3" },
         engines: { type: "string", default: "5" },
         crashing: { type: "string", default: "0" },
+        crashingPlain: { type: "string", default: "0" },
         out: { type: "string", default: "out/soak" },
     },
 });
 
 const seeds = Array.from({ length: Number(values.seeds) }, (unused, index) => Number(values.first) + index);
+const crashingShare = Number(values.crashing);
+const crashingPlainShare = Number(values.crashingPlain);
 const results: SoakResult[] = [];
 
 async function runJob(): Promise<void> {
@@ -27,7 +30,9 @@
             engines: Number(values.engines),
             services: 3,
             requestsPerSecond: 40,
-            ...(Number(values.crashing) > 0 ? { crashingShare: Number(values.crashing), faultFreeMs: 7_000 } : {}),
+            ...(crashingShare > 0 ? { crashingShare } : {}),
+            ...(crashingPlainShare > 0 ? { crashingPlainShare } : {}),
+            ...(crashingShare + crashingPlainShare > 0 ? { faultFreeMs: 7_000 } : {}),
         });
         results.push(result);
         console.log(
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -25,6 +25,21 @@
     assert.deepEqual(result.violations, [], result.logs.slice(-200).join("\n"));
 });
 
+test("invariants hold while faults overlap and plain requests crash instances, with and without a body, seed 203", async () => {
+    const result = await runSoak({
+        seed: 203,
+        faultMs: 4_000,
+        gateways: 3,
+        engines: 2,
+        services: 3,
+        requestsPerSecond: 40,
+        crashingPlainShare: 0.2,
+        faultFreeMs: 7_000,
+    });
+    assert.ok(result.requests > 50, `${result.requests} requests`);
+    assert.deepEqual(result.violations, [], result.logs.slice(-200).join("\n"));
+});
+
 for (const [seed, cause] of seeds) {
     test(`invariants hold while faults overlap, seed ${seed}: ${cause}`, async () => {
         const result = await runSoak({
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -2,7 +2,12 @@
 import { Agent, request } from "undici";
 import { createSeededRandomSource } from "../../src/base/randomSource.js";
 import { customerKey, hostName, makeConfiguration } from "../platform/support/deployment.js";
-import { EndpointFault, EndpointStandIn, startEndpointStandIn } from "../platform/support/endpointStandIn.js";
+import {
+    CrashKind,
+    EndpointFault,
+    EndpointStandIn,
+    startEndpointStandIn,
+} from "../platform/support/endpointStandIn.js";
 import { startStoreStandIn, StoreFault } from "../platform/support/storeStandIn.js";
 import { FaultyProxy, ProxyFault, startFaultyProxy } from "./faultyProxy.js";
 import { createGatewayProcess, GatewayProcess } from "./gatewayProcess.js";
@@ -18,6 +23,8 @@
     readonly requestsPerSecond: number;
     /** Share of the streams whose prompt has a part that crashes engines. */
     readonly crashingShare?: number;
+    /** Share of the plain requests that crash the instances of the plain service, half of them without a body. */
+    readonly crashingPlainShare?: number;
     /** Length of the period without faults at the end of the run. */
     readonly faultFreeMs?: number;
 }
@@ -37,10 +44,16 @@
 const deadlineMs = 2_500;
 const defaultFaultFreeMs = 4_000;
 const crashingPart = "bad1";
-/** Crashes after which, and time within which, all gateways know a part that crashes engines. */
+/** Paths of the plain requests that crash instances: a GET and a booking with a body. */
+const crashingPaths: Readonly<Partial<Record<SoakKind, string>>> = {
+    [SoakKind.Safe]: "/look/bad",
+    [SoakKind.Unsafe]: "/book/bad",
+};
+/** Crashes after which, and time within which, all gateways know a part, or a plain request, that crashes endpoints. */
 const allowedCrashes = 5;
+const allowedPlainCrashes = 3;
 const knownWithinMs = 3_000;
-/** Later requests with such a part that may reach engines. */
+/** Later requests of such a kind that may reach endpoints. */
 const maxLaterArrivals = 3;
 /** Last part of the period without faults, whose requests must be served. */
 const servedWindowMs = 2_500;
@@ -102,6 +115,7 @@
     const random = createSeededRandomSource(options.seed);
     // A source of its own leaves the faults of a seed as they are without crashing parts.
     const crashRandom = createSeededRandomSource(options.seed + 1_000);
+    const plainCrashRandom = createSeededRandomSource(options.seed + 2_000);
     const faultFreeMs = options.faultFreeMs ?? defaultFaultFreeMs;
     const pick = <Item>(items: readonly Item[]): Item => items[Math.floor(random() * items.length)]!;
     const store = await startStoreStandIn();
@@ -123,6 +137,12 @@
             events,
             eventIntervalMs: 15,
             crashingPart: options.crashingShare === undefined ? undefined : crashingPart,
+            crashPlan: {
+                kind: CrashKind.Reset,
+                isCrashing: received => Object.values(crashingPaths).includes(received.url ?? ""),
+                delayMs: 30,
+                restartDelayMs: 400,
+            },
             onCrashed: previousId => store.remove("keyed.servers", previousId),
             onRestarted: restarted => register(restarted, proxy, "ready"),
         });
@@ -164,7 +184,12 @@
         const isRevoked = key === revokedKey && sentAtMs > revokedAtMs + revocationMs;
         const path = { [SoakKind.Stream]: "/draft/", [SoakKind.Safe]: "/look/", [SoakKind.Unsafe]: "/book/" }[kind];
         const headers = { host: hostName, "x-request-id": id, "x-deadline-ms": String(deadlineMs), "api-key": key };
-        const isCrashing = kind === SoakKind.Stream && crashRandom() < (options.crashingShare ?? 0);
+        const isStream = kind === SoakKind.Stream;
+        const isCrashing = isStream
+            ? crashRandom() < (options.crashingShare ?? 0)
+            : plainCrashRandom() < (options.crashingPlainShare ?? 0);
+        const target = isCrashing && !isStream ? crashingPaths[kind]! : path + id;
+        const text = isCrashing && !isStream ? "the same" : `body of ${id}`;
         const part = isCrashing ? crashingPart : `c${nextId % 16}`;
         const prompt = {
             "x-token-count": "1000,100",
@@ -176,10 +201,10 @@
         let body: string | undefined;
         let isComplete = false;
         try {
-            const answer = await request(gateway.url + path + id, {
+            const answer = await request(gateway.url + target, {
                 method: kind === SoakKind.Safe ? "GET" : "POST",
                 headers: { ...headers, ...model },
-                body: kind === SoakKind.Safe ? undefined : `body of ${id}`,
+                body: kind === SoakKind.Safe ? undefined : text,
                 dispatcher: customer,
             });
             status = answer.statusCode;
@@ -360,6 +385,20 @@
             `a part that crashes engines is refused by all gateways: ${laterArrivals} requests reached engines`,
         );
     }
+    for (const path of Object.values(crashingPaths)) {
+        const arrivalsMs = endpoints.flatMap(endpoint => endpoint.requests)
+            .filter(item => item.hasRun && item.path === path).map(item => item.atMs).sort((left, right) =>
+                left - right
+            );
+        const refusedFromMs = Math.max(faultsEndedAtMs, arrivalsMs[allowedPlainCrashes - 1] ?? Infinity)
+            + knownWithinMs;
+        const later = arrivalsMs.filter(atMs => atMs > refusedFromMs).length;
+        if (later > maxLaterArrivals) {
+            violations.push(
+                `a request that crashes endpoints is refused by all gateways: ${later} to ${path} reached them`,
+            );
+        }
+    }
     gateways.forEach(gateway => gateway.signal("SIGTERM"));
     const exits = await Promise.all(gateways.map(gateway => gateway.waitForExit()));
     exits.filter(end => end !== 0).forEach(end => violations.push(`a drained gateway exits with 0: ended with ${end}`));
--- a/test/soak/soakOutcome.ts
+++ b/test/soak/soakOutcome.ts
@@ -35,7 +35,6 @@
 export function checkOutcome(outcome: SoakOutcome, endpoints: readonly EndpointStandIn[]): string[] {
     const runs = endpoints.flatMap(endpoint =>
         endpoint.requests.filter(item => item.hasRun && item.headers["x-request-id"] === outcome.id)
-            .map(item => ({ endpoint, item }))
     );
     const violations: string[] = [];
     const check = (holds: boolean, invariant: string) => {
@@ -62,9 +61,9 @@
 
 function isOwnAnswer(
     outcome: SoakOutcome,
-    runs: readonly { readonly endpoint: EndpointStandIn; readonly item: ReceivedRequest }[],
+    runs: readonly ReceivedRequest[],
 ): boolean {
     return outcome.kind === SoakKind.Stream
         ? outcome.body === expectedStream
-        : runs.some(({ endpoint }) => outcome.body === `done by ${endpoint.id}`);
+        : runs.some(run => outcome.body === `done by ${run.endpointId}`);
 }
