--- a/test/platform/crashingPlainRequest.test.ts
+++ b/test/platform/crashingPlainRequest.test.ts
@@ -6,10 +6,12 @@
     ReceivedAnswer,
     send,
     startDeployment,
+    startTestGateway,
     TestDeployment,
     TestGateway,
 } from "./support/deployment.js";
 import { CrashKind } from "./support/endpointStandIn.js";
+import { StoreFault } from "./support/storeStandIn.js";
 
 /** Crashes of a request after which every gateway must know it within `knownWithinMs`. */
 const allowedCrashes = 3;
@@ -229,6 +231,70 @@
     });
 });
 
+describe("a plain request that is known to crash endpoints is refused", { concurrency: 2 }, () => {
+    const crashing: CrashingRequest = { method: "GET", path: "/look/bad" };
+
+    function startCrashing(gateways: number): Promise<TestDeployment> {
+        return startDeployment({
+            engines: 0,
+            services: 3,
+            gateways,
+            serviceCrashPlan: {
+                kind: CrashKind.Reset,
+                isCrashing: received => received.url === crashing.path,
+                delayMs: crashDelayMs,
+                restartDelayMs: 300,
+            },
+        });
+    }
+
+    async function sendUntilRefused(gateways: readonly TestGateway[]): Promise<void> {
+        const endsAtMs = performance.now() + maxCrashingMs;
+        for (let status = 0, count = 0; status !== 503; count++) {
+            assert.ok(performance.now() < endsAtMs, `not refused, ${count} sent`);
+            status = (await send(gateways[count % gateways.length]!, makeRequest(crashing))).status;
+            await wait(intervalMs);
+        }
+    }
+
+    test("by a gateway that starts later", async () => {
+        const deployment = await startCrashing(1);
+        let late: TestGateway | undefined;
+        try {
+            await sendUntilRefused(deployment.gateways);
+            await wait(settledMs);
+            late = await startTestGateway("gateway-late", deployment.store.address);
+            await wait(settledMs);
+            const arrivals = listArrivals(deployment, crashing).length;
+            assert.equal((await send(late, makeRequest(crashing))).status, 503);
+            assert.equal(listArrivals(deployment, crashing).length, arrivals);
+        }
+        finally {
+            await deployment.close();
+            await late?.drain();
+        }
+    });
+
+    test("by all gateways while the store is away", async () => {
+        const deployment = await startCrashing(3);
+        try {
+            await wait(settledMs);
+            deployment.store.setFault(StoreFault.Silent);
+            await sendUntilRefused(deployment.gateways);
+            await wait(settledMs);
+            const arrivals = listArrivals(deployment, crashing).length;
+            for (const gateway of deployment.gateways) {
+                assert.equal((await send(gateway, makeRequest(crashing))).status, 503);
+            }
+            assert.equal(listArrivals(deployment, crashing).length, arrivals);
+        }
+        finally {
+            deployment.store.setFault(StoreFault.None);
+            await deployment.close();
+        }
+    });
+});
+
 test("one customer's crashing request is not refused to another customer", async () => {
     const otherKey = "key-of-warden";
     const path = "/look/shared/";
