Read and log the era of the store's answers

A feed's position is now a cursor of era and offset that the store's client makes and its users only pass back and log; StoreFeedLost, StoreFeedBack and StoreFeedGap show both, so that a feed that goes on in another era can be told from one that was only away. Nothing is decided by the era yet. The stand-in of the store names an era, reads in pages, and comes back from a copy.

--- a/src/gateway/feedFollower.ts
+++ b/src/gateway/feedFollower.ts
@@ -3,7 +3,7 @@
 import { LogEvent } from "../base/logEvents.js";
 import { ResultKind } from "../base/result.js";
 import { TimerService, waitFor } from "../base/timerService.js";
-import { FeedErrorKind, KeyedRecord, RecordFeed } from "../ports/recordFeed.js";
+import { FeedCursor, FeedErrorKind, KeyedRecord, RecordFeed } from "../ports/recordFeed.js";
 
 /** Timing of reads of a feed, in milliseconds. */
 export interface PollTiming {
@@ -46,13 +46,13 @@
 export function followFeed(options: FeedFollowerOptions): Disposable {
     const { feed, timing, timers, log, listener } = options;
     let isDisposed = false;
-    let offset: number | undefined;
+    let cursor: FeedCursor | undefined;
     let unavailableSinceMs: number | undefined;
 
     function markUnavailable(reason: string): void {
         if (unavailableSinceMs === undefined) {
             unavailableSinceMs = timers.now();
-            log(LogEvent.StoreFeedLost, { feed: options.name, reason, offset });
+            log(LogEvent.StoreFeedLost, { feed: options.name, reason, ...cursor });
             listener.onUnavailable();
         }
     }
@@ -62,7 +62,7 @@
             log(LogEvent.StoreFeedBack, {
                 feed: options.name,
                 awayMs: Math.round(timers.now() - unavailableSinceMs),
-                offset,
+                ...cursor,
             });
             unavailableSinceMs = undefined;
             listener.onAvailable();
@@ -79,26 +79,26 @@
             await waitFor(timers, retryDelayMs);
             return;
         }
+        cursor = result.value.next;
         markAvailable();
-        offset = result.value.nextOffset;
         listener.onSnapshot(result.value.records);
     }
 
-    async function readUpdates(from: number): Promise<void> {
+    async function readUpdates(from: FeedCursor): Promise<void> {
         const result = await feed.readFrom(from, timing.waitMs);
         if (isDisposed) {
             return;
         }
         if (result.kind === ResultKind.Success) {
+            cursor = result.value.next;
             markAvailable();
-            offset = result.value.nextOffset;
             listener.onUpdate(result.value.records);
             await waitFor(timers, timing.pauseMs);
             return;
         }
         if (result.error.kind === FeedErrorKind.Expired) {
-            log(LogEvent.StoreFeedGap, { feed: options.name, offset: from });
-            offset = undefined;
+            log(LogEvent.StoreFeedGap, { feed: options.name, ...from });
+            cursor = undefined;
             return;
         }
         markUnavailable(result.error.reason);
@@ -108,11 +108,11 @@
     /** Reads once. After an unexpected error, everything is read again, as some of it may not have been applied. */
     async function readOnce(): Promise<void> {
         try {
-            await (offset === undefined ? readSnapshot() : readUpdates(offset));
+            await (cursor === undefined ? readSnapshot() : readUpdates(cursor));
         }
         catch (error) {
             log(LogEvent.TaskFailed, { task: options.name, error: String(error) });
-            offset = undefined;
+            cursor = undefined;
             await waitFor(timers, failedReadDelayMs);
         }
     }
--- a/src/ports/recordFeed.ts
+++ b/src/ports/recordFeed.ts
@@ -7,17 +7,27 @@
     readonly value?: Uint8Array;
 }
 
-/** Records of one read and the offset at which to continue. */
+/**
+ * Position in a feed. Made by the client of the store; its users only pass it back and log it, because an offset means
+ * nothing without the era in which it was given out.
+ */
+export interface FeedCursor {
+    /** Rises when the store comes back from an older copy of its records; undefined if the store names none. */
+    readonly era: number | undefined;
+    readonly offset: number;
+}
+
+/** Records of one read and the position at which to continue. */
 export interface RecordBatch {
     readonly records: readonly KeyedRecord[];
-    readonly nextOffset: number;
+    readonly next: FeedCursor;
 }
 
 /** Why a read of a feed failed. */
 export enum FeedErrorKind {
     /** The store does not answer or refuses the read. */
     Unavailable = "unavailable",
-    /** Records at the requested offset are no longer available. The reader must start again with `readNewest`. */
+    /** Records at the requested position are no longer available. The reader must start again with `readNewest`. */
     Expired = "expired",
 }
 
@@ -31,8 +41,8 @@
 export interface RecordFeed {
     /** Reads the newest record of each key. */
     readNewest(): Promise<Result<RecordBatch, FeedError>>;
-    /** Reads the records from `offset` on, and waits up to `waitMs` for the first one. */
-    readFrom(offset: number, waitMs: number): Promise<Result<RecordBatch, FeedError>>;
+    /** Reads the records from a position on, and waits up to `waitMs` for the first one. */
+    readFrom(cursor: FeedCursor, waitMs: number): Promise<Result<RecordBatch, FeedError>>;
 }
 
 /** A stream of keyed records that this process can also write to. */
--- a/test/gateway/feedFollower.test.ts
+++ b/test/gateway/feedFollower.test.ts
@@ -19,8 +19,8 @@
     const following = followFeed({
         name: "test",
         feed: {
-            readNewest: async () => makeSuccess({ records: batches.shift() ?? [], nextOffset: 0 }),
-            readFrom: async () => makeSuccess({ records: [], nextOffset: 0 }),
+            readNewest: async () => makeSuccess({ records: batches.shift() ?? [], next: { era: 1, offset: 0 } }),
+            readFrom: async () => makeSuccess({ records: [], next: { era: 1, offset: 0 } }),
         },
         timing: { waitMs: 100, pauseMs: 100 },
         timers,
--- a/test/gateway/parts.test.ts
+++ b/test/gateway/parts.test.ts
@@ -363,10 +363,10 @@
         const seen: string[] = [];
         const unavailable = makeFailure({ kind: FeedErrorKind.Unavailable, reason: "down" });
         const expired = makeFailure({ kind: FeedErrorKind.Expired, reason: "old" });
-        const next = [unavailable, unavailable, makeSuccess({ records: [], nextOffset: 8 }), expired];
+        const next = [unavailable, unavailable, makeSuccess({ records: [], next: { era: 1, offset: 8 } }), expired];
         const feed: RecordFeed = {
-            readNewest: () => Promise.resolve(makeSuccess({ records: [], nextOffset: 7 })),
-            readFrom: () => Promise.resolve(next.shift() ?? makeSuccess({ records: [], nextOffset: 9 })),
+            readNewest: () => Promise.resolve(makeSuccess({ records: [], next: { era: 1, offset: 7 } })),
+            readFrom: () => Promise.resolve(next.shift() ?? makeSuccess({ records: [], next: { era: 1, offset: 9 } })),
         };
         const following = followFeed({
             name: "test",
--- a/test/gateway/peerDiscovery.test.ts
+++ b/test/gateway/peerDiscovery.test.ts
@@ -12,8 +12,8 @@
     let known: readonly string[] = [];
     const following = followPeers({
         feed: {
-            readNewest: async () => makeSuccess({ records: [...records], nextOffset: 0 }),
-            readFrom: async () => makeSuccess({ records: [], nextOffset: 0 }),
+            readNewest: async () => makeSuccess({ records: [...records], next: { era: 1, offset: 0 } }),
+            readFrom: async () => makeSuccess({ records: [], next: { era: 1, offset: 0 } }),
             write: async (key, value) => {
                 records.push({ key, value });
                 return makeSuccess(undefined);
--- a/test/gateway/quarantine.test.ts
+++ b/test/gateway/quarantine.test.ts
@@ -206,12 +206,19 @@
         const terms: QuarantineTerm[] = [];
         let remainingFailures = failures;
         const feed: WritableFeed = {
-            readNewest: () => Promise.resolve(makeSuccess({ records: [...written], nextOffset: written.length })),
-            readFrom: offset =>
+            readNewest: () =>
+                Promise.resolve(makeSuccess({ records: [...written], next: { era: 1, offset: written.length } })),
+            readFrom: ({ offset }) =>
                 new Promise(resolve =>
                     timers.schedule(
                         100,
-                        () => resolve(makeSuccess({ records: written.slice(offset), nextOffset: written.length })),
+                        () =>
+                            resolve(
+                                makeSuccess({
+                                    records: written.slice(offset),
+                                    next: { era: 1, offset: written.length },
+                                }),
+                            ),
                     )
                 ),
             write(key, value) {
--- a/test/platform/codecs.test.ts
+++ b/test/platform/codecs.test.ts
@@ -123,8 +123,8 @@
         const header = Buffer.alloc(16);
         const whole = [encodeRecord("a", Buffer.from("1")), encodeRecord("b", Buffer.alloc(0))];
         const cut = encodeRecord("c", Buffer.from("long value")).subarray(0, 9);
-        const batch = decodeRecords(Buffer.concat([header, ...whole, cut]), 40);
-        assert.equal(batch.nextOffset, 42);
+        const batch = decodeRecords(Buffer.concat([header, ...whole, cut]), { era: 3, offset: 40 });
+        assert.deepEqual(batch.next, { era: 3, offset: 42 });
         assert.deepEqual(batch.records.map(record => [record.key, record.value?.toString()]), [
             ["a", "1"],
             ["b", undefined],
--- a/test/platform/support/storeStandIn.ts
+++ b/test/platform/support/storeStandIn.ts
@@ -12,6 +12,9 @@
     Reset = "reset",
 }
 
+/** The records of a store at one moment. */
+export type StoreCopy = ReadonlyMap<string, Pick<StoredTopic, "records" | "end" | "newest">>;
+
 /** A stand-in for the platform's store, which has keyed topics with one partition each. */
 export interface StoreStandIn {
     readonly address: string;
@@ -20,6 +23,18 @@
     setFault(fault: StoreFault): void;
     /** Drops the history of a topic. The newest record of each key can still be read through `log-newest`. */
     dropHistory(topic: string): void;
+    /** Sets the number of keys in one page of a full read. */
+    setPageSize(keys: number): void;
+    /** Copies all records. */
+    makeCopy(): StoreCopy;
+    /**
+     * Comes back from a copy: what was written since is lost, offsets are given out again, and the era rises. Reads that
+     * wait go on, unless their connections are closed by a fault.
+     */
+    restore(copy: StoreCopy): void;
+    /** Calls `listener` before each answer, which it can change the store ahead of. */
+    onCall(listener: (path: string) => void): void;
+    getEra(): number;
     listKeys(topic: string): string[];
     countCalls(): number;
     close(): Promise<void>;
@@ -34,7 +49,7 @@
 interface StoredTopic {
     records: StoredRecord[];
     end: number;
-    readonly newest: Map<string, StoredRecord>;
+    newest: Map<string, StoredRecord>;
     readonly waiters: Set<() => void>;
 }
 
@@ -43,6 +58,9 @@
     const topics = new Map<string, StoredTopic>();
     let fault = StoreFault.None;
     let calls = 0;
+    let era = 1;
+    let pageSize = Number.POSITIVE_INFINITY;
+    let handleCall: (path: string) => void = () => undefined;
 
     function getTopic(name: string): StoredTopic {
         let topic = topics.get(name);
@@ -78,6 +96,8 @@
             request.socket.destroy();
             return;
         }
+        handleCall(url.pathname + url.search);
+        response.setHeader("Store-Era", String(era));
         if (fault === StoreFault.Busy) {
             response.writeHead(503).end();
             return;
@@ -85,7 +105,7 @@
         const topic = getTopic(url.searchParams.get("topic") ?? "");
         switch (url.pathname) {
             case "/jujubelane/log-newest":
-                sendJson(response, 200, renderNewest(topic));
+                sendJson(response, 200, renderNewest(topic, url.searchParams.get("after") ?? "", pageSize));
                 return;
             case "/jujubelane/log-append":
                 appendAll(url.searchParams.get("topic") ?? "", body);
@@ -119,6 +139,8 @@
         if (from >= topic.end) {
             await waitForRecord(topic, Number(query.get("wait_ms") ?? 0), response);
         }
+        // The store may have been restored meanwhile.
+        response.setHeader("Store-Era", String(era));
         const header = Buffer.alloc(16);
         header.writeBigUInt64BE(BigInt(topic.end), 0);
         header.writeBigUInt64BE(BigInt(first), 8);
@@ -138,19 +160,42 @@
         dropHistory(name) {
             getTopic(name).records = [];
         },
+        setPageSize(keys) {
+            pageSize = keys;
+        },
+        makeCopy: () =>
+            new Map([...topics].map(([name, { records, end, newest }]) => [
+                name,
+                { records: [...records], end, newest: new Map(newest) },
+            ])),
+        restore(copy) {
+            era += 1;
+            for (const [name, topic] of topics) {
+                const copied = copy.get(name);
+                topic.records = [...copied?.records ?? []];
+                topic.end = copied?.end ?? 0;
+                topic.newest = new Map(copied?.newest);
+            }
+        },
+        onCall(listener) {
+            handleCall = listener;
+        },
+        getEra: () => era,
         listKeys: name => [...getTopic(name).newest.keys()],
         countCalls: () => calls,
         close: () => server.close(),
     };
 }
 
-function renderNewest(topic: StoredTopic): object {
-    const items = [...topic.newest.values()].map(record => ({
+function renderNewest(topic: StoredTopic, after: string, pageSize: number): object {
+    const remaining = [...topic.newest.values()].filter(record => record.key > after)
+        .sort((left, right) => left.key < right.key ? -1 : 1);
+    const items = remaining.slice(0, pageSize).map(record => ({
         key: record.key,
         value: record.value.toString("base64"),
         offset: record.offset,
     }));
-    return { items, has_more: false, end: topic.end };
+    return { items, has_more: remaining.length > pageSize, end: topic.end };
 }
 
 function encodeStoredRecord(record: StoredRecord): Buffer {
