Read feeds anew when the store comes back from an older copy

Callers would see a confirmed change that is not in force, a route that is not served, or endpoints that are gone. Cause: a position in a feed was an offset, and offsets are given out again after a restoration; where the topic had been written past it again, what lay between was never read, without an error. The class: a position without the history that it belongs to.

A store that names no era is read as before.

--- a/src/base/logEvents.ts
+++ b/src/base/logEvents.ts
@@ -77,6 +77,7 @@
     StoreFeedLost = 8001,
     StoreFeedBack = 8002,
     StoreFeedGap = 8003,
+    StoreRestored = 8004,
     ProcessStarted = 9001,
     ProcessDraining = 9002,
     ProcessStopped = 9003,
--- a/src/gateway/feedFollower.ts
+++ b/src/gateway/feedFollower.ts
@@ -17,6 +17,11 @@
 export interface FeedListener {
     /** Receives the newest record of every key. A key that is missing does not exist any more. */
     onSnapshot(records: readonly KeyedRecord[]): void;
+    /**
+     * Called before the snapshot that follows when the store has come back from an older copy. The snapshot can have older
+     * values than known ones, and lack what its writers have not written again yet.
+     */
+    onRestored(): void;
     /** Receives records that were written since the last call. */
     onUpdate(records: readonly KeyedRecord[]): void;
     onUnavailable(): void;
@@ -38,7 +43,8 @@
 const failedReadDelayMs = 1_000;
 
 /**
- * Follows a feed until disposed. Reads a snapshot, then updates. Reads a new snapshot if updates have expired unread.
+ * Follows a feed until disposed. Reads a snapshot, then updates. Reads a new snapshot if updates have expired unread, or if
+ * the store has come back from an older copy.
  *
  * @example
  * const following = followFeed({ name: "endpoints", feed, timing, timers, log, listener });
@@ -47,6 +53,7 @@
     const { feed, timing, timers, log, listener } = options;
     let isDisposed = false;
     let cursor: FeedCursor | undefined;
+    let era: number | undefined;
     let unavailableSinceMs: number | undefined;
 
     function markUnavailable(reason: string): void {
@@ -69,6 +76,14 @@
         }
     }
 
+    function recordEra(next: FeedCursor): void {
+        if (era !== undefined && next.era !== era) {
+            log(LogEvent.StoreRestored, { feed: options.name, previousEra: era, ...next });
+            listener.onRestored();
+        }
+        era = next.era ?? era;
+    }
+
     async function readSnapshot(): Promise<void> {
         const result = await feed.readNewest();
         if (isDisposed) {
@@ -81,6 +96,7 @@
         }
         cursor = result.value.next;
         markAvailable();
+        recordEra(cursor);
         listener.onSnapshot(result.value.records);
     }
 
@@ -96,6 +112,11 @@
             await waitFor(timers, timing.pauseMs);
             return;
         }
+        if (result.error.kind === FeedErrorKind.Restored) {
+            cursor = undefined;
+            await waitFor(timers, retryDelayMs);
+            return;
+        }
         if (result.error.kind === FeedErrorKind.Expired) {
             log(LogEvent.StoreFeedGap, { feed: options.name, ...from });
             cursor = undefined;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -355,6 +355,8 @@
         log,
         listener: {
             onSnapshot: applyConfiguration,
+            // The version in force stays until a newer one is read.
+            onRestored() {},
             onUpdate: applyConfiguration,
             onUnavailable() {},
             onAvailable() {},
@@ -371,6 +373,7 @@
                 areEndpointsKnown = true;
                 applyChanges(directory.applyAll(decodeEndpoints(records), timers.now()));
             },
+            onRestored: () => directory.markStoreRestored(timers.now()),
             onUpdate: records => applyChanges(records.flatMap(applyEndpointRecord)),
             onUnavailable: () => directory.markStoreUnreachable(),
             onAvailable: () => directory.markStoreReachable(timers.now()),
--- a/src/gateway/quarantineStore.ts
+++ b/src/gateway/quarantineStore.ts
@@ -116,6 +116,7 @@
         log,
         listener: {
             onSnapshot: applyRecords,
+            onRestored() {},
             onUpdate: applyRecords,
             onUnavailable() {
                 isReachable = false;
--- a/src/membership/endpointDirectory.ts
+++ b/src/membership/endpointDirectory.ts
@@ -54,6 +54,8 @@
     applyRemoval(id: string, nowMs: number): readonly EndpointChange[];
     markStoreUnreachable(): void;
     markStoreReachable(nowMs: number): void;
+    /** Records that the store has come back from an older copy, which may lack registrations of live endpoints. */
+    markStoreRestored(nowMs: number): void;
     /** Removes lapsed endpoints once the grace period after the store's return has passed. */
     expireLapses(nowMs: number): readonly EndpointChange[];
     /** Lists the endpoints of a service that accept new work. */
@@ -66,7 +68,7 @@
  * Creates an empty directory.
  *
  * A registration that disappears while the store is unreachable, or shortly after its return, may have expired only
- * because its owner could not renew it. Such an endpoint stays usable until the grace period after the store's return
+ * because its owner could not renew it, or be lost with what was written since an older copy. Such an endpoint stays usable until the grace period after the store's return
  * has passed.
  *
  * @example
@@ -135,6 +137,9 @@
                 storeReachableAtMs = nowMs;
             }
         },
+        markStoreRestored(nowMs) {
+            storeReachableAtMs = nowMs;
+        },
         expireLapses(nowMs) {
             if (isExpiryUnreliable(nowMs)) {
                 return [];
--- a/src/ports/recordFeed.ts
+++ b/src/ports/recordFeed.ts
@@ -29,6 +29,11 @@
     Unavailable = "unavailable",
     /** Records at the requested position are no longer available. The reader must start again with `readNewest`. */
     Expired = "expired",
+    /**
+     * The store has come back from an older copy, so that the position means nothing any more. The reader must start again
+     * with `readNewest`.
+     */
+    Restored = "restored",
 }
 
 /** A failed read. */
--- a/test/gateway/feedFollower.test.ts
+++ b/test/gateway/feedFollower.test.ts
@@ -25,7 +25,7 @@
         timing: { waitMs: 100, pauseMs: 100 },
         timers,
         log: () => undefined,
-        listener: { onSnapshot: apply, onUpdate: apply, onUnavailable() {}, onAvailable() {} },
+        listener: { onSnapshot: apply, onRestored() {}, onUpdate: apply, onUnavailable() {}, onAvailable() {} },
     });
     const settle = () => new Promise(resolve => setImmediate(resolve));
     for (let step = 0; step < 30; step++) {
--- a/test/gateway/parts.test.ts
+++ b/test/gateway/parts.test.ts
@@ -377,6 +377,7 @@
             listener: {
                 onSnapshot: () => seen.push("snapshot"),
                 onUpdate: () => seen.push("update"),
+                onRestored: () => undefined,
                 onUnavailable: () => seen.push("unavailable"),
                 onAvailable: () => seen.push("available"),
             },
--- a/test/platform/storeRestored.test.ts
+++ b/test/platform/storeRestored.test.ts
@@ -1,9 +1,11 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import { createStoreClient } from "../../platform/storeClient.js";
+import { Result, ResultKind } from "../../src/base/result.js";
 import { createSystemTimerService } from "../../src/base/systemTimerService.js";
+import { readBody, sendJson, startHttpServer } from "../../src/emulator/httpServer.js";
 import { followFeed } from "../../src/gateway/feedFollower.js";
-import { KeyedRecord } from "../../src/ports/recordFeed.js";
+import { FeedError, FeedErrorKind, KeyedRecord } from "../../src/ports/recordFeed.js";
 import {
     customerKey,
     makeConfiguration,
@@ -54,6 +56,7 @@
                 apply(records);
             },
             onUpdate: apply,
+            onRestored: () => undefined,
             onUnavailable: () => undefined,
             onAvailable: () => undefined,
         },
@@ -154,6 +157,77 @@
     });
 });
 
+describe("the client of a store", () => {
+    /** Starts a store whose answers name the given eras, in order, and are empty reads or acknowledged writes. */
+    async function startEras(...eras: readonly (number | undefined)[]) {
+        const remaining = [...eras];
+        const server = await startHttpServer(0, async (request, response) => {
+            const era = remaining.shift();
+            if (era !== undefined) {
+                response.setHeader("Store-Era", String(era));
+            }
+            const isNewest = request.url?.includes("log-newest");
+            await readBody(request);
+            if (isNewest) {
+                sendJson(response, 200, { items: [], has_more: false, end: 5 });
+                return;
+            }
+            const header = Buffer.alloc(16);
+            header.writeBigUInt64BE(5n, 0);
+            response.end(header);
+        });
+        const client = createStoreClient(`127.0.0.1:${server.port}`);
+        const close = async () => {
+            await client.close();
+            await server.close();
+        };
+        return { feed: client.openFeed(topic), close };
+    }
+
+    function getErrorKind(result: Result<unknown, FeedError>): FeedErrorKind | undefined {
+        return result.kind === ResultKind.Failure ? result.error.kind : undefined;
+    }
+
+    test("does not take an answer of an earlier era that arrives late for a newer one", async () => {
+        const { feed, close } = await startEras(2, 1, 1, 2);
+        try {
+            const read = await feed.readNewest();
+            assert.ok(read.kind === ResultKind.Success);
+            assert.equal(getErrorKind(await feed.readNewest()), FeedErrorKind.Unavailable);
+            assert.equal(getErrorKind(await feed.write("key", Buffer.from("lost"))), FeedErrorKind.Unavailable);
+            assert.equal(getErrorKind(await feed.readFrom(read.value.next, 10)), undefined);
+        }
+        finally {
+            await close();
+        }
+    });
+
+    test("tells a reader that its position is of an earlier era, also after several restorations", async () => {
+        const { feed, close } = await startEras(1, 4, 4);
+        try {
+            const read = await feed.readNewest();
+            assert.ok(read.kind === ResultKind.Success);
+            assert.equal(getErrorKind(await feed.readFrom(read.value.next, 10)), FeedErrorKind.Restored);
+            assert.equal(getErrorKind(await feed.readFrom(read.value.next, 10)), FeedErrorKind.Restored);
+        }
+        finally {
+            await close();
+        }
+    });
+
+    test("reads from a store that names no era", async () => {
+        const { feed, close } = await startEras();
+        try {
+            const read = await feed.readNewest();
+            assert.ok(read.kind === ResultKind.Success);
+            assert.equal(getErrorKind(await feed.readFrom(read.value.next, 10)), undefined);
+        }
+        finally {
+            await close();
+        }
+    });
+});
+
 describe("a gateway whose store comes back from an older copy", { concurrency: 4 }, () => {
     const newPath = "/new/1";
     const makeNewConfiguration = (version: number, changes: object = {}) => {
