--- a/src/ports/endpointRecord.ts
+++ b/src/ports/endpointRecord.ts
@@ -10,6 +10,8 @@
     readonly id: string;
     /** Start time of the endpoint, in milliseconds since the Unix epoch; absent if the endpoint does not report it. */
     readonly startedAtMs?: number;
+    /** Rises with each renewal of the registration within one incarnation; absent if the endpoint does not count them. */
+    readonly renewal?: number;
     readonly service: string;
     /** IP address and port. */
     readonly address: string;
--- a/test/membership/endpointDirectory.test.ts
+++ b/test/membership/endpointDirectory.test.ts
@@ -1,9 +1,14 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
-import { createEndpointDirectory, EndpointChange, EndpointDirectory } from "../../src/membership/endpointDirectory.js";
+import {
+    createEndpointDirectory,
+    defaultDirectorySettings,
+    EndpointChange,
+    EndpointDirectory,
+} from "../../src/membership/endpointDirectory.js";
 import { EndpointRecord, EndpointState } from "../../src/ports/endpointRecord.js";
 
-const settings = { lapseGraceMs: 2_000 };
+const settings = { ...defaultDirectorySettings, lapseGraceMs: 2_000, departedGraceMs: 5_000 };
 
 function makeRecord(changes: Partial<EndpointRecord> = {}): EndpointRecord {
     return {
@@ -118,8 +123,92 @@
     },
 ];
 
-describe("endpoint directory while the store is reachable and unreachable", () => {
-    for (const { name, steps, changes, isUsable } of cases) {
+const departed: DirectoryCase["steps"] = [
+    d => d.applyRecord(makeRecord({ renewal: 3 }), 0),
+    d => d.applyRemoval("engine-1", 5_000),
+    d => d.markStoreRestored(10_000),
+];
+
+const restoredCases: readonly DirectoryCase[] = [
+    {
+        name: "an endpoint that the copy lacks stays usable and is kept when it registers again",
+        steps: [
+            d => d.applyRecord(makeRecord(), 0),
+            d => d.markStoreRestored(10_000),
+            d => d.applyAll([], 10_000),
+            d => d.applyRecord(makeRecord({ renewal: 9 }), 11_500),
+            d => d.expireLapses(60_000),
+        ],
+        changes: ["joined", "lapsed"],
+        isUsable: true,
+    },
+    {
+        name: "an endpoint that has not registered again within two seconds is removed",
+        steps: [
+            d => d.applyRecord(makeRecord(), 0),
+            d => d.markStoreRestored(10_000),
+            d => d.applyAll([], 10_000),
+            d => d.expireLapses(12_010),
+        ],
+        changes: ["joined", "lapsed", "left"],
+        isUsable: false,
+    },
+    {
+        name: "an endpoint that had left is not used because the copy still has it, and is forgotten when that lapses",
+        steps: [
+            ...departed,
+            d => d.applyAll([makeRecord({ renewal: 2 })], 10_000),
+            d => d.applyRemoval("engine-1", 13_600),
+            d => d.expireLapses(60_000),
+        ],
+        changes: ["joined", "left", "doubtful"],
+        isUsable: false,
+    },
+    {
+        name: "an endpoint that had left is used again as soon as it renews its registration",
+        steps: [...departed, d => d.applyAll([makeRecord({ renewal: 4 })], 10_000)],
+        changes: ["joined", "left", "joined"],
+        isUsable: true,
+    },
+    {
+        name: "an endpoint that had left is used again once its registration has not lapsed for five seconds",
+        steps: [
+            ...departed,
+            d => d.applyAll([makeRecord({ renewal: 2 })], 10_000),
+            d => d.expireLapses(14_900),
+            d => d.expireLapses(15_000),
+        ],
+        changes: ["joined", "left", "doubtful", "joined"],
+        isUsable: true,
+    },
+    {
+        name: "an endpoint that had left is used again after a restart under its id",
+        steps: [...departed, d => d.applyAll([makeRecord({ startedAtMs: 200, renewal: 0 })], 10_000)],
+        changes: ["joined", "left", "joined"],
+        isUsable: true,
+    },
+    {
+        name: "an endpoint that had announced that it leaves is never used again in that incarnation",
+        steps: [
+            d => d.applyRecord(draining, 0),
+            d => d.applyRemoval("engine-1", 5_000),
+            d => d.markStoreRestored(10_000),
+            d => d.applyAll([makeRecord({ renewal: 50 })], 10_000),
+            d => d.expireLapses(60_000),
+        ],
+        changes: ["joined", "draining", "left", "doubtful"],
+        isUsable: false,
+    },
+    {
+        name: "an endpoint that has announced that it leaves does not count as ready because the copy says so",
+        steps: [d => d.applyRecord(draining, 0), d => d.markStoreRestored(10), d => d.applyAll([makeRecord()], 10)],
+        changes: ["joined", "draining"],
+        isUsable: false,
+    },
+];
+
+function checkCases(directoryCases: readonly DirectoryCase[]): void {
+    for (const { name, steps, changes, isUsable } of directoryCases) {
         test(name, () => {
             const directory = createEndpointDirectory(settings);
             const seen = steps.flatMap(step => (step(directory) ?? []).map(change => change.kind as string));
@@ -127,4 +216,8 @@
             assert.equal(directory.listUsable("models").length, isUsable ? 1 : 0);
         });
     }
-});
+}
+
+describe("endpoint directory while the store is reachable and unreachable", () => checkCases(cases));
+
+describe("endpoint directory after the store has come back from an older copy", () => checkCases(restoredCases));
--- a/test/platform/storeRestored.test.ts
+++ b/test/platform/storeRestored.test.ts
@@ -290,9 +290,10 @@
             deployment.register(staying!, "desk", { seq: 8 });
             await wait(knownWithinMs);
             const before = leaving!.requests.length;
-            for (let count = 0; count < 10; count++) {
-                assert.equal((await get(gateway, `/look/${count}`)).status, 200);
-            }
+            const answers = await Promise.all(
+                Array.from({ length: 10 }, (unused, count) => get(gateway, `/look/${count}`)),
+            );
+            assert.ok(answers.every(answer => answer.status === 200));
             assert.equal(leaving!.requests.length, before);
         }
         finally {
