Write again what a restored store has lost of this system

Quarantines were never written again, because every gateway took them for stored, so that a gateway that started later sent crashing requests on. Registrations of gateways were missing for up to ten seconds; a gateway that read them meanwhile took the others for gone, and with them their shares of endpoints and of the retry budget.

After a restoration each gateway forgets what was stored and writes the quarantines that the copy lacks, one to three seconds later, unless it reads them before: the first writers of many prevent the rest. Registrations are renewed within two seconds, spread at random, and read again one and three seconds later; gateways known before count for ten seconds.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -181,6 +181,7 @@
         log,
         random: ports.random,
         onTerm: term => quarantineRegistry.applyTerm(term, QuarantineSource.Store),
+        listTerms: () => quarantineRegistry.listTerms(),
     }));
     const crashDetector = disposables.register(createCrashDetector({
         timers,
@@ -373,7 +374,10 @@
                 areEndpointsKnown = true;
                 applyChanges(directory.applyAll(decodeEndpoints(records), timers.now()));
             },
-            onRestored: () => directory.markStoreRestored(timers.now()),
+            onRestored() {
+                directory.markStoreRestored(timers.now());
+                peers.renewSoon();
+            },
             onUpdate: records => applyChanges(records.flatMap(applyEndpointRecord)),
             onUnavailable: () => directory.markStoreUnreachable(),
             onAvailable: () => directory.markStoreReachable(timers.now()),
@@ -382,12 +386,13 @@
     disposables.register(
         timers.subscribe(expiryCheckIntervalMs, () => applyChanges(directory.expireLapses(timers.now()))),
     );
-    disposables.register(followPeers({
+    const peers = disposables.register(followPeers({
         feed: ports.gatewayFeed,
         host: settings.host,
         address: exchangeAddress,
         timers,
         log,
+        random: ports.random,
         onPeers(addresses) {
             gatewayAddresses = addresses;
             applyCell(addresses);
--- a/src/gateway/peerDiscovery.ts
+++ b/src/gateway/peerDiscovery.ts
@@ -3,7 +3,7 @@
 import { LogEvent } from "../base/logEvents.js";
 import { ResultKind } from "../base/result.js";
 import { TimerService } from "../base/timerService.js";
-import { KeyedRecord, WritableFeed } from "../ports/recordFeed.js";
+import { FeedCursor, KeyedRecord, WritableFeed } from "../ports/recordFeed.js";
 
 export interface PeerDiscoveryOptions {
     readonly feed: WritableFeed;
@@ -12,9 +12,16 @@
     readonly address: string;
     readonly timers: TimerService;
     readonly log: EventLog;
+    readonly random: () => number;
     readonly onPeers: (addresses: readonly string[]) => void;
 }
 
+/** Registration of this gateway and discovery of the others. */
+export interface PeerDiscovery extends Disposable {
+    /** Renews the registration within seconds, because the store may have lost it. */
+    renewSoon(): void;
+}
+
 /** Long, because calls to the store have a cost and running gateways also learn of each other from their messages. */
 const refreshIntervalMs = 10_000;
 /**
@@ -25,6 +32,13 @@
 const retryDelayMs = 500;
 /** A registration that was not renewed for this many refreshes belongs to a host that is gone. */
 const maxUnchangedRefreshes = 4;
+/** Time within which all gateways renew their registrations after the store has lost some, spread over it. */
+const renewalSpreadMs = 2_000;
+/**
+ * Time after the store's return from an older copy for which gateways known before count, in milliseconds: a gateway that
+ * took the others for gone would use their shares of endpoints and retries as well.
+ */
+const restoredGraceMs = 10_000;
 
 /**
  * Registers this gateway in the store and reads the addresses of the others at intervals, until disposed.
@@ -32,7 +46,7 @@
  * @example
  * const following = followPeers({ feed, host, address, timers, log, onPeers: exchange.setPeers });
  */
-export function followPeers(options: PeerDiscoveryOptions): Disposable {
+export function followPeers(options: PeerDiscoveryOptions): PeerDiscovery {
     const { feed, timers, log } = options;
     const registrations = new Map<string, { readonly value: string; readonly refreshes: number }>();
     let renewalCount = 0;
@@ -40,6 +54,9 @@
     let isDisposed = false;
     let wasStoreUnavailable = false;
     let nextRefresh: Disposable | undefined;
+    let era: number | undefined;
+    let restoredAtMs = Number.NEGATIVE_INFINITY;
+    let lastAddresses: readonly string[] = [];
 
     /**
      * Lists the addresses of live gateways. A registration that is unchanged since the last read was not renewed
@@ -60,6 +77,21 @@
         return live;
     }
 
+    function recordEra(next: FeedCursor): void {
+        if (era !== undefined && next.era !== era) {
+            restoredAtMs = timers.now();
+            log(LogEvent.StoreRestored, { feed: "gateways", previousEra: era, ...next });
+        }
+        era = next.era ?? era;
+    }
+
+    function applyRecords(records: readonly KeyedRecord[]): void {
+        const live = listLiveAddresses(records);
+        const kept = timers.now() < restoredAtMs + restoredGraceMs ? lastAddresses : [];
+        lastAddresses = [...new Set([...live, ...kept])];
+        options.onPeers(lastAddresses);
+    }
+
     async function refresh(): Promise<void> {
         renewalCount += 1;
         const written = await feed.write(options.host, Buffer.from(`${options.address} ${renewalCount}`));
@@ -68,7 +100,8 @@
             return;
         }
         if (read.kind === ResultKind.Success) {
-            options.onPeers(listLiveAddresses(read.value.records));
+            recordEra(read.value.next);
+            applyRecords(read.value.records);
         }
         const failure = [written, read].find(result => result.kind === ResultKind.Failure);
         const hasFailed = failure !== undefined;
@@ -81,18 +114,28 @@
         wasStoreUnavailable = hasFailed;
         const intervalMs = firstDelaysMs[readCount] ?? refreshIntervalMs;
         readCount += hasFailed ? 0 : 1;
-        nextRefresh = timers.schedule(hasFailed ? retryDelayMs : intervalMs, start);
+        schedule(hasFailed ? retryDelayMs : intervalMs);
+    }
+
+    function schedule(delayMs: number): void {
+        nextRefresh?.dispose();
+        nextRefresh = timers.schedule(delayMs, start);
     }
 
     function start(): void {
         refresh().catch((error: unknown) => {
             log(LogEvent.TaskFailed, { task: "peers", error: String(error) });
-            nextRefresh = timers.schedule(refreshIntervalMs, start);
+            schedule(refreshIntervalMs);
         });
     }
 
     start();
     return {
+        renewSoon() {
+            // The others renew meanwhile, so that it takes some reads to know all of them, as at the start.
+            readCount = 0;
+            schedule(renewalSpreadMs * options.random());
+        },
         dispose() {
             isDisposed = true;
             nextRefresh?.dispose();
--- a/src/gateway/quarantineStore.ts
+++ b/src/gateway/quarantineStore.ts
@@ -24,6 +24,8 @@
     readonly log: EventLog;
     readonly random: () => number;
     readonly onTerm: (term: QuarantineTerm) => void;
+    /** Lists what this gateway knows, to write again what the store has lost. */
+    readonly listTerms: () => readonly QuarantineTerm[];
 }
 
 /**
@@ -75,6 +77,8 @@
     const disposables = createDisposableStore();
     let hasRead = false;
     let isReachable = true;
+    /** Whether the store has come back from an older copy, so that what it had stored may be missing. */
+    let isRestored = false;
 
     function applyRecords(records: readonly KeyedRecord[]): void {
         hasRead = true;
@@ -108,6 +112,12 @@
         }
     }
 
+    function writeMissing(term: QuarantineTerm): void {
+        if (isNewerTerm(term, stored.get(term.trait))) {
+            schedule(term, missingDelayMs + missingJitterMs * options.random());
+        }
+    }
+
     disposables.register(followFeed({
         name: "quarantines",
         feed,
@@ -115,8 +125,17 @@
         timers,
         log,
         listener: {
-            onSnapshot: applyRecords,
-            onRestored() {},
+            onSnapshot(records) {
+                applyRecords(records);
+                if (isRestored) {
+                    isRestored = false;
+                    options.listTerms().forEach(writeMissing);
+                }
+            },
+            onRestored() {
+                stored.clear();
+                isRestored = true;
+            },
             onUpdate: applyRecords,
             onUnavailable() {
                 isReachable = false;
@@ -129,7 +148,7 @@
 
     return {
         writeDecision: term => schedule(term, decisionJitterMs * options.random()),
-        writeMissing: term => schedule(term, missingDelayMs + missingJitterMs * options.random()),
+        writeMissing,
         isAvailable: () => hasRead && isReachable,
         dispose() {
             disposables.dispose();
--- a/test/gateway/quarantine.test.ts
+++ b/test/gateway/quarantine.test.ts
@@ -236,6 +236,7 @@
             log: () => undefined,
             random: () => 0.5,
             onTerm: item => terms.push(item),
+            listTerms: () => terms,
         });
         const advance = async (durationMs: number) => {
             for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 50) {
