Let the store come back from older copies in the soak

A copy of up to three seconds before comes back, then the operator and the endpoints write again within a second and what nobody renews lapses.

--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -1,4 +1,4 @@
-// Runs the soak test with many seeds: npm run soak -- --seeds 50 --first 1 --jobs 3
+// Runs the soak test with many seeds: npm run soak -- --seeds 50 --first 1 --jobs 3 [--crashing SHARE] [--crashingPlain SHARE] [--restored]
 import { mkdir, writeFile } from "node:fs/promises";
 import { parseArgs } from "node:util";
 import { runSoak, SoakResult } from "./soak.js";
@@ -12,6 +12,7 @@
         engines: { type: "string", default: "5" },
         crashing: { type: "string", default: "0" },
         crashingPlain: { type: "string", default: "0" },
+        restored: { type: "boolean", default: false },
         out: { type: "string", default: "out/soak" },
     },
 });
@@ -30,6 +31,7 @@
             engines: Number(values.engines),
             services: 3,
             requestsPerSecond: 40,
+            isStoreRestored: values.restored,
             ...(crashingShare > 0 ? { crashingShare } : {}),
             ...(crashingPlainShare > 0 ? { crashingPlainShare } : {}),
             ...(crashingShare + crashingPlainShare > 0 ? { faultFreeMs: 7_000 } : {}),
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -40,6 +40,22 @@
     assert.deepEqual(result.violations, [], result.logs.slice(-200).join("\n"));
 });
 
+test("invariants hold while faults overlap and the store comes back from older copies, seed 305", async () => {
+    const result = await runSoak({
+        seed: 305,
+        faultMs: 6_000,
+        gateways: 2,
+        engines: 3,
+        services: 2,
+        requestsPerSecond: 25,
+        isStoreRestored: true,
+        faultFreeMs: 6_000,
+    });
+    assert.ok(result.requests > 50, `${result.requests} requests`);
+    assert.ok(result.faults.includes("store restored"), result.faults.join(", "));
+    assert.deepEqual(result.violations, [], result.logs.slice(-200).join("\n"));
+});
+
 for (const [seed, cause] of seeds) {
     test(`invariants hold while faults overlap, seed ${seed}: ${cause}`, async () => {
         const result = await runSoak({
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -25,6 +25,8 @@
     readonly crashingShare?: number;
     /** Share of the plain requests that crash the instances of the plain service, half of them without a body. */
     readonly crashingPlainShare?: number;
+    /** Whether the store may come back from an older copy. */
+    readonly isStoreRestored?: boolean;
     /** Length of the period without faults at the end of the run. */
     readonly faultFreeMs?: number;
 }
@@ -59,6 +61,8 @@
 const servedWindowMs = 2_500;
 /** Share of those requests that must be served. A few may still use connections that were silenced before. */
 const minServedShare = 0.95;
+/** Time within which the operator and the endpoints write again what the store has lost, in milliseconds. */
+const writtenAgainMs = 1_000;
 const revokedKey = "key-that-goes";
 /**
  * Time after which a revoked key must be refused: 1.5 s until the configuration is in force, and a second for a process
@@ -121,6 +125,9 @@
     const store = await startStoreStandIn();
     const storeProxy = await startFaultyProxy(Number(store.address.split(":")[1]));
     const endpoints: EndpointStandIn[] = [];
+    /** Registrations of live endpoints, which they write again when the store has lost them. */
+    const registrations = new Map<string, object>();
+    let configuration: object = {};
     const proxies: FaultyProxy[] = [];
     const outcomes: SoakOutcome[] = [];
     const faults: string[] = [];
@@ -143,7 +150,7 @@
                 delayMs: 30,
                 restartDelayMs: 400,
             },
-            onCrashed: previousId => store.remove("keyed.servers", previousId),
+            onCrashed: removeRegistration,
             onRestarted: restarted => register(restarted, proxy, "ready"),
         });
         const proxy = await startFaultyProxy(Number(endpoint.address.split(":")[1]));
@@ -155,12 +162,34 @@
     function register(endpoint: EndpointStandIn, proxy: FaultyProxy, state: string): void {
         const service = endpoint.id.split("-")[0]!;
         const entry = { service, addr: proxy.address, zone: "a", slots: 8, state, born: 1_700_000_000_000 };
+        registrations.set(endpoint.id, entry);
         store.put("keyed.servers", endpoint.id, entry);
     }
 
+    function removeRegistration(id: string): void {
+        registrations.delete(id);
+        store.remove("keyed.servers", id);
+    }
+
+    /** Brings the store back from a copy. Operator and endpoints write again; what nobody renews lapses. */
+    async function restoreStore(): Promise<void> {
+        const copy = store.makeCopy();
+        await wait(500 + 2_500 * random());
+        store.setFault(StoreFault.Reset);
+        await wait(100 + 500 * random());
+        store.restore(copy);
+        store.setFault(StoreFault.None);
+        await wait(writtenAgainMs * random());
+        store.put("keyed.op", "config", configuration);
+        registrations.forEach((entry, id) => store.put("keyed.servers", id, entry));
+        await wait(writtenAgainMs);
+        store.listKeys("keyed.servers").filter(id => !registrations.has(id)).forEach(removeRegistration);
+    }
+
     function publish(keys: readonly string[]): void {
         const tenants = [{ name: "planner", keys }];
-        store.put("keyed.op", "config", makeConfiguration(version++, { tenants }));
+        configuration = makeConfiguration(version++, { tenants });
+        store.put("keyed.op", "config", configuration);
     }
 
     function startGateways(ports: readonly number[]): Promise<GatewayProcess[]> {
@@ -323,10 +352,11 @@
                 const index = Math.floor(random() * endpoints.length);
                 register(endpoints[index]!, proxies[index]!, "draining");
                 await wait(1_000);
-                store.remove("keyed.servers", endpoints[index]!.id);
+                removeRegistration(endpoints[index]!.id);
                 await addEndpoint(endpoints[index]!.id.split("-")[0]!, endpoints.length);
             }],
             ["configuration", async () => publish([customerKey, ...revokedAtMs < Infinity ? [] : [revokedKey]])],
+            ...options.isStoreRestored ? [["store restored", restoreStore] as [string, () => Promise<void>]] : [],
         ];
     }
 
