--- a/bench/replay/plainCrashReplay.ts
+++ b/bench/replay/plainCrashReplay.ts
@@ -63,6 +63,8 @@
     incarnation: number;
     upAtMs: number;
     running: Running[];
+    /** Requests that the instance has answered so lately that they are suspects if it ends now. */
+    answered: Running[];
 }
 
 /**
@@ -79,6 +81,7 @@
         incarnation: 0,
         upAtMs: 0,
         running: [],
+        answered: [],
     }));
     const badCrashesMs: number[] = [];
     let crashesUntilKnown: number | undefined;
@@ -119,8 +122,9 @@
         instance.incarnation += 1;
         instance.upAtMs = nowMs + restartMs;
         const broken = instance.running.splice(0);
-        for (const gateway of new Set(broken.map(request => request.gateway))) {
-            const suspects = broken.filter(request => request.gateway === gateway);
+        const suspected = [...broken, ...instance.answered.splice(0)];
+        for (const gateway of new Set(suspected.map(request => request.gateway))) {
+            const suspects = suspected.filter(request => request.gateway === gateway);
             registries[gateway]!.applyCrash({
                 crash: id,
                 ageMs: 0,
@@ -173,7 +177,9 @@
             if (request.name !== badRequest && elapsedMs >= answerMs) {
                 instance.running = instance.running.filter(other => other !== request);
                 const { incarnation } = instance;
+                instance.answered.push(request);
                 timers.schedule(settlingMs, () => {
+                    instance.answered = instance.answered.filter(other => other !== request);
                     if (instance.incarnation === incarnation) {
                         registries[request.gateway]!.recordAnswer(getTraits(request.name), settlingMs);
                     }
--- a/src/gateway/crashDetector.ts
+++ b/src/gateway/crashDetector.ts
@@ -74,7 +74,7 @@
 }
 
 /** What happened on one endpoint lately that may prove to be a crash. */
-interface RecentTrouble {
+interface PossibleCrash {
     readonly endpoint: EndpointRecord;
     readonly crash: string;
     readonly firstAtMs: number;
@@ -104,22 +104,22 @@
  */
 export function createCrashDetector(options: CrashDetectorOptions): CrashDetector {
     const { timers } = options;
-    const troubles = new Map<string, RecentTrouble>();
+    const possibleCrashes = new Map<string, PossibleCrash>();
     /** Answers that their endpoints have not outlived yet, oldest first. */
     let settling: SettlingAnswer[] = [];
     let settlingTimer: Disposable | undefined;
 
-    function expireTroubles(nowMs: number): void {
-        for (const [id, trouble] of troubles) {
-            if (nowMs - trouble.firstAtMs > crashDetectionWindowMs) {
-                troubles.delete(id);
-                recordOutlivedAnswers(trouble, nowMs);
+    function expirePossibleCrashes(nowMs: number): void {
+        for (const [id, candidate] of possibleCrashes) {
+            if (nowMs - candidate.firstAtMs > crashDetectionWindowMs) {
+                possibleCrashes.delete(id);
+                recordOutlivedAnswers(candidate, nowMs);
             }
         }
     }
 
     /** Records the answers of an endpoint of which no loss has become known. */
-    function recordOutlivedAnswers({ attempts, isLost }: RecentTrouble, nowMs: number): void {
+    function recordOutlivedAnswers({ attempts, isLost }: PossibleCrash, nowMs: number): void {
         for (const { end, traits, endedAtMs } of isLost ? [] : attempts) {
             if (end === AttemptEnd.Answered && traits) {
                 options.onAnswer(traits, nowMs - endedAtMs);
@@ -127,11 +127,11 @@
         }
     }
 
-    function getTrouble(endpoint: EndpointRecord, nowMs: number): RecentTrouble {
+    function getPossibleCrash(endpoint: EndpointRecord, nowMs: number): PossibleCrash {
         const crash = `${endpoint.id}/${endpoint.startedAtMs ?? ""}`;
-        let trouble = troubles.get(endpoint.id);
-        if (trouble?.crash !== crash) {
-            trouble = {
+        let candidate = possibleCrashes.get(endpoint.id);
+        if (candidate?.crash !== crash) {
+            candidate = {
                 endpoint,
                 crash,
                 firstAtMs: nowMs,
@@ -141,25 +141,25 @@
                 isChecking: false,
                 hasAcceptedConnections: false,
             };
-            troubles.set(endpoint.id, trouble);
+            possibleCrashes.set(endpoint.id, candidate);
         }
-        return trouble;
+        return candidate;
     }
 
     /** Moves the answers that an endpoint has just given to its recent attempts: a crash may follow an answer closely. */
-    function takeSettlingAnswers(trouble: RecentTrouble, nowMs: number): void {
+    function takeSettlingAnswers(candidate: PossibleCrash, nowMs: number): void {
         const isTaken = ({ endpoint, endedAtMs }: SettlingAnswer) =>
-            endpoint.id === trouble.endpoint.id && nowMs - endedAtMs <= answerSettlingMs;
+            endpoint.id === candidate.endpoint.id && nowMs - endedAtMs <= answerSettlingMs;
         for (const { traits, sentAtMs, endedAtMs } of settling.filter(isTaken)) {
-            trouble.attempts.push({ end: AttemptEnd.Answered, traits, sentAtMs, endedAtMs });
+            candidate.attempts.push({ end: AttemptEnd.Answered, traits, sentAtMs, endedAtMs });
         }
         settling = settling.filter(answer => !isTaken(answer));
     }
 
     function addAnswer(endpoint: EndpointRecord, { traits, sentAtMs }: EndedAttempt, nowMs: number): void {
-        const trouble = troubles.get(endpoint.id);
-        if (trouble) {
-            trouble.lastAnswerAtMs = nowMs;
+        const candidate = possibleCrashes.get(endpoint.id);
+        if (candidate) {
+            candidate.lastAnswerAtMs = nowMs;
         }
         if (traits) {
             settling.push({ endpoint, traits, sentAtMs, endedAtMs: nowMs });
@@ -177,30 +177,30 @@
     }
 
     /** Checks the endpoint until it accepts no connection. If it always does, its loss may still show in another way. */
-    async function checkLoss(trouble: RecentTrouble): Promise<void> {
-        trouble.isChecking = true;
-        trouble.hasAcceptedConnections = false;
+    async function checkLoss(candidate: PossibleCrash): Promise<void> {
+        candidate.isChecking = true;
+        candidate.hasAcceptedConnections = false;
         let failures = 0;
         for (const delayMs of checkDelaysMs) {
             await waitFor(timers, delayMs);
-            const isReachable = await options.connect(trouble.endpoint.address);
-            if (trouble.isLost || troubles.get(trouble.endpoint.id) !== trouble) {
+            const isReachable = await options.connect(candidate.endpoint.address);
+            if (candidate.isLost || possibleCrashes.get(candidate.endpoint.id) !== candidate) {
                 return;
             }
             failures += isReachable ? 0 : 1;
-            if (failures >= (trouble.brokenAtMs === undefined ? failedChecksIfSilent : failedChecksIfBroken)) {
-                markLost(trouble);
+            if (failures >= (candidate.brokenAtMs === undefined ? failedChecksIfSilent : failedChecksIfBroken)) {
+                markLost(candidate);
                 return;
             }
         }
-        trouble.isChecking = false;
-        trouble.hasAcceptedConnections = failures === 0;
+        candidate.isChecking = false;
+        candidate.hasAcceptedConnections = failures === 0;
     }
 
-    function markLost(trouble: RecentTrouble): void {
-        if (!trouble.isLost) {
-            trouble.isLost = true;
-            reportCrash(trouble, trouble.attempts);
+    function markLost(candidate: PossibleCrash): void {
+        if (!candidate.isLost) {
+            candidate.isLost = true;
+            reportCrash(candidate, candidate.attempts);
         }
     }
 
@@ -208,22 +208,22 @@
      * Returns whether a request may have been running when its endpoint crashed. One that was abandoned or silent before
      * the last answer of the endpoint was not.
      */
-    function isRunningAtCrash({ end, endedAtMs }: RecentAttempt, { lastAnswerAtMs }: RecentTrouble): boolean {
+    function isRunningAtCrash({ end, endedAtMs }: RecentAttempt, { lastAnswerAtMs }: PossibleCrash): boolean {
         return end === AttemptEnd.Broken || end === AttemptEnd.Answered || endedAtMs >= lastAnswerAtMs;
     }
 
-    function reportCrash(trouble: RecentTrouble, attempts: readonly RecentAttempt[]): void {
+    function reportCrash(candidate: PossibleCrash, attempts: readonly RecentAttempt[]): void {
         const nowMs = timers.now();
-        const running = attempts.filter(attempt => isRunningAtCrash(attempt, trouble));
+        const running = attempts.filter(attempt => isRunningAtCrash(attempt, candidate));
         const suspects = running.filter(attempt => attempt.traits !== undefined);
         if (running.length === 0) {
             return;
         }
         // Nothing tells when a silent endpoint crashed: not before its last answer and the first of these requests.
         const firstSentAtMs = Math.min(...running.map(attempt => attempt.sentAtMs));
-        const crashedAtMs = trouble.brokenAtMs ?? Math.max(firstSentAtMs, trouble.lastAnswerAtMs);
+        const crashedAtMs = candidate.brokenAtMs ?? Math.max(firstSentAtMs, candidate.lastAnswerAtMs);
         options.onCrash({
-            crash: trouble.crash,
+            crash: candidate.crash,
             ageMs: nowMs - crashedAtMs,
             suspects: suspects.map(attempt => attempt.traits!),
             runningMs: suspects.map(attempt => crashedAtMs - attempt.sentAtMs),
@@ -231,26 +231,26 @@
     }
 
     function addUnanswered(endpoint: EndpointRecord, attempt: EndedAttempt, nowMs: number): void {
-        const trouble = getTrouble(endpoint, nowMs);
+        const candidate = getPossibleCrash(endpoint, nowMs);
         const recent: RecentAttempt = { ...attempt, endedAtMs: nowMs };
-        trouble.attempts.push(recent);
-        trouble.attempts.splice(0, trouble.attempts.length - maxAttempts);
+        candidate.attempts.push(recent);
+        candidate.attempts.splice(0, candidate.attempts.length - maxAttempts);
         if (attempt.end === AttemptEnd.Broken) {
-            trouble.brokenAtMs ??= nowMs;
-            takeSettlingAnswers(trouble, nowMs);
+            candidate.brokenAtMs ??= nowMs;
+            takeSettlingAnswers(candidate, nowMs);
         }
-        if (trouble.isLost) {
-            reportCrash(trouble, [recent]);
+        if (candidate.isLost) {
+            reportCrash(candidate, [recent]);
         }
-        else if (attempt.end !== AttemptEnd.Abandoned && !trouble.isChecking) {
-            void checkLoss(trouble);
+        else if (attempt.end !== AttemptEnd.Abandoned && !candidate.isChecking) {
+            void checkLoss(candidate);
         }
     }
 
     return {
         recordEnd(endpoint, attempt) {
             const nowMs = timers.now();
-            expireTroubles(nowMs);
+            expirePossibleCrashes(nowMs);
             if (attempt.end === AttemptEnd.Answered) {
                 addAnswer(endpoint, attempt, nowMs);
             }
@@ -262,32 +262,32 @@
             const nowMs = timers.now();
             const last = settling.filter(answer => answer.endpoint.address === address).at(-1);
             if (last) {
-                const trouble = getTrouble(last.endpoint, nowMs);
-                takeSettlingAnswers(trouble, nowMs);
-                trouble.brokenAtMs ??= nowMs;
+                const candidate = getPossibleCrash(last.endpoint, nowMs);
+                takeSettlingAnswers(candidate, nowMs);
+                candidate.brokenAtMs ??= nowMs;
             }
         },
         recordEndpointLoss(endpointId, evidence) {
-            expireTroubles(timers.now());
-            const trouble = troubles.get(endpointId);
-            if (!trouble || trouble.isLost) {
-                if (!trouble && evidence === LossEvidence.Gone) {
+            expirePossibleCrashes(timers.now());
+            const candidate = possibleCrashes.get(endpointId);
+            if (!candidate || candidate.isLost) {
+                if (!candidate && evidence === LossEvidence.Gone) {
                     options.onIdleLoss();
                 }
                 return;
             }
-            const isProof = trouble.brokenAtMs !== undefined && !trouble.hasAcceptedConnections;
+            const isProof = candidate.brokenAtMs !== undefined && !candidate.hasAcceptedConnections;
             if (evidence === LossEvidence.Gone || isProof) {
-                markLost(trouble);
+                markLost(candidate);
             }
-            else if (trouble.brokenAtMs === undefined && !trouble.isChecking) {
-                void checkLoss(trouble);
+            else if (candidate.brokenAtMs === undefined && !candidate.isChecking) {
+                void checkLoss(candidate);
             }
         },
         dispose() {
             settlingTimer?.dispose();
             settling = [];
-            troubles.clear();
+            possibleCrashes.clear();
         },
     };
 }
