Find endpoints that another one has replaced among the possible crashes only

Found while reading the diff; not measured. The crash detector, which knows the few endpoints in question, does it now. Tests of the crash detector and of crashing requests: 69 passed.

--- a/src/gateway/crashDetector.ts
+++ b/src/gateway/crashDetector.ts
@@ -27,7 +27,7 @@
 export enum LossEvidence {
     /** A connection could not be established. The cause may be the network. */
     NoConnection = "no-connection",
-    /** The endpoint has restarted, is no longer registered, or another one has its address. */
+    /** The endpoint has restarted or is no longer registered, or another one answers at its address. */
     Gone = "gone",
 }
 
@@ -36,6 +36,8 @@
     recordEnd(endpoint: EndpointRecord, attempt: EndedAttempt): void;
     /** Records that an endpoint has closed a connection on which no request was running. */
     recordIdleClose(address: string): void;
+    /** Records a new endpoint. One that had its address before is lost, although its registration has not lapsed yet. */
+    recordEndpointJoined(endpoint: EndpointRecord): void;
     /** Records that an endpoint is lost. Requests that ended on it shortly before may have caused that. */
     recordEndpointLoss(endpointId: string, evidence: LossEvidence): void;
 }
@@ -267,6 +269,12 @@
                 candidate.brokenAtMs ??= nowMs;
             }
         },
+        recordEndpointJoined({ id, address }) {
+            expirePossibleCrashes(timers.now());
+            [...possibleCrashes.values()]
+                .filter(({ endpoint }) => endpoint.address === address && endpoint.id !== id)
+                .forEach(markLost);
+        },
         recordEndpointLoss(endpointId, evidence) {
             expirePossibleCrashes(timers.now());
             const candidate = possibleCrashes.get(endpointId);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -261,13 +261,6 @@
         }
     }
 
-    /** Records the loss of endpoints whose address a new one has, also while the store is away. */
-    function recordReplaced({ id, address }: EndpointRecord): void {
-        directory.listAll().map(item => item.record)
-            .filter(other => other.address === address && other.id !== id)
-            .forEach(recordLoss);
-    }
-
     function applyChanges(changes: readonly EndpointChange[]): void {
         for (const { kind, record } of changes) {
             log(LogEvent.EndpointChanged, {
@@ -278,7 +271,7 @@
                 dataCentre: record.dataCentre,
             });
             if (kind === EndpointChangeKind.Joined) {
-                recordReplaced(record);
+                crashDetector.recordEndpointJoined(record);
             }
             if (kind === EndpointChangeKind.Restarted || kind === EndpointChangeKind.Left) {
                 recordLoss(record);
--- a/test/gateway/crashDetector.test.ts
+++ b/test/gateway/crashDetector.test.ts
@@ -68,7 +68,9 @@
         const { detector, reports, advance, end } = setUp(() => true);
         end(AttemptEnd.Broken, "bad", 60);
         await advance(checksEndMs);
-        detector.recordEndpointLoss(endpoint.id, LossEvidence.Gone);
+        detector.recordEndpointJoined({ ...endpoint, id: "desk-2", address: "10.0.0.2:80" });
+        assert.equal(reports.length, 0);
+        detector.recordEndpointJoined({ ...endpoint, id: "desk-3" });
         assert.deepEqual(reports.map(report => [report.suspects, report.runningMs]), [[[["bad"]], [60]]]);
     });
 
