Do not take endpoints for crashed because a gateway that is cut off cannot reach them

An endpoint that fell silent and then answered no attempt to connect counted as crashed. To a gateway whose own network is cut all endpoints look so: one request that is sent to two of them would be quarantined, everywhere once the network is back. After a broken connection an unanswered attempt counts as before.

--- a/src/gateway/crashDetector.ts
+++ b/src/gateway/crashDetector.ts
@@ -2,6 +2,7 @@
 import { TimerService, waitFor } from "../base/timerService.js";
 import { EndpointRecord } from "../ports/endpointRecord.js";
 import { CrashReport } from "../quarantine/crashEvidence.js";
+import { ConnectResult } from "./endpointConnections.js";
 
 /** How a request ended on an endpoint. */
 export enum AttemptEnd {
@@ -44,8 +45,8 @@
 
 export interface CrashDetectorOptions {
     readonly timers: TimerService;
-    /** Checks whether an address accepts a connection. */
-    readonly connect: (address: string) => Promise<boolean>;
+    /** Tries to connect to an address. */
+    readonly connect: (address: string) => Promise<ConnectResult>;
     readonly onCrash: (report: CrashReport) => void;
     /** Called with the traits of a request whose endpoint has outlived its answer, and the age of the answer. */
     readonly onAnswer: (traits: readonly string[], ageMs: number) => void;
@@ -63,9 +64,6 @@
  * connections before it stops listening.
  */
 const checkDelaysMs: readonly number[] = [0, 150, 600];
-/** Failed checks that show a loss. A single packet may be lost, which a broken connection makes less likely. */
-const failedChecksIfBroken = 1;
-const failedChecksIfSilent = 2;
 /** Time for which an endpoint must outlive an answer until the request counts as harmless, in milliseconds. */
 const answerSettlingMs = 150;
 /** Ended requests that are remembered for one endpoint. */
@@ -178,25 +176,34 @@
         settlingTimer = first && timers.schedule(first.endedAtMs + answerSettlingMs - nowMs, settleAnswers);
     }
 
-    /** Checks the endpoint until it accepts no connection. If it always does, its loss may still show in another way. */
+    /**
+     * Returns whether the result of an attempt to connect shows a crash. Silence and then no answer do not: the network may
+     * reach neither this endpoint nor any other.
+     */
+    function isProofOfLoss(result: ConnectResult, candidate: PossibleCrash): boolean {
+        return result === ConnectResult.Refused
+            || (result === ConnectResult.NoAnswer && candidate.brokenAtMs !== undefined);
+    }
+
+    /** Checks the endpoint until that shows a crash. If it never does, its loss may still show in another way. */
     async function checkLoss(candidate: PossibleCrash): Promise<void> {
         candidate.isChecking = true;
         candidate.hasAcceptedConnections = false;
-        let failures = 0;
+        let hasAccepted = true;
         for (const delayMs of checkDelaysMs) {
             await waitFor(timers, delayMs);
-            const isReachable = await options.connect(candidate.endpoint.address);
+            const result = await options.connect(candidate.endpoint.address);
             if (candidate.isLost || possibleCrashes.get(candidate.endpoint.id) !== candidate) {
                 return;
             }
-            failures += isReachable ? 0 : 1;
-            if (failures >= (candidate.brokenAtMs === undefined ? failedChecksIfSilent : failedChecksIfBroken)) {
+            hasAccepted &&= result === ConnectResult.Accepted;
+            if (isProofOfLoss(result, candidate)) {
                 markLost(candidate);
                 return;
             }
         }
         candidate.isChecking = false;
-        candidate.hasAcceptedConnections = failures === 0;
+        candidate.hasAcceptedConnections = hasAccepted;
     }
 
     function markLost(candidate: PossibleCrash): void {
--- a/src/gateway/endpointConnections.ts
+++ b/src/gateway/endpointConnections.ts
@@ -42,11 +42,22 @@
     resume(): void;
 }
 
+/** How an address answers an attempt to connect. */
+export enum ConnectResult {
+    Accepted = "accepted",
+    /** The host answers, and nothing listens there. */
+    Refused = "refused",
+    /** The host does not answer: it has no power, or the network does not reach it. */
+    NoAnswer = "no-answer",
+}
+
 /** Pools of connections to endpoints. */
 export interface EndpointConnections {
     send(address: string, request: OutgoingRequest, listener: AnswerListener): Exchange;
     /** Checks whether an address accepts a connection, which is closed at once. */
     checkConnection(address: string): Promise<boolean>;
+    /** Tries to connect to an address. The connection is closed at once. */
+    tryConnect(address: string): Promise<ConnectResult>;
     /** Replaces the connection pool of an address, for example because one of its connections has stalled. */
     replace(address: string): void;
     /** Closes the connections of addresses that are no longer in use. */
@@ -127,7 +138,8 @@
             const { reusable, singleUse } = getPools(address);
             return dispatchRequest(request.isSingleUse ? singleUse : reusable, request, listener);
         },
-        checkConnection,
+        checkConnection: async address => await tryConnect(address) === ConnectResult.Accepted,
+        tryConnect,
         replace,
         keepOnly(addresses) {
             [...pools.keys()].filter(address => !addresses.has(address)).forEach(replace);
@@ -190,18 +202,22 @@
     return { pool, isReset: () => isResetNow, recordProgress: () => resetFramingBytes() };
 }
 
-function checkConnection(address: string): Promise<boolean> {
+function tryConnect(address: string): Promise<ConnectResult> {
     const [host, port] = address.split(":");
     return new Promise(resolve => {
         const socket = connect({ host, port: Number(port), timeout: connectTimeoutMs });
-        const end = (isConnected: boolean) => {
+        const end = (result: ConnectResult) => {
             socket.destroy();
-            resolve(isConnected);
+            resolve(result);
         };
-        socket.once("connect", () => end(true));
-        socket.once("timeout", () => end(false));
+        socket.once("connect", () => end(ConnectResult.Accepted));
+        socket.once("timeout", () => end(ConnectResult.NoAnswer));
         // Every error means that the address cannot be reached now.
-        socket.once("error", () => end(false));
+        socket.once(
+            "error",
+            (error: NodeJS.ErrnoException) =>
+                end(error.code === "ECONNREFUSED" ? ConnectResult.Refused : ConnectResult.NoAnswer),
+        );
     });
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -185,7 +185,7 @@
     }));
     const crashDetector = disposables.register(createCrashDetector({
         timers,
-        connect: address => connections.checkConnection(address),
+        connect: address => connections.tryConnect(address),
         onCrash: report => quarantineRegistry.applyCrash(report, true),
         onAnswer: (traits, ageMs) => quarantineRegistry.recordAnswer(traits, ageMs),
         onIdleLoss: () =>
