--- a/src/quarantine/crashEvidence.ts
+++ b/src/quarantine/crashEvidence.ts
@@ -1,3 +1,5 @@
+import { collectGroups, countSuccessiveCrashes, isCovered, isSubset, selectMostSpecific, Tally } from "./crashTally.js";
+
 /**
  * Requests whose answers were beginning on an endpoint when it crashed. A request is described by its traits, what other
  * requests may share with it: its shared prompt parts in order, then its fingerprint.
@@ -116,19 +118,6 @@
     culprit?: string;
 }
 
-/** What speaks against a trait. */
-interface Tally {
-    readonly trait: string;
-    readonly isRequest: boolean;
-    readonly hasParts: boolean;
-    readonly requests: Set<string>;
-    readonly crashTimesMs: Set<number>;
-    /** When the last request with the trait was sent to each crashed endpoint, by the time of the crash. */
-    readonly sentAtMs: Map<number, number>;
-    /** Position among the traits of a request; later ones are shared by fewer requests. */
-    readonly depth: number;
-}
-
 /**
  * Creates the evidence of one process.
  *
@@ -224,21 +213,6 @@
             : countSeparate([...tally.crashTimesMs]);
     }
 
-    /**
-     * Counts the first crash of each group and those of its other crashes for which the request was sent after the first:
-     * what was sent to the endpoints of a rack was mostly sent before the rack failed.
-     */
-    function countSuccessiveCrashes(tally: Tally): number {
-        const groups = collectGroups([...tally.crashTimesMs], settings.minSpacingMs);
-        const isSentAfter = (crashedAtMs: number, startMs: number) =>
-            crashedAtMs > startMs && crashedAtMs - startMs < settings.minSpacingMs
-            && (tally.sentAtMs.get(crashedAtMs) ?? -Infinity) >= startMs;
-        return groups.reduce(
-            (sum, { startMs }) => sum + 1 + [...tally.crashTimesMs].filter(atMs => isSentAfter(atMs, startMs)).length,
-            0,
-        );
-    }
-
     function isSufficient(tally: Tally): boolean {
         const count = countSeparateCrashes(tally);
         if (!tally.isRequest) {
@@ -249,7 +223,8 @@
         if (tally.hasParts || answeredRequests.has(tally.trait)) {
             return count >= settings.minCrashes;
         }
-        return count >= settings.minCrashesOfPlainRequest || countSuccessiveCrashes(tally) >= settings.minCrashes;
+        return count >= settings.minCrashesOfPlainRequest
+            || countSuccessiveCrashes(tally, settings.minSpacingMs) >= settings.minCrashes;
     }
 
     function assignCulprit(crash: Crash): void {
@@ -384,36 +359,6 @@
     }
 }
 
-/** Groups points in time that follow the first one of their group within the spacing. */
-function collectGroups(timesMs: readonly number[], spacingMs: number): { readonly startMs: number; count: number }[] {
-    const groups: { readonly startMs: number; count: number }[] = [];
-    for (const atMs of [...timesMs].sort((left, right) => left - right)) {
-        const last = groups.at(-1);
-        if (last && atMs - last.startMs < spacingMs) {
-            last.count += 1;
-        }
-        else {
-            groups.push({ startMs: atMs, count: 1 });
-        }
-    }
-    return groups;
-}
-
-/** Returns whether the requests of a trait include those of another one that is more specific. */
-function isCovered(tally: Tally, other: Tally): boolean {
-    return other !== tally && isSubset(other.requests, tally.requests)
-        && (other.requests.size < tally.requests.size || other.depth > tally.depth);
-}
-
-/** Selects the traits whose requests do not include all requests of a more specific trait. */
-function selectMostSpecific(tallies: readonly Tally[]): Tally[] {
-    return tallies.filter(tally => !tallies.some(other => isCovered(tally, other)));
-}
-
-function isSubset<Item>(smaller: ReadonlySet<Item>, larger: ReadonlySet<Item>): boolean {
-    return [...smaller].every(item => larger.has(item));
-}
-
 /** Events after which an answer has progressed beyond its beginning: a crash later than that has another cause. */
 export const progressEvents = 4;
 /** Share of the predicted time to the first event before which an endpoint does not begin an answer. */
--- a/test/platform/storeModel.test.ts
+++ b/test/platform/storeModel.test.ts
@@ -2,9 +2,7 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import { createStoreClient } from "../../platform/storeClient.js";
-import { createSystemTimerService } from "../../src/base/systemTimerService.js";
-import { followFeed } from "../../src/gateway/feedFollower.js";
-import { KeyedRecord } from "../../src/ports/recordFeed.js";
+import { followKeys } from "./support/followedKeys.js";
 import { startStoreStandIn, StoreCopy, StoreFault } from "./support/storeStandIn.js";
 
 const topic = "keyed.test";
@@ -50,44 +48,11 @@
     return new Promise(resolve => setTimeout(resolve, durationMs));
 }
 
-/** Follows the topic, with the versions that a follower that only accepts newer ones would have in force, in order. */
-function startFollower(client: ReturnType<typeof createStoreClient>) {
-    const known = new Map<string, string>();
-    const apply = (records: readonly KeyedRecord[]) => {
-        for (const { key, value } of records) {
-            if (value) {
-                known.set(key, Buffer.from(value).toString("utf8"));
-            }
-            else {
-                known.delete(key);
-            }
-        }
-    };
-    const following = followFeed({
-        name: "model",
-        feed: client.openFeed(topic),
-        timing: { waitMs: readWaitMs, pauseMs: 0 },
-        timers: createSystemTimerService(),
-        log: () => undefined,
-        listener: {
-            onSnapshot(records) {
-                known.clear();
-                apply(records);
-            },
-            onRestored: () => undefined,
-            onUpdate: apply,
-            onUnavailable: () => undefined,
-            onAvailable: () => undefined,
-        },
-    });
-    return { known, dispose: () => following.dispose() };
-}
-
 async function runActions(actions: readonly Action[]): Promise<void> {
     const store = await startStoreStandIn();
     store.setPageSize(2);
     const client = createStoreClient(store.address);
-    let follower = startFollower(client);
+    let follower = followKeys(client, topic, readWaitMs);
     /** What the store holds, by key. */
     let held = new Map<string, string>();
     const copies: { readonly copy: StoreCopy; readonly held: Map<string, string> }[] = [];
@@ -125,7 +90,7 @@
                     break;
                 case ActionKind.RestartFollower:
                     follower.dispose();
-                    follower = startFollower(client);
+                    follower = followKeys(client, topic, readWaitMs);
                     break;
                 case ActionKind.Wait:
                     await wait(durationMs);
--- a/test/platform/storeRestored.test.ts
+++ b/test/platform/storeRestored.test.ts
@@ -2,10 +2,8 @@
 import { describe, test } from "node:test";
 import { createStoreClient } from "../../platform/storeClient.js";
 import { Result, ResultKind } from "../../src/base/result.js";
-import { createSystemTimerService } from "../../src/base/systemTimerService.js";
 import { readBody, sendJson, startHttpServer } from "../../src/emulator/httpServer.js";
-import { followFeed } from "../../src/gateway/feedFollower.js";
-import { FeedError, FeedErrorKind, KeyedRecord } from "../../src/ports/recordFeed.js";
+import { FeedError, FeedErrorKind } from "../../src/ports/recordFeed.js";
 import {
     customerKey,
     makeConfiguration,
@@ -17,6 +15,7 @@
     waitUntil,
 } from "./support/deployment.js";
 import { CrashKind } from "./support/endpointStandIn.js";
+import { followKeys } from "./support/followedKeys.js";
 import { startStoreStandIn, StoreFault } from "./support/storeStandIn.js";
 
 const topic = "keyed.test";
@@ -33,34 +32,7 @@
 async function startFollower(waitMs: number) {
     const store = await startStoreStandIn();
     const client = createStoreClient(store.address);
-    const known = new Map<string, string>();
-    const apply = (records: readonly KeyedRecord[]) => {
-        for (const { key, value } of records) {
-            if (value) {
-                known.set(key, Buffer.from(value).toString("utf8"));
-            }
-            else {
-                known.delete(key);
-            }
-        }
-    };
-    const following = followFeed({
-        name: "test",
-        feed: client.openFeed(topic),
-        timing: { waitMs, pauseMs: 0 },
-        timers: createSystemTimerService(),
-        log: () => undefined,
-        listener: {
-            onSnapshot(records) {
-                known.clear();
-                apply(records);
-            },
-            onUpdate: apply,
-            onRestored: () => undefined,
-            onUnavailable: () => undefined,
-            onAvailable: () => undefined,
-        },
-    });
+    const follower = followKeys(client, topic, waitMs);
     const put = (generation: string, from: number, to: number) => {
         for (let index = from; index < to; index++) {
             store.put(topic, `key-${index}`, `${generation}-${index}`);
@@ -68,10 +40,10 @@
     };
     return {
         store,
-        known,
+        known: follower.known,
         put,
         close: async () => {
-            following.dispose();
+            follower.dispose();
             await client.close();
             await store.close();
         },
