--- a/src/gateway/quarantineStore.ts
+++ b/src/gateway/quarantineStore.ts
@@ -112,9 +112,10 @@
         }
     }
 
-    function writeMissing(term: QuarantineTerm): void {
+    /** Writes a term after `delayMs` and some random time, unless the store has it by then. */
+    function writeMissing(term: QuarantineTerm, delayMs: number): void {
         if (isNewerTerm(term, stored.get(term.trait))) {
-            schedule(term, missingDelayMs + missingJitterMs * options.random());
+            schedule(term, delayMs + missingJitterMs * options.random());
         }
     }
 
@@ -129,7 +130,7 @@
                 applyRecords(records);
                 if (isRestored) {
                     isRestored = false;
-                    options.listTerms().forEach(writeMissing);
+                    options.listTerms().forEach(term => writeMissing(term, 0));
                 }
             },
             onRestored() {
@@ -148,7 +149,7 @@
 
     return {
         writeDecision: term => schedule(term, decisionJitterMs * options.random()),
-        writeMissing,
+        writeMissing: term => writeMissing(term, missingDelayMs),
         isAvailable: () => hasRead && isReachable,
         dispose() {
             disposables.dispose();
