Do not suspect requests whose connections broke seconds before a crash

The detector took the first broken or closed connection of six seconds for the time of the crash, and all requests that had ended since for its suspects. Endpoints close connections in order as well, those of requests that must not run twice after each answer, so that a crash could get a time of seconds before and sound requests as suspects. Now the last broken connection is the time, requests count that ended within a second of it, and a connection for one request shows nothing by its end.

--- a/src/gateway/crashDetector.ts
+++ b/src/gateway/crashDetector.ts
@@ -66,6 +66,8 @@
 const checkDelaysMs: readonly number[] = [0, 150, 600];
 /** Time for which an endpoint must outlive an answer until the request counts as harmless, in milliseconds. */
 const answerSettlingMs = 150;
+/** Time within which the connections of a crashed endpoint break, in milliseconds. */
+const breakSpreadMs = 1_000;
 /** Ended requests that are remembered for one endpoint. */
 const maxAttempts = 64;
 
@@ -79,7 +81,7 @@
     readonly crash: string;
     readonly firstAtMs: number;
     attempts: RecentAttempt[];
-    /** When the first connection broke. */
+    /** When the last connection broke, before the loss was known. */
     brokenAtMs?: number;
     lastAnswerAtMs: number;
     isLost: boolean;
@@ -156,6 +158,13 @@
         settling = settling.filter(answer => !isTaken(answer));
     }
 
+    function recordBreak(candidate: PossibleCrash, nowMs: number): void {
+        if (!candidate.isLost) {
+            candidate.brokenAtMs = nowMs;
+            takeSettlingAnswers(candidate, nowMs);
+        }
+    }
+
     function addAnswer(endpoint: EndpointRecord, { traits, sentAtMs }: EndedAttempt, nowMs: number): void {
         const candidate = possibleCrashes.get(endpoint.id);
         if (candidate) {
@@ -214,11 +223,13 @@
     }
 
     /**
-     * Returns whether a request may have been running when its endpoint crashed. One that was abandoned or silent before
-     * the last answer of the endpoint was not.
+     * Returns whether a request may have been running when its endpoint crashed. One whose connection broke long before the
+     * last one did was not, nor one that was abandoned or silent before the last answer of the endpoint.
      */
-    function isRunningAtCrash({ end, endedAtMs }: RecentAttempt, { lastAnswerAtMs }: PossibleCrash): boolean {
-        return end === AttemptEnd.Broken || end === AttemptEnd.Answered || endedAtMs >= lastAnswerAtMs;
+    function isRunningAtCrash({ end, endedAtMs }: RecentAttempt, candidate: PossibleCrash): boolean {
+        return end === AttemptEnd.Broken || end === AttemptEnd.Answered
+            ? endedAtMs >= (candidate.brokenAtMs ?? -Infinity) - breakSpreadMs
+            : endedAtMs >= candidate.lastAnswerAtMs;
     }
 
     function reportCrash(candidate: PossibleCrash, attempts: readonly RecentAttempt[]): void {
@@ -245,8 +256,7 @@
         candidate.attempts.push(recent);
         candidate.attempts.splice(0, candidate.attempts.length - maxAttempts);
         if (attempt.end === AttemptEnd.Broken) {
-            candidate.brokenAtMs ??= nowMs;
-            takeSettlingAnswers(candidate, nowMs);
+            recordBreak(candidate, nowMs);
         }
         if (candidate.isLost) {
             reportCrash(candidate, [recent]);
@@ -271,9 +281,7 @@
             const nowMs = timers.now();
             const last = settling.filter(answer => answer.endpoint.address === address).at(-1);
             if (last) {
-                const candidate = getPossibleCrash(last.endpoint, nowMs);
-                takeSettlingAnswers(candidate, nowMs);
-                candidate.brokenAtMs ??= nowMs;
+                recordBreak(getPossibleCrash(last.endpoint, nowMs), nowMs);
             }
         },
         recordEndpointJoined({ id, address }) {
--- a/src/gateway/endpointConnections.ts
+++ b/src/gateway/endpointConnections.ts
@@ -113,7 +113,8 @@
         let found = pools.get(address);
         if (!found) {
             const onClosed = () => onClosedByEndpoint(address);
-            found = { reusable: createPool(address, 1, onClosed), singleUse: createPool(address, 0, onClosed) };
+            // A connection for one request is always closed after its answer, which shows nothing.
+            found = { reusable: createPool(address, 1, onClosed), singleUse: createPool(address, 0, () => undefined) };
             pools.set(address, found);
         }
         return found;
--- a/test/gateway/crashDetector.test.ts
+++ b/test/gateway/crashDetector.test.ts
@@ -117,6 +117,17 @@
         assert.equal(answers.length, 0, "the endpoint did not outlive the answer");
     });
 
+    test("does not include requests whose connections broke or were closed seconds before", async () => {
+        const { detector, reports, advance, end } = setUp(ConnectResult.Accepted);
+        end(AttemptEnd.Answered, "answered earlier", 40);
+        detector.recordIdleClose(endpoint.address);
+        end(AttemptEnd.Broken, "broken earlier", 40);
+        await advance(3_000);
+        end(AttemptEnd.Broken, "bad", 60);
+        detector.recordEndpointLoss(endpoint.id, LossEvidence.Gone);
+        assert.deepEqual(reports.map(report => [report.suspects, report.runningMs]), [[[["bad"]], [60]]]);
+    });
+
     test("without a request that may have caused it is counted", () => {
         const { detector, reports, countIdleLosses } = setUp(ConnectResult.Accepted);
         detector.recordEndpointLoss(endpoint.id, LossEvidence.NoConnection);
