Let the end of a quarantine hold over a beginning of the same time

Statements are ordered by their time in milliseconds, and of two with the same time each gateway kept the one that it heard of first. Of two statements of the same millisecond the end now holds everywhere. The new test failed before in one of its two orders by the old comparison.

--- a/src/quarantine/quarantineTerm.ts
+++ b/src/quarantine/quarantineTerm.ts
@@ -59,9 +59,13 @@
     return { ...term, isActive: false, decidedAtMs: Math.max(wallMs, term.decidedAtMs + 1) };
 }
 
-/** Returns whether a statement replaces the known one about the same trait. */
+/**
+ * Returns whether a statement replaces the known one about the same trait. Of two of the same millisecond the end holds, so
+ * that all processes agree.
+ */
 export function isNewerTerm(term: QuarantineTerm, known: QuarantineTerm | undefined): boolean {
-    return known === undefined || term.decidedAtMs > known.decidedAtMs;
+    return known === undefined || term.decidedAtMs > known.decidedAtMs
+        || (term.decidedAtMs === known.decidedAtMs && known.isActive && !term.isActive);
 }
 
 /** Returns the phase of a quarantine. */
--- a/test/gateway/quarantine.test.ts
+++ b/test/gateway/quarantine.test.ts
@@ -138,6 +138,16 @@
         assert.deepEqual(other.decisions.map(term => term.isActive), [false]);
     });
 
+    test("that begins in the same millisecond as it ends elsewhere is ended, whichever is heard of first", () => {
+        const { decisions } = quarantine();
+        const ended = { ...decisions[0]!, isActive: false };
+        for (const order of [[decisions[0]!, ended], [ended, decisions[0]!]]) {
+            const other = setUp();
+            order.forEach(term => other.registry.applyTerm(term, QuarantineSource.Gateway));
+            assert.equal(other.registry.decideTreatment([badPart, "r"]), Treatment.Free);
+        }
+    });
+
     test("of any number of parts takes a bounded amount of memory", () => {
         const { registry, decisions } = quarantine();
         for (let index = 0; index < 500; index++) {
