--- a/bench/replay/replay.ts
+++ b/bench/replay/replay.ts
@@ -1,5 +1,6 @@
 import { createManualTimerService } from "../../src/base/manualTimerService.js";
 import { createSeededRandomSource } from "../../src/base/randomSource.js";
+import { mergeGates } from "../../src/gateway/endpointGate.js";
 import { Place } from "../../src/gateway/place.js";
 import { createPlacementQueue, PlacementQuota } from "../../src/gateway/placementQueue.js";
 import { createEndpointDirectory, defaultDirectorySettings } from "../../src/membership/endpointDirectory.js";
@@ -139,6 +140,7 @@
         chooseClaim: claimPolicy,
         reportChange: () => undefined,
         quota: unlimitedQuota,
+        gate: mergeGates([]),
     });
 
     function start(place: Place, kind: ReplayKind, promptTokens: number, arrivedAtMs: number, outcome: Outcome): void {
--- a/src/base/logEvents.ts
+++ b/src/base/logEvents.ts
@@ -56,6 +56,7 @@
     PeerMessageNotSent = 5013,
     CellChanged = 5014,
     EndpointLimitChanged = 5015,
+    PeerNoticeMalformed = 5016,
     EngineReached = 6001,
     EngineLost = 6002,
     EngineRefusing = 6003,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -31,6 +31,7 @@
 import { createCrashDetector, LossEvidence } from "./crashDetector.js";
 import { createCustomerServer } from "./customerServer.js";
 import { createEndpointConnections } from "./endpointConnections.js";
+import { mergeGates } from "./endpointGate.js";
 import { createEndpointQuota } from "./endpointQuota.js";
 import { followFeed } from "./feedFollower.js";
 import { GatewaySettings } from "./gatewaySettings.js";
@@ -208,6 +209,7 @@
         placeOnEngines,
         chooseClaim,
         quota: endpointQuota,
+        gate: mergeGates([]),
         reportChange: (key, item) => exchange.reportChange(key, item),
     }));
     const retryBudget = createRetryBudget({
--- a/src/gateway/loadExchange.ts
+++ b/src/gateway/loadExchange.ts
@@ -8,6 +8,7 @@
 import { QuarantineTerm } from "../quarantine/quarantineTerm.js";
 import { LoadLedger, WorkItem, WorkPhase } from "../routing/loadLedger.js";
 import { decodeLoadMessage, encodeLoadMessage, LoadMessage } from "./loadMessage.js";
+import { createPeerNotices, PeerNotices } from "./peerNotices.js";
 
 /** Changes other than new work are collected for this time and sent in one message, in milliseconds. */
 const batchDelayMs = 5;
@@ -47,6 +48,8 @@
     countHeard(maxSilenceMs: number): number;
     /** Counts the gateways that have sent messages lately, and this one. */
     countGateways(): number;
+    /** Further facts that gateways tell each other. */
+    readonly notices: PeerNotices;
 }
 
 export interface LoadExchangeOptions {
@@ -103,6 +106,14 @@
     let isSendScheduled = false;
     let hasLastSendFailed = false;
 
+    const notices = createPeerNotices({
+        host: options.host,
+        address: ownAddress,
+        incarnation: options.incarnation,
+        log,
+        send: (bytes, isForAllCells) => sendBytes(bytes, isForAllCells ? [...listTargets(), ...others] : listTargets()),
+    });
+
     /** Lists the members of the cell, and gateways that send messages but are not listed in the store yet. */
     function listTargets(): string[] {
         return [...new Set([...members, ...peers.keys()])].filter(address => address !== ownAddress);
@@ -126,7 +137,10 @@
             removed,
             ...notices,
         };
-        const bytes = encodeLoadMessage(message, timers.now());
+        sendBytes(encodeLoadMessage(message, timers.now()), targets);
+    }
+
+    function sendBytes(bytes: Buffer, targets: Iterable<string>): void {
         for (const target of targets) {
             const [ip, port] = target.split(":");
             socket.send(bytes, Number(port), ip, handleSendResult);
@@ -217,6 +231,9 @@
     }
 
     function receive(bytes: Buffer, sender: RemoteInfo): void {
+        if (notices.receive(bytes, `${sender.address}:${sender.port}`)) {
+            return;
+        }
         const message = decodeLoadMessage(bytes, timers.now());
         if (!message || message.address === ownAddress) {
             return;
@@ -281,6 +298,7 @@
     const snapshotTimer = timers.subscribe(snapshotIntervalMs, () => {
         sendSnapshot();
         sendNoticesToOthers();
+        notices.repeat();
         expirePeers();
     });
 
@@ -321,6 +339,7 @@
             return 1 + [...peers.values()].filter(peer => nowMs - peer.lastReceivedAtMs <= maxSilenceMs).length;
         },
         countGateways: () => 1 + peers.size,
+        notices,
         dispose() {
             snapshotTimer.dispose();
             batchTimer?.dispose();
--- a/src/gateway/placementQueue.ts
+++ b/src/gateway/placementQueue.ts
@@ -19,6 +19,7 @@
 import { placeOnPlainService, PlainView } from "../routing/plainPlacement.js";
 import { SlowdownEstimate } from "../routing/slowdownEstimate.js";
 import { compareWaiting, WaitingWork } from "../scheduling/compareWaiting.js";
+import { EndpointGate } from "./endpointGate.js";
 import { EndpointQuota } from "./endpointQuota.js";
 import { EngineNeeds, Place, PlacementJob } from "./place.js";
 import { createPlaceAllocator, minPlainAnswerMs, RegisteredClaim } from "./placeAllocator.js";
@@ -55,6 +56,8 @@
     readonly reportChange: (key: string, item: WorkItem | undefined) => void;
     /** Limits that endpoints have named. */
     readonly quota: PlacementQuota;
+    /** Facts beyond registrations that keep work off endpoints. */
+    readonly gate: EndpointGate;
 }
 
 /** Limits of endpoints, as far as placement depends on them. */
@@ -114,7 +117,7 @@
  * waiting.dispose(); // the customer has left
  */
 export function createPlacementQueue(options: PlacementQueueOptions): PlacementQueue {
-    const { timers, endpointSubset, health, slowdownEstimate, ledger, quota } = options;
+    const { timers, endpointSubset, health, slowdownEstimate, ledger, quota, gate } = options;
     let waiting: WaitingItem[] = [];
     let nextRun: Disposable | undefined;
     const claims = new Map<WaitingItem, RegisteredClaim>();
@@ -126,7 +129,9 @@
 
     /** Lists the endpoints that may be sent a request now. */
     function listUsableEndpoints(service: Service, nowMs: number): UsableEndpoint[] {
-        return listHealthyEndpoints(service, nowMs).filter(({ record }) => quota.isOpen(record.id));
+        return listHealthyEndpoints(service, nowMs).filter(({ record }) =>
+            gate.isOpen(record, nowMs) && quota.isOpen(record.id)
+        );
     }
 
     function listHealthyEndpoints(service: Service, nowMs: number): UsableEndpoint[] {
@@ -198,12 +203,17 @@
         return findEnginePlace(item, makePlacementRequest(job, job.needs, nowMs), engine, views, nowMs);
     }
 
-    /** Tries to place on endpoints without a limit first, then on all. */
+    function isLastChoice(id: string): boolean {
+        const endpoint = options.directory.find(id)?.record;
+        return quota.isLastChoice(id) || (endpoint !== undefined && gate.isLastChoice(endpoint, timers.now()));
+    }
+
+    /** Tries to place on endpoints that are not a last choice first, then on all. */
     function tryPreferredFirst<View extends { readonly id: string }, Result>(
         views: readonly View[],
         place: (views: readonly View[]) => Result | undefined,
     ): Result | undefined {
-        const preferred = views.filter(view => !quota.isLastChoice(view.id));
+        const preferred = views.filter(view => !isLastChoice(view.id));
         const found = place(preferred);
         return found === undefined && preferred.length < views.length ? place(views) : found;
     }
@@ -230,7 +240,7 @@
             some => options.placeOnEngines(request, some, engine.slots, nowMs, stage, defaultPlacementSettings),
         );
         if (!placement) {
-            claimEngines(item, request, engine, known.filter(view => !quota.isLastChoice(view.id)), stage, nowMs);
+            claimEngines(item, request, engine, known.filter(view => !isLastChoice(view.id)), stage, nowMs);
             if (claims.has(item)) {
                 views.delete(job.service.name);
             }
