Build engine views in one pass over their work

A placement builds the views of all engines, and each built a dozen intermediate lists: 917 us a placement at 45 engines with five requests each, every 2 to 16 ms while anything waits. Change: one loop for each engine, no copies of the ledger's lists; the same decisions. Measured: 128 us a placement in the same script; replay and routing tests pass (102).

--- a/src/routing/engineView.ts
+++ b/src/routing/engineView.ts
@@ -79,25 +79,51 @@
     items: readonly WorkItem[],
     nowMs: number,
 ): EngineView {
-    const answeredItems = items.filter(item => item.gapTargetMs !== undefined);
-    const contextTokens = answeredItems.reduce((sum, item) => sum + item.tokens, 0);
-    const passMs = properties.slowdown * computePassMs(engine, answeredItems.length, contextTokens);
-    const pendingPrefillMs = computePendingPrefillMs(items, properties.slowdown, passMs, nowMs);
+    const { slowdown } = properties;
+    // A single pass without intermediate lists: each placement builds the views of all engines.
+    let running = 0;
+    let contextTokens = 0;
+    let usedTokens = 0;
+    let unconfirmedPrefills = 0;
+    let hasSuspect = false;
+    for (const item of items) {
+        usedTokens += item.tokens;
+        hasSuspect ||= item.isSuspect;
+        unconfirmedPrefills += item.phase === WorkPhase.Prefill ? 1 : 0;
+        if (item.gapTargetMs !== undefined) {
+            running += 1;
+            contextTokens += item.tokens;
+        }
+    }
+    const passMs = slowdown * computePassMs(engine, running, contextTokens);
+    const pendingPrefillMs = unconfirmedPrefills === 0 ? 0 : computePendingPrefillMs(items, slowdown, passMs, nowMs);
+    let freeInMs = pendingPrefillMs;
+    const constraints: LatencyConstraint[] = [];
+    for (const item of items) {
+        freeInMs = Math.max(freeInMs, minRemainingMs, item.endsAtMs - nowMs);
+        if (item.gapTargetMs !== undefined) {
+            constraints.push({
+                gapTargetMs: item.gapTargetMs,
+                slackMs: computeSlackMs(item, item.gapTargetMs, passMs, pendingPrefillMs, nowMs),
+            });
+        }
+    }
     return {
-        ...properties,
-        running: answeredItems.length,
-        helperParts: items.length - answeredItems.length,
+        id: properties.id,
+        address: properties.address,
+        order: properties.order,
+        isTrial: properties.isTrial,
+        slowdown,
+        running,
+        helperParts: items.length - running,
         pendingPrefillMs,
-        freeInMs: Math.max(pendingPrefillMs, ...items.map(item => Math.max(minRemainingMs, item.endsAtMs - nowMs))),
-        unconfirmedPrefills: items.filter(item => item.phase === WorkPhase.Prefill).length,
+        freeInMs,
+        unconfirmedPrefills,
         passMs,
-        freeTokens: engine.memoryTokens - items.reduce((sum, item) => sum + item.tokens, 0),
+        freeTokens: engine.memoryTokens - usedTokens,
         memoryTokens: engine.memoryTokens,
-        constraints: answeredItems.map(item => ({
-            gapTargetMs: item.gapTargetMs!,
-            slackMs: computeSlackMs(item, passMs, pendingPrefillMs, nowMs),
-        })),
-        hasSuspect: items.some(item => item.isSuspect),
+        constraints,
+        hasSuspect,
     };
 }
 
@@ -107,12 +133,15 @@
  * prediction by an unknown time.
  */
 function computePendingPrefillMs(items: readonly WorkItem[], slowdown: number, passMs: number, nowMs: number): number {
-    const prefilling = items.filter(item => item.phase === WorkPhase.Prefill);
-    if (prefilling.length === 0) {
-        return 0;
+    let prefillMs = 0;
+    let prefillingSinceMs = Number.POSITIVE_INFINITY;
+    for (const item of items) {
+        if (item.phase === WorkPhase.Prefill) {
+            prefillMs += item.prefillMs;
+            prefillingSinceMs = Math.min(prefillingSinceMs, item.phaseSinceMs);
+        }
     }
-    const totalMs = slowdown * prefilling.reduce((sum, item) => sum + item.prefillMs, 0);
-    const prefillingSinceMs = Math.min(...prefilling.map(item => item.phaseSinceMs));
+    const totalMs = slowdown * prefillMs;
     const remainingMs = totalMs - (nowMs - prefillingSinceMs);
     const overdueMs = -remainingMs - passesToFirstEvent * passMs;
     return overdueMs > overdueToleranceMs
@@ -120,8 +149,14 @@
         : Math.max(0, remainingMs);
 }
 
-function computeSlackMs(item: WorkItem, passMs: number, pendingPrefillMs: number, nowMs: number): number {
-    const gapSlackMs = item.gapTargetMs! * usableGapShare - passMs;
+function computeSlackMs(
+    item: WorkItem,
+    gapTargetMs: number,
+    passMs: number,
+    pendingPrefillMs: number,
+    nowMs: number,
+): number {
+    const gapSlackMs = gapTargetMs * usableGapShare - passMs;
     if (item.phase === WorkPhase.Decode) {
         return gapSlackMs - pendingPrefillMs;
     }
--- a/src/routing/loadLedger.ts
+++ b/src/routing/loadLedger.ts
@@ -122,8 +122,15 @@
             dropAll(peer);
             owners.delete(peer);
         },
-        listAt: (endpoint, nowMs) =>
-            [...byEndpoint.get(endpoint)?.values() ?? []].filter(item => nowMs < item.endsAtMs + overdueMs),
+        listAt(endpoint, nowMs) {
+            const items: WorkItem[] = [];
+            byEndpoint.get(endpoint)?.forEach(item => {
+                if (nowMs < item.endsAtMs + overdueMs) {
+                    items.push(item);
+                }
+            });
+            return items;
+        },
         listOwn: () => [...owners.get(localOwner)!.values()],
         forgetEndpoint(endpoint) {
             for (const [owner, items] of owners) {
