Send nothing new to evacuated data centres

Cause: operators evacuate a data centre by a record in the topic of the configuration, which gateways ignored. Change: records evacuate/ZONE are applied as soon as they are read. A request for which every known endpoint is closed for good is refused at once.

--- a/src/base/logEvents.ts
+++ b/src/base/logEvents.ts
@@ -57,6 +57,7 @@
     CellChanged = 5014,
     EndpointLimitChanged = 5015,
     PeerNoticeMalformed = 5016,
+    EvacuationChanged = 5020,
     EngineReached = 6001,
     EngineLost = 6002,
     EngineRefusing = 6003,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,7 +3,7 @@
 import { EventLog } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
 import { createMetrics } from "../base/metrics.js";
-import { TimerService, waitFor } from "../base/timerService.js";
+import { TimerService } from "../base/timerService.js";
 import {
     createEndpointDirectory,
     defaultDirectorySettings,
@@ -15,7 +15,7 @@
 import { EndpointRecord, EndpointState } from "../ports/endpointRecord.js";
 import { ExchangeCodec } from "../ports/exchange.js";
 import { MemoryReservationService } from "../ports/memoryReservationService.js";
-import { KeyedRecord, RecordFeed, WritableFeed } from "../ports/recordFeed.js";
+import { EvacuationRecord, KeyedRecord, RecordFeed, WritableFeed } from "../ports/recordFeed.js";
 import { ServingConfiguration } from "../ports/servingConfiguration.js";
 import { computeBudgetBurst, computeBudgetRatio } from "../retries/budgetShare.js";
 import { createRetryBudget } from "../retries/retryBudget.js";
@@ -33,9 +33,12 @@
 import { createEndpointConnections } from "./endpointConnections.js";
 import { mergeGates } from "./endpointGate.js";
 import { createEndpointQuota } from "./endpointQuota.js";
+import { createEvacuationWatch } from "./evacuationWatch.js";
 import { followFeed } from "./feedFollower.js";
+import { drainCustomers } from "./gatewayDrain.js";
 import { GatewaySettings } from "./gatewaySettings.js";
 import { createLoadExchange } from "./loadExchange.js";
+import { followOperators } from "./operatorFeed.js";
 import { followPeers } from "./peerDiscovery.js";
 import { createPlacementQueue } from "./placementQueue.js";
 import { createQuarantineRegistry, QuarantineSource } from "./quarantineRegistry.js";
@@ -53,6 +56,8 @@
     /** Quarantines, which all gateways read and write. */
     readonly quarantineFeed: WritableFeed;
     decodeConfiguration(record: KeyedRecord): ServingConfiguration | undefined;
+    /** Decodes the evacuation of a data centre from a record of the configuration's feed. */
+    decodeEvacuation(record: KeyedRecord): EvacuationRecord | undefined;
     decodeEndpoint(record: KeyedRecord): EndpointRecord | undefined;
     readonly codec: ExchangeCodec;
     readonly memoryReservations: MemoryReservationService;
@@ -74,11 +79,6 @@
     drain(): Promise<void>;
 }
 
-/**
- * Wait time of one read, as a share of the time within which a new configuration must be in force. A connection to the
- * store can stall without an error; the rest of the time allows for detecting that and reading again.
- */
-const configurationWaitShare = 0.55;
 /**
  * Time between two reads of registrations, as a share of the time within which a leaving endpoint must be known.
  * Endpoints renew their registrations about every second and each call to the store has a cost, so one read collects
@@ -100,17 +100,6 @@
 const bodyMemoryShare = 0.25;
 /** Share of the file descriptors for customer connections. The rest is for endpoints and the store. */
 const customerDescriptorShare = 0.6;
-/**
- * Time after SIGTERM for which idle connections are kept and new ones accepted in any case, in milliseconds. The load
- * balancer notices the failing readiness check meanwhile, and customers move to other gateways.
- */
-const minAcceptMs = 3_000;
-/** Largest share of the time until SIGKILL that `minAcceptMs` may take. */
-const maxAcceptShare = 0.4;
-/** Time before SIGKILL at which the remaining requests are aborted, in milliseconds. */
-const closeBeforeKillMs = 400;
-const drainCheckIntervalMs = 50;
-
 /**
  * Starts a gateway, the process between customers and endpoints. It persists no state.
  *
@@ -132,7 +121,10 @@
     let cell = onlyCell;
     /** Exchange addresses of all gateways that the store lists. */
     let gatewayAddresses: readonly string[] = [];
-    const endpointSubset = createEndpointSubset(directory, endpoints => selectCellEndpoints(cell, endpoints));
+    const endpointSubset = createEndpointSubset(
+        directory,
+        endpoints => selectCellEndpoints(cell, evacuationWatch.select(endpoints)),
+    );
     let routeTable: RouteTable | undefined;
     let areEndpointsKnown = false;
     let drainState: Drain | undefined;
@@ -163,6 +155,17 @@
         getSharing: countSharing,
         reportChange: limit => exchange.reportLimit(limit),
     });
+    const evacuationWatch = createEvacuationWatch({
+        timers,
+        log,
+        metrics,
+        decode: record => ports.decodeEvacuation(record),
+        countEndpoints: dataCentre => directory.listAll().filter(item => item.record.dataCentre === dataCentre).length,
+        onChange() {
+            endpointSubset.invalidate();
+            placementQueue.run();
+        },
+    });
     const quarantineRegistry = createQuarantineRegistry({
         timers,
         log,
@@ -209,7 +212,7 @@
         placeOnEngines,
         chooseClaim,
         quota: endpointQuota,
-        gate: mergeGates([]),
+        gate: mergeGates([evacuationWatch.gate]),
         reportChange: (key, item) => exchange.reportChange(key, item),
     }));
     const retryBudget = createRetryBudget({
@@ -228,7 +231,7 @@
     /** Counts the gateways that use an endpoint, and those of them whose requests are heard of. */
     function countSharing(endpoint: string): LimitSharing {
         const service = directory.find(endpoint)?.record.service;
-        const endpoints = service === undefined ? 0 : directory.listUsable(service).length;
+        const endpoints = service === undefined ? 0 : evacuationWatch.select(directory.listUsable(service)).length;
         const heard = exchange.countHeard(maxPeerSilenceMs);
         const known = gatewayAddresses.length > 0 ? gatewayAddresses.length : assumedGateways;
         const gateways = Math.max(heard, countSharingGateways(cell, known, endpoints));
@@ -343,20 +346,13 @@
         }),
     );
 
-    disposables.register(followFeed({
-        name: "configuration",
+    disposables.register(followOperators({
         feed: ports.configurationFeed,
-        timing: { waitMs: Math.round(settings.configurationNoticeMs * configurationWaitShare), pauseMs: 0 },
+        settings,
         timers,
         log,
-        listener: {
-            onSnapshot: applyConfiguration,
-            // The version in force stays until a newer one is read.
-            onRestored() {},
-            onUpdate: applyConfiguration,
-            onUnavailable() {},
-            onAvailable() {},
-        },
+        evacuationWatch,
+        applyConfiguration,
     }));
     disposables.register(followFeed({
         name: "endpoints",
@@ -379,7 +375,10 @@
         },
     }));
     disposables.register(
-        timers.subscribe(expiryCheckIntervalMs, () => applyChanges(directory.expireLapses(timers.now()))),
+        timers.subscribe(expiryCheckIntervalMs, () => {
+            applyChanges(directory.expireLapses(timers.now()));
+            evacuationWatch.expire();
+        }),
     );
     const peers = disposables.register(followPeers({
         feed: ports.gatewayFeed,
@@ -435,19 +434,8 @@
     }
 
     async function drain(): Promise<void> {
-        const startedAtMs = timers.now();
-        const endsAtMs = startedAtMs + settings.graceMs - closeBeforeKillMs;
-        log(LogEvent.ProcessDraining, { requests: customers.countRequests() });
-        drainState = { startedAtMs, endsAtMs };
-        await waitFor(timers, Math.min(minAcceptMs, settings.graceMs * maxAcceptShare));
-        customers.closeIdleConnections();
-        // Connections are accepted to the end: if other gateways stop too, customers have nowhere else to go.
-        while (customers.countRequests() > 0 && timers.now() < endsAtMs) {
-            await waitFor(timers, drainCheckIntervalMs);
-        }
-        log(LogEvent.ProcessStopped, { brokenOff: customers.countRequests() });
-        customers.stopAccepting();
-        customers.close();
+        const onStarted = (started: Drain) => void (drainState = started);
+        await drainCustomers({ timers, log, customers, graceMs: settings.graceMs, onStarted });
         disposables.dispose();
         await connections.close();
     }
--- a/src/gateway/gatewaySettings.ts
+++ b/src/gateway/gatewaySettings.ts
@@ -25,6 +25,11 @@
     readonly leavingNoticeMs: number;
     /** Time within which a new configuration must be in force, in milliseconds. */
     readonly configurationNoticeMs: number;
+    /**
+     * Time within which an evacuated data centre must stop receiving requests, in milliseconds. Absent if the time for a
+     * new configuration suffices.
+     */
+    readonly evacuationNoticeMs?: number;
     /** Retries allowed per request on average, across all gateways. */
     readonly retryRatio: number;
     /** Retries allowed in a window of seconds in addition to the ratio, across all gateways. */
--- a/src/gateway/placementQueue.ts
+++ b/src/gateway/placementQueue.ts
@@ -33,6 +33,11 @@
     countWaiting(): number;
     /** Estimates how long a further request of this size would wait for capacity of the service, in milliseconds. */
     predictWaitMs(service: Service, needs: EngineNeeds | undefined): number;
+    /**
+     * Returns whether none of the endpoints of a place has been closed for good since it was assigned; to be asked before
+     * a request is sent that had to wait with its place.
+     */
+    isStillUsable(place: Place): boolean;
 }
 
 export interface PlacementQueueOptions {
@@ -357,7 +362,10 @@
                 item.job.onPlaced(place);
             }
         }
-        const expired = waiting.filter(item => nowMs > item.hardStartDeadlineMs && !claims.has(item));
+        const expired = waiting.filter(item =>
+            (nowMs > item.hardStartDeadlineMs && !claims.has(item)) || hasNoneLeft(item.job, nowMs)
+        );
+        expired.forEach(dropClaim);
         waiting = waiting.filter(item => !expired.includes(item));
         expired.forEach(item => item.job.onExpired(describeLoad(item.job, nowMs)));
     }
@@ -378,6 +386,20 @@
         return nowMs + predictLimitWaitMs(job.service, nowMs) > hardStartDeadlineMs;
     }
 
+    /**
+     * Returns whether endpoints are known that a request could run on and all of them are closed for good. No known
+     * endpoint at all may only be a short loss, which the request waits for.
+     */
+    function hasNoneLeft({ service, avoid }: PlacementJob, nowMs: number): boolean {
+        const isLeft = (record: EndpointRecord) => !avoid.has(record.id) && gate.getOpensInMs(record, nowMs) < Infinity;
+        // Some endpoint of the own subset is left nearly always.
+        if (endpointSubset.list(service.name).some(isLeft)) {
+            return false;
+        }
+        const known = options.directory.listUsable(service.name).filter(record => !avoid.has(record.id));
+        return known.length > 0 && !known.some(isLeft);
+    }
+
     /** Describes the load on which the decision to queue or refuse a request was based, for the log. */
     function describeLoad(job: PlacementJob, nowMs: number): string {
         const known = endpointSubset.list(job.service.name).length;
@@ -413,7 +435,7 @@
                 job.onPlaced(place);
                 return createDisposable(() => undefined);
             }
-            if (isLimitedTooLong(item, timers.now())) {
+            if (hasNoneLeft(job, timers.now()) || isLimitedTooLong(item, timers.now())) {
                 job.onExpired(describeLoad(job, timers.now()));
                 return createDisposable(() => undefined);
             }
@@ -428,6 +450,10 @@
             };
         },
         countWaiting: () => waiting.length,
+        isStillUsable({ endpoint, helpers }) {
+            const nowMs = timers.now();
+            return [endpoint, ...helpers].every(record => gate.getOpensInMs(record, nowMs) < Infinity);
+        },
         predictWaitMs(service, needs) {
             const nowMs = timers.now();
             const queued = waiting.filter(item => item.job.service.name === service.name);
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -137,12 +137,12 @@
             return;
         }
         reservationSet = set;
-        if (set) {
+        if (set && placementQueue.isStillUsable(found)) {
             send(found);
             return;
         }
         releaseDispatch();
-        waiting = timers.schedule(reservationRetryMs, submit);
+        waiting = timers.schedule(set ? 0 : reservationRetryMs, submit);
     }
 
     function send(found: Place): void {
--- a/src/ports/recordFeed.ts
+++ b/src/ports/recordFeed.ts
@@ -7,6 +7,13 @@
     readonly value?: Uint8Array;
 }
 
+/** What a record of the operators says about the evacuation of a data centre. */
+export interface EvacuationRecord {
+    readonly dataCentre: string;
+    /** False where the evacuation was removed. */
+    readonly isActive: boolean;
+}
+
 /**
  * Position in a feed. Made by the client of the store; its users only pass it back and log it, because an offset means
  * nothing without the era in which it was given out.
--- a/test/platform/support/deployment.ts
+++ b/test/platform/support/deployment.ts
@@ -4,6 +4,7 @@
 import { Agent, request } from "undici";
 import { decodeConfiguration } from "../../../platform/configurationCodec.js";
 import { decodeEndpoint } from "../../../platform/endpointCodec.js";
+import { decodeEvacuation } from "../../../platform/evacuationCodec.js";
 import { exchangeCodec } from "../../../platform/exchangeCodec.js";
 import { createMemoryReservationService } from "../../../platform/memoryReservationService.js";
 import { createStoreClient } from "../../../platform/storeClient.js";
@@ -175,7 +176,9 @@
         endpointFeed: store.openFeed("keyed.servers"),
         gatewayFeed: store.openFeed("keyed.gateways"),
         quarantineFeed: store.openFeed("keyed.quarantines"),
-        decodeConfiguration: record => record.value && decodeConfiguration(record.value),
+        decodeConfiguration: record =>
+            record.key === "config" && record.value ? decodeConfiguration(record.value) : undefined,
+        decodeEvacuation,
         decodeEndpoint,
         codec: exchangeCodec,
         memoryReservations: createMemoryReservationService(),
