Form cells by the number of engines as well as of gateways

Cause: 31 gateways before 45 engines formed four cells of 11 engines. Prompts of 260,000 tokens, which up to 17 engines read in parts, waited for engines of their cell while others were free. Change: at least 16 engines of the largest engine service a cell, by the most that were known in the last 30 s, so that short losses change nothing. Deployments with one cell, and 28 gateways before 112 engines, are divided as before.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -23,6 +23,7 @@
 import { placeOnEngines } from "../routing/enginePlacement.js";
 import { countSharingGateways, decideCell, onlyCell, selectCellEndpoints } from "../routing/gatewayCell.js";
 import { createLoadLedger } from "../routing/loadLedger.js";
+import { createPeakCount } from "../routing/peakCount.js";
 import { pickByRendezvous } from "../routing/rendezvous.js";
 import { buildRouteTable, RouteTable } from "../routing/routeTable.js";
 import { createSlowdownEstimate } from "../routing/slowdownEstimate.js";
@@ -94,6 +95,11 @@
 const expiryCheckIntervalMs = 100;
 /** Time without a message, of two snapshots, after which the requests of another gateway are not heard of. */
 const maxPeerSilenceMs = 1_200;
+/**
+ * Time for which lost engines still count in the division into cells, in milliseconds. Most are back within seconds, and
+ * gateways that divide differently do not know of each other's work.
+ */
+const engineCountWindowMs = 30_000;
 /** Gateways that are assumed until the list of gateways has been read. */
 const assumedGateways = 4;
 /** Share of the memory limit for request bodies. The rest is for the heap and for connection buffers. */
@@ -119,6 +125,7 @@
     const keyPrefix = ports.incarnation.slice(-8);
     const exchangeAddress = `${settings.ip}:${settings.exchangePort}`;
     let cell = onlyCell;
+    const engineCount = createPeakCount(engineCountWindowMs);
     /** Exchange addresses of all gateways that the store lists. */
     let gatewayAddresses: readonly string[] = [];
     const endpointSubset = createEndpointSubset(
@@ -288,15 +295,25 @@
             }
         }
         if (changes.length > 0) {
+            if (gatewayAddresses.length > 0) {
+                applyCell(gatewayAddresses);
+            }
             endpointSubset.invalidate();
             connections.keepOnly(new Set(directory.listAll().map(item => item.record.address)));
             placementQueue.run();
         }
     }
 
+    /** Counts the engines of the largest engine service, short losses left out; infinite if there is no such service. */
+    function countEngines(): number {
+        const engineServices = [...routeTable?.configuration.services.values() ?? []].filter(service => service.engine);
+        const counts = engineServices.map(service => directory.listUsable(service.name).length);
+        return counts.length === 0 ? Infinity : engineCount.record(Math.max(...counts), timers.now());
+    }
+
     function applyCell(addresses: readonly string[]): void {
         const previous = cell;
-        const { cell: decided, members, others } = decideCell(exchangeAddress, addresses);
+        const { cell: decided, members, others } = decideCell(exchangeAddress, addresses, countEngines());
         cell = decided;
         exchange.setPeers(members, others);
         if (cell.index !== previous.index || cell.count !== previous.count) {
--- a/src/routing/gatewayCell.ts
+++ b/src/routing/gatewayCell.ts
@@ -24,6 +24,11 @@
  * idle.
  */
 const minEndpoints = 8;
+/**
+ * Minimum engines per cell. A long prompt is read in parts by up to 17 engines at once; with 11 engines in a cell such
+ * prompts waited a second at the median for engines that were free in other cells.
+ */
+const minEngines = 16;
 
 /** The cell of a gateway and the division of all other gateways by it. */
 export interface CellMembership {
@@ -39,12 +44,14 @@
  * compute the same cells. The number of cells is a power of two, so that half of the endpoints keep their cell when it
  * doubles or halves.
  *
+ * @param engines number of engines of the largest engine service; infinite if there is none
+ *
  * @example
- * decideCell("10.1.0.4:7340", addresses).cell.index;
+ * decideCell("10.1.0.4:7340", addresses, 45).cell.index;
  */
-export function decideCell(ownAddress: string, addresses: readonly string[]): CellMembership {
+export function decideCell(ownAddress: string, addresses: readonly string[], engines: number): CellMembership {
     const known = [...new Set([...addresses, ownAddress])];
-    const count = computePowerOfTwo(known.length / minGateways);
+    const count = computePowerOfTwo(Math.min(known.length / minGateways, engines / minEngines));
     let index = 0;
     let members: readonly string[] = known;
     for (let level = 0; 1 << level < count; level++) {
--- a/test/routing/gatewayCell.test.ts
+++ b/test/routing/gatewayCell.test.ts
@@ -15,24 +15,33 @@
     for (const [gateways, cells] of counts) {
         test(`${gateways} gateways form ${cells} cells, of 6 to 19 gateways each if there are several`, () => {
             const addresses = makeAddresses(gateways);
-            const sizes = addresses.map(own => decideCell(own, addresses).members.length + 1);
-            assert.equal(decideCell(addresses[0]!, addresses).cell.count, cells);
+            const sizes = addresses.map(own => decideCell(own, addresses, Infinity).members.length + 1);
+            assert.equal(decideCell(addresses[0]!, addresses, Infinity).cell.count, cells);
             assert.ok(cells === 1 || (Math.min(...sizes) >= 6 && Math.max(...sizes) <= 19));
         });
     }
 
+    /** Guards against long prompts that wait in one cell while the engines of others are free. */
+    test("cells have 16 engines at least, also after a third of them is lost", () => {
+        const addresses = makeAddresses(31);
+        const counts = [112, 64, 45, 38, 30, 0].map(engines =>
+            decideCell(addresses[0]!, addresses, engines).cell.count
+        );
+        assert.deepEqual(counts, [4, 4, 2, 2, 1, 1]);
+    });
+
     test("membership is symmetric, so that every member receives the load reports of all others", () => {
         const addresses = makeAddresses(100);
         for (const own of addresses) {
-            for (const member of decideCell(own, addresses).members) {
-                assert.ok(decideCell(member, [...addresses].reverse()).members.includes(own));
+            for (const member of decideCell(own, addresses, Infinity).members) {
+                assert.ok(decideCell(member, [...addresses].reverse(), Infinity).members.includes(own));
             }
         }
     });
 
     test("a gateway that the store does not list yet is assigned a cell", () => {
         const addresses = makeAddresses(30);
-        assert.ok(decideCell("10.9.9.9:7340", addresses).cell.index >= 0);
+        assert.ok(decideCell("10.9.9.9:7340", addresses, Infinity).cell.index >= 0);
     });
 
     test("each endpoint of a large service belongs to exactly one cell, and the partitions have similar sizes", () => {
@@ -61,7 +70,7 @@
      */
     test("a gateway that joins or leaves changes the cell of few others", () => {
         const addresses = makeAddresses(29);
-        const indexOf = (own: string, known: readonly string[]) => decideCell(own, known).cell.index;
+        const indexOf = (own: string, known: readonly string[]) => decideCell(own, known, Infinity).cell.index;
         const moves = addresses.map(left => {
             const known = addresses.filter(address => address !== left);
             return known.filter(own => indexOf(own, known) !== indexOf(own, addresses)).length;
