--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -21,9 +21,7 @@
 import { createRetryBudget } from "../retries/retryBudget.js";
 import { chooseClaim } from "../routing/engineClaim.js";
 import { placeOnEngines } from "../routing/enginePlacement.js";
-import { countSharingGateways, decideCell, onlyCell, selectCellEndpoints } from "../routing/gatewayCell.js";
 import { createLoadLedger } from "../routing/loadLedger.js";
-import { createPeakCount } from "../routing/peakCount.js";
 import { pickByRendezvous } from "../routing/rendezvous.js";
 import { buildRouteTable, RouteTable } from "../routing/routeTable.js";
 import { createSlowdownEstimate } from "../routing/slowdownEstimate.js";
@@ -36,6 +34,7 @@
 import { createEndpointQuota } from "./endpointQuota.js";
 import { createEvacuationWatch } from "./evacuationWatch.js";
 import { followFeed } from "./feedFollower.js";
+import { createGatewayCells } from "./gatewayCells.js";
 import { drainCustomers } from "./gatewayDrain.js";
 import { GatewaySettings } from "./gatewaySettings.js";
 import { createLoadExchange } from "./loadExchange.js";
@@ -95,13 +94,6 @@
 const expiryCheckIntervalMs = 100;
 /** Time without a message, of two snapshots, after which the requests of another gateway are not heard of. */
 const maxPeerSilenceMs = 1_200;
-/**
- * Time for which lost engines still count in the division into cells, in milliseconds. Most are back within seconds, and
- * gateways that divide differently do not know of each other's work.
- */
-const engineCountWindowMs = 30_000;
-/** Gateways that are assumed until the list of gateways has been read. */
-const assumedGateways = 4;
 /** Share of the memory limit for request bodies. The rest is for the heap and for connection buffers. */
 const bodyMemoryShare = 0.25;
 /** Share of the file descriptors for customer connections. The rest is for endpoints and the store. */
@@ -124,13 +116,9 @@
     const connections = createEndpointConnections(address => crashDetector.recordIdleClose(address));
     const keyPrefix = ports.incarnation.slice(-8);
     const exchangeAddress = `${settings.ip}:${settings.exchangePort}`;
-    let cell = onlyCell;
-    const engineCount = createPeakCount(engineCountWindowMs);
-    /** Exchange addresses of all gateways that the store lists. */
-    let gatewayAddresses: readonly string[] = [];
     const endpointSubset = createEndpointSubset(
         directory,
-        endpoints => selectCellEndpoints(cell, evacuationWatch.select(endpoints)),
+        endpoints => cells.select(evacuationWatch.select(endpoints)),
     );
     let routeTable: RouteTable | undefined;
     let areEndpointsKnown = false;
@@ -155,6 +143,15 @@
         listLimits: () => endpointQuota.list(),
         onPeerDispatch: endpoint => endpointQuota.recordPeerDispatch(endpoint),
     }));
+    const cells = createGatewayCells({
+        timers,
+        log,
+        exchangeAddress,
+        getConfiguration: () => routeTable?.configuration,
+        countEndpoints: service => directory.listUsable(service).length,
+        setPeers: (members, others) => exchange.setPeers(members, others),
+        onChange: () => endpointSubset.invalidate(),
+    });
     const endpointQuota = createEndpointQuota({
         timers,
         log,
@@ -183,8 +180,8 @@
             quarantineStore.writeDecision(term);
         },
         isTester: trait =>
-            quarantineStore.isAvailable() && gatewayAddresses.length > 0
-            && pickByRendezvous(trait, gatewayAddresses, address => address, 1)[0] === exchangeAddress,
+            quarantineStore.isAvailable() && cells.listGateways().length > 0
+            && pickByRendezvous(trait, cells.listGateways(), address => address, 1)[0] === exchangeAddress,
     });
     const quarantineStore = disposables.register(createQuarantineStore({
         feed: ports.quarantineFeed,
@@ -240,9 +237,7 @@
         const service = directory.find(endpoint)?.record.service;
         const endpoints = service === undefined ? 0 : evacuationWatch.select(directory.listUsable(service)).length;
         const heard = exchange.countHeard(maxPeerSilenceMs);
-        const known = gatewayAddresses.length > 0 ? gatewayAddresses.length : assumedGateways;
-        const gateways = Math.max(heard, countSharingGateways(cell, known, endpoints));
-        return { gateways, heard };
+        return { gateways: Math.max(heard, cells.countSharing(endpoints)), heard };
     }
 
     function applyConfiguration(records: readonly KeyedRecord[]): void {
@@ -295,33 +290,13 @@
             }
         }
         if (changes.length > 0) {
-            if (gatewayAddresses.length > 0) {
-                applyCell(gatewayAddresses);
-            }
+            cells.update();
             endpointSubset.invalidate();
             connections.keepOnly(new Set(directory.listAll().map(item => item.record.address)));
             placementQueue.run();
         }
     }
 
-    /** Counts the engines of the largest engine service, short losses left out; infinite if there is no such service. */
-    function countEngines(): number {
-        const engineServices = [...routeTable?.configuration.services.values() ?? []].filter(service => service.engine);
-        const counts = engineServices.map(service => directory.listUsable(service.name).length);
-        return counts.length === 0 ? Infinity : engineCount.record(Math.max(...counts), timers.now());
-    }
-
-    function applyCell(addresses: readonly string[]): void {
-        const previous = cell;
-        const { cell: decided, members, others } = decideCell(exchangeAddress, addresses, countEngines());
-        cell = decided;
-        exchange.setPeers(members, others);
-        if (cell.index !== previous.index || cell.count !== previous.count) {
-            endpointSubset.invalidate();
-            log(LogEvent.CellChanged, { cell: cell.index, cells: cell.count, members: members.length + 1 });
-        }
-    }
-
     function decodeEndpoints(records: readonly KeyedRecord[]): EndpointRecord[] {
         return records.map(record => ports.decodeEndpoint(record)).filter(record => record !== undefined);
     }
@@ -405,8 +380,7 @@
         log,
         random: ports.random,
         onPeers(addresses) {
-            gatewayAddresses = addresses;
-            applyCell(addresses);
+            cells.setGateways(addresses);
             retryBudget.setBurst(computeBudgetBurst(settings.retrySlack, addresses.length));
         },
     }));
--- /dev/null
+++ b/src/gateway/gatewayCells.ts
@@ -0,0 +1,87 @@
+import { EventLog } from "../base/log.js";
+import { LogEvent } from "../base/logEvents.js";
+import { TimerService } from "../base/timerService.js";
+import { EndpointRecord } from "../ports/endpointRecord.js";
+import { ServingConfiguration } from "../ports/servingConfiguration.js";
+import { countSharingGateways, decideCell, onlyCell, selectCellEndpoints } from "../routing/gatewayCell.js";
+import { createPeakCount } from "../routing/peakCount.js";
+
+/** The division of gateways and endpoints into cells, as this gateway knows it. */
+export interface GatewayCells {
+    /** Applies the exchange addresses of all gateways that the store lists. */
+    setGateways(addresses: readonly string[]): void;
+    /** Divides anew after the endpoints have changed. */
+    update(): void;
+    listGateways(): readonly string[];
+    /** Selects the endpoints of a service that the own cell uses. */
+    select(endpoints: readonly EndpointRecord[]): readonly EndpointRecord[];
+    /** Counts the gateways that use the same endpoints of a service with `endpoints` endpoints. */
+    countSharing(endpoints: number): number;
+}
+
+export interface GatewayCellsOptions {
+    readonly timers: TimerService;
+    readonly log: EventLog;
+    /** Address at which this gateway receives messages of others. */
+    readonly exchangeAddress: string;
+    readonly getConfiguration: () => ServingConfiguration | undefined;
+    /** Counts the endpoints of a service that accept new work. */
+    readonly countEndpoints: (service: string) => number;
+    readonly setPeers: (members: readonly string[], others: readonly string[]) => void;
+    /** Called when the own cell uses other endpoints than before. */
+    readonly onChange: () => void;
+}
+
+/** Gateways that are assumed until the list of gateways has been read. */
+const assumedGateways = 4;
+/**
+ * Time for which lost engines still count in the division into cells, in milliseconds. Most are back within seconds, and
+ * gateways that divide differently do not know of each other's work.
+ */
+const engineCountWindowMs = 30_000;
+
+/**
+ * Creates the division of a gateway that knows no others.
+ *
+ * @example
+ * const cells = createGatewayCells(options);
+ * cells.setGateways(["10.1.0.4:7340", "10.2.0.4:7340"]);
+ */
+export function createGatewayCells(options: GatewayCellsOptions): GatewayCells {
+    const { timers, log, exchangeAddress } = options;
+    const engineCount = createPeakCount(engineCountWindowMs);
+    let cell = onlyCell;
+    let gateways: readonly string[] = [];
+
+    /** Counts the engines of the largest engine service, short losses left out; infinite if there is no such service. */
+    function countEngines(): number {
+        const services = [...options.getConfiguration()?.services.values() ?? []].filter(service => service.engine);
+        const counts = services.map(service => options.countEndpoints(service.name));
+        return counts.length === 0 ? Infinity : engineCount.record(Math.max(...counts), timers.now());
+    }
+
+    function update(): void {
+        if (gateways.length === 0) {
+            return;
+        }
+        const previous = cell;
+        const { cell: decided, members, others } = decideCell(exchangeAddress, gateways, countEngines());
+        cell = decided;
+        options.setPeers(members, others);
+        if (cell.index !== previous.index || cell.count !== previous.count) {
+            options.onChange();
+            log(LogEvent.CellChanged, { cell: cell.index, cells: cell.count, members: members.length + 1 });
+        }
+    }
+
+    return {
+        setGateways(addresses) {
+            gateways = addresses;
+            update();
+        },
+        update,
+        listGateways: () => gateways,
+        select: endpoints => selectCellEndpoints(cell, endpoints),
+        countSharing: endpoints => countSharingGateways(cell, gateways.length || assumedGateways, endpoints),
+    };
+}
