--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -3,7 +3,7 @@
 import { execFileSync } from "node:child_process";
 import { mkdir, writeFile } from "node:fs/promises";
 import { loadavg } from "node:os";
-import { parseArgs } from "node:util";
+import { parseCommandOptions } from "./lib/commandOptions.js";
 import { formatEvenness } from "./lib/evenness.js";
 import { formatSlopes, LinearFit } from "./lib/linearFit.js";
 import {
@@ -29,7 +29,9 @@
     "tokens": () => measureTokens(seed),
 };
 
-const { values: options } = parseArgs({ options: { only: { type: "string", multiple: true } } });
+const options = parseCommandOptions("npm run capacity --", "Measures how costs grow with size, and fits lines.", {
+    only: { type: "string", array: true, description: "groups to measure instead of all" },
+});
 const commit = execFileSync("git", ["rev-parse", "--short", "HEAD"], { encoding: "utf8" }).trim();
 const evennessName = "evenness";
 const isSelected = (name: string) => options.only === undefined || options.only.includes(name);
--- a/bench/run.ts
+++ b/bench/run.ts
@@ -5,11 +5,11 @@
 import { mkdir, writeFile } from "node:fs/promises";
 import { loadavg } from "node:os";
 import { join } from "node:path";
-import { parseArgs } from "node:util";
 import { createSystemTimerService } from "../src/base/systemTimerService.js";
 import { formatLoadSummary, formatMs } from "../src/load/loadReport.js";
 import { LoadRun, runLoad } from "../src/load/loadRunner.js";
 import { computeLoadSummary } from "../src/load/summary.js";
+import { parseCommandOptions } from "./lib/commandOptions.js";
 import { startEngineSampler } from "./lib/engineSampler.js";
 import { measureEntryCost } from "./lib/entryCost.js";
 import { Experiment, readExperiment } from "./lib/experiment.js";
@@ -27,16 +27,14 @@
 const quickPolicyCount = 2;
 const experimentNames = ["kalamokopi", "comhar"];
 
-const { values: options } = parseArgs({
-    options: {
-        quick: { type: "boolean", default: false },
-        replay: { type: "boolean", default: false },
-        crashes: { type: "boolean", default: false },
-        limits: { type: "boolean", default: false },
-        only: { type: "string" },
-        policy: { type: "string" },
-        out: { type: "string", default: "bench/results" },
-    },
+const options = parseCommandOptions("npm run bench --", "Runs the experiments and measures what the entry adds.", {
+    quick: { type: "boolean", default: false, description: "shorter phases and fewer policies" },
+    replay: { type: "boolean", default: false, description: "only the table of placement policies" },
+    crashes: { type: "boolean", default: false, description: "only the tables of requests that crash endpoints" },
+    limits: { type: "boolean", default: false, description: "only the table of divided limits" },
+    only: { type: "string", description: "name of the one experiment or measurement to run" },
+    policy: { type: "string", description: "name of the one policy to run" },
+    out: { type: "string", default: "bench/results", description: "directory for the results" },
 });
 
 if (options.crashes) {
--- a/src/membership/sharedReads.ts
+++ b/src/membership/sharedReads.ts
@@ -48,7 +48,7 @@
  * Time between two reads of a reader, as a share of the followers' bound. The rest is for the way of the datagram and
  * for delays of both processes: with a share of 1, followers would read just before the position arrives.
  */
-const readerPeriodShare = 0.75;
+const readerPeriodShare = 0.85;
 
 /**
  * Decides the role of a gateway for a feed. Gateways that hear the same gateways choose the same reader.
@@ -76,7 +76,7 @@
  * Computes the wait time of a reader's read, in milliseconds, from the usual pause and wait.
  *
  * @example
- * computeReaderWaitMs(0, 1_100); // 825
+ * computeReaderWaitMs(0, 1_100); // 935
  */
 export function computeReaderWaitMs(pauseMs: number, waitMs: number): number {
     return Math.max(0, Math.round((pauseMs + waitMs) * readerPeriodShare - pauseMs));
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -1,25 +1,23 @@
 // Runs the soak test with many seeds: npm run soak -- --seeds 50 --first 1 --jobs 3 [--crashing SHARE] [--crashingPlain SHARE] [--restored]
 import { mkdir, writeFile } from "node:fs/promises";
-import { parseArgs } from "node:util";
+import { parseCommandOptions } from "../../bench/lib/commandOptions.js";
 import { runSoak, SoakResult } from "./soak.js";
 
-const { values } = parseArgs({
-    options: {
-        seeds: { type: "string", default: "5" },
-        first: { type: "string", default: "1" },
-        jobs: { type: "string", default: "2" },
-        gateways: { type: "string", default: "3" },
-        engines: { type: "string", default: "5" },
-        crashing: { type: "string", default: "0" },
-        crashingPlain: { type: "string", default: "0" },
-        restored: { type: "boolean", default: false },
-        out: { type: "string", default: "out/soak" },
-    },
+const values = parseCommandOptions("npm run soak --", "Runs the soak test with many seeds.", {
+    seeds: { type: "number", default: 5, description: "number of seeds" },
+    first: { type: "number", default: 1, description: "first seed" },
+    jobs: { type: "number", default: 2, description: "runs at the same time" },
+    gateways: { type: "number", default: 3, description: "gateways of a run" },
+    engines: { type: "number", default: 5, description: "engines of a run" },
+    crashing: { type: "number", default: 0, description: "share of prompts that crash engines" },
+    crashingPlain: { type: "number", default: 0, description: "share of plain requests that crash their endpoint" },
+    restored: { type: "boolean", default: false, description: "restores the store from an older copy" },
+    out: { type: "string", default: "out/soak", description: "directory for the logs of failed runs" },
 });
 
-const seeds = Array.from({ length: Number(values.seeds) }, (unused, index) => Number(values.first) + index);
-const crashingShare = Number(values.crashing);
-const crashingPlainShare = Number(values.crashingPlain);
+const seeds = Array.from({ length: values.seeds }, (unused, index) => values.first + index);
+const crashingShare = values.crashing;
+const crashingPlainShare = values.crashingPlain;
 const results: SoakResult[] = [];
 
 async function runJob(): Promise<void> {
@@ -27,8 +25,8 @@
         const result = await runSoak({
             seed,
             faultMs: 10_000,
-            gateways: Number(values.gateways),
-            engines: Number(values.engines),
+            gateways: values.gateways,
+            engines: values.engines,
             services: 3,
             requestsPerSecond: 40,
             isStoreRestored: values.restored,
@@ -50,7 +48,7 @@
     }
 }
 
-await Promise.all(Array.from({ length: Number(values.jobs) }, runJob));
+await Promise.all(Array.from({ length: values.jobs }, runJob));
 const failedSeeds = results.filter(result => result.violations.length > 0).map(result => result.seed);
 console.log(
     `${results.length} seeds, ${failedSeeds.length} with invariant violations${
