--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -27,6 +27,7 @@
 import { createSlowdownEstimate } from "../routing/slowdownEstimate.js";
 import { Drain } from "../scheduling/drainAdmission.js";
 import { LimitSharing } from "../scheduling/limitBudget.js";
+import { wrapFeed, wrapWritableFeed } from "./countedFeed.js";
 import { createCrashDetector, LossEvidence } from "./crashDetector.js";
 import { createCustomerServer } from "./customerServer.js";
 import { createEndpointConnections } from "./endpointConnections.js";
@@ -34,8 +35,10 @@
 import { createEndpointQuota } from "./endpointQuota.js";
 import { createEvacuationWatch } from "./evacuationWatch.js";
 import { followFeed } from "./feedFollower.js";
+import { createFeedSharing } from "./feedSharing.js";
 import { createGatewayCells } from "./gatewayCells.js";
 import { drainCustomers } from "./gatewayDrain.js";
+import { registerGauges } from "./gatewayGauges.js";
 import { GatewaySettings } from "./gatewaySettings.js";
 import { createLoadExchange } from "./loadExchange.js";
 import { followOperators } from "./operatorFeed.js";
@@ -152,6 +155,15 @@
         setPeers: (members, others) => exchange.setPeers(members, others),
         onChange: () => endpointSubset.invalidate(),
     });
+    const sharing = disposables.register(createFeedSharing({
+        address: exchangeAddress,
+        exchange,
+        countKnown: () => cells.listGateways().length,
+        timers,
+        log,
+        metrics,
+        random: ports.random,
+    }));
     const endpointQuota = createEndpointQuota({
         timers,
         log,
@@ -184,7 +196,8 @@
             && pickByRendezvous(trait, cells.listGateways(), address => address, 1)[0] === exchangeAddress,
     });
     const quarantineStore = disposables.register(createQuarantineStore({
-        feed: ports.quarantineFeed,
+        feed: wrapWritableFeed("quarantines", ports.quarantineFeed, metrics),
+        sharing,
         timers,
         log,
         random: ports.random,
@@ -339,7 +352,8 @@
     );
 
     disposables.register(followOperators({
-        feed: ports.configurationFeed,
+        feed: wrapFeed("configuration", ports.configurationFeed, metrics),
+        sharing,
         settings,
         timers,
         log,
@@ -348,7 +362,8 @@
     }));
     disposables.register(followFeed({
         name: "endpoints",
-        feed: ports.endpointFeed,
+        feed: wrapFeed("endpoints", ports.endpointFeed, metrics),
+        sharing,
         timing: { waitMs: endpointWaitMs, pauseMs: settings.leavingNoticeMs * endpointReadPauseShare },
         timers,
         log,
@@ -373,7 +388,7 @@
         }),
     );
     const peers = disposables.register(followPeers({
-        feed: ports.gatewayFeed,
+        feed: wrapWritableFeed("gateways", ports.gatewayFeed, metrics),
         host: settings.host,
         address: exchangeAddress,
         timers,
@@ -385,29 +400,15 @@
         },
     }));
 
-    metrics.registerGauge(
-        "jujubelane_waiting_requests",
-        "Requests that wait for a place.",
-        () => placementQueue.countWaiting(),
-    );
-    metrics.registerGauge(
-        "jujubelane_limited_endpoints",
-        "Endpoints that name a limit of requests a second.",
-        () => endpointQuota.countLimited(),
-    );
-    metrics.registerGauge(
-        "jujubelane_quarantines",
-        "Prompt parts and requests that are refused because they crash endpoints.",
-        () => quarantineRegistry.countActive(),
-    );
-    metrics.registerGauge("jujubelane_reservations", "Memory reservations held.", () => reservations.countHeld());
-    metrics.registerGauge(
-        "jujubelane_gateways",
-        "Gateways heard of, this one included.",
-        () => exchange.countGateways(),
-    );
-    metrics.registerGauge("jujubelane_connections", "Customers' connections.", () => customers.countConnections());
-    metrics.registerGauge("jujubelane_configuration_version", "Version in force.", () => routeTable?.version ?? 0);
+    registerGauges(metrics, {
+        countWaiting: () => placementQueue.countWaiting(),
+        countLimited: () => endpointQuota.countLimited(),
+        countQuarantines: () => quarantineRegistry.countActive(),
+        countReservations: () => reservations.countHeld(),
+        countGateways: () => exchange.countGateways(),
+        countConnections: () => customers.countConnections(),
+        getVersion: () => routeTable?.version ?? 0,
+    });
 
     const isReady = () => routeTable !== undefined && areEndpointsKnown && !drainState;
     try {
--- a/src/gateway/operatorFeed.ts
+++ b/src/gateway/operatorFeed.ts
@@ -4,10 +4,12 @@
 import { KeyedRecord, RecordFeed } from "../ports/recordFeed.js";
 import { EvacuationWatch } from "./evacuationWatch.js";
 import { followFeed } from "./feedFollower.js";
+import { FeedSharing } from "./feedSharing.js";
 import { GatewaySettings } from "./gatewaySettings.js";
 
 export interface OperatorFeedOptions {
     readonly feed: RecordFeed;
+    readonly sharing: FeedSharing;
     readonly settings: Pick<GatewaySettings, "configurationNoticeMs" | "evacuationNoticeMs">;
     readonly timers: TimerService;
     readonly log: EventLog;
@@ -25,14 +27,15 @@
  * Follows the operators' topic, which has the configuration and the evacuations of data centres.
  *
  * @example
- * const following = followOperators({ feed, settings, timers, log, evacuationWatch, applyConfiguration });
+ * const following = followOperators({ feed, sharing, settings, timers, log, evacuationWatch, applyConfiguration });
  */
 export function followOperators(options: OperatorFeedOptions): Disposable {
-    const { feed, settings, timers, log, evacuationWatch, applyConfiguration } = options;
+    const { feed, sharing, settings, timers, log, evacuationWatch, applyConfiguration } = options;
     const noticeMs = Math.min(settings.configurationNoticeMs, settings.evacuationNoticeMs ?? Infinity);
     return followFeed({
         name: "configuration",
         feed,
+        sharing,
         timing: { waitMs: Math.round(noticeMs * operatorWaitShare), pauseMs: 0 },
         timers,
         log,
