Send cold endpoints no more than they sustain

Cause: an endpoint that has just started is slow and crashes above a low rate; gateways sent it requests like any other. Change: an endpoint is cold by its registration, by a header of its answers (told to all gateways by notice), by its start time or by the end of an evacuation. While it is, each gateway has turns at its equal share of cold_per_s, which begin at random and end unused after a while. The budget of named limits was not used: its gateways keep a second's worth while idle.

--- a/src/base/logEvents.ts
+++ b/src/base/logEvents.ts
@@ -58,6 +58,7 @@
     EndpointLimitChanged = 5015,
     PeerNoticeMalformed = 5016,
     EvacuationChanged = 5020,
+    EndpointColdChanged = 5021,
     EngineReached = 6001,
     EngineLost = 6002,
     EngineRefusing = 6003,
--- a/src/gateway/endpointQuota.ts
+++ b/src/gateway/endpointQuota.ts
@@ -6,7 +6,7 @@
 import { createLimitBudget, LimitSharing } from "../scheduling/limitBudget.js";
 
 /** What an answer says about the limit of its endpoint. */
-export type LimitAnswer = Pick<AnswerHead, "status" | "isSealed" | "isMisdirected" | "requestsPerSecond">;
+export type LimitAnswer = Pick<AnswerHead, "status" | "isSealed" | "isMisdirected" | "requestsPerSecond" | "coldMs">;
 
 /** Keeps the requests of all gateways within the limits that endpoints name in their answers. */
 export interface EndpointQuota {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -12,6 +12,7 @@
 } from "../membership/endpointDirectory.js";
 import { createEndpointHealth, ExchangeResult } from "../membership/endpointHealth.js";
 import { createEndpointSubset } from "../membership/endpointSubset.js";
+import { EvacuationChangeKind } from "../membership/evacuations.js";
 import { EndpointRecord, EndpointState } from "../ports/endpointRecord.js";
 import { ExchangeCodec } from "../ports/exchange.js";
 import { MemoryReservationService } from "../ports/memoryReservationService.js";
@@ -26,8 +27,10 @@
 import { pickByRendezvous } from "../routing/rendezvous.js";
 import { buildRouteTable, RouteTable } from "../routing/routeTable.js";
 import { createSlowdownEstimate } from "../routing/slowdownEstimate.js";
+import { defaultColdBound } from "../scheduling/coldBudget.js";
 import { Drain } from "../scheduling/drainAdmission.js";
 import { LimitSharing } from "../scheduling/limitBudget.js";
+import { createColdWatch } from "./coldWatch.js";
 import { createCrashDetector, LossEvidence } from "./crashDetector.js";
 import { createCustomerServer } from "./customerServer.js";
 import { createEndpointConnections } from "./endpointConnections.js";
@@ -36,6 +39,7 @@
 import { createEvacuationWatch } from "./evacuationWatch.js";
 import { followFeed } from "./feedFollower.js";
 import { drainCustomers } from "./gatewayDrain.js";
+import { registerGauges } from "./gatewayGauges.js";
 import { GatewaySettings } from "./gatewaySettings.js";
 import { createLoadExchange } from "./loadExchange.js";
 import { followOperators } from "./operatorFeed.js";
@@ -96,6 +100,8 @@
 const maxPeerSilenceMs = 1_200;
 /** Gateways that are assumed until the list of gateways has been read. */
 const assumedGateways = 4;
+/** Gateways among which the rate of a cold endpoint is divided until the list of gateways has been read. */
+const unlistedGateways = 16;
 /** Share of the memory limit for request bodies. The rest is for the heap and for connection buffers. */
 const bodyMemoryShare = 0.25;
 /** Share of the file descriptors for customer connections. The rest is for endpoints and the store. */
@@ -148,20 +154,33 @@
         listLimits: () => endpointQuota.list(),
         onPeerDispatch: endpoint => endpointQuota.recordPeerDispatch(endpoint),
     }));
-    const endpointQuota = createEndpointQuota({
+    const coldWatch = createColdWatch({
         timers,
         log,
+        metrics,
         random: ports.random,
-        getSharing: countSharing,
-        reportChange: limit => exchange.reportLimit(limit),
+        bound: settings.coldBound ?? defaultColdBound,
+        directory,
+        notices: exchange.notices,
+        findService: name => routeTable?.configuration.services.get(name),
+        countGateways: endpoint => countSharing(endpoint, unlistedGateways).gateways,
     });
+    const endpointQuota = coldWatch.wrapQuota(createEndpointQuota({
+        timers,
+        log,
+        random: ports.random,
+        getSharing: endpoint => countSharing(endpoint),
+        reportChange: limit => exchange.reportLimit(limit),
+    }));
     const evacuationWatch = createEvacuationWatch({
         timers,
         log,
         metrics,
         decode: record => ports.decodeEvacuation(record),
         countEndpoints: dataCentre => directory.listAll().filter(item => item.record.dataCentre === dataCentre).length,
-        onChange() {
+        onChange(changes) {
+            changes.filter(({ kind }) => kind === EvacuationChangeKind.Ended)
+                .forEach(({ dataCentre }) => coldWatch.observeReturn(dataCentre));
             endpointSubset.invalidate();
             placementQueue.run();
         },
@@ -203,7 +222,7 @@
         directory,
         endpointSubset,
         health,
-        slowdownEstimate,
+        slowdownEstimate: coldWatch.wrapSlowdown(slowdownEstimate),
         ledger,
         dataCentre: settings.dataCentre,
         orderSeed: settings.host,
@@ -229,11 +248,11 @@
     });
 
     /** Counts the gateways that use an endpoint, and those of them whose requests are heard of. */
-    function countSharing(endpoint: string): LimitSharing {
+    function countSharing(endpoint: string, unlisted = assumedGateways): LimitSharing {
         const service = directory.find(endpoint)?.record.service;
         const endpoints = service === undefined ? 0 : evacuationWatch.select(directory.listUsable(service)).length;
         const heard = exchange.countHeard(maxPeerSilenceMs);
-        const known = gatewayAddresses.length > 0 ? gatewayAddresses.length : assumedGateways;
+        const known = gatewayAddresses.length > 0 ? gatewayAddresses.length : unlisted;
         const gateways = Math.max(heard, countSharingGateways(cell, known, endpoints));
         return { gateways, heard };
     }
@@ -305,13 +324,13 @@
         }
     }
 
-    function decodeEndpoints(records: readonly KeyedRecord[]): EndpointRecord[] {
-        return records.map(record => ports.decodeEndpoint(record)).filter(record => record !== undefined);
-    }
+    const decodeEndpoint = (record: KeyedRecord) => coldWatch.observeRegistration(ports.decodeEndpoint(record));
+    const decodeEndpoints = (records: readonly KeyedRecord[]) =>
+        records.map(decodeEndpoint).filter(record => record !== undefined);
 
     function applyEndpointRecord(record: KeyedRecord): readonly EndpointChange[] {
         const nowMs = timers.now();
-        const endpoint = ports.decodeEndpoint(record);
+        const endpoint = decodeEndpoint(record);
         return endpoint ? directory.applyRecord(endpoint, nowMs) : directory.applyRemoval(record.key, nowMs);
     }
 
@@ -378,6 +397,7 @@
         timers.subscribe(expiryCheckIntervalMs, () => {
             applyChanges(directory.expireLapses(timers.now()));
             evacuationWatch.expire();
+            coldWatch.refresh();
         }),
     );
     const peers = disposables.register(followPeers({
@@ -394,29 +414,15 @@
         },
     }));
 
-    metrics.registerGauge(
-        "jujubelane_waiting_requests",
-        "Requests that wait for a place.",
-        () => placementQueue.countWaiting(),
-    );
-    metrics.registerGauge(
-        "jujubelane_limited_endpoints",
-        "Endpoints that name a limit of requests a second.",
-        () => endpointQuota.countLimited(),
-    );
-    metrics.registerGauge(
-        "jujubelane_quarantines",
-        "Prompt parts and requests that are refused because they crash endpoints.",
-        () => quarantineRegistry.countActive(),
-    );
-    metrics.registerGauge("jujubelane_reservations", "Memory reservations held.", () => reservations.countHeld());
-    metrics.registerGauge(
-        "jujubelane_gateways",
-        "Gateways heard of, this one included.",
-        () => exchange.countGateways(),
-    );
-    metrics.registerGauge("jujubelane_connections", "Customers' connections.", () => customers.countConnections());
-    metrics.registerGauge("jujubelane_configuration_version", "Version in force.", () => routeTable?.version ?? 0);
+    registerGauges(metrics, {
+        placementQueue,
+        endpointQuota,
+        quarantineRegistry,
+        reservations,
+        exchange,
+        customers,
+        getVersion: () => routeTable?.version ?? 0,
+    });
 
     const isReady = () => routeTable !== undefined && areEndpointsKnown && !drainState;
     try {
--- a/src/gateway/gatewaySettings.ts
+++ b/src/gateway/gatewaySettings.ts
@@ -1,3 +1,5 @@
+import { ColdBound } from "../scheduling/coldBudget.js";
+
 /** An address to listen on. */
 export interface ListenAddress {
     readonly ip: string;
@@ -30,6 +32,8 @@
      * new configuration suffices.
      */
     readonly evacuationNoticeMs?: number;
+    /** Bound of the requests that a cold endpoint may get; absent for the usual one. */
+    readonly coldBound?: ColdBound;
     /** Retries allowed per request on average, across all gateways. */
     readonly retryRatio: number;
     /** Retries allowed in a window of seconds in addition to the ratio, across all gateways. */
--- a/src/ports/endpointRecord.ts
+++ b/src/ports/endpointRecord.ts
@@ -12,6 +12,8 @@
     readonly startedAtMs?: number;
     /** Rises with each renewal of the registration within one incarnation; absent if the endpoint does not count them. */
     readonly renewal?: number;
+    /** Time that the endpoint stays cold after it wrote this, in milliseconds; absent if it does not report it. */
+    readonly coldLeftMs?: number;
     readonly service: string;
     /** IP address and port. */
     readonly address: string;
--- a/src/ports/exchange.ts
+++ b/src/ports/exchange.ts
@@ -72,6 +72,8 @@
     readonly isEncoded: boolean;
     /** Requests a second that the endpoint accepts from all gateways together, if it names a limit. */
     readonly requestsPerSecond?: number;
+    /** Time that the endpoint stays cold, in milliseconds, if it reports it. */
+    readonly coldMs?: number;
     /** Address or id of the endpoint that failed, if it is not the one that answered. */
     readonly faultyEndpoint?: string;
     /** Headers that are forwarded to the customer. */
--- a/src/ports/servingConfiguration.ts
+++ b/src/ports/servingConfiguration.ts
@@ -68,6 +68,10 @@
     readonly name: string;
     /** Absent for a plain service. */
     readonly engine?: EngineProfile;
+    /** Time for which an endpoint is cold after a start, in milliseconds. */
+    readonly coldStartMs?: number;
+    /** Requests a second that a cold endpoint can sustain. There is no limit if it is absent or 0. */
+    readonly coldPerSecond?: number;
 }
 
 /** Limits for the requests and connections of customers. */
