--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,9 +1,6 @@
-import { Server } from "node:net";
 import { createDisposableStore } from "../base/disposable.js";
-import { EventLog } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
 import { createMetrics } from "../base/metrics.js";
-import { TimerService } from "../base/timerService.js";
 import {
     createEndpointDirectory,
     defaultDirectorySettings,
@@ -12,11 +9,9 @@
 } from "../membership/endpointDirectory.js";
 import { createEndpointHealth, ExchangeResult } from "../membership/endpointHealth.js";
 import { createEndpointSubset } from "../membership/endpointSubset.js";
+import { EvacuationChangeKind } from "../membership/evacuations.js";
 import { EndpointRecord, EndpointState } from "../ports/endpointRecord.js";
-import { ExchangeCodec } from "../ports/exchange.js";
-import { MemoryReservationService } from "../ports/memoryReservationService.js";
-import { EvacuationRecord, KeyedRecord, RecordFeed, WritableFeed } from "../ports/recordFeed.js";
-import { ServingConfiguration } from "../ports/servingConfiguration.js";
+import { KeyedRecord } from "../ports/recordFeed.js";
 import { computeBudgetBurst, computeBudgetRatio } from "../retries/budgetShare.js";
 import { createRetryBudget } from "../retries/retryBudget.js";
 import { chooseClaim } from "../routing/engineClaim.js";
@@ -25,8 +20,10 @@
 import { pickByRendezvous } from "../routing/rendezvous.js";
 import { buildRouteTable, RouteTable } from "../routing/routeTable.js";
 import { createSlowdownEstimate } from "../routing/slowdownEstimate.js";
+import { defaultColdBound } from "../scheduling/coldBudget.js";
 import { Drain } from "../scheduling/drainAdmission.js";
 import { LimitSharing } from "../scheduling/limitBudget.js";
+import { createColdWatch } from "./coldWatch.js";
 import { wrapFeed, wrapWritableFeed } from "./countedFeed.js";
 import { createCrashDetector, LossEvidence } from "./crashDetector.js";
 import { createCustomerServer } from "./customerServer.js";
@@ -39,6 +36,7 @@
 import { createGatewayCells } from "./gatewayCells.js";
 import { drainCustomers } from "./gatewayDrain.js";
 import { registerGauges } from "./gatewayGauges.js";
+import { Gateway, GatewayPorts } from "./gatewayPorts.js";
 import { GatewaySettings } from "./gatewaySettings.js";
 import { createLoadExchange } from "./loadExchange.js";
 import { followOperators } from "./operatorFeed.js";
@@ -51,36 +49,7 @@
 import { createStartupGate } from "./startupGate.js";
 import { serveText } from "./textServer.js";
 
-/** External dependencies of a gateway: the store, the endpoints' protocol, time and randomness. */
-export interface GatewayPorts {
-    readonly configurationFeed: RecordFeed;
-    readonly endpointFeed: RecordFeed;
-    readonly gatewayFeed: WritableFeed;
-    /** Quarantines, which all gateways read and write. */
-    readonly quarantineFeed: WritableFeed;
-    decodeConfiguration(record: KeyedRecord): ServingConfiguration | undefined;
-    /** Decodes the evacuation of a data centre from a record of the configuration's feed. */
-    decodeEvacuation(record: KeyedRecord): EvacuationRecord | undefined;
-    decodeEndpoint(record: KeyedRecord): EndpointRecord | undefined;
-    readonly codec: ExchangeCodec;
-    readonly memoryReservations: MemoryReservationService;
-    readonly timers: TimerService;
-    readonly log: EventLog;
-    readonly random: () => number;
-    /** Unique id of this run of the process. */
-    readonly incarnation: string;
-    /** Server that already listens on the customers' address, if the process opened it before it loaded its modules. */
-    readonly customerListener?: Server;
-}
-
-/** A running gateway. */
-export interface Gateway {
-    /**
-     * Stops accepting connections, finishes the requests in progress and closes the gateway. Resolves when it is
-     * closed.
-     */
-    drain(): Promise<void>;
-}
+export type { Gateway, GatewayPorts } from "./gatewayPorts.js";
 
 /**
  * Time between two reads of registrations, as a share of the time within which a leaving endpoint must be known.
@@ -97,6 +66,8 @@
 const expiryCheckIntervalMs = 100;
 /** Time without a message, of two snapshots, after which the requests of another gateway are not heard of. */
 const maxPeerSilenceMs = 1_200;
+/** Gateways among which the rate of a cold endpoint is divided until the list of gateways has been read. */
+const unlistedGateways = 16;
 /** Share of the memory limit for request bodies. The rest is for the heap and for connection buffers. */
 const bodyMemoryShare = 0.25;
 /** Share of the file descriptors for customer connections. The rest is for endpoints and the store. */
@@ -164,20 +135,33 @@
         metrics,
         random: ports.random,
     }));
-    const endpointQuota = createEndpointQuota({
+    const coldWatch = createColdWatch({
         timers,
         log,
+        metrics,
         random: ports.random,
-        getSharing: countSharing,
-        reportChange: limit => exchange.reportLimit(limit),
+        bound: settings.coldBound ?? defaultColdBound,
+        directory,
+        notices: exchange.notices,
+        findService: name => routeTable?.configuration.services.get(name),
+        countGateways: endpoint => countSharing(endpoint, unlistedGateways).gateways,
     });
+    const endpointQuota = coldWatch.wrapQuota(createEndpointQuota({
+        timers,
+        log,
+        random: ports.random,
+        getSharing: endpoint => countSharing(endpoint),
+        reportChange: limit => exchange.reportLimit(limit),
+    }));
     const evacuationWatch = createEvacuationWatch({
         timers,
         log,
         metrics,
         decode: record => ports.decodeEvacuation(record),
         countEndpoints: dataCentre => directory.listAll().filter(item => item.record.dataCentre === dataCentre).length,
-        onChange() {
+        onChange(changes) {
+            changes.filter(({ kind }) => kind === EvacuationChangeKind.Ended)
+                .forEach(({ dataCentre }) => coldWatch.observeReturn(dataCentre));
             endpointSubset.invalidate();
             placementQueue.run();
         },
@@ -246,11 +230,11 @@
     });
 
     /** Counts the gateways that use an endpoint, and those of them whose requests are heard of. */
-    function countSharing(endpoint: string): LimitSharing {
+    function countSharing(endpoint: string, unlisted?: number): LimitSharing {
         const service = directory.find(endpoint)?.record.service;
         const endpoints = service === undefined ? 0 : evacuationWatch.select(directory.listUsable(service)).length;
         const heard = exchange.countHeard(maxPeerSilenceMs);
-        return { gateways: Math.max(heard, cells.countSharing(endpoints)), heard };
+        return { gateways: Math.max(heard, cells.countSharing(endpoints, unlisted)), heard };
     }
 
     function applyConfiguration(records: readonly KeyedRecord[]): void {
@@ -310,13 +294,13 @@
         }
     }
 
-    function decodeEndpoints(records: readonly KeyedRecord[]): EndpointRecord[] {
-        return records.map(record => ports.decodeEndpoint(record)).filter(record => record !== undefined);
-    }
+    const decodeEndpoint = (record: KeyedRecord) => coldWatch.observeRegistration(ports.decodeEndpoint(record));
+    const decodeEndpoints = (records: readonly KeyedRecord[]) =>
+        records.map(decodeEndpoint).filter(record => record !== undefined);
 
     function applyEndpointRecord(record: KeyedRecord): readonly EndpointChange[] {
         const nowMs = timers.now();
-        const endpoint = ports.decodeEndpoint(record);
+        const endpoint = decodeEndpoint(record);
         return endpoint ? directory.applyRecord(endpoint, nowMs) : directory.applyRemoval(record.key, nowMs);
     }
 
@@ -385,6 +369,7 @@
         timers.subscribe(expiryCheckIntervalMs, () => {
             applyChanges(directory.expireLapses(timers.now()));
             evacuationWatch.expire();
+            coldWatch.refresh();
         }),
     );
     const peers = disposables.register(followPeers({
@@ -401,12 +386,12 @@
     }));
 
     registerGauges(metrics, {
-        countWaiting: () => placementQueue.countWaiting(),
-        countLimited: () => endpointQuota.countLimited(),
-        countQuarantines: () => quarantineRegistry.countActive(),
-        countReservations: () => reservations.countHeld(),
-        countGateways: () => exchange.countGateways(),
-        countConnections: () => customers.countConnections(),
+        placementQueue,
+        endpointQuota,
+        quarantineRegistry,
+        reservations,
+        exchange,
+        customers,
         getVersion: () => routeTable?.version ?? 0,
     });
 
--- a/src/gateway/gatewayCells.ts
+++ b/src/gateway/gatewayCells.ts
@@ -15,8 +15,11 @@
     listGateways(): readonly string[];
     /** Selects the endpoints of a service that the own cell uses. */
     select(endpoints: readonly EndpointRecord[]): readonly EndpointRecord[];
-    /** Counts the gateways that use the same endpoints of a service with `endpoints` endpoints. */
-    countSharing(endpoints: number): number;
+    /**
+     * Counts the gateways that use the same endpoints of a service with `endpoints` endpoints. `unlisted` gateways are
+     * assumed until the list of gateways has been read.
+     */
+    countSharing(endpoints: number, unlisted?: number): number;
 }
 
 export interface GatewayCellsOptions {
@@ -82,6 +85,7 @@
         update,
         listGateways: () => gateways,
         select: endpoints => selectCellEndpoints(cell, endpoints),
-        countSharing: endpoints => countSharingGateways(cell, gateways.length || assumedGateways, endpoints),
+        countSharing: (endpoints, unlisted = assumedGateways) =>
+            countSharingGateways(cell, gateways.length || unlisted, endpoints),
     };
 }
