Restrict requests to the regions that routes and customers allow

Cause: allowed_regions of routes and customers and the map of data centres to regions were not decoded. Settings are read at the start only.

--- a/src/gateway/acceptedRequest.ts
+++ b/src/gateway/acceptedRequest.ts
@@ -1,6 +1,7 @@
 import { RequestHead } from "../ports/exchange.js";
 import { Route, RouteKind, Service } from "../ports/servingConfiguration.js";
 import { computePassMs, computePrefillMs, estimateOutputTokens } from "../routing/engineTiming.js";
+import { AllowedRegions } from "../routing/regionRestriction.js";
 import { PredictedDuration } from "../scheduling/drainAdmission.js";
 import { EngineNeeds } from "./place.js";
 
@@ -23,6 +24,8 @@
      */
     readonly traits: readonly string[];
     readonly configurationVersion: number;
+    /** Regions that the request may run in; absent if there is no restriction. */
+    readonly allowedRegions?: AllowedRegions;
 }
 
 /** Deadline of requests for which neither the customer nor the route sets one, in milliseconds. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -225,6 +225,7 @@
         slowdownEstimate: coldWatch.wrapSlowdown(slowdownEstimate),
         ledger,
         dataCentre: settings.dataCentre,
+        regions: settings.regions,
         orderSeed: settings.host,
         keyPrefix,
         random: ports.random,
--- a/src/gateway/gatewaySettings.ts
+++ b/src/gateway/gatewaySettings.ts
@@ -10,6 +10,8 @@
 export interface GatewaySettings {
     readonly host: string;
     readonly dataCentre: string;
+    /** Regions of the data centres, by name. */
+    readonly regions?: ReadonlyMap<string, string>;
     readonly ip: string;
     readonly customerAddress: ListenAddress;
     /** Address of the readiness check, by which the load balancer learns whether this gateway accepts connections. */
--- a/src/gateway/place.ts
+++ b/src/gateway/place.ts
@@ -1,6 +1,7 @@
 import { EndpointRecord } from "../ports/endpointRecord.js";
 import { Service } from "../ports/servingConfiguration.js";
 import { PlacementStage } from "../routing/enginePlacement.js";
+import { AllowedRegions } from "../routing/regionRestriction.js";
 
 /** Engine time and memory that a model request needs. */
 export interface EngineNeeds {
@@ -36,6 +37,8 @@
     /** Ids of endpoints that the request must not be sent to again. */
     readonly avoid: ReadonlySet<string>;
     readonly isSuspect: boolean;
+    /** Regions that the request may run in; absent if there is no restriction. */
+    readonly allowedRegions?: AllowedRegions;
     onPlaced(place: Place): void;
     /** Called when no endpoint has capacity now. */
     onWaiting(inputs: string): void;
--- a/src/gateway/placementQueue.ts
+++ b/src/gateway/placementQueue.ts
@@ -17,6 +17,7 @@
 import { buildEngineView, EngineView } from "../routing/engineView.js";
 import { LoadLedger, WorkItem } from "../routing/loadLedger.js";
 import { placeOnPlainService, PlainView } from "../routing/plainPlacement.js";
+import { AllowedRegions, isRegionAllowed } from "../routing/regionRestriction.js";
 import { SlowdownEstimate } from "../routing/slowdownEstimate.js";
 import { compareWaiting, WaitingWork } from "../scheduling/compareWaiting.js";
 import { EndpointGate } from "./endpointGate.js";
@@ -49,6 +50,8 @@
     readonly slowdownEstimate: SlowdownEstimate;
     readonly ledger: LoadLedger;
     readonly dataCentre: string;
+    /** Regions of the data centres, by name. */
+    readonly regions?: ReadonlyMap<string, string>;
     /** Seed of the order in which engines are filled. Gateways with different seeds rarely choose the same engine. */
     readonly orderSeed: string;
     /** Prefix of the keys of this process's work, unique among all gateways. */
@@ -133,14 +136,28 @@
     });
 
     /** Lists the endpoints that may be sent a request now. */
-    function listUsableEndpoints(service: Service, nowMs: number): UsableEndpoint[] {
-        return listHealthyEndpoints(service, nowMs).filter(({ record }) =>
+    function listUsableEndpoints(service: Service, nowMs: number, allowed?: AllowedRegions): UsableEndpoint[] {
+        return listHealthyEndpoints(service, nowMs, allowed).filter(({ record }) =>
             gate.isOpen(record, nowMs) && quota.isOpen(record.id)
         );
     }
 
-    function listHealthyEndpoints(service: Service, nowMs: number): UsableEndpoint[] {
-        return endpointSubset.list(service.name)
+    /**
+     * Lists the endpoints of the own subset that a request may run on or, if its restriction leaves none of them, those of
+     * all others.
+     */
+    function listAllowed(service: Service, allowed: AllowedRegions | undefined): readonly EndpointRecord[] {
+        const own = endpointSubset.list(service.name);
+        if (allowed === undefined) {
+            return own;
+        }
+        const isAllowed = (record: EndpointRecord) => isRegionAllowed(allowed, record.dataCentre, options.regions);
+        const allowedOwn = own.filter(isAllowed);
+        return allowedOwn.length > 0 ? allowedOwn : options.directory.listUsable(service.name).filter(isAllowed);
+    }
+
+    function listHealthyEndpoints(service: Service, nowMs: number, allowed?: AllowedRegions): UsableEndpoint[] {
+        return listAllowed(service, allowed)
             .map(record => ({ record, standing: health.getStatus(record.id, nowMs) }))
             .filter(({ standing }) => standing !== HealthStatus.Down)
             .map(({ record, standing }) => ({ record, isTrial: standing === HealthStatus.Trial }));
@@ -152,8 +169,9 @@
         engine: EngineProfile,
         nowMs: number,
         ignoredKeys?: ReadonlySet<string>,
+        allowed?: AllowedRegions,
     ): EngineView[] {
-        return listUsableEndpoints(service, nowMs).map(({ record, isTrial }) => {
+        return listUsableEndpoints(service, nowMs, allowed).map(({ record, isTrial }) => {
             const properties = {
                 id: record.id,
                 address: record.address,
@@ -166,8 +184,8 @@
         });
     }
 
-    function listPlainViews(service: Service, nowMs: number): PlainView[] {
-        return listUsableEndpoints(service, nowMs).map(({ record, isTrial }) => ({
+    function listPlainViews({ service, allowedRegions }: PlacementJob, nowMs: number): PlainView[] {
+        return listUsableEndpoints(service, nowMs, allowedRegions).map(({ record, isTrial }) => ({
             id: record.id,
             address: record.address,
             dataCentre: record.dataCentre,
@@ -199,7 +217,7 @@
         if (!engine || !job.needs) {
             const request = { avoid: job.avoid, dataCentre: options.dataCentre, isUnsafe: job.isUnsafe };
             const view = tryPreferredFirst(
-                listPlainViews(job.service, nowMs),
+                listPlainViews(job, nowMs),
                 views => placeOnPlainService(request, views),
             );
             startTrials(view ? [view] : [], nowMs);
@@ -238,7 +256,7 @@
             }
             views.delete(job.service.name);
         }
-        const known = getEngineViews(views, job.service, engine, nowMs);
+        const known = getEngineViews(views, job, engine, nowMs);
         const stage = decideStage(item, nowMs);
         const placement = tryPreferredFirst(
             known,
@@ -293,7 +311,7 @@
         nowMs: number,
     ): Place | undefined {
         const claim = claims.get(item)!;
-        const views = listEngineViews(item.job.service, engine, nowMs, claim.keys)
+        const views = listEngineViews(item.job.service, engine, nowMs, claim.keys, item.job.allowedRegions)
             .filter(view => claim.engineIds.has(view.id));
         const areAllUsable = views.length === claim.engineIds.size;
         const placement = areAllUsable ? placeOnClaimedEngines(request, views) : undefined;
@@ -323,10 +341,13 @@
 
     function getEngineViews(
         views: ViewCache,
-        service: Service,
+        { service, allowedRegions }: PlacementJob,
         engine: EngineProfile,
         nowMs: number,
     ): readonly EngineView[] {
+        if (allowedRegions) {
+            return listEngineViews(service, engine, nowMs, undefined, allowedRegions);
+        }
         const known = views.get(service.name) ?? listEngineViews(service, engine, nowMs);
         views.set(service.name, known);
         return known;
@@ -390,8 +411,10 @@
      * Returns whether endpoints are known that a request could run on and all of them are closed for good. No known
      * endpoint at all may only be a short loss, which the request waits for.
      */
-    function hasNoneLeft({ service, avoid }: PlacementJob, nowMs: number): boolean {
-        const isLeft = (record: EndpointRecord) => !avoid.has(record.id) && gate.getOpensInMs(record, nowMs) < Infinity;
+    function hasNoneLeft({ service, avoid, allowedRegions }: PlacementJob, nowMs: number): boolean {
+        const isLeft = (record: EndpointRecord) =>
+            !avoid.has(record.id) && gate.getOpensInMs(record, nowMs) < Infinity
+            && isRegionAllowed(allowedRegions, record.dataCentre, options.regions);
         // Some endpoint of the own subset is left nearly always.
         if (endpointSubset.list(service.name).some(isLeft)) {
             return false;
@@ -450,10 +473,8 @@
             };
         },
         countWaiting: () => waiting.length,
-        isStillUsable({ endpoint, helpers }) {
-            const nowMs = timers.now();
-            return [endpoint, ...helpers].every(record => gate.getOpensInMs(record, nowMs) < Infinity);
-        },
+        isStillUsable: ({ endpoint, helpers }) =>
+            [endpoint, ...helpers].every(record => gate.getOpensInMs(record, timers.now()) < Infinity),
         predictWaitMs(service, needs) {
             const nowMs = timers.now();
             const queued = waiting.filter(item => item.job.service.name === service.name);
--- a/src/gateway/requestIntake.ts
+++ b/src/gateway/requestIntake.ts
@@ -4,6 +4,7 @@
 import { Metrics } from "../base/metrics.js";
 import { RequestHead } from "../ports/exchange.js";
 import { Customer, Route } from "../ports/servingConfiguration.js";
+import { mergeAllowedRegions } from "../routing/regionRestriction.js";
 import { chooseService, RouteTable } from "../routing/routeTable.js";
 import { decideDrainAdmission, Drain } from "../scheduling/drainAdmission.js";
 import { computeQuarantineRetryAfterMs, computeRetryAfterMs, renderRetryAfter } from "../scheduling/retryAfter.js";
@@ -195,6 +196,7 @@
             arrivedAtMs,
             traits,
             configurationVersion: table.version,
+            allowedRegions: mergeAllowedRegions(route.allowedRegions, customer?.allowedRegions),
         };
         const drainRefusal = checkDrain(accepted);
         if (drainRefusal) {
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -32,7 +32,7 @@
  */
 export function startRequestTask(request: AcceptedRequest, answer: CustomerAnswer, services: RequestServices): void {
     const { timers, codec, placementQueue, health } = services;
-    const { route, head } = request;
+    const { route, head, traits } = request;
     const { deadlineAtMs, dueAtMs, customerTimeoutAtMs } = computeTimes(request);
     const isRepeatable = isIdempotent(route.kind, route.isResumable);
     const needs = computeEngineNeeds(request);
@@ -53,11 +53,7 @@
         resumeAfterEventId: head.lastEventId,
     });
     const progress = createStreamProgress(services.slowdownEstimate);
-    const quarantineWatch = createQuarantineWatch({
-        ...services,
-        traits: request.traits,
-        onQuarantined: handleQuarantined,
-    });
+    const quarantineWatch = createQuarantineWatch({ ...services, traits, onQuarantined: handleQuarantined });
     const report = createRequestReport(request, services);
     let dispatches = 0;
     let endpointsRun = 0;
@@ -91,6 +87,7 @@
             isUnsafe: !isRepeatable,
             avoid,
             isSuspect: treatment === Treatment.Isolated,
+            allowedRegions: request.allowedRegions,
             onPlaced: handlePlaced,
             onWaiting: inputs => report.recordWaiting(inputs, dispatches + 1),
             onClaimed: claim => report.recordClaim(claim),
--- a/src/ports/servingConfiguration.ts
+++ b/src/ports/servingConfiguration.ts
@@ -32,6 +32,8 @@
     /** 0 is the most urgent. */
     readonly rank: number;
     readonly shares: readonly ServiceShare[];
+    /** Regions that requests may run in. There is no restriction if it is absent or empty. */
+    readonly allowedRegions?: readonly string[];
     /** Largest number of endpoints on which one request may run. */
     readonly maxEndpoints: number;
     /** Whether requests are accepted without an API key. */
@@ -87,6 +89,8 @@
 export interface Customer {
     readonly name: string;
     readonly keys: readonly string[];
+    /** Regions that requests may run in, in addition to the restriction of the route. */
+    readonly allowedRegions?: readonly string[];
     /** Overrides the rank of the route. */
     readonly rank?: number;
 }
