--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -207,6 +207,7 @@
         slowdownEstimate,
         ledger,
         dataCentre: settings.dataCentre,
+        regions: settings.regions,
         orderSeed: settings.host,
         keyPrefix,
         random: ports.random,
