Decode Server-Leaving, Retry-After and X-Runner-Id of answers, also of memory reservations

Endpoints announce in these headers that they leave or are full, on any answer; the gateway read none of them. Memory reservations pass the headers of their answers on.

--- a/src/gateway/reservations.ts
+++ b/src/gateway/reservations.ts
@@ -2,6 +2,7 @@
 import { EventLog } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
 import { TimerService } from "../base/timerService.js";
+import { RawHeaders } from "../ports/exchange.js";
 import { MemoryReservationService, ReservationOutcome } from "../ports/memoryReservationService.js";
 
 /** Memory reservation at one endpoint. */
@@ -29,6 +30,8 @@
     readonly maxLeaseMs: number;
     /** Prefix of reservation ids, unique for each run of each gateway. */
     readonly idPrefix: string;
+    /** Called with the status and headers of each answer to a call. */
+    readonly onAnswer?: (address: string, status: number, headers: RawHeaders) => void;
 }
 
 /** Lease of a reservation. Short, because only its expiry frees the memory if this gateway crashes. */
@@ -56,8 +59,18 @@
     let nextId = 0;
     let heldCount = 0;
 
+    function handleAnswer(address: string) {
+        return (status: number, headers: RawHeaders) => options.onAnswer?.(address, status, headers);
+    }
+
     async function reserve(held: HeldReservation, tokens: number): Promise<ReservationOutcome> {
-        const outcome = await memoryReservations.reserve(held.address, held.id, tokens, leaseMs);
+        const outcome = await memoryReservations.reserve(
+            held.address,
+            held.id,
+            tokens,
+            leaseMs,
+            handleAnswer(held.address),
+        );
         if (outcome !== ReservationOutcome.Done) {
             log(LogEvent.MemoryOrderFailed, { order: "reserve", address: held.address, id: held.id, outcome });
         }
@@ -66,7 +79,7 @@
     }
 
     async function release(held: HeldReservation): Promise<void> {
-        const outcome = await memoryReservations.release(held.address, held.id);
+        const outcome = await memoryReservations.release(held.address, held.id, handleAnswer(held.address));
         if (outcome === ReservationOutcome.Unknown) {
             log(LogEvent.MemoryOrderFailed, { order: "release", address: held.address, id: held.id, outcome });
             held.isOutcomeUnknown = true;
@@ -80,7 +93,7 @@
     function releaseAgain(held: HeldReservation, remaining: number): void {
         if (remaining > 0) {
             timers.schedule(releaseRepeatIntervalMs, () => {
-                void memoryReservations.release(held.address, held.id);
+                void memoryReservations.release(held.address, held.id, handleAnswer(held.address));
                 releaseAgain(held, remaining - 1);
             });
         }
--- a/src/ports/exchange.ts
+++ b/src/ports/exchange.ts
@@ -72,6 +72,12 @@
     readonly isEncoded: boolean;
     /** Requests a second that the endpoint accepts from all gateways together, if it names a limit. */
     readonly requestsPerSecond?: number;
+    /** Whether the endpoint says that it leaves and takes no new work. */
+    readonly isLeaving: boolean;
+    /** Time after which the endpoint asks to be tried again, in milliseconds; NaN if the value is not a number. */
+    readonly retryAfterMs?: number;
+    /** Id of the endpoint that answered, if the answer names it. */
+    readonly answeredBy?: string;
     /** Address or id of the endpoint that failed, if it is not the one that answered. */
     readonly faultyEndpoint?: string;
     /** Headers that are forwarded to the customer. */
--- a/src/ports/memoryReservationService.ts
+++ b/src/ports/memoryReservationService.ts
@@ -1,3 +1,5 @@
+import { RawHeaders } from "./exchange.js";
+
 /** Outcome of a call that reserves or releases memory at an endpoint. */
 export enum ReservationOutcome {
     Done = "done",
@@ -7,9 +9,18 @@
     Unknown = "unknown",
 }
 
+/** Receives the status and headers of the answer to a call. */
+export type CallAnswerListener = (status: number, headers: RawHeaders) => void;
+
 /** Reserves engine memory for the parts of split prompts. */
 export interface MemoryReservationService {
     /** Creates or renews a reservation, which expires `holdMs` after the call arrives at the endpoint. */
-    reserve(address: string, id: string, tokens: number, holdMs: number): Promise<ReservationOutcome>;
-    release(address: string, id: string): Promise<ReservationOutcome>;
+    reserve(
+        address: string,
+        id: string,
+        tokens: number,
+        holdMs: number,
+        onAnswer?: CallAnswerListener,
+    ): Promise<ReservationOutcome>;
+    release(address: string, id: string, onAnswer?: CallAnswerListener): Promise<ReservationOutcome>;
 }
