Keep new work off endpoints that leave or are full, and tell the other gateways

An endpoint that said it leaves got work until its registration said so, and one that named a Retry-After got work again after 150 ms. Notices bind the incarnation (leaving) or until their end (full), are repeated between gateways, and close the placement queue's gate; requests that no endpoint opens for in time are refused at once. A starting gateway makes itself known and holds its first requests for 100 ms, in which the others tell it what is in force.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -32,15 +32,19 @@
 import { createCustomerServer } from "./customerServer.js";
 import { createEndpointConnections } from "./endpointConnections.js";
 import { mergeGates } from "./endpointGate.js";
+import { createEndpointNoticeBoard } from "./endpointNoticeBoard.js";
 import { createEndpointQuota } from "./endpointQuota.js";
 import { followFeed } from "./feedFollower.js";
+import { registerGauges } from "./gatewayGauges.js";
 import { GatewaySettings } from "./gatewaySettings.js";
 import { createLoadExchange } from "./loadExchange.js";
 import { followPeers } from "./peerDiscovery.js";
+import { createPeerGreeting } from "./peerGreeting.js";
 import { createPlacementQueue } from "./placementQueue.js";
 import { createQuarantineRegistry, QuarantineSource } from "./quarantineRegistry.js";
 import { createQuarantineStore } from "./quarantineStore.js";
 import { createRequestIntake } from "./requestIntake.js";
+import { RequestServices } from "./requestServices.js";
 import { createReservations } from "./reservations.js";
 import { createStartupGate } from "./startupGate.js";
 import { serveText } from "./textServer.js";
@@ -132,7 +136,10 @@
     let cell = onlyCell;
     /** Exchange addresses of all gateways that the store lists. */
     let gatewayAddresses: readonly string[] = [];
-    const endpointSubset = createEndpointSubset(directory, endpoints => selectCellEndpoints(cell, endpoints));
+    const endpointSubset = createEndpointSubset(
+        directory,
+        endpoints => selectCellEndpoints(cell, endpoints.filter(endpoint => !endpointNotices.isLeaving(endpoint))),
+    );
     let routeTable: RouteTable | undefined;
     let areEndpointsKnown = false;
     let drainState: Drain | undefined;
@@ -163,6 +170,16 @@
         getSharing: countSharing,
         reportChange: limit => exchange.reportLimit(limit),
     });
+    const endpointNotices = disposables.register(createEndpointNoticeBoard({
+        timers,
+        log,
+        directory,
+        notices: exchange.notices,
+        onChange() {
+            endpointSubset.invalidate();
+            placementQueue.run();
+        },
+    }));
     const quarantineRegistry = createQuarantineRegistry({
         timers,
         log,
@@ -209,7 +226,8 @@
         placeOnEngines,
         chooseClaim,
         quota: endpointQuota,
-        gate: mergeGates([]),
+        gate: mergeGates([endpointNotices]),
+        isServiceLeaving: service => endpointNotices.isServiceLeaving(service),
         reportChange: (key, item) => exchange.reportChange(key, item),
     }));
     const retryBudget = createRetryBudget({
@@ -217,12 +235,15 @@
         burst: computeBudgetBurst(settings.retrySlack, 0),
     });
     const startupGate = disposables.register(createStartupGate(timers, maxStartupWaitMs));
+    const peerGreeting = disposables.register(createPeerGreeting(timers, () => exchange.announce()));
     const reservations = createReservations({
         memoryReservations: ports.memoryReservations,
         timers,
         log,
         maxLeaseMs: settings.maxHoldMs,
         idPrefix: keyPrefix,
+        onAnswer: (address, status, headers) =>
+            endpointNotices.recordCallAnswer(address, ports.codec.decodeAnswer(status, headers)),
     });
 
     /** Counts the gateways that use an endpoint, and those of them whose requests are heard of. */
@@ -247,7 +268,7 @@
             }
             routeTable = buildRouteTable(configuration);
             customers.setLimits(configuration.limits);
-            startupGate.open();
+            peerGreeting.wait(() => startupGate.open());
             log(LogEvent.ServingConfigurationInForce, {
                 version: configuration.version,
                 previous,
@@ -258,7 +279,7 @@
     }
 
     function recordLoss(record: EndpointRecord): void {
-        if (record.state !== EndpointState.Draining) {
+        if (record.state !== EndpointState.Draining && !endpointNotices.isLeaving(record)) {
             crashDetector.recordEndpointLoss(record.id, LossEvidence.Gone);
         }
     }
@@ -312,30 +333,32 @@
         return endpoint ? directory.applyRecord(endpoint, nowMs) : directory.applyRemoval(record.key, nowMs);
     }
 
+    const services: RequestServices = {
+        timers,
+        log,
+        metrics,
+        codec: ports.codec,
+        connections,
+        placementQueue,
+        health,
+        slowdownEstimate,
+        reservations,
+        crashDetector,
+        quarantineRegistry,
+        retryBudget,
+        random: ports.random,
+        endpointQuota,
+        endpointNotices,
+        onMisdirected(endpointId) {
+            health.record(endpointId, ExchangeResult.Unreachable, timers.now());
+            crashDetector.recordEndpointLoss(endpointId, LossEvidence.Gone);
+        },
+    };
     const customers = createCustomerServer(
         settings.customerAddress,
         Math.floor(settings.maxDescriptors * customerDescriptorShare),
         createRequestIntake({
-            services: {
-                timers,
-                log,
-                metrics,
-                codec: ports.codec,
-                connections,
-                placementQueue,
-                health,
-                slowdownEstimate,
-                reservations,
-                crashDetector,
-                quarantineRegistry,
-                retryBudget,
-                random: ports.random,
-                endpointQuota,
-                onMisdirected(endpointId) {
-                    health.record(endpointId, ExchangeResult.Unreachable, timers.now());
-                    crashDetector.recordEndpointLoss(endpointId, LossEvidence.Gone);
-                },
-            },
+            services,
             getTable: () => routeTable,
             startupGate,
             getDrain: () => drainState,
@@ -391,33 +414,12 @@
         onPeers(addresses) {
             gatewayAddresses = addresses;
             applyCell(addresses);
+            peerGreeting.applyPeers(addresses.filter(address => address !== exchangeAddress).length);
             retryBudget.setBurst(computeBudgetBurst(settings.retrySlack, addresses.length));
         },
     }));
 
-    metrics.registerGauge(
-        "jujubelane_waiting_requests",
-        "Requests that wait for a place.",
-        () => placementQueue.countWaiting(),
-    );
-    metrics.registerGauge(
-        "jujubelane_limited_endpoints",
-        "Endpoints that name a limit of requests a second.",
-        () => endpointQuota.countLimited(),
-    );
-    metrics.registerGauge(
-        "jujubelane_quarantines",
-        "Prompt parts and requests that are refused because they crash endpoints.",
-        () => quarantineRegistry.countActive(),
-    );
-    metrics.registerGauge("jujubelane_reservations", "Memory reservations held.", () => reservations.countHeld());
-    metrics.registerGauge(
-        "jujubelane_gateways",
-        "Gateways heard of, this one included.",
-        () => exchange.countGateways(),
-    );
-    metrics.registerGauge("jujubelane_connections", "Customers' connections.", () => customers.countConnections());
-    metrics.registerGauge("jujubelane_configuration_version", "Version in force.", () => routeTable?.version ?? 0);
+    registerGauges(metrics, { ...services, exchange, customers }, () => routeTable?.version);
 
     const isReady = () => routeTable !== undefined && areEndpointsKnown && !drainState;
     try {
--- a/src/gateway/loadExchange.ts
+++ b/src/gateway/loadExchange.ts
@@ -44,6 +44,8 @@
     reportLimit(limit: EndpointLimit): void;
     /** Sends a decision about a quarantine to all gateways. */
     reportQuarantine(term: QuarantineTerm): void;
+    /** Makes this gateway known to the others at once, which answer with their notices in force. */
+    announce(): void;
     /** Counts the gateways of the cell whose last message is no older than `maxSilenceMs`, and this one. */
     countHeard(maxSilenceMs: number): number;
     /** Counts the gateways that have sent messages lately, and this one. */
@@ -103,6 +105,7 @@
     let others: ReadonlySet<string> = new Set();
     let sequence = 0;
     let batchTimer: Disposable | undefined;
+    let introduction: Disposable | undefined;
     let isSendScheduled = false;
     let hasLastSendFailed = false;
 
@@ -269,9 +272,18 @@
             ledger.updatePeer(message.address, message.items, message.removed);
         }
         receiveNotices(message);
+        if (isNew) {
+            // It knows nothing of what was observed before. Several that start together share one repeat.
+            introduction ??= timers.schedule(batchDelayMs, sendIntroduction);
+        }
         options.onChange();
     }
 
+    function sendIntroduction(): void {
+        introduction = undefined;
+        notices.repeat();
+    }
+
     function receiveNotices({ crashes, quarantines, limits }: Notices): void {
         limits.forEach(options.onLimit);
         crashes.forEach(options.onCrash);
@@ -334,6 +346,7 @@
             recentTerms.push({ term, reportedAtMs: timers.now() });
             sendToAll({ ...noNotices, quarantines: [term] });
         },
+        announce: sendSnapshot,
         countHeard(maxSilenceMs) {
             const nowMs = timers.now();
             return 1 + [...peers.values()].filter(peer => nowMs - peer.lastReceivedAtMs <= maxSilenceMs).length;
@@ -343,6 +356,7 @@
         dispose() {
             snapshotTimer.dispose();
             batchTimer?.dispose();
+            introduction?.dispose();
             socket.close();
         },
     };
--- a/src/gateway/placementQueue.ts
+++ b/src/gateway/placementQueue.ts
@@ -58,6 +58,8 @@
     readonly quota: PlacementQuota;
     /** Facts beyond registrations that keep work off endpoints. */
     readonly gate: EndpointGate;
+    /** Returns whether all endpoints of a service leave, so that a request would wait in vain. */
+    readonly isServiceLeaving?: (service: string) => boolean;
 }
 
 /** Limits of endpoints, as far as placement depends on them. */
@@ -357,7 +359,9 @@
                 item.job.onPlaced(place);
             }
         }
-        const expired = waiting.filter(item => nowMs > item.hardStartDeadlineMs && !claims.has(item));
+        const expired = waiting.filter(item =>
+            (nowMs > item.hardStartDeadlineMs || isClosedTooLong(item, nowMs)) && !claims.has(item)
+        );
         waiting = waiting.filter(item => !expired.includes(item));
         expired.forEach(item => item.job.onExpired(describeLoad(item.job, nowMs)));
     }
@@ -378,6 +382,27 @@
         return nowMs + predictLimitWaitMs(job.service, nowMs) > hardStartDeadlineMs;
     }
 
+    /**
+     * Returns the time until the gate opens for the first endpoint that a request may use, in milliseconds; infinite if
+     * all endpoints leave. Zero if none is known, since one may register at any time.
+     */
+    function getOpensInMs(service: Service, avoid: ReadonlySet<string>, nowMs: number): number {
+        const known = endpointSubset.list(service.name);
+        if (known.length === 0) {
+            return options.isServiceLeaving?.(service.name) ? Number.POSITIVE_INFINITY : 0;
+        }
+        const allowed = known.filter(record => !avoid.has(record.id));
+        return (allowed.length > 0 ? allowed : known).reduce(
+            (firstMs, record) => firstMs === 0 ? 0 : Math.min(firstMs, gate.getOpensInMs(record, nowMs)),
+            Number.POSITIVE_INFINITY,
+        );
+    }
+
+    /** Returns whether all endpoints are closed until the request can no longer start in time. */
+    function isClosedTooLong({ job, hardStartDeadlineMs }: WaitingItem, nowMs: number): boolean {
+        return nowMs + getOpensInMs(job.service, job.avoid, nowMs) > Math.max(nowMs, hardStartDeadlineMs);
+    }
+
     /** Describes the load on which the decision to queue or refuse a request was based, for the log. */
     function describeLoad(job: PlacementJob, nowMs: number): string {
         const known = endpointSubset.list(job.service.name).length;
@@ -413,7 +438,7 @@
                 job.onPlaced(place);
                 return createDisposable(() => undefined);
             }
-            if (isLimitedTooLong(item, timers.now())) {
+            if (isLimitedTooLong(item, timers.now()) || isClosedTooLong(item, timers.now())) {
                 job.onExpired(describeLoad(job, timers.now()));
                 return createDisposable(() => undefined);
             }
@@ -432,10 +457,11 @@
             const nowMs = timers.now();
             const queued = waiting.filter(item => item.job.service.name === service.name);
             const endpoints = listHealthyEndpoints(service, nowMs);
+            const opensInMs = getOpensInMs(service, new Set(), nowMs);
             if (endpoints.length === 0) {
-                return Number.POSITIVE_INFINITY;
+                return opensInMs > 0 ? opensInMs : Number.POSITIVE_INFINITY;
             }
-            const limitWaitMs = predictLimitWaitMs(service, nowMs);
+            const limitWaitMs = Math.max(opensInMs, predictLimitWaitMs(service, nowMs));
             const engine = service.engine;
             if (!engine || !needs) {
                 return limitWaitMs;
--- a/src/gateway/requestDispatch.ts
+++ b/src/gateway/requestDispatch.ts
@@ -62,7 +62,12 @@
         body: request.body,
         isSingleUse: !dispatch.isRepeatable,
     }, {
-        onHead: (status, rawHeaders) => callIfCurrent(() => listener.onHead(codec.decodeAnswer(status, rawHeaders))),
+        onHead(status, rawHeaders) {
+            const head = codec.decodeAnswer(status, rawHeaders);
+            // What the endpoint says of itself counts also if the request has ended meanwhile.
+            services.endpointNotices.recordAnswer(place.endpoint, head);
+            callIfCurrent(() => listener.onHead(head));
+        },
         onData: bytes => callIfCurrent(() => listener.onData(bytes)),
         onEnd: () => callIfCurrent(() => listener.onEnd()),
         onFailure: (kind, reason) => callIfCurrent(() => listener.onFailure(kind, reason)),
--- a/src/gateway/requestServices.ts
+++ b/src/gateway/requestServices.ts
@@ -7,6 +7,7 @@
 import { SlowdownEstimate } from "../routing/slowdownEstimate.js";
 import { CrashDetector } from "./crashDetector.js";
 import { EndpointConnections } from "./endpointConnections.js";
+import { EndpointNoticeBoard } from "./endpointNoticeBoard.js";
 import { EndpointQuota } from "./endpointQuota.js";
 import { PlacementQueue } from "./placementQueue.js";
 import { QuarantineRegistry } from "./quarantineRegistry.js";
@@ -26,6 +27,7 @@
     readonly crashDetector: CrashDetector;
     readonly quarantineRegistry: QuarantineRegistry;
     readonly endpointQuota: EndpointQuota;
+    readonly endpointNotices: EndpointNoticeBoard;
     readonly retryBudget: RetryBudget;
     readonly random: () => number;
     /** Called when the endpoint at an address turns out not to be the registered one. */
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -137,7 +137,8 @@
             return;
         }
         reservationSet = set;
-        if (set) {
+        // An endpoint may have begun to leave while memory was reserved.
+        if (set && services.endpointNotices.areOpen([found.endpoint, ...found.helpers])) {
             send(found);
             return;
         }
