--- a/src/membership/endpointNotices.ts
+++ b/src/membership/endpointNotices.ts
@@ -80,7 +80,7 @@
 }
 
 /** Notices of one kind that are kept. There are at most some thousand endpoints, of which few leave at a time. */
-export const maxNotices = 1_024;
+const maxNotices = 1_024;
 /** Time for which a notice is repeated to other gateways after its endpoint's registration has ended, in milliseconds. */
 const repeatAfterRegistrationMs = 30_000;
 /**
--- a/test/platform/support/endpointStandIn.ts
+++ b/test/platform/support/endpointStandIn.ts
@@ -9,6 +9,8 @@
     Full = "full",
     /** Runs the request and answers 500. */
     Error = "error",
+    /** Answers 503 and does not say whether the request has run. */
+    Unavailable = "unavailable",
     /** Closes the connection before the first byte of the answer. */
     CloseBeforeAnswer = "break-before",
     /** Closes the connection within an event of a stream, or within the body of a plain answer. */
@@ -93,6 +95,8 @@
     setReservationCallsSilent(isSilent: boolean): void;
     /** Names a limit in every answer from now on, in requests a second, or none. */
     setRequestLimit(perSecond: number | undefined): void;
+    /** Adds headers to all answers from now on, and simulates a fault in each request without one of its own. */
+    setNotice(headers: Readonly<Record<string, string>>, fault?: EndpointFault): void;
     countConnections(): number;
     /** Times of crashes, in milliseconds since the process started. */
     readonly crashesAtMs: readonly number[];
@@ -145,6 +149,8 @@
     const crashesAtMs: number[] = [];
     let areReservationCallsSilent = false;
     let requestLimit: number | undefined;
+    let noticeHeaders: Readonly<Record<string, string>> = {};
+    let noticeFault = EndpointFault.None;
     let connections = 0;
     let isClosed = false;
     let id = options.id;
@@ -200,7 +206,7 @@
             }
             return;
         }
-        const fault = faults.shift() ?? EndpointFault.None;
+        const fault = faults.shift() ?? noticeFault;
         const isMisdirected = request.headers["x-expect-instance"] !== id;
         const received: ReceivedRequest = {
             method: request.method ?? "",
@@ -217,7 +223,7 @@
             received.isCancelled = !response.writableFinished;
         });
         if (isMisdirected) {
-            response.writeHead(421, { "x-runner-id": id }).end();
+            response.writeHead(421, { ...noticeHeaders, "x-runner-id": id }).end();
             return;
         }
         const plan = options.crashPlan;
@@ -247,13 +253,20 @@
 
     async function answer(request: IncomingMessage, response: ServerResponse, fault: EndpointFault): Promise<void> {
         const requestId = request.headers["x-request-id"] as string;
-        const headers: Record<string, string> = { "x-request-id": requestId, "x-response-seal": `seal-${id}` };
+        const headers: Record<string, string> = {
+            ...noticeHeaders,
+            "x-request-id": requestId,
+            "x-response-seal": `seal-${id}`,
+        };
         if (requestLimit !== undefined) {
             headers["server-limit"] = String(requestLimit);
         }
         switch (fault) {
             case EndpointFault.Full:
-                response.writeHead(503, { "x-request-id": requestId, "x-not-executed": "1" }).end();
+                response.writeHead(503, { ...noticeHeaders, "x-request-id": requestId, "x-not-executed": "1" }).end();
+                return;
+            case EndpointFault.Unavailable:
+                response.writeHead(503, headers).end("unavailable");
                 return;
             case EndpointFault.Error:
                 response.writeHead(500, headers).end("failed");
@@ -383,6 +396,10 @@
         setReservationCallsSilent(isSilent) {
             areReservationCallsSilent = isSilent;
         },
+        setNotice(headers, fault = EndpointFault.None) {
+            noticeHeaders = headers;
+            noticeFault = fault;
+        },
         setRequestLimit(perSecond) {
             requestLimit = perSecond;
         },
