--- a/test/gateway/endpointNotices.test.ts
+++ b/test/gateway/endpointNotices.test.ts
@@ -154,6 +154,18 @@
         assert.deepEqual([left!, right!].map(({ count }) => count(LogEvent.EndpointNoticeEnded)), [1, 1]);
     });
 
+    test("is the last choice of a gateway that starts later, too, for the remaining time", () => {
+        const { timers, network, gateways: [left, right] } = createGateways(2);
+        network.reachable = [0];
+        left!.answer(one, 503, "Retry-After", "2");
+        timers.advance(1_500);
+        network.reachable = [0, 1];
+        left!.notices.repeat();
+        assert.ok(right!.isLastChoice(one) && right!.isOpen(one));
+        timers.advance(510);
+        assert.ok(!right!.isLastChoice(one));
+    });
+
     test("a notice of an incarnation does not bind the next one, nor an answer with another status", () => {
         const { gateways: [left, right] } = createGateways(2);
         [200, 421, 429, 500].forEach(status => left!.answer(two, status, "Retry-After", "2"));
