--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -29,6 +29,7 @@
 import { createCustomerServer } from "./customerServer.js";
 import { createEndpointConnections } from "./endpointConnections.js";
 import { mergeGates } from "./endpointGate.js";
+import { createEndpointNoticeBoard } from "./endpointNoticeBoard.js";
 import { createEndpointQuota } from "./endpointQuota.js";
 import { createEvacuationWatch } from "./evacuationWatch.js";
 import { followFeed } from "./feedFollower.js";
@@ -41,10 +42,12 @@
 import { createLoadExchange } from "./loadExchange.js";
 import { followOperators } from "./operatorFeed.js";
 import { followPeers } from "./peerDiscovery.js";
+import { createPeerGreeting } from "./peerGreeting.js";
 import { createPlacementQueue } from "./placementQueue.js";
 import { createQuarantineRegistry, QuarantineSource } from "./quarantineRegistry.js";
 import { createQuarantineStore } from "./quarantineStore.js";
 import { createRequestIntake } from "./requestIntake.js";
+import { RequestServices } from "./requestServices.js";
 import { createReservations } from "./reservations.js";
 import { createStartupGate } from "./startupGate.js";
 import { serveText } from "./textServer.js";
@@ -92,7 +95,8 @@
     const exchangeAddress = `${settings.ip}:${settings.exchangePort}`;
     const endpointSubset = createEndpointSubset(
         directory,
-        endpoints => cells.select(evacuationWatch.select(endpoints)),
+        endpoints =>
+            cells.select(evacuationWatch.select(endpoints.filter(endpoint => !endpointNotices.isLeaving(endpoint)))),
     );
     let routeTable: RouteTable | undefined;
     let areEndpointsKnown = false;
@@ -166,6 +170,16 @@
             placementQueue.run();
         },
     });
+    const endpointNotices = disposables.register(createEndpointNoticeBoard({
+        timers,
+        log,
+        directory,
+        notices: exchange.notices,
+        onChange() {
+            endpointSubset.invalidate();
+            placementQueue.run();
+        },
+    }));
     const quarantineRegistry = createQuarantineRegistry({
         timers,
         log,
@@ -214,7 +228,8 @@
         placeOnEngines,
         chooseClaim,
         quota: endpointQuota,
-        gate: mergeGates([evacuationWatch.gate]),
+        gate: mergeGates([evacuationWatch.gate, endpointNotices]),
+        isServiceLeaving: service => endpointNotices.isServiceLeaving(service),
         reportChange: (key, item) => exchange.reportChange(key, item),
     }));
     const retryBudget = createRetryBudget({
@@ -222,12 +237,15 @@
         burst: computeBudgetBurst(settings.retrySlack, 0),
     });
     const startupGate = disposables.register(createStartupGate(timers, maxStartupWaitMs));
+    const peerGreeting = disposables.register(createPeerGreeting(timers, exchange.notices, () => exchange.announce()));
     const reservations = createReservations({
         memoryReservations: ports.memoryReservations,
         timers,
         log,
         maxLeaseMs: settings.maxHoldMs,
         idPrefix: keyPrefix,
+        onAnswer: (address, status, headers) =>
+            endpointNotices.recordCallAnswer(address, ports.codec.decodeAnswer(status, headers)),
     });
 
     /** Counts the gateways that use an endpoint, and those of them whose requests are heard of. */
@@ -250,7 +268,7 @@
             }
             routeTable = buildRouteTable(configuration);
             customers.setLimits(configuration.limits);
-            startupGate.open();
+            peerGreeting.wait(() => startupGate.open());
             log(LogEvent.ServingConfigurationInForce, {
                 version: configuration.version,
                 previous,
@@ -261,7 +279,7 @@
     }
 
     function recordLoss(record: EndpointRecord): void {
-        if (record.state !== EndpointState.Draining) {
+        if (record.state !== EndpointState.Draining && !endpointNotices.isLeaving(record)) {
             crashDetector.recordEndpointLoss(record.id, LossEvidence.Gone);
         }
     }
@@ -305,30 +323,32 @@
         return endpoint ? directory.applyRecord(endpoint, nowMs) : directory.applyRemoval(record.key, nowMs);
     }
 
+    const services: RequestServices = {
+        timers,
+        log,
+        metrics,
+        codec: ports.codec,
+        connections,
+        placementQueue,
+        health,
+        slowdownEstimate,
+        reservations,
+        crashDetector,
+        quarantineRegistry,
+        retryBudget,
+        random: ports.random,
+        endpointQuota,
+        endpointNotices,
+        onMisdirected(endpointId) {
+            health.record(endpointId, ExchangeResult.Unreachable, timers.now());
+            crashDetector.recordEndpointLoss(endpointId, LossEvidence.Gone);
+        },
+    };
     const customers = createCustomerServer(
         settings.customerAddress,
         Math.floor(settings.maxDescriptors * customerDescriptorShare),
         createRequestIntake({
-            services: {
-                timers,
-                log,
-                metrics,
-                codec: ports.codec,
-                connections,
-                placementQueue,
-                health,
-                slowdownEstimate,
-                reservations,
-                crashDetector,
-                quarantineRegistry,
-                retryBudget,
-                random: ports.random,
-                endpointQuota,
-                onMisdirected(endpointId) {
-                    health.record(endpointId, ExchangeResult.Unreachable, timers.now());
-                    crashDetector.recordEndpointLoss(endpointId, LossEvidence.Gone);
-                },
-            },
+            services,
             getTable: () => routeTable,
             startupGate,
             getDrain: () => drainState,
@@ -382,19 +402,12 @@
         random: ports.random,
         onPeers(addresses) {
             cells.setGateways(addresses);
+            peerGreeting.applyPeers(addresses.filter(address => address !== exchangeAddress).length);
             retryBudget.setBurst(computeBudgetBurst(settings.retrySlack, addresses.length));
         },
     }));
 
-    registerGauges(metrics, {
-        placementQueue,
-        endpointQuota,
-        quarantineRegistry,
-        reservations,
-        exchange,
-        customers,
-        getVersion: () => routeTable?.version ?? 0,
-    });
+    registerGauges(metrics, { ...services, exchange, customers }, () => routeTable?.version);
 
     const isReady = () => routeTable !== undefined && areEndpointsKnown && !drainState;
     try {
--- /dev/null
+++ b/src/gateway/peerGreeting.ts
@@ -0,0 +1,87 @@
+import { Disposable } from "../base/disposable.js";
+import { TimerService } from "../base/timerService.js";
+import { PeerNotices } from "./peerNotices.js";
+
+/** Holds back the first requests of a starting gateway until the other gateways have told it what is in force. */
+export interface PeerGreeting extends Disposable {
+    /** Applies the number of other gateways that the store lists. */
+    applyPeers(count: number): void;
+    /** Calls `onDone` once the others have had time to answer, or when the list of gateways does not arrive. */
+    wait(onDone: () => void): void;
+}
+
+/** Time that the others have to answer, in milliseconds. Gateways of an older version do not answer. */
+const answerMs = 100;
+/** What gateways say in the topic of greetings. */
+enum Greeting {
+    /** Asks for the notices in force. */
+    Ask = "ask",
+    /** The notices in force were sent before this. */
+    Told = "told",
+}
+
+/** Time after which the list of gateways is no longer waited for, in milliseconds. The store may lack it. */
+const maxListWaitMs = 300;
+
+/**
+ * Creates the greeting of a starting gateway.
+ *
+ * @param announce makes this gateway known to the others
+ *
+ * @example
+ * const greeting = createPeerGreeting(timers, exchange.notices, () => exchange.announce());
+ * greeting.applyPeers(3);
+ * greeting.wait(() => startupGate.open()); // opens when one of the others has answered, or after 100 ms
+ */
+export function createPeerGreeting(timers: TimerService, notices: PeerNotices, announce: () => void): PeerGreeting {
+    const scheduled: Disposable[] = [];
+    let onDone: (() => void) | undefined;
+    let isListed = false;
+    let isDone = false;
+    const publisher = notices.register<Greeting>({
+        name: "greeting",
+        isForAllCells: false,
+        isValid: (value): value is Greeting => value === Greeting.Ask || value === Greeting.Told,
+        onReceived(greetings) {
+            if (greetings.includes(Greeting.Ask)) {
+                notices.repeat();
+                publisher.publish([Greeting.Told]);
+            }
+            else if (isListed) {
+                finish();
+            }
+        },
+        listCurrent: () => [],
+    });
+
+    function finish(): void {
+        isDone = true;
+        onDone?.();
+        onDone = undefined;
+    }
+
+    return {
+        applyPeers(count) {
+            if (isListed) {
+                return;
+            }
+            isListed = true;
+            if (count === 0) {
+                finish();
+                return;
+            }
+            announce();
+            publisher.publish([Greeting.Ask]);
+            scheduled.push(timers.schedule(answerMs, finish));
+        },
+        wait(call) {
+            if (isDone) {
+                call();
+                return;
+            }
+            onDone = call;
+            scheduled.push(timers.schedule(maxListWaitMs, finish));
+        },
+        dispose: () => scheduled.forEach(timer => timer.dispose()),
+    };
+}
--- a/src/gateway/placementQueue.ts
+++ b/src/gateway/placementQueue.ts
@@ -24,6 +24,7 @@
 import { EndpointQuota } from "./endpointQuota.js";
 import { EngineNeeds, Place, PlacementJob } from "./place.js";
 import { createPlaceAllocator, minPlainAnswerMs, RegisteredClaim } from "./placeAllocator.js";
+import { createServiceAvailability } from "./serviceAvailability.js";
 
 /** Places requests on endpoints, and queues those that no endpoint has capacity for. */
 export interface PlacementQueue extends Disposable {
@@ -66,6 +67,8 @@
     readonly quota: PlacementQuota;
     /** Facts beyond registrations that keep work off endpoints. */
     readonly gate: EndpointGate;
+    /** Returns whether all endpoints of a service leave, so that a request would wait in vain. */
+    readonly isServiceLeaving?: (service: string) => boolean;
 }
 
 /** Limits of endpoints, as far as placement depends on them. */
@@ -129,6 +132,7 @@
     let waiting: WaitingItem[] = [];
     let nextRun: Disposable | undefined;
     const claims = new Map<WaitingItem, RegisteredClaim>();
+    const availability = createServiceAvailability(options);
     const allocator = createPlaceAllocator({
         ...options,
         recordDispatch: endpoint => quota.recordDispatch(endpoint),
@@ -384,7 +388,8 @@
             }
         }
         const expired = waiting.filter(item =>
-            (nowMs > item.hardStartDeadlineMs && !claims.has(item)) || hasNoneLeft(item.job, nowMs)
+            ((nowMs > item.hardStartDeadlineMs || availability.isClosedTooLong(item, nowMs)) && !claims.has(item))
+            || availability.hasNoneLeft(item.job, nowMs)
         );
         expired.forEach(dropClaim);
         waiting = waiting.filter(item => !expired.includes(item));
@@ -407,22 +412,6 @@
         return nowMs + predictLimitWaitMs(job.service, nowMs) > hardStartDeadlineMs;
     }
 
-    /**
-     * Returns whether endpoints are known that a request could run on and all of them are closed for good. No known
-     * endpoint at all may only be a short loss, which the request waits for.
-     */
-    function hasNoneLeft({ service, avoid, allowedRegions }: PlacementJob, nowMs: number): boolean {
-        const isLeft = (record: EndpointRecord) =>
-            !avoid.has(record.id) && gate.getOpensInMs(record, nowMs) < Infinity
-            && isRegionAllowed(allowedRegions, record.dataCentre, options.regions);
-        // Some endpoint of the own subset is left nearly always.
-        if (endpointSubset.list(service.name).some(isLeft)) {
-            return false;
-        }
-        const known = options.directory.listUsable(service.name).filter(record => !avoid.has(record.id));
-        return known.length > 0 && !known.some(isLeft);
-    }
-
     /** Describes the load on which the decision to queue or refuse a request was based, for the log. */
     function describeLoad(job: PlacementJob, nowMs: number): string {
         const known = endpointSubset.list(job.service.name).length;
@@ -458,7 +447,10 @@
                 job.onPlaced(place);
                 return createDisposable(() => undefined);
             }
-            if (hasNoneLeft(job, timers.now()) || isLimitedTooLong(item, timers.now())) {
+            if (
+                availability.hasNoneLeft(job, timers.now()) || isLimitedTooLong(item, timers.now())
+                || availability.isClosedTooLong(item, timers.now())
+            ) {
                 job.onExpired(describeLoad(job, timers.now()));
                 return createDisposable(() => undefined);
             }
@@ -479,10 +471,11 @@
             const nowMs = timers.now();
             const queued = waiting.filter(item => item.job.service.name === service.name);
             const endpoints = listHealthyEndpoints(service, nowMs);
+            const opensInMs = availability.getOpensInMs(service, new Set(), nowMs);
             if (endpoints.length === 0) {
-                return Number.POSITIVE_INFINITY;
+                return opensInMs > 0 ? opensInMs : Number.POSITIVE_INFINITY;
             }
-            const limitWaitMs = predictLimitWaitMs(service, nowMs);
+            const limitWaitMs = Math.max(opensInMs, predictLimitWaitMs(service, nowMs));
             const engine = service.engine;
             if (!engine || !needs) {
                 return limitWaitMs;
