Move the state of an attempt out of the request task

Cause: hedged requests need two attempts of one request at a time, and the task kept place, exchange, answer head and reservations in variables of its own, so that it could have only one.

Change: src/gateway/attempt.ts holds them and turns what an endpoint does into calls of a listener; the task decides about retries and the end. The quarantine watch keeps the state of an attempt apart from that of the request. No change of behaviour.

--- a/src/gateway/quarantineWatch.ts
+++ b/src/gateway/quarantineWatch.ts
@@ -12,16 +12,23 @@
     /** Decides how the next attempt may run. */
     decideTreatment(): Treatment;
     /** Starts an attempt. `events` is the number of events that earlier attempts have received. */
-    startAttempt(place: Place, events: number): void;
-    /** Records the number of events that all attempts have received. */
-    recordEvents(events: number): void;
-    /** Records that the attempt has ended. `events` is the number of events that all attempts have received. */
-    recordEnd(end: AttemptEnd, events: number): void;
+    startAttempt(place: Place, events: number): AttemptQuarantineWatch;
     describe(): string;
     /** Computes the time after which the customer should retry, or `undefined` if the request is not quarantined. */
     computeRetryAfterMs(): number | undefined;
 }
 
+/** Follows one attempt. */
+export interface AttemptQuarantineWatch {
+    /** Records the number of events that all attempts have received. */
+    recordEvents(events: number): void;
+    /**
+     * Records that the attempt has ended. `events` is the number of events that all attempts have received. Only the
+     * first call has an effect.
+     */
+    recordEnd(end: AttemptEnd, events: number): void;
+}
+
 export interface QuarantineWatchOptions {
     readonly traits: readonly string[];
     readonly timers: TimerService;
@@ -36,13 +43,10 @@
  *
  * @example
  * const quarantineWatch = createQuarantineWatch({ ...services, traits: request.traits, onQuarantined });
- * quarantineWatch.startAttempt(place, 0);
+ * quarantineWatch.startAttempt(place, 0).recordEnd(AttemptEnd.Answered, 1);
  */
 export function createQuarantineWatch(options: QuarantineWatchOptions): QuarantineWatch {
     const { traits, timers, quarantineRegistry, crashDetector } = options;
-    let place: Place | undefined;
-    let sentAtMs = 0;
-    let eventsBefore = 0;
     let isAnswerRecorded = false;
     let test: Disposable | undefined;
     const subscription = quarantineRegistry.onQuarantine(trait => {
@@ -51,21 +55,48 @@
         }
     });
 
-    function recordAnswer(current: Place): void {
-        if (!isAnswerRecorded) {
-            isAnswerRecorded = true;
-            crashDetector.recordEnd(current.endpoint, { end: AttemptEnd.Answered, traits, sentAtMs });
+    function startAttempt(place: Place, eventsBefore: number): AttemptQuarantineWatch {
+        const { endpoint } = place;
+        const sentAtMs = timers.now();
+        let hasEnded = false;
+
+        function recordAnswer(): void {
+            if (!isAnswerRecorded) {
+                isAnswerRecorded = true;
+                crashDetector.recordEnd(endpoint, { end: AttemptEnd.Answered, traits, sentAtMs });
+            }
+        }
+
+        function recordUnanswered(end: AttemptEnd, events: number): void {
+            const isSuspect = isCrashSuspect({
+                events: events - eventsBefore,
+                elapsedMs: timers.now() - sentAtMs,
+                // A plain service has no prompt to read and begins at once.
+                predictedMs: place.partMs > 0 ? place.firstByteMs : 0,
+            });
+            crashDetector.recordEnd(endpoint, { end, traits: isSuspect ? traits : undefined, sentAtMs });
         }
-    }
 
-    function recordUnanswered(end: AttemptEnd, current: Place, events: number): void {
-        const isSuspect = isCrashSuspect({
-            events: events - eventsBefore,
-            elapsedMs: timers.now() - sentAtMs,
-            // A plain service has no prompt to read and begins at once.
-            predictedMs: current.partMs > 0 ? current.firstByteMs : 0,
-        });
-        crashDetector.recordEnd(current.endpoint, { end, traits: isSuspect ? traits : undefined, sentAtMs });
+        return {
+            recordEvents(events) {
+                if (events - eventsBefore >= progressEvents && !isAnswerRecorded) {
+                    isAnswerRecorded = true;
+                    quarantineRegistry.recordAnswer(traits);
+                }
+            },
+            recordEnd(end, events) {
+                if (hasEnded) {
+                    return;
+                }
+                hasEnded = true;
+                if (end === AttemptEnd.Answered) {
+                    recordAnswer();
+                }
+                else {
+                    recordUnanswered(end, events);
+                }
+            },
+        };
     }
 
     return {
@@ -76,26 +107,7 @@
             }
             return treatment;
         },
-        startAttempt(next, events) {
-            place = next;
-            sentAtMs = timers.now();
-            eventsBefore = events;
-        },
-        recordEvents(events) {
-            if (events - eventsBefore >= progressEvents && !isAnswerRecorded) {
-                isAnswerRecorded = true;
-                quarantineRegistry.recordAnswer(traits);
-            }
-        },
-        recordEnd(end, events) {
-            if (place && end === AttemptEnd.Answered) {
-                recordAnswer(place);
-            }
-            else if (place) {
-                recordUnanswered(end, place, events);
-            }
-            place = undefined;
-        },
+        startAttempt,
         describe: () => `${quarantineRegistry.findQuarantine(traits)?.trait ?? "the request"} crashes endpoints`,
         computeRetryAfterMs() {
             const quarantine = quarantineRegistry.findQuarantine(traits);
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -1,20 +1,15 @@
 import { Disposable } from "../base/disposable.js";
 import { mergeVerdicts, Verdict } from "../base/verdict.js";
-import { ExchangeResult } from "../membership/endpointHealth.js";
-import { AnswerHead } from "../ports/exchange.js";
 import { RouteKind } from "../ports/servingConfiguration.js";
 import { Treatment } from "../quarantine/quarantine.js";
 import { isIdempotent, isRedispatchAllowed } from "../retries/dispatchDecision.js";
 import { computeRetryAfterMs, renderRetryAfter } from "../scheduling/retryAfter.js";
 import { AcceptedRequest, computeEngineNeeds, computeTimes } from "./acceptedRequest.js";
-import { AnswerOutcome, AnswerOutcomeKind, createAnswerRelay } from "./answerRelay.js";
-import { AttemptEnd, LossEvidence } from "./crashDetector.js";
+import { createAnswerRelay } from "./answerRelay.js";
+import { Attempt, AttemptFailure, AttemptListener, createAttempt } from "./attempt.js";
 import { CustomerAnswer } from "./customerAnswer.js";
-import { createDispatchWatch } from "./dispatchWatch.js";
-import { Exchange, SendFailureKind } from "./endpointConnections.js";
 import { Place } from "./place.js";
 import { createQuarantineWatch } from "./quarantineWatch.js";
-import { sendDispatch } from "./requestDispatch.js";
 import { createRequestReport, EndKind } from "./requestReport.js";
 import { RequestServices } from "./requestServices.js";
 import { ReservationSet } from "./reservations.js";
@@ -31,27 +26,20 @@
  * startRequestTask(request, answer, services);
  */
 export function startRequestTask(request: AcceptedRequest, answer: CustomerAnswer, services: RequestServices): void {
-    const { timers, codec, placementQueue, health } = services;
+    const { timers, codec, placementQueue } = services;
     const { route, head } = request;
     const { deadlineAtMs, dueAtMs, customerTimeoutAtMs } = computeTimes(request);
     const isRepeatable = isIdempotent(route.kind, route.isResumable);
     const needs = computeEngineNeeds(request);
-    const watch = createDispatchWatch({
-        timers,
-        connections: services.connections,
-        isRepeatable,
-        gapTargetMs: route.gapTargetMs ?? 0,
-        onStalled: handleStall,
-        onUnreachable: handleUnreachable,
-    });
     const avoid = new Set<string>();
     const verdicts: Verdict[] = [];
-    const relay = createAnswerRelay({
+    const relayOptions = {
         isStream: route.kind === RouteKind.Stream,
         answer,
         hasBody: request.method !== "HEAD",
         resumeAfterEventId: head.lastEventId,
-    });
+    };
+    const relay = createAnswerRelay(relayOptions);
     const progress = createStreamProgress(services.slowdownEstimate);
     const quarantineWatch = createQuarantineWatch({
         ...services,
@@ -63,12 +51,18 @@
     let endpointsRun = 0;
     let hasEnded = false;
     let waiting: Disposable | undefined;
-    let place: Place | undefined;
-    let exchange: Exchange | undefined;
-    let answerHead: AnswerHead | undefined;
-    let reservationSet: ReservationSet | undefined;
-    let sentAtMs = 0;
+    let attempts: readonly Attempt[] = [];
+    /** Place whose memory reservations are being made. */
+    let reservingPlace: Place | undefined;
 
+    const listener: AttemptListener = {
+        onDelivered() {},
+        onFirstEvent: () => report.recordFirstEvent(),
+        onComplete: (unused, status) => end(EndKind.Answered, status),
+        onFailure: handleFailure,
+        onStalled: handleStall,
+        onUnreachable: handleUnreachable,
+    };
     const deadline = timers.schedule(deadlineAtMs - timers.now(), handleDeadline);
     answer.onCustomerLeft(() => end(EndKind.CustomerLeft));
     services.retryBudget.recordRequest();
@@ -96,7 +90,7 @@
             onClaimed: claim => report.recordClaim(claim),
             onExpired: inputs => finishWithError(EndKind.NoCapacity, undefined, inputs),
         });
-        waiting = place || hasEnded ? undefined : submitted;
+        waiting = reservingPlace || attempts.length > 0 || hasEnded ? undefined : submitted;
     }
 
     /**
@@ -104,9 +98,7 @@
      * prevents the crash if the answer has not begun.
      */
     function handleQuarantined(): void {
-        if (exchange?.hasStarted()) {
-            verdicts.push(Verdict.MayHaveRun);
-        }
+        recordUnanswered();
         finishWithError(EndKind.Quarantined, quarantineWatch.describe());
     }
 
@@ -116,11 +108,11 @@
             found.release();
             return;
         }
-        place = found;
         if (found.reservedTokens === 0) {
-            send(found);
+            send(found, undefined);
             return;
         }
+        reservingPlace = found;
         const addresses = found.helpers.map(helper => helper.address);
         services.reservations.reserveAll(addresses, found.reservedTokens).then(
             set => handleReserved(found, set),
@@ -136,211 +128,57 @@
             set?.dispose();
             return;
         }
-        reservationSet = set;
+        reservingPlace = undefined;
         if (set) {
-            send(found);
+            send(found, set);
             return;
         }
-        releaseDispatch();
+        found.release();
         waiting = timers.schedule(reservationRetryMs, submit);
     }
 
-    function send(found: Place): void {
+    function send(place: Place, reservationSet: ReservationSet | undefined): void {
         dispatches += 1;
-        sentAtMs = timers.now();
-        quarantineWatch.startAttempt(found, relay.countEvents());
-        report.recordDispatch(found, dispatches);
-        relay.startAttempt();
-        progress.startAttempt(found);
-        answerHead = undefined;
-        exchange = sendDispatch(
-            {
-                request,
-                place: found,
-                reservations: reservationSet?.reservations ?? [],
-                remainingMs: deadlineAtMs - sentAtMs,
-                lastEventId: relay.getLastEventId(),
-                isRepeatable,
-            },
+        report.recordDispatch(place, dispatches);
+        const attempt = createAttempt({
+            request,
             services,
-            {
-                isCurrent: () => place === found && !hasEnded,
-                onHead(decoded) {
-                    answerHead = decoded;
-                    services.endpointQuota.recordAnswer(found.endpoint.id, decoded);
-                    handleOutcome(relay.acceptHead(decoded, request.id));
-                },
-                onData: bytes => handleOutcome(relay.acceptData(bytes, () => exchange?.resume())),
-                onEnd: () => handleOutcome(relay.acceptEnd()),
-                onFailure: handleSendFailure,
-            },
-        );
-        watch.start(found);
-    }
-
-    /** Records whether requests like this one are answered, as far as the end of the answer shows it. */
-    function recordCompletion({ status, isFramed }: AnswerHead): void {
-        if (!isFramed) {
-            // The endpoint may have crashed: that ends an answer without a length like a whole one.
-            quarantineWatch.recordEnd(AttemptEnd.Broken, relay.countEvents());
-        }
-        else if (status < 500) {
-            quarantineWatch.recordEnd(AttemptEnd.Answered, relay.countEvents());
-        }
+            answer,
+            place,
+            number: dispatches,
+            reservationSet,
+            relay,
+            progress,
+            quarantineWatch,
+            deadlineAtMs,
+            isRepeatable,
+            listener,
+        });
+        attempts = [...attempts, attempt];
+        attempt.send();
     }
 
-    function handleUnreachable(): void {
+    function handleUnreachable(attempt: Attempt): void {
         // The endpoint may only have lost its network link and still answer. If no retry is allowed, the task waits for
         // that, unless helpers keep memory for the request.
-        if (place && (isFurtherRunAllowed() || place.reservedTokens > 0)) {
-            quarantineWatch.recordEnd(AttemptEnd.Silent, relay.countEvents());
-            dropConnections(place);
-            recordEndpointFailure(place, ExchangeResult.Unreachable, Verdict.MayHaveRun);
-            handleFailure(Verdict.MayHaveRun, "endpoint accepts no connections");
-        }
-    }
-
-    function handleOutcome(outcome: AnswerOutcome): void {
-        if (hasEnded || !place) {
-            return;
-        }
-        switch (outcome.kind) {
-            case AnswerOutcomeKind.Progress:
-                handleEvent(place);
-                break;
-            case AnswerOutcomeKind.Blocked:
-                exchange?.pause();
-                handleEvent(place);
-                break;
-            case AnswerOutcomeKind.Complete:
-                health.record(place.endpoint.id, ExchangeResult.Answered, timers.now());
-                recordCompletion(answerHead!);
-                end(EndKind.Answered, answerHead?.status);
-                break;
-            case AnswerOutcomeKind.NotRun:
-                handleNotRun(place, answerHead!);
-                break;
-            case AnswerOutcomeKind.Invalid:
-                exchange?.abort();
-                recordEndpointFailure(place, ExchangeResult.Failed, Verdict.MayHaveRun);
-                handleFailure(Verdict.MayHaveRun, outcome.reason);
-                break;
-            case AnswerOutcomeKind.Failed:
-                handleFailedAnswer(place, answerHead!);
-                break;
-            case AnswerOutcomeKind.Pending:
-                break;
+        if (isFurtherRunAllowed() || attempt.place.reservedTokens > 0) {
+            attempt.dropUnreachable();
         }
     }
 
-    function handleEvent(current: Place): void {
-        if (progress.recordEvent(timers.now())) {
-            report.recordFirstEvent();
-            current.startDecode();
-        }
-        quarantineWatch.recordEvents(relay.countEvents());
-        watch.recordEvent(current);
-    }
-
-    function handleNotRun(current: Place, { status, isMisdirected, faultyEndpoint }: AnswerHead): void {
-        const { id } = current.endpoint;
-        const nowMs = timers.now();
-        if (isMisdirected) {
-            avoid.add(id);
-            services.onMisdirected(id);
-        }
-        else if (faultyEndpoint !== undefined) {
-            const faulty = current.helpers.find(helper =>
-                faultyEndpoint.includes(helper.address) || faultyEndpoint.includes(helper.id)
-            );
-            health.record(faulty?.id ?? id, faulty ? ExchangeResult.Silent : ExchangeResult.Full, nowMs);
-        }
-        else {
-            health.record(id, ExchangeResult.Full, nowMs);
-        }
-        handleFailure(Verdict.NotRun, `endpoint did not run the request, status ${status}`);
-    }
-
     /**
-     * Handles an error answer. Retries the request on another endpoint if it may run again, and relays the error
-     * otherwise.
+     * Handles a stall. While the retry budget is used up, an endpoint that still accepts connections may only be slow, so
+     * its answer is awaited. Otherwise the customer is told, and may resume the stream with another request.
      */
-    function handleFailedAnswer(current: Place, { status }: AnswerHead): void {
-        recordEndpointFailure(current, ExchangeResult.Failed, Verdict.MayHaveRun);
-        if (!retry(Verdict.MayHaveRun, `status ${status}`)) {
-            relay.deliverFailure();
-            end(EndKind.Answered, status);
-        }
-    }
-
-    function handleSendFailure(kind: SendFailureKind, reason: string): void {
-        if (hasEnded || !place) {
-            return;
-        }
-        if (kind === SendFailureKind.NotSent) {
-            health.record(place.endpoint.id, ExchangeResult.Unreachable, timers.now());
-            services.crashDetector.recordEndpointLoss(place.endpoint.id, LossEvidence.NoConnection);
-            handleFailure(Verdict.NotRun, reason);
-            return;
-        }
-        quarantineWatch.recordEnd(AttemptEnd.Broken, relay.countEvents());
-        services.connections.replace(place.endpoint.address);
-        recordEndpointFailure(place, ExchangeResult.Broken, Verdict.MayHaveRun);
-        handleFailure(Verdict.MayHaveRun, reason);
-    }
-
-    function handleStall(): void {
-        if (!place || !isFurtherRunAllowed()) {
+    function handleStall(attempt: Attempt): void {
+        if (!isFurtherRunAllowed()) {
             return;
         }
         if (services.retryBudget.getBalance() < 1) {
-            void dropIfUnreachable(place);
+            void attempt.dropIfUnreachable();
             return;
         }
-        dropSilentDispatch(place);
-    }
-
-    /**
-     * Handles a stall while the retry budget is used up. An endpoint that still accepts connections may only be slow, so
-     * its answer is awaited. Otherwise the customer is told, and may resume the stream with another request.
-     */
-    async function dropIfUnreachable(stalled: Place): Promise<void> {
-        const lastEventMs = progress.getLastEventMs();
-        const isReachable = await services.connections.checkConnection(stalled.endpoint.address);
-        if (hasEnded || place !== stalled) {
-            return;
-        }
-        if (isReachable || progress.getLastEventMs() !== lastEventMs) {
-            watch.delay();
-        }
-        else {
-            dropSilentDispatch(stalled);
-        }
-    }
-
-    function dropSilentDispatch(stalled: Place): void {
-        const silentMs = timers.now() - (progress.getLastEventMs() ?? sentAtMs);
-        const verdict = exchange?.hasStarted() ? Verdict.MayHaveRun : Verdict.NotRun;
-        quarantineWatch.recordEnd(AttemptEnd.Silent, relay.countEvents());
-        dropConnections(stalled);
-        recordEndpointFailure(stalled, ExchangeResult.Silent, verdict);
-        handleFailure(verdict, `silent for ${Math.round(silentMs)} ms`);
-    }
-
-    /**
-     * Aborts the exchange and replaces the connection pool of its endpoint, whose other connections may have stalled
-     * too.
-     */
-    function dropConnections(current: Place): void {
-        exchange?.abort();
-        services.connections.replace(current.endpoint.address);
-    }
-
-    /** Records the failure in the endpoint's health, and excludes the endpoint from retries of this request. */
-    function recordEndpointFailure({ endpoint }: Place, result: ExchangeResult, verdict: Verdict): void {
-        health.record(endpoint.id, result, timers.now());
-        avoid.add(endpoint.id);
-        endpointsRun += verdict === Verdict.MayHaveRun ? 1 : 0;
+        attempt.dropSilent();
     }
 
     /** Returns whether a retry is allowed if the request has run on the current endpoint. */
@@ -361,46 +199,64 @@
         }) && relay.canContinue();
     }
 
-    function handleFailure(verdict: Verdict, reason: string): void {
-        if (!retry(verdict, reason)) {
-            verdicts.push(verdict);
-            finishWithError(EndKind.Failed, reason);
+    /**
+     * Handles the failure of an attempt. Retries the request on another endpoint if it may run again. An error answer of
+     * the endpoint is relayed otherwise.
+     */
+    function handleFailure(attempt: Attempt, failure: AttemptFailure): void {
+        const { verdict, reason } = failure;
+        if (failure.isEndpointAvoided) {
+            avoid.add(attempt.place.endpoint.id);
+            endpointsRun += verdict === Verdict.MayHaveRun ? 1 : 0;
+        }
+        if (retry(attempt, failure)) {
+            return;
         }
+        if (failure.hasErrorAnswer) {
+            attempt.relay.deliverFailure();
+            end(EndKind.Answered, attempt.getStatus());
+            return;
+        }
+        verdicts.push(verdict);
+        finishWithError(EndKind.Failed, reason);
     }
 
     /** Submits the request again if the retry rules and the retry budget allow it. Returns whether it did. */
-    function retry(verdict: Verdict, reason: string): boolean {
+    function retry(attempt: Attempt, { verdict, reason }: AttemptFailure): boolean {
         if (!isRetryAllowed(verdict, endpointsRun) || !services.retryBudget.acquire()) {
             return false;
         }
         verdicts.push(verdict);
         report.recordRetry({
-            endpoint: place?.endpoint.id,
+            endpoint: attempt.place.endpoint.id,
             reason,
             verdict,
-            sentAtMs,
-            attempt: dispatches,
-            events: relay.countEvents(),
+            sentAtMs: attempt.getSentAtMs(),
+            attempt: attempt.number,
+            events: attempt.relay.countEvents(),
         });
-        releaseDispatch();
+        releaseAttempts();
         submit();
         return true;
     }
 
-    function releaseDispatch(): void {
-        watch.dispose();
-        exchange = undefined;
-        reservationSet?.dispose();
-        reservationSet = undefined;
-        const released = place;
-        place = undefined;
-        released?.release();
+    function releaseAttempts(): void {
+        const released = attempts;
+        attempts = [];
+        released.forEach(attempt => attempt.release());
+        reservingPlace?.release();
+        reservingPlace = undefined;
     }
 
-    function handleDeadline(): void {
-        if (exchange?.hasStarted()) {
+    /** Records that the request may have run, if an attempt has reached an endpoint. */
+    function recordUnanswered(): void {
+        if (attempts.some(attempt => attempt.hasStarted())) {
             verdicts.push(Verdict.MayHaveRun);
         }
+    }
+
+    function handleDeadline(): void {
+        recordUnanswered();
         finishWithError(EndKind.Deadline);
     }
 
@@ -440,13 +296,10 @@
         quarantineWatch.dispose();
         waiting?.dispose();
         if (kind !== EndKind.Answered) {
-            if (exchange?.hasStarted()) {
-                quarantineWatch.recordEnd(AttemptEnd.Abandoned, relay.countEvents());
-            }
-            exchange?.abort();
+            attempts.forEach(attempt => attempt.abandon());
         }
-        const endpoint = place?.endpoint.id;
-        releaseDispatch();
+        const endpoint = (attempts[0]?.place ?? reservingPlace)?.endpoint.id;
+        releaseAttempts();
         report.recordEnd({
             kind,
             reason,
