Send a second attempt of a request that falls behind

Cause: a request that may be repeated waits for a slow endpoint until the stall time-out, although another endpoint would have answered long before (docs/load-management.md, part 4).

Change: observed times by kind, a budget of hedges by service and the decision are modules of src/retries without input or output; src/gateway/hedging.ts keeps their state, requestHedge.ts sends and follows the hedge of a request. JUJUBELANE_HEDGING enables it; without it nothing is observed. A hedge takes a place that is free at once or none. Log events 1011 to 1013, three counters.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -183,6 +183,7 @@
         const nowMs = timers.now();
         if (isMisdirected) {
             services.onMisdirected(endpointId);
+            services.hedging.recordEndpointLoss(request.service.name);
         }
         else if (faultyEndpoint !== undefined) {
             const faulty = place.helpers.find(helper =>
@@ -200,6 +201,7 @@
         if (kind === SendFailureKind.NotSent) {
             health.record(endpointId, ExchangeResult.Unreachable, timers.now());
             crashDetector.recordEndpointLoss(endpointId, LossEvidence.NoConnection);
+            services.hedging.recordEndpointLoss(request.service.name);
             failNotRun(reason, false);
             return;
         }
@@ -281,6 +283,7 @@
         },
         dropUnreachable() {
             dropConnections();
+            services.hedging.recordEndpointLoss(request.service.name);
             fail(ExchangeResult.Unreachable, Verdict.MayHaveRun, "endpoint accepts no connections");
         },
         abandon() {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -35,6 +35,7 @@
 import { createEndpointQuota } from "./endpointQuota.js";
 import { followFeed } from "./feedFollower.js";
 import { GatewaySettings } from "./gatewaySettings.js";
+import { createHedging } from "./hedging.js";
 import { createLoadExchange } from "./loadExchange.js";
 import { followPeers } from "./peerDiscovery.js";
 import { createPlacementQueue } from "./placementQueue.js";
@@ -216,6 +217,7 @@
         ratio: computeBudgetRatio(settings.retryRatio),
         burst: computeBudgetBurst(settings.retrySlack, 0),
     });
+    const hedging = createHedging({ shares: settings.hedgeShares, timers, log, retryBudget, placementQueue });
     const startupGate = disposables.register(createStartupGate(timers, maxStartupWaitMs));
     const reservations = createReservations({
         memoryReservations: ports.memoryReservations,
@@ -247,6 +249,7 @@
             }
             routeTable = buildRouteTable(configuration);
             customers.setLimits(configuration.limits);
+            hedging.checkServices(new Set(configuration.services.keys()));
             startupGate.open();
             log(LogEvent.ServingConfigurationInForce, {
                 version: configuration.version,
@@ -260,6 +263,7 @@
     function recordLoss(record: EndpointRecord): void {
         if (record.state !== EndpointState.Draining) {
             crashDetector.recordEndpointLoss(record.id, LossEvidence.Gone);
+            hedging.recordEndpointLoss(record.service);
         }
     }
 
@@ -329,6 +333,7 @@
                 crashDetector,
                 quarantineRegistry,
                 retryBudget,
+                hedging,
                 random: ports.random,
                 endpointQuota,
                 onMisdirected(endpointId) {
--- a/src/gateway/gatewaySettings.ts
+++ b/src/gateway/gatewaySettings.ts
@@ -1,3 +1,5 @@
+import { HedgeShares } from "./hedging.js";
+
 /** An address to listen on. */
 export interface ListenAddress {
     readonly ip: string;
@@ -31,4 +33,6 @@
     readonly retrySlack: number;
     /** Longest lease of a memory reservation, in milliseconds. */
     readonly maxHoldMs: number;
+    /** Absent if hedging is off. */
+    readonly hedgeShares?: HedgeShares;
 }
--- a/src/gateway/place.ts
+++ b/src/gateway/place.ts
@@ -36,6 +36,11 @@
     /** Ids of endpoints that the request must not be sent to again. */
     readonly avoid: ReadonlySet<string>;
     readonly isSuspect: boolean;
+    /**
+     * Whether the request is placed now or not at all. It is neither queued nor refused, engines are not kept free for
+     * it, and it makes no other request late.
+     */
+    readonly isImmediate?: boolean;
     onPlaced(place: Place): void;
     /** Called when no endpoint has capacity now. */
     onWaiting(inputs: string): void;
--- a/src/gateway/placementQueue.ts
+++ b/src/gateway/placementQueue.ts
@@ -21,6 +21,7 @@
 import { compareWaiting, WaitingWork } from "../scheduling/compareWaiting.js";
 import { EndpointGate } from "./endpointGate.js";
 import { EndpointQuota } from "./endpointQuota.js";
+import { ServiceLoad } from "./hedging.js";
 import { EngineNeeds, Place, PlacementJob } from "./place.js";
 import { createPlaceAllocator, minPlainAnswerMs, RegisteredClaim } from "./placeAllocator.js";
 
@@ -31,6 +32,7 @@
     /** Schedules an attempt to place the queued requests; to be called when load or endpoints have changed. */
     run(): void;
     countWaiting(): number;
+    getLoad(service: Service): ServiceLoad;
     /** Estimates how long a further request of this size would wait for capacity of the service, in milliseconds. */
     predictWaitMs(service: Service, needs: EngineNeeds | undefined): number;
 }
@@ -194,7 +196,9 @@
         if (!engine || !job.needs) {
             const request = { avoid: job.avoid, dataCentre: options.dataCentre, isUnsafe: job.isUnsafe };
             const view = tryPreferredFirst(
-                listPlainViews(job.service, nowMs),
+                listPlainViews(job.service, nowMs)
+                    // Beyond its slots, an endpoint queues requests.
+                    .filter(view => !job.isImmediate || (view.running < view.slots && !view.isTrial)),
                 views => placeOnPlainService(request, views),
             );
             startTrials(view ? [view] : [], nowMs);
@@ -234,11 +238,14 @@
             views.delete(job.service.name);
         }
         const known = getEngineViews(views, job.service, engine, nowMs);
-        const stage = decideStage(item, nowMs);
+        const stage = job.isImmediate ? PlacementStage.NonDisruptive : decideStage(item, nowMs);
         const placement = tryPreferredFirst(
             known,
             some => options.placeOnEngines(request, some, engine.slots, nowMs, stage, defaultPlacementSettings),
         );
+        if (!placement && job.isImmediate) {
+            return undefined;
+        }
         if (!placement) {
             claimEngines(item, request, engine, known.filter(view => !isLastChoice(view.id)), stage, nowMs);
             if (claims.has(item)) {
@@ -413,6 +420,9 @@
                 job.onPlaced(place);
                 return createDisposable(() => undefined);
             }
+            if (job.isImmediate) {
+                return createDisposable(() => undefined);
+            }
             if (isLimitedTooLong(item, timers.now())) {
                 job.onExpired(describeLoad(job, timers.now()));
                 return createDisposable(() => undefined);
@@ -428,6 +438,15 @@
             };
         },
         countWaiting: () => waiting.length,
+        getLoad(service) {
+            const nowMs = timers.now();
+            const usable = listUsableEndpoints(service, nowMs);
+            return {
+                waiting: waiting.filter(item => item.job.service.name === service.name).length,
+                slots: usable.reduce((sum, { record }) => sum + (service.engine?.slots ?? record.slots), 0),
+                slotsTaken: usable.reduce((sum, { record }) => sum + ledger.listAt(record.id, nowMs).length, 0),
+            };
+        },
         predictWaitMs(service, needs) {
             const nowMs = timers.now();
             const queued = waiting.filter(item => item.job.service.name === service.name);
--- a/src/gateway/requestReport.ts
+++ b/src/gateway/requestReport.ts
@@ -1,8 +1,10 @@
 import { LogFields } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
 import { Verdict } from "../base/verdict.js";
+import { HedgeDecision } from "../retries/hedgePolicy.js";
 import { AcceptedRequest } from "./acceptedRequest.js";
 import { ClaimReport, Place } from "./place.js";
+import { HedgeResult } from "./requestHedge.js";
 import { RequestServices } from "./requestServices.js";
 
 /** How a request ended, as the log and the request counter report it. */
@@ -36,6 +38,8 @@
     readonly longestPauseMs: number;
     /** Predicted time to prefill the prompt on one engine, in milliseconds. */
     readonly readMs?: number;
+    /** What became of the second attempt, if one was sent. */
+    readonly hedge?: HedgeResult;
 }
 
 /** Writes the log lines and metrics of one request. */
@@ -47,6 +51,11 @@
     recordFirstEvent(): void;
     /** Records that a dispatch has failed and the request is retried. */
     recordRetry(retry: RequestRetry): void;
+    /** Records that a second attempt is sent. `firstEndpoint` has the request; times are in milliseconds. */
+    recordHedge(place: Place, firstEndpoint: string, delayMs: number, afterMs: number): void;
+    /** Records that a request was behind at an endpoint after `delayMs` and no second attempt is sent. */
+    recordHedgeWithheld(reason: HedgeDecision, endpoint: string, delayMs: number): void;
+    recordHedgeResult(result: HedgeResult): void;
     recordTaskFailure(task: string, error: unknown): void;
     recordEnd(end: RequestEnd): void;
 }
@@ -108,6 +117,24 @@
             const labels = { verdict: retry.verdict };
             metrics.count("jujubelane_redispatches_total", "Further dispatches by verdict.", labels);
         },
+        recordHedge(place, firstEndpoint, delayMs, afterMs) {
+            write(LogEvent.HedgeSent, {
+                endpoint: place.endpoint.id,
+                firstEndpoint,
+                delayMs: Math.round(delayMs),
+                afterMs: Math.round(afterMs),
+            });
+            const labels = { service: request.service.name };
+            metrics.count("jujubelane_hedges_total", "Second attempts sent by service.", labels);
+        },
+        recordHedgeWithheld(reason, endpoint, delayMs) {
+            write(LogEvent.HedgeWithheld, { reason, endpoint, delayMs: Math.round(delayMs) });
+            const help = "Requests that were behind and not sent to a second endpoint, by reason.";
+            metrics.count("jujubelane_hedges_withheld_total", help, { reason });
+        },
+        recordHedgeResult(result) {
+            metrics.count("jujubelane_hedge_results_total", "Second attempts by result.", { result });
+        },
         recordTaskFailure: (task, error) => write(LogEvent.TaskFailed, { task, error: String(error) }),
         recordEnd(end) {
             const tookMs = timers.now() - request.arrivedAtMs;
--- a/src/gateway/requestServices.ts
+++ b/src/gateway/requestServices.ts
@@ -8,6 +8,7 @@
 import { CrashDetector } from "./crashDetector.js";
 import { EndpointConnections } from "./endpointConnections.js";
 import { EndpointQuota } from "./endpointQuota.js";
+import { Hedging } from "./hedging.js";
 import { PlacementQueue } from "./placementQueue.js";
 import { QuarantineRegistry } from "./quarantineRegistry.js";
 import { Reservations } from "./reservations.js";
@@ -27,6 +28,7 @@
     readonly quarantineRegistry: QuarantineRegistry;
     readonly endpointQuota: EndpointQuota;
     readonly retryBudget: RetryBudget;
+    readonly hedging: Hedging;
     readonly random: () => number;
     /** Called when the endpoint at an address turns out not to be the registered one. */
     readonly onMisdirected: (endpointId: string) => void;
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -10,6 +10,7 @@
 import { CustomerAnswer } from "./customerAnswer.js";
 import { Place } from "./place.js";
 import { createQuarantineWatch } from "./quarantineWatch.js";
+import { createRequestHedge, findPlaceNow } from "./requestHedge.js";
 import { createRequestReport, EndKind } from "./requestReport.js";
 import { RequestServices } from "./requestServices.js";
 import { ReservationSet } from "./reservations.js";
@@ -39,24 +40,46 @@
         hasBody: request.method !== "HEAD",
         resumeAfterEventId: head.lastEventId,
     };
-    const relay = createAnswerRelay(relayOptions);
-    const progress = createStreamProgress(services.slowdownEstimate);
+    let relay = createAnswerRelay(relayOptions);
+    let progress = createStreamProgress(services.slowdownEstimate);
     const quarantineWatch = createQuarantineWatch({
         ...services,
         traits: request.traits,
         onQuarantined: handleQuarantined,
     });
     const report = createRequestReport(request, services);
+    const hedging = services.hedging.startRequest({
+        route: route.name,
+        service: request.service,
+        needs,
+        bodyBytes: request.body?.length ?? 0,
+        isRepeatable,
+    });
+    const hedge = hedging && createRequestHedge({
+        hedging,
+        report,
+        now: () => timers.now(),
+        getState: () => ({
+            endpointsRun,
+            maxEndpoints: route.maxEndpoints,
+            dispatches,
+            remainingMs: deadlineAtMs - timers.now(),
+            isSuspect: quarantineWatch.decideTreatment() !== Treatment.Free,
+        }),
+        findPlace: first => findPlaceNow(placementQueue, makeJob(new Set([...avoid, first]))),
+        send: sendHedge,
+    });
     let dispatches = 0;
     let endpointsRun = 0;
     let hasEnded = false;
+    let hasDelivered = false;
     let waiting: Disposable | undefined;
     let attempts: readonly Attempt[] = [];
     /** Place whose memory reservations are being made. */
     let reservingPlace: Place | undefined;
 
     const listener: AttemptListener = {
-        onDelivered() {},
+        onDelivered: handleDelivered,
         onFirstEvent: () => report.recordFirstEvent(),
         onComplete: (unused, status) => end(EndKind.Answered, status),
         onFailure: handleFailure,
@@ -76,14 +99,7 @@
         }
         // If an endpoint has capacity, `onPlaced` is called before `submit` returns.
         const submitted = placementQueue.submit({
-            service: request.service,
-            rank: request.rank,
-            arrivedAtMs: request.arrivedAtMs,
-            dueAtMs,
-            customerTimeoutAtMs: answer.isStarted() ? deadlineAtMs : customerTimeoutAtMs,
-            needs,
-            isUnsafe: !isRepeatable,
-            avoid,
+            ...makeJob(avoid),
             isSuspect: treatment === Treatment.Isolated,
             onPlaced: handlePlaced,
             onWaiting: inputs => report.recordWaiting(inputs, dispatches + 1),
@@ -93,6 +109,24 @@
         waiting = reservingPlace || attempts.length > 0 || hasEnded ? undefined : submitted;
     }
 
+    function makeJob(avoided: ReadonlySet<string>) {
+        return {
+            service: request.service,
+            rank: request.rank,
+            arrivedAtMs: request.arrivedAtMs,
+            dueAtMs,
+            customerTimeoutAtMs: answer.isStarted() ? deadlineAtMs : customerTimeoutAtMs,
+            needs,
+            isUnsafe: !isRepeatable,
+            avoid: avoided,
+        };
+    }
+
+    /** Sends the request to a second endpoint while the first has it. Nothing has been delivered to the customer yet. */
+    function sendHedge(place: Place): void {
+        send(place, undefined, createAnswerRelay(relayOptions), createStreamProgress(services.slowdownEstimate));
+    }
+
     /**
      * Ends the request because requests like it crash endpoints. Its endpoint cancels it when the connection closes, which
      * prevents the crash if the answer has not begun.
@@ -137,7 +171,12 @@
         waiting = timers.schedule(reservationRetryMs, submit);
     }
 
-    function send(place: Place, reservationSet: ReservationSet | undefined): void {
+    function send(
+        place: Place,
+        reservationSet: ReservationSet | undefined,
+        attemptRelay = relay,
+        attemptProgress = progress,
+    ): void {
         dispatches += 1;
         report.recordDispatch(place, dispatches);
         const attempt = createAttempt({
@@ -147,30 +186,59 @@
             place,
             number: dispatches,
             reservationSet,
-            relay,
-            progress,
+            relay: attemptRelay,
+            progress: attemptProgress,
             quarantineWatch,
             deadlineAtMs,
             isRepeatable,
             listener,
         });
         attempts = [...attempts, attempt];
+        if (!answer.isStarted()) {
+            hedge?.startAttempt(attempt);
+        }
         attempt.send();
     }
 
+    /** Cancels the other attempt once one has begun to answer the customer. */
+    function handleDelivered(winner: Attempt): void {
+        if (attempts.length > 1) {
+            attempts.filter(attempt => attempt !== winner).forEach(loser => {
+                loser.abandon();
+                removeAttempt(loser);
+            });
+        }
+        if (!hasDelivered) {
+            hasDelivered = true;
+            hedge?.recordDelivery(winner);
+        }
+    }
+
+    /** Releases one of two attempts. The other one continues the request. */
+    function removeAttempt(removed: Attempt): void {
+        attempts = attempts.filter(attempt => attempt !== removed);
+        removed.release();
+        ({ relay, progress } = attempts[0]!);
+    }
+
     function handleUnreachable(attempt: Attempt): void {
         // The endpoint may only have lost its network link and still answer. If no retry is allowed, the task waits for
         // that, unless helpers keep memory for the request.
-        if (isFurtherRunAllowed() || attempt.place.reservedTokens > 0) {
+        if (attempts.length > 1 || isFurtherRunAllowed() || attempt.place.reservedTokens > 0) {
             attempt.dropUnreachable();
         }
     }
 
     /**
      * Handles a stall. While the retry budget is used up, an endpoint that still accepts connections may only be slow, so
-     * its answer is awaited. Otherwise the customer is told, and may resume the stream with another request.
+     * its answer is awaited. Otherwise the customer is told, and may resume the stream with another request. With another
+     * attempt in flight, nothing is spent.
      */
     function handleStall(attempt: Attempt): void {
+        if (attempts.length > 1) {
+            attempt.dropSilent();
+            return;
+        }
         if (!isFurtherRunAllowed()) {
             return;
         }
@@ -200,7 +268,7 @@
     }
 
     /**
-     * Handles the failure of an attempt. Retries the request on another endpoint if it may run again. An error answer of
+     * Handles the failure of an attempt. While another one is in flight, that one decides. Retries the request on another endpoint if it may run again. An error answer of
      * the endpoint is relayed otherwise.
      */
     function handleFailure(attempt: Attempt, failure: AttemptFailure): void {
@@ -209,6 +277,12 @@
             avoid.add(attempt.place.endpoint.id);
             endpointsRun += verdict === Verdict.MayHaveRun ? 1 : 0;
         }
+        hedge?.recordFailure(attempt);
+        if (attempts.length > 1) {
+            verdicts.push(verdict);
+            removeAttempt(attempt);
+            return;
+        }
         if (retry(attempt, failure)) {
             return;
         }
@@ -298,6 +372,7 @@
         if (kind !== EndKind.Answered) {
             attempts.forEach(attempt => attempt.abandon());
         }
+        hedge?.dispose();
         const endpoint = (attempts[0]?.place ?? reservingPlace)?.endpoint.id;
         releaseAttempts();
         report.recordEnd({
@@ -312,6 +387,7 @@
             firstEventAtMs: progress.getFirstEventMs(),
             longestPauseMs: progress.getLongestPauseMs(),
             readMs: needs?.prefillMs,
+            ...(hedge?.getResult() && { hedge: hedge.getResult() }),
         });
     }
 }
