--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -39,6 +39,7 @@
 import { registerGauges } from "./gatewayGauges.js";
 import { Gateway, GatewayPorts } from "./gatewayPorts.js";
 import { GatewaySettings } from "./gatewaySettings.js";
+import { createHedging } from "./hedging.js";
 import { createLoadExchange } from "./loadExchange.js";
 import { followOperators } from "./operatorFeed.js";
 import { followPeers } from "./peerDiscovery.js";
@@ -236,6 +237,7 @@
         ratio: computeBudgetRatio(settings.retryRatio),
         burst: computeBudgetBurst(settings.retrySlack, 0),
     });
+    const hedging = createHedging({ shares: settings.hedgeShares, timers, log, retryBudget, placementQueue });
     const startupGate = disposables.register(createStartupGate(timers, maxStartupWaitMs));
     const peerGreeting = disposables.register(createPeerGreeting(timers, exchange.notices, () => exchange.announce()));
     const reservations = createReservations({
@@ -268,6 +270,7 @@
             }
             routeTable = buildRouteTable(configuration);
             customers.setLimits(configuration.limits);
+            hedging.checkServices(new Set(configuration.services.keys()));
             peerGreeting.wait(() => startupGate.open());
             log(LogEvent.ServingConfigurationInForce, {
                 version: configuration.version,
@@ -281,18 +284,14 @@
     function recordLoss(record: EndpointRecord): void {
         if (record.state !== EndpointState.Draining && !endpointNotices.isLeaving(record)) {
             crashDetector.recordEndpointLoss(record.id, LossEvidence.Gone);
+            hedging.recordEndpointLoss(record.service);
         }
     }
 
     function applyChanges(changes: readonly EndpointChange[]): void {
         for (const { kind, record } of changes) {
-            log(LogEvent.EndpointChanged, {
-                change: kind,
-                endpoint: record.id,
-                service: record.service,
-                address: record.address,
-                dataCentre: record.dataCentre,
-            });
+            const { id: endpoint, service, address, dataCentre } = record;
+            log(LogEvent.EndpointChanged, { change: kind, endpoint, service, address, dataCentre });
             if (kind === EndpointChangeKind.Joined) {
                 crashDetector.recordEndpointJoined(record);
             }
@@ -336,6 +335,7 @@
         crashDetector,
         quarantineRegistry,
         retryBudget,
+        hedging,
         random: ports.random,
         endpointQuota,
         endpointNotices,
--- a/src/gateway/gatewaySettings.ts
+++ b/src/gateway/gatewaySettings.ts
@@ -1,4 +1,5 @@
 import { ColdBound } from "../scheduling/coldBudget.js";
+import { HedgeShares } from "./hedging.js";
 
 /** An address to listen on. */
 export interface ListenAddress {
@@ -42,4 +43,6 @@
     readonly retrySlack: number;
     /** Longest lease of a memory reservation, in milliseconds. */
     readonly maxHoldMs: number;
+    /** Absent if hedging is off. */
+    readonly hedgeShares?: HedgeShares;
 }
--- a/src/gateway/place.ts
+++ b/src/gateway/place.ts
@@ -39,6 +39,11 @@
     readonly isSuspect: boolean;
     /** Regions that the request may run in; absent if there is no restriction. */
     readonly allowedRegions?: AllowedRegions;
+    /**
+     * Whether the request is placed now or not at all. It is neither queued nor refused, engines are not kept free for
+     * it, and it makes no other request late.
+     */
+    readonly isImmediate?: boolean;
     onPlaced(place: Place): void;
     /** Called when no endpoint has capacity now. */
     onWaiting(inputs: string): void;
--- a/src/gateway/placementQueue.ts
+++ b/src/gateway/placementQueue.ts
@@ -16,14 +16,17 @@
 } from "../routing/enginePlacement.js";
 import { buildEngineView, EngineView } from "../routing/engineView.js";
 import { LoadLedger, WorkItem } from "../routing/loadLedger.js";
+import { decidePlacementStage, predictFirstEventMs } from "../routing/placementStage.js";
 import { placeOnPlainService, PlainView } from "../routing/plainPlacement.js";
 import { AllowedRegions, isRegionAllowed } from "../routing/regionRestriction.js";
 import { SlowdownEstimate } from "../routing/slowdownEstimate.js";
 import { compareWaiting, WaitingWork } from "../scheduling/compareWaiting.js";
 import { EndpointGate } from "./endpointGate.js";
 import { EndpointQuota } from "./endpointQuota.js";
+import { ServiceLoad } from "./hedging.js";
 import { EngineNeeds, Place, PlacementJob } from "./place.js";
 import { createPlaceAllocator, minPlainAnswerMs, RegisteredClaim } from "./placeAllocator.js";
+import { makePlacementRequest } from "./placementRequest.js";
 import { createServiceAvailability } from "./serviceAvailability.js";
 
 /** Places requests on endpoints, and queues those that no endpoint has capacity for. */
@@ -33,6 +36,7 @@
     /** Schedules an attempt to place the queued requests; to be called when load or endpoints have changed. */
     run(): void;
     countWaiting(): number;
+    getLoad(service: Service): ServiceLoad;
     /** Estimates how long a further request of this size would wait for capacity of the service, in milliseconds. */
     predictWaitMs(service: Service, needs: EngineNeeds | undefined): number;
     /**
@@ -85,19 +89,6 @@
 const longPromptRunJitterMs = 40;
 /** Number of unclaimed queued requests per run, which bounds the time that a long queue takes on the event loop. */
 const maxItemsPerRun = 40;
-/** Number of parts that a long prompt is usually split into, for the estimate of when it must start. */
-const typicalPartCount = 4;
-/**
- * Share of the time between a request's soft and hard start deadlines in which it is placed only where it makes no
- * other request late.
- */
-const nonDisruptiveStageEndShare = 0.3;
-/**
- * Share of that time after which a request is placed where it delays others least. Until then it may delay only
- * requests whose gap target is not stricter than its own.
- */
-const urgentStageEndShare = 0.6;
-
 /**
  * Time for which a claim waits for its engines beyond the predicted one. Answers that take even longer are longer than
  * expected, so the claim is dropped and the prompt is placed like any other.
@@ -203,25 +194,15 @@
         views.filter(view => view.isTrial).forEach(view => health.startTrial(view.id, nowMs));
     }
 
-    function decideStage(item: WaitingItem, nowMs: number): PlacementStage {
-        if (nowMs < item.softStartDeadlineMs) {
-            return PlacementStage.InTime;
-        }
-        const waitedShare = (nowMs - item.softStartDeadlineMs)
-            / Math.max(1, item.hardStartDeadlineMs - item.softStartDeadlineMs);
-        if (waitedShare < nonDisruptiveStageEndShare) {
-            return PlacementStage.NonDisruptive;
-        }
-        return waitedShare < urgentStageEndShare ? PlacementStage.Urgent : PlacementStage.LeastDisruptive;
-    }
-
     function findPlace(item: WaitingItem, views: ViewCache, nowMs: number): Place | undefined {
         const { job } = item;
         const { engine } = job.service;
         if (!engine || !job.needs) {
             const request = { avoid: job.avoid, dataCentre: options.dataCentre, isUnsafe: job.isUnsafe };
             const view = tryPreferredFirst(
-                listPlainViews(job, nowMs),
+                listPlainViews(job, nowMs)
+                    // Beyond its slots, an endpoint queues requests.
+                    .filter(view => !job.isImmediate || (view.running < view.slots && !view.isTrial)),
                 views => placeOnPlainService(request, views),
             );
             startTrials(view ? [view] : [], nowMs);
@@ -261,11 +242,14 @@
             views.delete(job.service.name);
         }
         const known = getEngineViews(views, job, engine, nowMs);
-        const stage = decideStage(item, nowMs);
+        const stage = job.isImmediate ? PlacementStage.NonDisruptive : decidePlacementStage(item, nowMs);
         const placement = tryPreferredFirst(
             known,
             some => options.placeOnEngines(request, some, engine.slots, nowMs, stage, defaultPlacementSettings),
         );
+        if (!placement && job.isImmediate) {
+            return undefined;
+        }
         if (!placement) {
             claimEngines(item, request, engine, known.filter(view => !isLastChoice(view.id)), stage, nowMs);
             if (claims.has(item)) {
@@ -330,19 +314,6 @@
         claims.delete(item);
     }
 
-    function makePlacementRequest(job: PlacementJob, needs: EngineNeeds, nowMs: number): PlacementRequest {
-        return {
-            prefillMs: needs.prefillMs,
-            tokens: needs.promptTokens + needs.outputTokens,
-            waitedMs: nowMs - job.arrivedAtMs,
-            dueAtMs: job.dueAtMs,
-            customerTimeoutAtMs: job.customerTimeoutAtMs,
-            gapTargetMs: needs.gapTargetMs,
-            avoid: job.avoid,
-            isSuspect: job.isSuspect,
-        };
-    }
-
     function getEngineViews(
         views: ViewCache,
         { service, allowedRegions }: PlacementJob,
@@ -423,9 +394,7 @@
     function makeWaitingItem(job: PlacementJob): WaitingItem {
         const { engine } = job.service;
         const answerMs = engine && job.needs
-            ? job.needs.prefillMs
-                    / (job.needs.prefillMs > defaultPlacementSettings.shortPrefillMs ? typicalPartCount : 1)
-                + 2 * engine.stepsPerPass * engine.stepMs
+            ? predictFirstEventMs(engine, job.needs.prefillMs)
             : minPlainAnswerMs;
         const softStartDeadlineMs = job.dueAtMs - answerMs;
         const hardStartDeadlineMs = job.customerTimeoutAtMs - answerMs;
@@ -447,6 +416,9 @@
                 job.onPlaced(place);
                 return createDisposable(() => undefined);
             }
+            if (job.isImmediate) {
+                return createDisposable(() => undefined);
+            }
             if (
                 availability.hasNoneLeft(job, timers.now()) || isLimitedTooLong(item, timers.now())
                 || availability.isClosedTooLong(item, timers.now())
@@ -467,6 +439,15 @@
         countWaiting: () => waiting.length,
         isStillUsable: ({ endpoint, helpers }) =>
             [endpoint, ...helpers].every(record => gate.getOpensInMs(record, timers.now()) < Infinity),
+        getLoad(service) {
+            const nowMs = timers.now();
+            const usable = listUsableEndpoints(service, nowMs);
+            return {
+                waiting: waiting.filter(item => item.job.service.name === service.name).length,
+                slots: usable.reduce((sum, { record }) => sum + (service.engine?.slots ?? record.slots), 0),
+                slotsTaken: usable.reduce((sum, { record }) => sum + ledger.listAt(record.id, nowMs).length, 0),
+            };
+        },
         predictWaitMs(service, needs) {
             const nowMs = timers.now();
             const queued = waiting.filter(item => item.job.service.name === service.name);
--- a/src/gateway/requestServices.ts
+++ b/src/gateway/requestServices.ts
@@ -9,6 +9,7 @@
 import { EndpointConnections } from "./endpointConnections.js";
 import { EndpointNoticeBoard } from "./endpointNoticeBoard.js";
 import { EndpointQuota } from "./endpointQuota.js";
+import { Hedging } from "./hedging.js";
 import { PlacementQueue } from "./placementQueue.js";
 import { QuarantineRegistry } from "./quarantineRegistry.js";
 import { Reservations } from "./reservations.js";
@@ -29,6 +30,7 @@
     readonly endpointQuota: EndpointQuota;
     readonly endpointNotices: EndpointNoticeBoard;
     readonly retryBudget: RetryBudget;
+    readonly hedging: Hedging;
     readonly random: () => number;
     /** Called when the endpoint at an address turns out not to be the registered one. */
     readonly onMisdirected: (endpointId: string) => void;
