Divide places between customers and refuse on arrival what starts too late

Cause: the placement queue did not distinguish customers, and gateways did not know what waits elsewhere, so a customer above the capacity took the places of others and was refused only near its deadlines.

Change: where a configuration names two customers or more, use is kept per service and customer and reported between gateways (topics `usage`, `waiting`); requests of a customer above its share leave places to others and come later in the order; requests of plain services that are predicted to start too late are refused on arrival. Latest starts and stages move to pure modules.

--- a/bench/replay/replay.ts
+++ b/bench/replay/replay.ts
@@ -3,6 +3,7 @@
 import { mergeGates } from "../../src/gateway/endpointGate.js";
 import { Place } from "../../src/gateway/place.js";
 import { createPlacementQueue, PlacementQuota } from "../../src/gateway/placementQueue.js";
+import { createFairnessState } from "../../src/gateway/queueFairness.js";
 import { createEndpointDirectory, defaultDirectorySettings } from "../../src/membership/endpointDirectory.js";
 import { createEndpointHealth } from "../../src/membership/endpointHealth.js";
 import { createEndpointSubset } from "../../src/membership/endpointSubset.js";
@@ -141,6 +142,12 @@
         reportChange: () => undefined,
         quota: unlimitedQuota,
         gate: mergeGates([]),
+        fairness: {
+            state: createFairnessState(),
+            countSharingGroups: () => 1,
+            reportWaiting: () => undefined,
+            reportYield: () => undefined,
+        },
     });
 
     function start(place: Place, kind: ReplayKind, promptTokens: number, arrivedAtMs: number, outcome: Outcome): void {
--- a/src/gateway/acceptedRequest.ts
+++ b/src/gateway/acceptedRequest.ts
@@ -2,7 +2,7 @@
 import { Route, RouteKind, Service } from "../ports/servingConfiguration.js";
 import { computePassMs, computePrefillMs, estimateOutputTokens } from "../routing/engineTiming.js";
 import { PredictedDuration } from "../scheduling/drainAdmission.js";
-import { EngineNeeds } from "./place.js";
+import { CustomerShare, EngineNeeds } from "./place.js";
 
 /** A completely received customer request that has passed all checks. */
 export interface AcceptedRequest {
@@ -16,6 +16,8 @@
     readonly route: Route;
     readonly service: Service;
     readonly customer?: string;
+    /** Absent if the configuration has fewer than two customers. */
+    readonly share?: CustomerShare;
     readonly rank: number;
     readonly arrivedAtMs: number;
     /**
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -33,6 +33,7 @@
 import { createEndpointConnections } from "./endpointConnections.js";
 import { mergeGates } from "./endpointGate.js";
 import { createEndpointQuota } from "./endpointQuota.js";
+import { startFairnessExchange } from "./fairnessExchange.js";
 import { followFeed } from "./feedFollower.js";
 import { GatewaySettings } from "./gatewaySettings.js";
 import { createLoadExchange } from "./loadExchange.js";
@@ -195,6 +196,13 @@
                 "Endpoints lost without notice on which no request of this gateway had ended unanswered.",
             ),
     }));
+    const fairness = disposables.register(startFairnessExchange({
+        notices: exchange.notices,
+        timers,
+        log,
+        metrics,
+        countSharingGroups: service => countSharingGateways(cell, cell.count, directory.listUsable(service).length),
+    }));
     const placementQueue = disposables.register(createPlacementQueue({
         timers,
         directory,
@@ -210,6 +218,7 @@
         chooseClaim,
         quota: endpointQuota,
         gate: mergeGates([]),
+        fairness,
         reportChange: (key, item) => exchange.reportChange(key, item),
     }));
     const retryBudget = createRetryBudget({
@@ -395,11 +404,7 @@
         },
     }));
 
-    metrics.registerGauge(
-        "jujubelane_waiting_requests",
-        "Requests that wait for a place.",
-        () => placementQueue.countWaiting(),
-    );
+    metrics.registerGauge("jujubelane_waiting_requests", "Requests that wait.", () => placementQueue.countWaiting());
     metrics.registerGauge(
         "jujubelane_limited_endpoints",
         "Endpoints that name a limit of requests a second.",
--- a/src/gateway/place.ts
+++ b/src/gateway/place.ts
@@ -20,6 +20,22 @@
     readonly stage: PlacementStage;
 }
 
+/** Identifies the customer whose share a request uses. */
+export interface CustomerShare {
+    /** Hash of the customer's name. */
+    readonly customer: number;
+    /** Identifies requests that are alike, so that one that comes back after a refusal keeps its order. */
+    readonly fingerprint?: string;
+}
+
+/** Why a request was refused a place. */
+export interface PlacementRefusal {
+    /** Inputs of the decision, for the log. */
+    readonly inputs: string;
+    /** Predicted time to the start, in milliseconds, if the request was refused for it. */
+    readonly startMs?: number;
+}
+
 /** Request to be placed on an endpoint. Times are on the monotonic clock. */
 export interface PlacementJob {
     readonly service: Service;
@@ -36,13 +52,15 @@
     /** Ids of endpoints that the request must not be sent to again. */
     readonly avoid: ReadonlySet<string>;
     readonly isSuspect: boolean;
+    /** Absent if the configuration has fewer than two customers, which need no shares. */
+    readonly share?: CustomerShare;
     onPlaced(place: Place): void;
     /** Called when no endpoint has capacity now. */
     onWaiting(inputs: string): void;
     /** Called when no endpoint has capacity now and engines are kept free for the request. */
     onClaimed(claim: ClaimReport): void;
-    /** Called when the request can no longer be answered in time. */
-    onExpired(inputs: string): void;
+    /** Called when the request can no longer be answered in time, or at once when it is predicted to start too late. */
+    onExpired(refusal: PlacementRefusal): void;
 }
 
 /** Capacity of an endpoint that is assigned to a request until it is released. */
--- a/src/gateway/placementQueue.ts
+++ b/src/gateway/placementQueue.ts
@@ -16,13 +16,24 @@
 } from "../routing/enginePlacement.js";
 import { buildEngineView, EngineView } from "../routing/engineView.js";
 import { LoadLedger, WorkItem } from "../routing/loadLedger.js";
+import { decidePlacementStage } from "../routing/placementStage.js";
 import { placeOnPlainService, PlainView } from "../routing/plainPlacement.js";
 import { SlowdownEstimate } from "../routing/slowdownEstimate.js";
-import { compareWaiting, WaitingWork } from "../scheduling/compareWaiting.js";
+import { compareWaiting, getWaitingClass } from "../scheduling/compareWaiting.js";
 import { EndpointGate } from "./endpointGate.js";
 import { EndpointQuota } from "./endpointQuota.js";
 import { EngineNeeds, Place, PlacementJob } from "./place.js";
-import { createPlaceAllocator, minPlainAnswerMs, RegisteredClaim } from "./placeAllocator.js";
+import { createPlaceAllocator, RegisteredClaim } from "./placeAllocator.js";
+import { makePlacementRequest } from "./placementRequest.js";
+import {
+    createQueueFairness,
+    describeEngineCapacity,
+    describePlainCapacity,
+    isAlikePlain,
+    PlacementFairness,
+    QueuedWork,
+    ServiceCapacity,
+} from "./queueFairness.js";
 
 /** Places requests on endpoints, and queues those that no endpoint has capacity for. */
 export interface PlacementQueue extends Disposable {
@@ -58,6 +69,8 @@
     readonly quota: PlacementQuota;
     /** Facts beyond registrations that keep work off endpoints. */
     readonly gate: EndpointGate;
+    /** Division of places between customers. */
+    readonly fairness: PlacementFairness;
 }
 
 /** Limits of endpoints, as far as placement depends on them. */
@@ -74,33 +87,16 @@
 const longPromptRunJitterMs = 40;
 /** Number of unclaimed queued requests per run, which bounds the time that a long queue takes on the event loop. */
 const maxItemsPerRun = 40;
-/** Number of parts that a long prompt is usually split into, for the estimate of when it must start. */
-const typicalPartCount = 4;
-/**
- * Share of the time between a request's soft and hard start deadlines in which it is placed only where it makes no
- * other request late.
- */
-const nonDisruptiveStageEndShare = 0.3;
-/**
- * Share of that time after which a request is placed where it delays others least. Until then it may delay only
- * requests whose gap target is not stricter than its own.
- */
-const urgentStageEndShare = 0.6;
-
 /**
  * Time for which a claim waits for its engines beyond the predicted one. Answers that take even longer are longer than
  * expected, so the claim is dropped and the prompt is placed like any other.
  */
 const claimOverdueToleranceMs = 500;
 
-const millisecondsPerSecond = 1_000;
-
 /** Engine views by service name. An entry is deleted when work is assigned to the service. */
 type ViewCache = Map<string, readonly EngineView[]>;
 
-interface WaitingItem extends WaitingWork {
-    readonly job: PlacementJob;
-}
+type WaitingItem = QueuedWork;
 
 /** Endpoint that may receive requests. */
 interface UsableEndpoint {
@@ -121,6 +117,7 @@
     let waiting: WaitingItem[] = [];
     let nextRun: Disposable | undefined;
     const claims = new Map<WaitingItem, RegisteredClaim>();
+    const fairness = createQueueFairness(options.fairness.state, timers);
     const allocator = createPlaceAllocator({
         ...options,
         recordDispatch: endpoint => quota.recordDispatch(endpoint),
@@ -176,31 +173,32 @@
         views.filter(view => view.isTrial).forEach(view => health.startTrial(view.id, nowMs));
     }
 
-    function decideStage(item: WaitingItem, nowMs: number): PlacementStage {
-        if (nowMs < item.softStartDeadlineMs) {
-            return PlacementStage.InTime;
-        }
-        const waitedShare = (nowMs - item.softStartDeadlineMs)
-            / Math.max(1, item.hardStartDeadlineMs - item.softStartDeadlineMs);
-        if (waitedShare < nonDisruptiveStageEndShare) {
-            return PlacementStage.NonDisruptive;
-        }
-        return waitedShare < urgentStageEndShare ? PlacementStage.Urgent : PlacementStage.LeastDisruptive;
-    }
-
     function findPlace(item: WaitingItem, views: ViewCache, nowMs: number): Place | undefined {
         const { job } = item;
         const { engine } = job.service;
         if (!engine || !job.needs) {
-            const request = { avoid: job.avoid, dataCentre: options.dataCentre, isUnsafe: job.isUnsafe };
+            const request = {
+                avoid: job.avoid,
+                dataCentre: options.dataCentre,
+                isUnsafe: job.isUnsafe,
+                aboveShareGroups: getAboveShareGroups(item),
+            };
             const view = tryPreferredFirst(
                 listPlainViews(job.service, nowMs),
                 views => placeOnPlainService(request, views),
             );
             startTrials(view ? [view] : [], nowMs);
-            return view && allocator.assignPlainEndpoint(job, view, nowMs);
+            return view && fairness.recordPlainUse(job, allocator.assignPlainEndpoint(job, view, nowMs));
+        }
+        const place = findEnginePlace(item, makePlacementRequest(job, job.needs, nowMs), engine, views, nowMs);
+        if (place) {
+            fairness.recordEngineUse(job, nowMs);
         }
-        return findEnginePlace(item, makePlacementRequest(job, job.needs, nowMs), engine, views, nowMs);
+        return place;
+    }
+
+    function getAboveShareGroups({ job, isAboveShare }: WaitingItem): number | undefined {
+        return isAboveShare ? options.fairness.countSharingGroups(job.service.name) : undefined;
     }
 
     function isLastChoice(id: string): boolean {
@@ -234,7 +232,7 @@
             views.delete(job.service.name);
         }
         const known = getEngineViews(views, job.service, engine, nowMs);
-        const stage = decideStage(item, nowMs);
+        const stage = decidePlacementStage(item, nowMs);
         const placement = tryPreferredFirst(
             known,
             some => options.placeOnEngines(request, some, engine.slots, nowMs, stage, defaultPlacementSettings),
@@ -303,19 +301,6 @@
         claims.delete(item);
     }
 
-    function makePlacementRequest(job: PlacementJob, needs: EngineNeeds, nowMs: number): PlacementRequest {
-        return {
-            prefillMs: needs.prefillMs,
-            tokens: needs.promptTokens + needs.outputTokens,
-            waitedMs: nowMs - job.arrivedAtMs,
-            dueAtMs: job.dueAtMs,
-            customerTimeoutAtMs: job.customerTimeoutAtMs,
-            gapTargetMs: needs.gapTargetMs,
-            avoid: job.avoid,
-            isSuspect: job.isSuspect,
-        };
-    }
-
     function getEngineViews(
         views: ViewCache,
         service: Service,
@@ -348,18 +333,53 @@
     function placeWaiting(): void {
         const nowMs = timers.now();
         const views: ViewCache = new Map();
+        waiting.forEach(item => fairness.refreshOrder(item, nowMs));
         waiting.sort((left, right) => compareWaiting(left, right, nowMs));
-        const candidates = [...claims.keys(), ...waiting.filter(item => !claims.has(item)).slice(0, maxItemsPerRun)];
+        const candidates = [...claims.keys(), ...selectCandidates()];
+        const fullClasses = new Set<string>();
         for (const item of candidates) {
-            const place = findPlace(item, views, nowMs);
+            const key = `${getWaitingClass(item, nowMs)} ${item.job.service.name}`;
+            if (fullClasses.has(key) && isAlikePlain(item)) {
+                continue;
+            }
+            const place = claims.has(item) || !isYielding(item, nowMs) ? findPlace(item, views, nowMs) : undefined;
             if (place) {
-                waiting = waiting.filter(other => other !== item);
+                removeWaiting([item]);
                 item.job.onPlaced(place);
             }
+            else if (isAlikePlain(item)) {
+                fullClasses.add(key);
+            }
         }
         const expired = waiting.filter(item => nowMs > item.hardStartDeadlineMs && !claims.has(item));
-        waiting = waiting.filter(item => !expired.includes(item));
-        expired.forEach(item => item.job.onExpired(describeLoad(item.job, nowMs)));
+        removeWaiting(expired);
+        expired.forEach(item => item.job.onExpired({ inputs: describeLoad(item.job, nowMs) }));
+    }
+
+    function removeWaiting(items: readonly WaitingItem[]): void {
+        waiting = waiting.filter(item => !items.includes(item));
+        reportWaiting(items);
+    }
+
+    function reportWaiting(changed: readonly WaitingItem[]): void {
+        if (changed.some(item => item.job.share)) {
+            options.fairness.reportWaiting(fairness.listGroups(waiting));
+        }
+    }
+
+    function isYielding(item: WaitingItem, nowMs: number): boolean {
+        const isLeft = fairness.isLeftToPeer(item, nowMs);
+        if (isLeft && !item.hasYielded) {
+            item.hasYielded = true;
+            options.fairness.reportYield(item.job.service.name);
+        }
+        return isLeft;
+    }
+
+    /** Selects the requests that a placement run tries to place. Those that may be skipped cost no time. */
+    function selectCandidates(): readonly WaitingItem[] {
+        let count = 0;
+        return waiting.filter(item => !claims.has(item) && (isAlikePlain(item) || count++ < maxItemsPerRun));
     }
 
     /**
@@ -370,7 +390,7 @@
         const healthy = listHealthyEndpoints(service, nowMs);
         const perSecond = healthy.reduce((sum, { record }) => sum + quota.getShare(record.id), 0);
         const ahead = waiting.filter(item => item.job.service.name === service.name).length;
-        return healthy.length === 0 || perSecond === Infinity ? 0 : (ahead + 1) * millisecondsPerSecond / perSecond;
+        return healthy.length === 0 || perSecond === Infinity ? 0 : (ahead + 1) * 1_000 / perSecond;
     }
 
     /** Returns whether the limits of all endpoints allow a request only when it can no longer start in time. */
@@ -386,43 +406,49 @@
         return `endpoints=${known} usable=${usable.length} running=${running} waiting=${waiting.length}`;
     }
 
-    function makeWaitingItem(job: PlacementJob): WaitingItem {
-        const { engine } = job.service;
-        const answerMs = engine && job.needs
-            ? job.needs.prefillMs
-                    / (job.needs.prefillMs > defaultPlacementSettings.shortPrefillMs ? typicalPartCount : 1)
-                + 2 * engine.stepsPerPass * engine.stepMs
-            : minPlainAnswerMs;
-        const softStartDeadlineMs = job.dueAtMs - answerMs;
-        const hardStartDeadlineMs = job.customerTimeoutAtMs - answerMs;
-        return {
-            job,
-            rank: job.rank,
-            softStartDeadlineMs,
-            hardStartDeadlineMs,
-            prefillMs: job.needs?.prefillMs ?? 0,
-        };
+    function describeCapacity(item: WaitingItem, nowMs: number): ServiceCapacity {
+        const { service, avoid } = item.job;
+        return service.engine
+            ? describeEngineCapacity(listEngineViews(service, service.engine, nowMs))
+            : describePlainCapacity(listPlainViews(service, nowMs), avoid, getAboveShareGroups(item));
+    }
+
+    /** Refuses a request that cannot start in time. Returns whether it did. */
+    function refuseLate(item: WaitingItem, nowMs: number): boolean {
+        waiting.forEach(other => fairness.refreshOrder(other, nowMs));
+        const startMs = fairness.predictRefusal(item, waiting, describeCapacity(item, nowMs), nowMs);
+        if (startMs !== undefined) {
+            fairness.recordRefusal(item, nowMs);
+            const inputs = `${describeLoad(item.job, nowMs)} aboveShare=${item.isAboveShare}`;
+            item.job.onExpired({ inputs, startMs });
+        }
+        return startMs !== undefined;
     }
 
     return {
         run,
         submit(job) {
-            const item = makeWaitingItem(job);
-            const place = findPlace(item, new Map(), timers.now());
+            const item = fairness.addArrival(job, timers.now());
+            const mustWait = fairness.isBehind(item, waiting, timers.now()) || isYielding(item, timers.now());
+            const place = mustWait ? undefined : findPlace(item, new Map(), timers.now());
             if (place) {
                 job.onPlaced(place);
                 return createDisposable(() => undefined);
             }
             if (isLimitedTooLong(item, timers.now())) {
-                job.onExpired(describeLoad(job, timers.now()));
+                job.onExpired({ inputs: describeLoad(job, timers.now()) });
+                return createDisposable(() => undefined);
+            }
+            if (job.share && refuseLate(item, timers.now())) {
                 return createDisposable(() => undefined);
             }
             waiting.push(item);
+            reportWaiting([item]);
             job.onWaiting(describeLoad(job, timers.now()));
             run();
             return {
                 dispose() {
-                    waiting = waiting.filter(other => other !== item);
+                    removeWaiting([item]);
                     dropClaim(item);
                 },
             };
--- a/src/gateway/requestIntake.ts
+++ b/src/gateway/requestIntake.ts
@@ -1,3 +1,4 @@
+import murmurhash from "murmurhash";
 import { IncomingMessage, ServerResponse } from "node:http";
 import { EventLog } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
@@ -191,6 +192,9 @@
             route,
             service,
             customer: customer?.name,
+            share: (table.configuration.customers?.length ?? 0) > 1
+                ? { customer: murmurhash.v3(customer?.name ?? ""), fingerprint }
+                : undefined,
             rank: customer?.rank ?? route.rank,
             arrivedAtMs,
             traits,
--- a/src/gateway/requestReport.ts
+++ b/src/gateway/requestReport.ts
@@ -2,7 +2,7 @@
 import { LogEvent } from "../base/logEvents.js";
 import { Verdict } from "../base/verdict.js";
 import { AcceptedRequest } from "./acceptedRequest.js";
-import { ClaimReport, Place } from "./place.js";
+import { ClaimReport, Place, PlacementRefusal } from "./place.js";
 import { RequestServices } from "./requestServices.js";
 
 /** How a request ended, as the log and the request counter report it. */
@@ -28,8 +28,8 @@
     readonly endpoint?: string;
     readonly verdict?: Verdict;
     readonly attempts: number;
-    /** Inputs of the decision to refuse the request. */
-    readonly inputs?: string;
+    /** Decision to refuse the request a place. */
+    readonly refusal?: PlacementRefusal;
     readonly events: number;
     /** Time of the first event on the monotonic clock. */
     readonly firstEventAtMs?: number;
@@ -111,10 +111,16 @@
         recordTaskFailure: (task, error) => write(LogEvent.TaskFailed, { task, error: String(error) }),
         recordEnd(end) {
             const tookMs = timers.now() - request.arrivedAtMs;
-            const { kind: result, firstEventAtMs, ...fields } = end;
+            const { kind: result, firstEventAtMs, refusal, ...fields } = end;
+            const { inputs, startMs } = refusal ?? {};
+            if (startMs !== undefined) {
+                write(LogEvent.StartTooLate, { inputs, startMs: Math.round(startMs) });
+                metrics.count("jujubelane_early_refusals_total", "Requests refused because they would start too late.");
+            }
             write(LogEvent.RequestEnded, {
                 result,
                 ...fields,
+                inputs,
                 firstEventMs: firstEventAtMs && Math.round(firstEventAtMs - request.arrivedAtMs),
                 longestPauseMs: Math.round(end.longestPauseMs),
                 readMs: end.readMs && Math.round(end.readMs),
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -12,17 +12,14 @@
 import { CustomerAnswer } from "./customerAnswer.js";
 import { createDispatchWatch } from "./dispatchWatch.js";
 import { Exchange, SendFailureKind } from "./endpointConnections.js";
-import { Place } from "./place.js";
+import { Place, PlacementRefusal } from "./place.js";
 import { createQuarantineWatch } from "./quarantineWatch.js";
 import { sendDispatch } from "./requestDispatch.js";
 import { createRequestReport, EndKind } from "./requestReport.js";
 import { RequestServices } from "./requestServices.js";
-import { ReservationSet } from "./reservations.js";
+import { reservationRetryMs, ReservationSet } from "./reservations.js";
 import { createStreamProgress } from "./streamProgress.js";
 
-/** Delay before refused reservations are retried, in which other gateways may release theirs. */
-const reservationRetryMs = 150;
-
 /**
  * Starts the processing of one request. The request is queued for a place and dispatched, and its answer is relayed. A
  * failed dispatch is retried if that is allowed. Ends with exactly one final answer, or when the customer disconnects.
@@ -91,10 +88,11 @@
             isUnsafe: !isRepeatable,
             avoid,
             isSuspect: treatment === Treatment.Isolated,
+            share: request.share,
             onPlaced: handlePlaced,
             onWaiting: inputs => report.recordWaiting(inputs, dispatches + 1),
             onClaimed: claim => report.recordClaim(claim),
-            onExpired: inputs => finishWithError(EndKind.NoCapacity, undefined, inputs),
+            onExpired: refusal => finishWithError(EndKind.NoCapacity, undefined, refusal),
         });
         waiting = place || hasEnded ? undefined : submitted;
     }
@@ -407,7 +405,7 @@
     /**
      * Ends the request with an error of this gateway, or by closing the connection if an answer has already started.
      */
-    function finishWithError(kind: EndKind, reason?: string, inputs?: string): void {
+    function finishWithError(kind: EndKind, reason?: string, refusal?: PlacementRefusal): void {
         if (hasEnded) {
             return;
         }
@@ -420,18 +418,18 @@
         const isNotRun = verdict === Verdict.NotRun;
         const status = isNotRun ? 503 : kind === EndKind.Deadline ? 504 : 502;
         const retryAfter = isNotRun
-            ? renderRetryAfter(quarantineWatch.computeRetryAfterMs() ?? predictRetryAfterMs())
+            ? renderRetryAfter(quarantineWatch.computeRetryAfterMs() ?? predictRetryAfterMs(refusal))
             : [];
         answer.sendComplete(status, [...codec.encodeGatewayAnswer(head), ...retryAfter], Buffer.alloc(0));
-        end(kind, status, reason, inputs);
+        end(kind, status, reason, refusal);
     }
 
-    function predictRetryAfterMs(): number {
-        const waitMs = placementQueue.predictWaitMs(request.service, needs);
+    function predictRetryAfterMs(refusal: PlacementRefusal | undefined): number {
+        const waitMs = refusal?.startMs ?? placementQueue.predictWaitMs(request.service, needs);
         return computeRetryAfterMs(waitMs, deadlineAtMs - timers.now(), services.random());
     }
 
-    function end(kind: EndKind, status?: number, reason?: string, inputs?: string): void {
+    function end(kind: EndKind, status?: number, reason?: string, refusal?: PlacementRefusal): void {
         if (hasEnded) {
             return;
         }
@@ -454,7 +452,7 @@
             endpoint,
             verdict: verdicts.length > 0 ? mergeVerdicts(verdicts) : undefined,
             attempts: dispatches,
-            inputs,
+            refusal,
             events: relay.countEvents(),
             firstEventAtMs: progress.getFirstEventMs(),
             longestPauseMs: progress.getLongestPauseMs(),
--- a/src/gateway/reservations.ts
+++ b/src/gateway/reservations.ts
@@ -4,6 +4,9 @@
 import { TimerService } from "../base/timerService.js";
 import { MemoryReservationService, ReservationOutcome } from "../ports/memoryReservationService.js";
 
+/** Delay before refused reservations are retried, in which other gateways may release theirs, in milliseconds. */
+export const reservationRetryMs = 150;
+
 /** Memory reservation at one endpoint. */
 export interface Reservation {
     readonly address: string;
--- a/src/routing/plainPlacement.ts
+++ b/src/routing/plainPlacement.ts
@@ -21,10 +21,35 @@
      * endpoint.
      */
     readonly isUnsafe: boolean;
+    /**
+     * Number of groups of gateways that use the same endpoints and do not hear of each other's work. Set for a request
+     * of a customer that uses more than its share: it leaves some places to others.
+     */
+    readonly aboveShareGroups?: number;
 }
 
 /** Requests that may be queued at an endpoint in addition to those in its slots, as a share of its slots. */
 const queueShare = 0.5;
+/**
+ * The same share for customers that use more than their share. It is above zero, so that slots are not idle between
+ * two requests.
+ */
+const aboveShareQueueShare = 0.25;
+
+/**
+ * Counts the requests that an endpoint may have before a further one is placed there. At least one place is left to
+ * customers that use no more than their share, whose requests thereby wait for one slot to end at most.
+ *
+ * @example
+ * countPlaces(4, undefined); // 6
+ * countPlaces(4, 1); // 5
+ */
+export function countPlaces(slots: number, aboveShareGroups: number | undefined): number {
+    const places = Math.ceil(slots * (1 + queueShare));
+    return aboveShareGroups === undefined
+        ? places
+        : Math.max(1, Math.min(places - 1, Math.ceil(slots * (1 + aboveShareQueueShare) / aboveShareGroups)));
+}
 
 /**
  * Chooses the endpoint with the largest share of free slots. Ties go to an endpoint in the gateway's own data centre.
@@ -36,7 +61,7 @@
 export function placeOnPlainService(request: PlainRequest, views: readonly PlainView[]): PlainView | undefined {
     const usable = views.filter(view =>
         !request.avoid.has(view.id)
-        && view.running < view.slots * (1 + queueShare)
+        && view.running < countPlaces(view.slots, request.aboveShareGroups)
         && !(view.isTrial && view.running > 0)
     );
     const compare = (left: PlainView, right: PlainView) =>
--- a/test/gateway/parts.test.ts
+++ b/test/gateway/parts.test.ts
@@ -109,6 +109,8 @@
         softStartDeadlineMs: 1_000,
         hardStartDeadlineMs: 5_000,
         prefillMs: 30,
+        orderDelayMs: 0,
+        isAboveShare: false,
         ...changes,
     });
 
