--- a/test/platform/support/endpointStandIn.ts
+++ b/test/platform/support/endpointStandIn.ts
@@ -115,6 +115,10 @@
     /** Whether the answer that the crash breaks off has neither a length nor chunks, so that it seems to end in order. */
     readonly isCrashUnframed?: boolean;
     readonly crashPlan?: CrashPlan;
+    /** Requests of a plain service that run at the same time; others are queued. Absent: no limit. */
+    readonly slots?: number;
+    /** Time that a slot is taken by a request of a plain service, in milliseconds. */
+    readonly slotMs?: number;
     /** Called when the endpoint has crashed and when it is back, with the ids that it had before and has now. */
     readonly onCrashed?: (previousId: string) => void;
     readonly onRestarted?: (endpoint: EndpointStandIn) => void;
@@ -148,6 +152,26 @@
     let connections = 0;
     let isClosed = false;
     let id = options.id;
+    let freeSlots = options.slots ?? Number.POSITIVE_INFINITY;
+    const slotQueue: (() => void)[] = [];
+
+    /** Waits for a slot and keeps it for the time that a request takes. A request whose connection has closed is not run. */
+    async function runInSlot(response: ServerResponse): Promise<void> {
+        if (freeSlots > 0) {
+            freeSlots -= 1;
+        }
+        else {
+            await new Promise<void>(resolve => slotQueue.push(resolve));
+        }
+        await wait(response.destroyed ? 0 : options.slotMs!);
+        const next = slotQueue.shift();
+        if (next) {
+            next();
+        }
+        else {
+            freeSlots += 1;
+        }
+    }
 
     async function crash(kind: CrashKind = CrashKind.Reset, restartMs = restartDelayMs): Promise<void> {
         if (isClosed || !isListening) {
@@ -334,6 +358,9 @@
         if (fault === EndpointFault.Slow) {
             await wait(500);
         }
+        if (options.slotMs !== undefined) {
+            await runInSlot(response);
+        }
         if (fault === EndpointFault.Unframed) {
             const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
             request.socket.end(`HTTP/1.1 200 OK\r\n${lines}Connection: close\r\n\r\n${body}`);
