Merge fair queueing between customers

The lists of usable endpoints move out of the queue, and the status listeners out of the gateway's composition.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -32,11 +32,12 @@
 import { createEndpointNoticeBoard } from "./endpointNoticeBoard.js";
 import { createEndpointQuota } from "./endpointQuota.js";
 import { createEvacuationWatch } from "./evacuationWatch.js";
+import { startFairnessExchange } from "./fairnessExchange.js";
 import { followFeed } from "./feedFollower.js";
 import { createFeedSharing } from "./feedSharing.js";
 import { createGatewayCells } from "./gatewayCells.js";
 import { drainCustomers } from "./gatewayDrain.js";
-import { registerGauges } from "./gatewayGauges.js";
+import { countIdleLoss, registerGauges } from "./gatewayGauges.js";
 import { Gateway, GatewayPorts } from "./gatewayPorts.js";
 import { GatewaySettings } from "./gatewaySettings.js";
 import { createHedging } from "./hedging.js";
@@ -51,7 +52,7 @@
 import { RequestServices } from "./requestServices.js";
 import { createReservations } from "./reservations.js";
 import { createStartupGate } from "./startupGate.js";
-import { serveText } from "./textServer.js";
+import { serveStatus } from "./textServer.js";
 
 export type { Gateway, GatewayPorts } from "./gatewayPorts.js";
 
@@ -208,11 +209,14 @@
         connect: address => connections.tryConnect(address),
         onCrash: report => quarantineRegistry.applyCrash(report, true),
         onAnswer: (traits, ageMs) => quarantineRegistry.recordAnswer(traits, ageMs),
-        onIdleLoss: () =>
-            metrics.count(
-                "jujubelane_idle_endpoint_losses_total",
-                "Endpoints lost without notice on which no request of this gateway had ended unanswered.",
-            ),
+        onIdleLoss: () => countIdleLoss(metrics),
+    }));
+    const fairness = disposables.register(startFairnessExchange({
+        notices: exchange.notices,
+        timers,
+        log,
+        metrics,
+        countSharingGroups: service => cells.countSharingCells(directory.listUsable(service).length),
     }));
     const placementQueue = disposables.register(createPlacementQueue({
         timers,
@@ -231,6 +235,7 @@
         quota: endpointQuota,
         gate: mergeGates([evacuationWatch.gate, endpointNotices]),
         isServiceLeaving: service => endpointNotices.isServiceLeaving(service),
+        fairness,
         reportChange: (key, item) => exchange.reportChange(key, item),
     }));
     const retryBudget = createRetryBudget({
@@ -412,9 +417,7 @@
     const isReady = () => routeTable !== undefined && areEndpointsKnown && !drainState;
     try {
         await customers.listen(ports.customerListener);
-        const metricsAddress = { ip: settings.ip, port: settings.metricsPort };
-        await serveText(settings.readyAddress, () => ({ status: isReady() ? 200 : 503, text: "" }), disposables);
-        await serveText(metricsAddress, () => ({ status: 200, text: metrics.render() }), disposables);
+        await serveStatus(settings, isReady, () => metrics.render(), disposables);
     }
     catch (error) {
         // A listen address is in use. Timers and sockets that stay open would keep the caller's process alive.
--- a/src/gateway/gatewayGauges.ts
+++ b/src/gateway/gatewayGauges.ts
@@ -57,3 +57,16 @@
     ];
     gauges.forEach(([name, help, read]) => metrics.registerGauge(`jujubelane_${name}`, help, read));
 }
+
+/**
+ * Counts an endpoint that was lost without notice while no request of this gateway ran there.
+ *
+ * @example
+ * countIdleLoss(metrics);
+ */
+export function countIdleLoss(metrics: Metrics): void {
+    metrics.count(
+        "jujubelane_idle_endpoint_losses_total",
+        "Endpoints lost without notice on which no request of this gateway had ended unanswered.",
+    );
+}
--- a/src/gateway/placementQueue.ts
+++ b/src/gateway/placementQueue.ts
@@ -1,10 +1,8 @@
-import murmurhash from "murmurhash";
 import { createDisposable, Disposable } from "../base/disposable.js";
 import { TimerService } from "../base/timerService.js";
 import { EndpointDirectory } from "../membership/endpointDirectory.js";
-import { EndpointHealth, HealthStatus } from "../membership/endpointHealth.js";
+import { EndpointHealth } from "../membership/endpointHealth.js";
 import { EndpointSubset } from "../membership/endpointSubset.js";
-import { EndpointRecord } from "../ports/endpointRecord.js";
 import { EngineProfile, Service } from "../ports/servingConfiguration.js";
 import { ClaimPolicy, defaultClaimSettings } from "../routing/engineClaim.js";
 import {
@@ -14,20 +12,29 @@
     PlacementStage,
     placeOnClaimedEngines,
 } from "../routing/enginePlacement.js";
-import { buildEngineView, EngineView } from "../routing/engineView.js";
+import { EngineView } from "../routing/engineView.js";
 import { LoadLedger, WorkItem } from "../routing/loadLedger.js";
-import { decidePlacementStage, predictFirstEventMs } from "../routing/placementStage.js";
-import { placeOnPlainService, PlainView } from "../routing/plainPlacement.js";
-import { AllowedRegions, isRegionAllowed } from "../routing/regionRestriction.js";
+import { decidePlacementStage } from "../routing/placementStage.js";
+import { placeOnPlainService } from "../routing/plainPlacement.js";
 import { SlowdownEstimate } from "../routing/slowdownEstimate.js";
-import { compareWaiting, WaitingWork } from "../scheduling/compareWaiting.js";
+import { compareWaiting, getWaitingClass } from "../scheduling/compareWaiting.js";
 import { EndpointGate } from "./endpointGate.js";
 import { EndpointQuota } from "./endpointQuota.js";
 import { ServiceLoad } from "./hedging.js";
 import { EngineNeeds, Place, PlacementJob } from "./place.js";
-import { createPlaceAllocator, minPlainAnswerMs, RegisteredClaim } from "./placeAllocator.js";
+import { createPlaceAllocator, RegisteredClaim } from "./placeAllocator.js";
 import { makePlacementRequest } from "./placementRequest.js";
+import {
+    createQueueFairness,
+    describeEngineCapacity,
+    describePlainCapacity,
+    isAlikePlain,
+    PlacementFairness,
+    QueuedWork,
+    ServiceCapacity,
+} from "./queueFairness.js";
 import { createServiceAvailability } from "./serviceAvailability.js";
+import { createUsableEndpoints } from "./usableEndpoints.js";
 
 /** Places requests on endpoints, and queues those that no endpoint has capacity for. */
 export interface PlacementQueue extends Disposable {
@@ -73,6 +80,8 @@
     readonly gate: EndpointGate;
     /** Returns whether all endpoints of a service leave, so that a request would wait in vain. */
     readonly isServiceLeaving?: (service: string) => boolean;
+    /** Division of places between customers. */
+    readonly fairness: PlacementFairness;
 }
 
 /** Limits of endpoints, as far as placement depends on them. */
@@ -95,21 +104,10 @@
  */
 const claimOverdueToleranceMs = 500;
 
-const millisecondsPerSecond = 1_000;
-
 /** Engine views by service name. An entry is deleted when work is assigned to the service. */
 type ViewCache = Map<string, readonly EngineView[]>;
 
-interface WaitingItem extends WaitingWork {
-    readonly job: PlacementJob;
-}
-
-/** Endpoint that may receive requests. */
-interface UsableEndpoint {
-    readonly record: EndpointRecord;
-    /** Whether only a single request may be sent, to test if the endpoint works again. */
-    readonly isTrial: boolean;
-}
+type WaitingItem = QueuedWork;
 
 /**
  * Creates an empty queue.
@@ -119,86 +117,30 @@
  * waiting.dispose(); // the customer has left
  */
 export function createPlacementQueue(options: PlacementQueueOptions): PlacementQueue {
-    const { timers, endpointSubset, health, slowdownEstimate, ledger, quota, gate } = options;
+    const { timers, endpointSubset, ledger, quota, gate } = options;
+    const { listUsableEndpoints, listHealthyEndpoints, listEngineViews, listPlainViews, startTrials, isLastChoice } =
+        createUsableEndpoints(options);
     let waiting: WaitingItem[] = [];
     let nextRun: Disposable | undefined;
     const claims = new Map<WaitingItem, RegisteredClaim>();
     const availability = createServiceAvailability(options);
+    const fairness = createQueueFairness(options.fairness.state, timers);
     const allocator = createPlaceAllocator({
         ...options,
         recordDispatch: endpoint => quota.recordDispatch(endpoint),
         onCapacityFreed: run,
     });
 
-    /** Lists the endpoints that may be sent a request now. */
-    function listUsableEndpoints(service: Service, nowMs: number, allowed?: AllowedRegions): UsableEndpoint[] {
-        return listHealthyEndpoints(service, nowMs, allowed).filter(({ record }) =>
-            gate.isOpen(record, nowMs) && quota.isOpen(record.id)
-        );
-    }
-
-    /**
-     * Lists the endpoints of the own subset that a request may run on or, if its restriction leaves none of them, those of
-     * all others.
-     */
-    function listAllowed(service: Service, allowed: AllowedRegions | undefined): readonly EndpointRecord[] {
-        const own = endpointSubset.list(service.name);
-        if (allowed === undefined) {
-            return own;
-        }
-        const isAllowed = (record: EndpointRecord) => isRegionAllowed(allowed, record.dataCentre, options.regions);
-        const allowedOwn = own.filter(isAllowed);
-        return allowedOwn.length > 0 ? allowedOwn : options.directory.listUsable(service.name).filter(isAllowed);
-    }
-
-    function listHealthyEndpoints(service: Service, nowMs: number, allowed?: AllowedRegions): UsableEndpoint[] {
-        return listAllowed(service, allowed)
-            .map(record => ({ record, standing: health.getStatus(record.id, nowMs) }))
-            .filter(({ standing }) => standing !== HealthStatus.Down)
-            .map(({ record, standing }) => ({ record, isTrial: standing === HealthStatus.Trial }));
-    }
-
-    /** Lists views of the usable engines, without the work under `ignoredKeys`. */
-    function listEngineViews(
-        service: Service,
-        engine: EngineProfile,
-        nowMs: number,
-        ignoredKeys?: ReadonlySet<string>,
-        allowed?: AllowedRegions,
-    ): EngineView[] {
-        return listUsableEndpoints(service, nowMs, allowed).map(({ record, isTrial }) => {
-            const properties = {
-                id: record.id,
-                address: record.address,
-                order: murmurhash.v3(`${options.orderSeed} ${record.id}`),
-                isTrial,
-                slowdown: slowdownEstimate.getSlowdown(record.id, nowMs),
-            };
-            const items = ledger.listAt(record.id, nowMs).filter(item => !ignoredKeys?.has(item.key));
-            return buildEngineView(properties, engine, items, nowMs);
-        });
-    }
-
-    function listPlainViews({ service, allowedRegions }: PlacementJob, nowMs: number): PlainView[] {
-        return listUsableEndpoints(service, nowMs, allowedRegions).map(({ record, isTrial }) => ({
-            id: record.id,
-            address: record.address,
-            dataCentre: record.dataCentre,
-            isTrial,
-            running: ledger.listAt(record.id, nowMs).length,
-            slots: record.slots,
-        }));
-    }
-
-    function startTrials(views: readonly { readonly id: string; readonly isTrial: boolean }[], nowMs: number): void {
-        views.filter(view => view.isTrial).forEach(view => health.startTrial(view.id, nowMs));
-    }
-
     function findPlace(item: WaitingItem, views: ViewCache, nowMs: number): Place | undefined {
         const { job } = item;
         const { engine } = job.service;
         if (!engine || !job.needs) {
-            const request = { avoid: job.avoid, dataCentre: options.dataCentre, isUnsafe: job.isUnsafe };
+            const request = {
+                avoid: job.avoid,
+                dataCentre: options.dataCentre,
+                isUnsafe: job.isUnsafe,
+                aboveShareGroups: getAboveShareGroups(item),
+            };
             const view = tryPreferredFirst(
                 listPlainViews(job, nowMs)
                     // Beyond its slots, an endpoint queues requests.
@@ -206,14 +148,17 @@
                 views => placeOnPlainService(request, views),
             );
             startTrials(view ? [view] : [], nowMs);
-            return view && allocator.assignPlainEndpoint(job, view, nowMs);
+            return view && fairness.recordPlainUse(job, allocator.assignPlainEndpoint(job, view, nowMs));
         }
-        return findEnginePlace(item, makePlacementRequest(job, job.needs, nowMs), engine, views, nowMs);
+        const place = findEnginePlace(item, makePlacementRequest(job, job.needs, nowMs), engine, views, nowMs);
+        if (place) {
+            fairness.recordEngineUse(job, nowMs);
+        }
+        return place;
     }
 
-    function isLastChoice(id: string): boolean {
-        const endpoint = options.directory.find(id)?.record;
-        return quota.isLastChoice(id) || (endpoint !== undefined && gate.isLastChoice(endpoint, timers.now()));
+    function getAboveShareGroups({ job, isAboveShare }: WaitingItem): number | undefined {
+        return isAboveShare ? options.fairness.countSharingGroups(job.service.name) : undefined;
     }
 
     /** Tries to place on endpoints that are not a last choice first, then on all. */
@@ -349,22 +294,57 @@
     function placeWaiting(): void {
         const nowMs = timers.now();
         const views: ViewCache = new Map();
+        waiting.forEach(item => fairness.refreshOrder(item, nowMs));
         waiting.sort((left, right) => compareWaiting(left, right, nowMs));
-        const candidates = [...claims.keys(), ...waiting.filter(item => !claims.has(item)).slice(0, maxItemsPerRun)];
+        const candidates = [...claims.keys(), ...selectCandidates()];
+        const fullClasses = new Set<string>();
         for (const item of candidates) {
-            const place = findPlace(item, views, nowMs);
+            const key = `${getWaitingClass(item, nowMs)} ${item.job.service.name}`;
+            if (fullClasses.has(key) && isAlikePlain(item)) {
+                continue;
+            }
+            const place = claims.has(item) || !isYielding(item, nowMs) ? findPlace(item, views, nowMs) : undefined;
             if (place) {
-                waiting = waiting.filter(other => other !== item);
+                removeWaiting([item]);
                 item.job.onPlaced(place);
             }
+            else if (isAlikePlain(item)) {
+                fullClasses.add(key);
+            }
         }
         const expired = waiting.filter(item =>
             ((nowMs > item.hardStartDeadlineMs || availability.isClosedTooLong(item, nowMs)) && !claims.has(item))
             || availability.hasNoneLeft(item.job, nowMs)
         );
         expired.forEach(dropClaim);
-        waiting = waiting.filter(item => !expired.includes(item));
-        expired.forEach(item => item.job.onExpired(describeLoad(item.job, nowMs)));
+        removeWaiting(expired);
+        expired.forEach(item => item.job.onExpired({ inputs: describeLoad(item.job, nowMs) }));
+    }
+
+    function removeWaiting(items: readonly WaitingItem[]): void {
+        waiting = waiting.filter(item => !items.includes(item));
+        reportWaiting(items);
+    }
+
+    function reportWaiting(changed: readonly WaitingItem[]): void {
+        if (changed.some(item => item.job.share)) {
+            options.fairness.reportWaiting(fairness.listGroups(waiting));
+        }
+    }
+
+    function isYielding(item: WaitingItem, nowMs: number): boolean {
+        const isLeft = fairness.isLeftToPeer(item, nowMs);
+        if (isLeft && !item.hasYielded) {
+            item.hasYielded = true;
+            options.fairness.reportYield(item.job.service.name);
+        }
+        return isLeft;
+    }
+
+    /** Selects the requests that a placement run tries to place. Those that may be skipped cost no time. */
+    function selectCandidates(): readonly WaitingItem[] {
+        let count = 0;
+        return waiting.filter(item => !claims.has(item) && (isAlikePlain(item) || count++ < maxItemsPerRun));
     }
 
     /**
@@ -375,7 +355,7 @@
         const healthy = listHealthyEndpoints(service, nowMs);
         const perSecond = healthy.reduce((sum, { record }) => sum + quota.getShare(record.id), 0);
         const ahead = waiting.filter(item => item.job.service.name === service.name).length;
-        return healthy.length === 0 || perSecond === Infinity ? 0 : (ahead + 1) * millisecondsPerSecond / perSecond;
+        return healthy.length === 0 || perSecond === Infinity ? 0 : (ahead + 1) * 1_000 / perSecond;
     }
 
     /** Returns whether the limits of all endpoints allow a request only when it can no longer start in time. */
@@ -391,27 +371,31 @@
         return `endpoints=${known} usable=${usable.length} running=${running} waiting=${waiting.length}`;
     }
 
-    function makeWaitingItem(job: PlacementJob): WaitingItem {
-        const { engine } = job.service;
-        const answerMs = engine && job.needs
-            ? predictFirstEventMs(engine, job.needs.prefillMs)
-            : minPlainAnswerMs;
-        const softStartDeadlineMs = job.dueAtMs - answerMs;
-        const hardStartDeadlineMs = job.customerTimeoutAtMs - answerMs;
-        return {
-            job,
-            rank: job.rank,
-            softStartDeadlineMs,
-            hardStartDeadlineMs,
-            prefillMs: job.needs?.prefillMs ?? 0,
-        };
+    function describeCapacity(item: WaitingItem, nowMs: number): ServiceCapacity {
+        const { service, avoid } = item.job;
+        return service.engine
+            ? describeEngineCapacity(listEngineViews(service, service.engine, nowMs))
+            : describePlainCapacity(listPlainViews(item.job, nowMs), avoid, getAboveShareGroups(item));
+    }
+
+    /** Refuses a request that cannot start in time. Returns whether it did. */
+    function refuseLate(item: WaitingItem, nowMs: number): boolean {
+        waiting.forEach(other => fairness.refreshOrder(other, nowMs));
+        const startMs = fairness.predictRefusal(item, waiting, describeCapacity(item, nowMs), nowMs);
+        if (startMs !== undefined) {
+            fairness.recordRefusal(item, nowMs);
+            const inputs = `${describeLoad(item.job, nowMs)} aboveShare=${item.isAboveShare}`;
+            item.job.onExpired({ inputs, startMs });
+        }
+        return startMs !== undefined;
     }
 
     return {
         run,
         submit(job) {
-            const item = makeWaitingItem(job);
-            const place = findPlace(item, new Map(), timers.now());
+            const item = fairness.addArrival(job, timers.now());
+            const mustWait = fairness.isBehind(item, waiting, timers.now()) || isYielding(item, timers.now());
+            const place = mustWait ? undefined : findPlace(item, new Map(), timers.now());
             if (place) {
                 job.onPlaced(place);
                 return createDisposable(() => undefined);
@@ -423,15 +407,19 @@
                 availability.hasNoneLeft(job, timers.now()) || isLimitedTooLong(item, timers.now())
                 || availability.isClosedTooLong(item, timers.now())
             ) {
-                job.onExpired(describeLoad(job, timers.now()));
+                job.onExpired({ inputs: describeLoad(job, timers.now()) });
+                return createDisposable(() => undefined);
+            }
+            if (job.share && refuseLate(item, timers.now())) {
                 return createDisposable(() => undefined);
             }
             waiting.push(item);
+            reportWaiting([item]);
             job.onWaiting(describeLoad(job, timers.now()));
             run();
             return {
                 dispose() {
-                    waiting = waiting.filter(other => other !== item);
+                    removeWaiting([item]);
                     dropClaim(item);
                 },
             };
--- a/src/gateway/textServer.ts
+++ b/src/gateway/textServer.ts
@@ -1,6 +1,6 @@
 import { createServer } from "node:http";
 import { Disposable, DisposableStore } from "../base/disposable.js";
-import { ListenAddress } from "./gatewaySettings.js";
+import { GatewaySettings, ListenAddress } from "./gatewaySettings.js";
 
 /** Answer of a text server. */
 export interface TextAnswer {
@@ -37,3 +37,20 @@
         server.listen(address.port, address.ip, () => resolve());
     });
 }
+
+/**
+ * Starts the readiness check and the metrics of a gateway. Rejects if an address is in use.
+ *
+ * @example
+ * await serveStatus(settings, isReady, () => metrics.render(), disposables);
+ */
+export async function serveStatus(
+    settings: Pick<GatewaySettings, "ip" | "readyAddress" | "metricsPort">,
+    isReady: () => boolean,
+    renderMetrics: () => string,
+    disposables: DisposableStore,
+): Promise<void> {
+    await serveText(settings.readyAddress, () => ({ status: isReady() ? 200 : 503, text: "" }), disposables);
+    const metricsAddress = { ip: settings.ip, port: settings.metricsPort };
+    await serveText(metricsAddress, () => ({ status: 200, text: renderMetrics() }), disposables);
+}
--- a/src/routing/placementStage.ts
+++ b/src/routing/placementStage.ts
@@ -46,3 +46,14 @@
     return prefillMs / (prefillMs > defaultPlacementSettings.shortPrefillMs ? typicalPartCount : 1)
         + 2 * engine.stepsPerPass * engine.stepMs;
 }
+
+/**
+ * Computes the engine time that a request uses: its prefill, and its part of the passes that it shares with the
+ * requests in the other slots.
+ *
+ * @example
+ * computeEngineUseMs(engine, 40, 200);
+ */
+export function computeEngineUseMs(engine: EngineProfile, prefillMs: number, outputTokens: number): number {
+    return prefillMs + outputTokens * engine.stepMs / Math.max(1, engine.slots);
+}
