--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -54,8 +54,6 @@
 import { createStartupGate } from "./startupGate.js";
 import { serveStatus } from "./textServer.js";
 
-export type { Gateway, GatewayPorts } from "./gatewayPorts.js";
-
 /**
  * Time between two reads of registrations, as a share of the time within which a leaving endpoint must be known.
  * Endpoints renew their registrations about every second and each call to the store has a cost, so one read collects
