Form one cell where no service can be divided

Cause: 13 gateways before a plain service of two endpoints formed two cells that did not hear of each other's work, though both use both endpoints. Change: without engines, the largest plain service limits the number of cells.

--- a/src/gateway/gatewayCells.ts
+++ b/src/gateway/gatewayCells.ts
@@ -3,7 +3,13 @@
 import { TimerService } from "../base/timerService.js";
 import { EndpointRecord } from "../ports/endpointRecord.js";
 import { ServingConfiguration } from "../ports/servingConfiguration.js";
-import { countSharingGateways, decideCell, onlyCell, selectCellEndpoints } from "../routing/gatewayCell.js";
+import {
+    computeMaxCells,
+    countSharingGateways,
+    decideCell,
+    onlyCell,
+    selectCellEndpoints,
+} from "../routing/gatewayCell.js";
 import { createPeakCount } from "../routing/peakCount.js";
 
 /** The division of gateways and endpoints into cells, as this gateway knows it. */
@@ -40,10 +46,10 @@
 /** Gateways that are assumed until the list of gateways has been read. */
 const assumedGateways = 4;
 /**
- * Time for which lost engines still count in the division into cells, in milliseconds. Most are back within seconds, and
+ * Time for which lost endpoints still count in the division into cells, in milliseconds. Most are back within seconds, and
  * gateways that divide differently do not know of each other's work.
  */
-const engineCountWindowMs = 30_000;
+const endpointCountWindowMs = 30_000;
 
 /**
  * Creates the division of a gateway that knows no others.
@@ -54,15 +60,19 @@
  */
 export function createGatewayCells(options: GatewayCellsOptions): GatewayCells {
     const { timers, log, exchangeAddress } = options;
-    const engineCount = createPeakCount(engineCountWindowMs);
+    const endpointCount = createPeakCount(endpointCountWindowMs);
     let cell = onlyCell;
     let gateways: readonly string[] = [];
 
-    /** Counts the engines of the largest engine service, short losses left out; infinite if there is no such service. */
-    function countEngines(): number {
-        const services = [...options.getConfiguration()?.services.values() ?? []].filter(service => service.engine);
-        const counts = services.map(service => options.countEndpoints(service.name));
-        return counts.length === 0 ? Infinity : engineCount.record(Math.max(...counts), timers.now());
+    /** Returns the most cells that the endpoints of the largest service allow, short losses left out. */
+    function getMaxCells(): number {
+        const services = [...options.getConfiguration()?.services.values() ?? []];
+        const engineServices = services.filter(service => service.engine);
+        const areEngines = engineServices.length > 0;
+        const counts = (areEngines ? engineServices : services).map(service => options.countEndpoints(service.name));
+        return counts.length === 0
+            ? Infinity
+            : computeMaxCells(endpointCount.record(Math.max(...counts), timers.now()), areEngines);
     }
 
     function update(): void {
@@ -70,7 +80,7 @@
             return;
         }
         const previous = cell;
-        const { cell: decided, members, others } = decideCell(exchangeAddress, gateways, countEngines());
+        const { cell: decided, members, others } = decideCell(exchangeAddress, gateways, getMaxCells());
         cell = decided;
         options.setPeers(members, others);
         if (cell.index !== previous.index || cell.count !== previous.count) {
--- a/src/routing/gatewayCell.ts
+++ b/src/routing/gatewayCell.ts
@@ -44,14 +44,14 @@
  * compute the same cells. The number of cells is a power of two, so that half of the endpoints keep their cell when it
  * doubles or halves.
  *
- * @param engines number of engines of the largest engine service; infinite if there is none
+ * @param maxCells most cells that the endpoints allow, see `computeMaxCells`
  *
  * @example
- * decideCell("10.1.0.4:7340", addresses, 45).cell.index;
+ * decideCell("10.1.0.4:7340", addresses, computeMaxCells(45, true)).cell.index;
  */
-export function decideCell(ownAddress: string, addresses: readonly string[], engines: number): CellMembership {
+export function decideCell(ownAddress: string, addresses: readonly string[], maxCells: number): CellMembership {
     const known = [...new Set([...addresses, ownAddress])];
-    const count = computePowerOfTwo(Math.min(known.length / minGateways, engines / minEngines));
+    const count = computePowerOfTwo(Math.min(known.length / minGateways, maxCells));
     let index = 0;
     let members: readonly string[] = known;
     for (let level = 0; 1 << level < count; level++) {
@@ -68,6 +68,19 @@
     };
 }
 
+/**
+ * Computes the most cells among which the largest service of a deployment can be divided. If no service can be divided,
+ * all gateways use all endpoints and have to know of each other's work.
+ *
+ * @param endpoints number of endpoints of the largest service; of the largest engine service if there is one
+ *
+ * @example
+ * computeMaxCells(45, true); // 2.8, so two cells
+ */
+export function computeMaxCells(endpoints: number, areEngines: boolean): number {
+    return endpoints / (areEngines ? minEngines : minEndpoints);
+}
+
 /**
  * Selects the endpoints of a service that a cell uses. A service with few endpoints is divided into fewer partitions
  * than there are cells, and several cells share each of them.
--- a/test/routing/gatewayCell.test.ts
+++ b/test/routing/gatewayCell.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
-import { decideCell, selectCellEndpoints } from "../../src/routing/gatewayCell.js";
+import { computeMaxCells, decideCell, selectCellEndpoints } from "../../src/routing/gatewayCell.js";
 
 function makeAddresses(count: number): string[] {
     return Array.from({ length: count }, (unused, index) => `10.${index >> 8}.${index & 255}.4:7340`);
@@ -24,10 +24,11 @@
     /** Guards against long prompts that wait in one cell while the engines of others are free. */
     test("cells have 16 engines at least, also after a third of them is lost", () => {
         const addresses = makeAddresses(31);
-        const counts = [112, 64, 45, 38, 30, 0].map(engines =>
-            decideCell(addresses[0]!, addresses, engines).cell.count
-        );
-        assert.deepEqual(counts, [4, 4, 2, 2, 1, 1]);
+        const countCells = (endpoints: number, areEngines: boolean) =>
+            decideCell(addresses[0]!, addresses, computeMaxCells(endpoints, areEngines)).cell.count;
+        assert.deepEqual([112, 64, 45, 38, 30, 0].map(engines => countCells(engines, true)), [4, 4, 2, 2, 1, 1]);
+        // Gateways that share all endpoints of a small service have to hear of each other's work.
+        assert.deepEqual([2, 15, 16, 100].map(endpoints => countCells(endpoints, false)), [1, 1, 2, 4]);
     });
 
     test("membership is symmetric, so that every member receives the load reports of all others", () => {
