--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -242,7 +242,7 @@
     });
     const hedging = createHedging({ shares: settings.hedgeShares, timers, log, retryBudget, placementQueue });
     const startupGate = disposables.register(createStartupGate(timers, maxStartupWaitMs));
-    const peerGreeting = disposables.register(createPeerGreeting(timers, exchange.notices, () => exchange.announce()));
+    const peerGreeting = disposables.register(createPeerGreeting(timers, exchange.notices));
     const reservations = createReservations({
         memoryReservations: ports.memoryReservations,
         timers,
@@ -412,7 +412,7 @@
 
     registerGauges(metrics, { ...services, exchange, customers }, () => routeTable?.version);
 
-    const isReady = () => routeTable !== undefined && areEndpointsKnown && !drainState;
+    const isReady = () => routeTable !== undefined && areEndpointsKnown && peerGreeting.isDone() && !drainState;
     try {
         await customers.listen(ports.customerListener);
         await serveStatus(settings, isReady, () => metrics.render(), disposables);
--- a/src/gateway/loadExchange.ts
+++ b/src/gateway/loadExchange.ts
@@ -44,8 +44,6 @@
     reportLimit(limit: EndpointLimit): void;
     /** Sends a decision about a quarantine to all gateways. */
     reportQuarantine(term: QuarantineTerm): void;
-    /** Makes this gateway known to the others at once, which answer with their notices in force. */
-    announce(): void;
     /** Counts the gateways of the cell whose last message is no older than `maxSilenceMs`, and this one. */
     countHeard(maxSilenceMs: number): number;
     /** Lists the addresses of the other gateways of the cell whose last message is no older than `maxSilenceMs`. */
@@ -116,7 +114,10 @@
         address: ownAddress,
         incarnation: options.incarnation,
         log,
-        send: (bytes, isForAllCells) => sendBytes(bytes, isForAllCells ? [...listTargets(), ...others] : listTargets()),
+        send(bytes, isForAllCells, address) {
+            const targets = isForAllCells ? [...listTargets(), ...others] : listTargets();
+            sendBytes(bytes, address === undefined ? targets : [address]);
+        },
     });
 
     /** Lists the members of the cell, and gateways that send messages but are not listed in the store yet. */
@@ -354,7 +355,6 @@
             recentTerms.push({ term, reportedAtMs: timers.now() });
             sendToAll({ ...noNotices, quarantines: [term] });
         },
-        announce: sendSnapshot,
         countHeard: maxSilenceMs => 1 + listHeard(maxSilenceMs).length,
         listHeard,
         countGateways: () => 1 + peers.size,
--- a/src/gateway/peerGreeting.ts
+++ b/src/gateway/peerGreeting.ts
@@ -8,6 +8,8 @@
     applyPeers(count: number): void;
     /** Calls `onDone` once the others have had time to answer, or when the list of gateways does not arrive. */
     wait(onDone: () => void): void;
+    /** Returns whether the wait is over. A gateway is not ready before: requests that it holds would start all at once. */
+    isDone(): boolean;
 }
 
 /** Time that the others have to answer, in milliseconds. Gateways of an older version do not answer. */
@@ -26,14 +28,12 @@
 /**
  * Creates the greeting of a starting gateway.
  *
- * @param announce makes this gateway known to the others
- *
  * @example
- * const greeting = createPeerGreeting(timers, exchange.notices, () => exchange.announce());
+ * const greeting = createPeerGreeting(timers, exchange.notices);
  * greeting.applyPeers(3);
  * greeting.wait(() => startupGate.open()); // opens when one of the others has answered, or after 100 ms
  */
-export function createPeerGreeting(timers: TimerService, notices: PeerNotices, announce: () => void): PeerGreeting {
+export function createPeerGreeting(timers: TimerService, notices: PeerNotices): PeerGreeting {
     const scheduled: Disposable[] = [];
     let onDone: (() => void) | undefined;
     let isListed = false;
@@ -42,10 +42,11 @@
         name: "greeting",
         isForAllCells: false,
         isValid: (value): value is Greeting => value === Greeting.Ask || value === Greeting.Told,
-        onReceived(greetings) {
+        onReceived(greetings, { address }) {
             if (greetings.includes(Greeting.Ask)) {
-                notices.repeat();
-                publisher.publish([Greeting.Told]);
+                // The store's list may not have the asking gateway yet.
+                notices.repeat(address);
+                publisher.publish([Greeting.Told], address);
             }
             else if (isListed) {
                 finish();
@@ -70,7 +71,6 @@
                 finish();
                 return;
             }
-            announce();
             publisher.publish([Greeting.Ask]);
             scheduled.push(timers.schedule(answerMs, finish));
         },
@@ -82,6 +82,7 @@
             onDone = call;
             scheduled.push(timers.schedule(maxListWaitMs, finish));
         },
+        isDone: () => isDone,
         dispose: () => scheduled.forEach(timer => timer.dispose()),
     };
 }
--- a/src/gateway/peerNotices.ts
+++ b/src/gateway/peerNotices.ts
@@ -26,21 +26,22 @@
 
 /** Sends a topic's notices. */
 export interface NoticePublisher<Notice> {
-    publish(notices: readonly Notice[]): void;
+    /** Sends notices to all gateways of the topic, or to the one at the address. */
+    publish(notices: readonly Notice[], address?: string): void;
 }
 
 /** Topics of notices between gateways. */
 export interface PeerNotices {
     register<Notice>(topic: NoticeTopic<Notice>): NoticePublisher<Notice>;
-    /** Sends what is in force in all topics. */
-    repeat(): void;
+    /** Sends what is in force in all topics, to all gateways or to the one at the address. */
+    repeat(address?: string): void;
     /** Applies a datagram. Returns whether it is a message of notices, valid or not. */
     receive(bytes: Buffer, senderAddress: string): boolean;
 }
 
 export interface PeerNoticesOptions extends NoticeSender {
     readonly log: EventLog;
-    readonly send: (bytes: Buffer, isForAllCells: boolean) => void;
+    readonly send: (bytes: Buffer, isForAllCells: boolean, address?: string) => void;
 }
 
 /** Keeps a message within one datagram of a usual network. */
@@ -77,11 +78,16 @@
     const topics = new Map<string, RegisteredTopic>();
     const loggedSenders = new Set<string>();
 
-    function sendNotices(name: string, isForAllCells: boolean, values: readonly unknown[]): void {
+    function sendNotices(
+        name: string,
+        isForAllCells: boolean,
+        values: readonly unknown[],
+        target?: string,
+    ): void {
         for (let start = 0; start < values.length; start += noticesPerMessage) {
             const part = values.slice(start, start + noticesPerMessage);
             const wire: WireMessage = [messageKind, messageVersion, host, address, incarnation, name, part];
-            send(encoder.encode(wire), isForAllCells);
+            send(encoder.encode(wire), isForAllCells, target);
         }
     }
 
@@ -116,10 +122,10 @@
                 listCurrent: () => topic.listCurrent(),
                 repeats: 0,
             });
-            return { publish: notices => sendNotices(topic.name, topic.isForAllCells, notices) };
+            return { publish: (notices, target) => sendNotices(topic.name, topic.isForAllCells, notices, target) };
         },
-        repeat() {
-            topics.forEach((topic, name) => sendNotices(name, topic.isForAllCells, selectRepeated(topic)));
+        repeat(target) {
+            topics.forEach((topic, name) => sendNotices(name, topic.isForAllCells, selectRepeated(topic), target));
         },
         receive(bytes, senderAddress) {
             const wire = bytes[0] === firstByte ? decodeWire(bytes) : undefined;
