Try other ports when a test's own gateway finds one taken

Cause: hedging, slowStreams and regionRestriction started their gateway with settings made before, without the second try that startTestGateway makes. Change: startTestGateway takes changes of settings; hedging closes its deployment also if the gateway does not start.

--- a/test/platform/hedging.test.ts
+++ b/test/platform/hedging.test.ts
@@ -9,10 +9,9 @@
     makeConfiguration,
     makeHeaders,
     makeModelHeaders,
-    makeSettings,
     send,
     startDeployment,
-    startGatewayWith,
+    startTestGateway,
     TestDeployment,
     TestGateway,
     waitUntil,
@@ -47,9 +46,10 @@
     isModel = false,
 ): Promise<void> {
     const deployment = await startDeployment({ engines: 3, services: 3, gateways: 0, serviceCrashPlan: crashPlan });
-    const settings = await makeSettings("hedging", deployment.store.address, 1_000);
-    const gateway = await startGatewayWith({ ...settings, hedgeShares: shares });
+    let started: TestGateway | undefined;
     try {
+        const gateway = await startTestGateway("hedging", deployment.store.address, 1_000, { hedgeShares: shares });
+        started = gateway;
         await waitUntil("ready", () => isReady(gateway));
         for (let index = 0; index < warmUpRequests; index++) {
             assert.equal((await (isModel ? sendDraft(gateway) : sendLook(gateway))).status, 200);
@@ -60,7 +60,7 @@
     }
     finally {
         await Promise.all([...deployment.engines, ...deployment.services].map(endpoint => endpoint.close()));
-        await gateway.drain();
+        await started?.drain();
         await deployment.close();
     }
 }
--- a/test/platform/regionRestriction.test.ts
+++ b/test/platform/regionRestriction.test.ts
@@ -5,10 +5,9 @@
     isReady,
     makeConfiguration,
     makeHeaders,
-    makeSettings,
     send,
     startDeployment,
-    startGatewayWith,
+    startTestGateway,
     waitUntil,
 } from "./support/deployment.js";
 
@@ -23,8 +22,9 @@
         });
         const deployment = await startDeployment({ engines: 1, services: 2, configuration });
         deployment.register(deployment.services[1]!, "desk", { zone: "b", seq: 1 });
-        const settings = await makeSettings("gateway-regions", deployment.store.address, 1_000);
-        const gateway = await startGatewayWith({ ...settings, regions: new Map([["a", "north"], ["b", "south"]]) });
+        const gateway = await startTestGateway("gateway-regions", deployment.store.address, 1_000, {
+            regions: new Map([["a", "north"], ["b", "south"]]),
+        });
         try {
             await waitUntil("ready", () => isReady(gateway));
             const [north, south] = deployment.services;
--- a/test/platform/slowStreams.test.ts
+++ b/test/platform/slowStreams.test.ts
@@ -1,14 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { request } from "undici";
-import {
-    isReady,
-    makeModelHeaders,
-    makeSettings,
-    startDeployment,
-    startGatewayWith,
-    waitUntil,
-} from "./support/deployment.js";
+import { isReady, makeModelHeaders, startDeployment, startTestGateway, waitUntil } from "./support/deployment.js";
 import { renderEvent } from "./support/endpointStandIn.js";
 import { startRawEndpoint } from "./support/rawEndpoint.js";
 
@@ -28,8 +21,8 @@
     const [engine] = deployment.engines;
     deployment.store.remove("keyed.servers", engine!.id);
     deployment.register({ ...engine!, id: slow.id, address: slow.address }, "models");
-    const settings = await makeSettings("budgetless", deployment.store.address, 1_000);
-    const gateway = await startGatewayWith({ ...settings, retryRatio: 0, retrySlack: 0 });
+    const changes = { retryRatio: 0, retrySlack: 0 };
+    const gateway = await startTestGateway("budgetless", deployment.store.address, 1_000, changes);
     context.after(() => gateway.drain());
     await waitUntil("ready", () => isReady(gateway));
     const answer = await request(`${gateway.url}/draft/1`, {
--- a/test/platform/support/deployment.ts
+++ b/test/platform/support/deployment.ts
@@ -152,15 +152,20 @@
     };
 }
 
-/** Starts a gateway on free ports. Tries again with other ports if one has been taken in the meantime. */
+/**
+ * Starts a gateway on free ports. Tries again with other ports if one has been taken in the meantime.
+ *
+ * @param changes settings that differ from those of `makeSettings`
+ */
 export async function startTestGateway(
     name: string,
     storeAddress: string,
     graceMs = 1_000,
+    changes: Partial<GatewaySettings> = {},
 ): Promise<TestGateway> {
     for (let attempt = 1;; attempt++) {
         try {
-            return await startGatewayWith(await makeSettings(name, storeAddress, graceMs));
+            return await startGatewayWith({ ...await makeSettings(name, storeAddress, graceMs), ...changes });
         }
         catch (error) {
             // A connection of another test may be assigned a free port before the gateway listens on it.
