Let prompts with a very long prefill start in time on many engines

The latest start of long prompts was computed for four parts, so that prompts with a prefill of more than four times their target counted as late on arrival; late prompts claim the fewest engines that answer before the customer leaves. Change: the latest start assumes up to 16 parts. Claims leave out engines that are busy for more than 1.5 s. Load answered: very long prompts over steady short ones, bursts of either, replayed in virtual time.

--- a/bench/replay/loads.ts
+++ b/bench/replay/loads.ts
@@ -1,4 +1,4 @@
-import { ReplayKind, ReplayLoad } from "./replay.js";
+import { ReplayEngines, ReplayKind, ReplayLoad } from "./replay.js";
 
 const draft: ReplayKind = {
     name: "draft",
@@ -67,3 +67,56 @@
 };
 
 export const replayLoads: readonly ReplayLoad[] = [ordinaryLoad, longFlood, hugeFlood, draftFlood];
+
+/** A cell of engines whose prefill of the longest prompts takes longer on one of them than customers wait. */
+const cellEngines: ReplayEngines = {
+    count: 22,
+    profile: {
+        slots: 8,
+        memoryTokens: 344_250,
+        stepsPerPass: 38,
+        stepMs: 1.31,
+        stepMsPerSequence: 0.000917,
+        stepMsPerThousandTokens: 0.00213,
+        prefillTokensPerSecond: 154_000,
+        attentionMsPerMillionPairs: 0.162,
+        prefillChunkTokens: 2_048,
+        meanOutputTokens: 1_300,
+    },
+};
+const query: ReplayKind = { ...draft, name: "query", events: 36, firstEventTargetMs: 300, value: 1.3 };
+const summary: ReplayKind = { ...read, name: "summary", events: 21, value: 3.3 };
+const ledger: ReplayKind = {
+    ...digest,
+    name: "ledger",
+    rank: 1,
+    meanTokens: 260_000,
+    maxTokens: 900_000,
+    events: 18,
+    firstEventTargetMs: 4_000,
+    value: 34,
+};
+
+/** Steady short prompts, with very long ones that come now and then. */
+export const steadyVeryLong: ReplayLoad = {
+    name: "very long prompts over steady short ones",
+    durationMs: 20_000,
+    engines: cellEngines,
+    kinds: [{ ...query, perSecond: 22 }, { ...summary, perSecond: 1.5 }, { ...ledger, perSecond: 0.5 }],
+};
+
+/** A burst of very long prompts over steady short ones. Their prefill needs all engines for as long as the burst. */
+export const veryLongBurst: ReplayLoad = {
+    name: "burst of very long prompts",
+    durationMs: 10_000,
+    engines: cellEngines,
+    kinds: [{ ...query, perSecond: 16 }, { ...summary, perSecond: 2.5 }, { ...ledger, perSecond: 1.6 }],
+};
+
+/** A burst of short prompts that takes most slots. */
+export const shortBurst: ReplayLoad = {
+    name: "burst of short prompts over very long ones",
+    durationMs: 10_000,
+    engines: cellEngines,
+    kinds: [{ ...query, perSecond: 56 }, { ...summary, perSecond: 2 }, { ...ledger, perSecond: 0.4 }],
+};
--- a/bench/replay/replay.ts
+++ b/bench/replay/replay.ts
@@ -40,6 +40,14 @@
     readonly name: string;
     readonly durationMs: number;
     readonly kinds: readonly ReplayKind[];
+    /** Absent: the engines of the first deployments. */
+    readonly engines?: ReplayEngines;
+}
+
+/** Engines that a load is replayed against. */
+export interface ReplayEngines {
+    readonly count: number;
+    readonly profile: EngineProfile;
 }
 
 /** Result for one kind of request. */
@@ -67,7 +75,7 @@
     prefillChunkTokens: 2_048,
     meanOutputTokens: 1_600,
 };
-const engineCount = 14;
+const firstEngines: ReplayEngines = { count: 14, profile: replayEngine };
 const drainMs = 20_000;
 
 /** Share of a request's value that does not depend on prompt length, and the maximum factor by prompt length. */
@@ -107,25 +115,26 @@
     seed: number,
     claimPolicy: ClaimPolicy,
 ): readonly ReplayResult[] {
+    const { count, profile } = load.engines ?? firstEngines;
     const timers = createManualTimerService();
     const random = createSeededRandomSource(seed);
     const directory = createEndpointDirectory(defaultDirectorySettings);
     const engines = new Map<string, VirtualEngine>();
-    for (let index = 0; index < engineCount; index++) {
+    for (let index = 0; index < count; index++) {
         const id = `engine-${index}`;
-        engines.set(id, createVirtualEngine(replayEngine, timers));
+        engines.set(id, createVirtualEngine(profile, timers));
         directory.applyRecord({
             id,
             startedAtMs: 0,
             service: "models",
             address: `10.0.0.${index}:80`,
             dataCentre: "a",
-            slots: replayEngine.slots,
+            slots: profile.slots,
             state: EndpointState.Ready,
         }, 0);
     }
     const slowdownEstimate = createSlowdownEstimate();
-    const service: Service = { name: "models", engine: replayEngine };
+    const service: Service = { name: "models", engine: profile };
     const placementQueue = createPlacementQueue({
         timers,
         directory,
--- a/src/routing/engineClaim.ts
+++ b/src/routing/engineClaim.ts
@@ -37,16 +37,20 @@
     readonly maxEngineShare: number;
     /** Share of the time until the deadline that the predicted wait and prefill may use. */
     readonly usableTimeShare: number;
+    /** Engines with work that is predicted to take longer than this, in milliseconds, are not claimed. */
+    readonly maxWaitMs: number;
 }
 
 /**
  * Default limits. A prefill of 1.5 s or more, split into parts of 350 ms, needs more engines at once than are usually
- * available. The unused share of the time covers outputs that are longer than estimated.
+ * available. The unused share of the time covers outputs that are longer than estimated. Engines of a claim take no
+ * other work, so that a longer wait for the last of them costs short prompts more slots than it saves the long one time.
  */
 export const defaultClaimSettings: ClaimSettings = {
     minPrefillMs: 1_500,
     maxEngineShare: 0.7,
     usableTimeShare: 0.8,
+    maxWaitMs: 1_500,
 };
 
 /** Chooses engines to reserve for a long prompt, or returns `undefined` if none should be reserved. */
@@ -87,6 +91,7 @@
     }
     const usable = views.filter(view =>
         isUsable(view, request, slots) && !view.isTrial && !view.hasSuspect && view.pendingPrefillMs <= longPrefillMs
+        && view.freeInMs <= settings.maxWaitMs
     ).sort((left, right) =>
         Math.round(left.freeInMs / freeTimeBucketMs) - Math.round(right.freeInMs / freeTimeBucketMs)
         || right.order - left.order
--- a/src/routing/placementStage.ts
+++ b/src/routing/placementStage.ts
@@ -2,8 +2,14 @@
 import { WaitingWork } from "../scheduling/compareWaiting.js";
 import { defaultPlacementSettings, PlacementStage } from "./enginePlacement.js";
 
-/** Number of parts that a long prompt is usually split into, for the estimate of when it must start. */
-const typicalPartCount = 4;
+/**
+ * Range of the number of parts that a long prompt is split into, for the estimate of when it must start, and the prefill
+ * time per part beyond which more parts are assumed, in milliseconds. With a fixed number, prompts with a prefill of
+ * more than four times their target counted as late on arrival, and got few engines although all were idle.
+ */
+const minTypicalParts = 4;
+const maxTypicalParts = 16;
+const typicalPartMs = 1_000;
 /**
  * Share of the time between a request's soft and hard start deadlines in which it is placed only where it makes no
  * other request late.
@@ -43,8 +49,14 @@
  * predictFirstEventMs(engine, 40);
  */
 export function predictFirstEventMs(engine: EngineProfile, prefillMs: number): number {
-    return prefillMs / (prefillMs > defaultPlacementSettings.shortPrefillMs ? typicalPartCount : 1)
-        + 2 * engine.stepsPerPass * engine.stepMs;
+    return prefillMs / countTypicalParts(prefillMs) + 2 * engine.stepsPerPass * engine.stepMs;
+}
+
+function countTypicalParts(prefillMs: number): number {
+    if (prefillMs <= defaultPlacementSettings.shortPrefillMs) {
+        return 1;
+    }
+    return Math.min(maxTypicalParts, Math.max(minTypicalParts, prefillMs / typicalPartMs));
 }
 
 /**
