Log prompt length and deadline at the end of a request, and the route of refusals

An upper bound of the requests on time needs both for each request. Before, the prompt length could only be derived from readMs, which is rounded and absent without an engine, and the deadline that a customer sets was in no line.

RequestEnded has promptTokens (for requests to models) and deadlineMs, about 40 characters more. RequestRefused has route where it is known. Targets are not logged: they belong to the route. An expected output length is not logged either: it is an estimate and no lower limit.

--- a/src/gateway/requestIntake.ts
+++ b/src/gateway/requestIntake.ts
@@ -67,9 +67,9 @@
     const isDraining = () => options.getDrain() !== undefined;
     let bufferedBytes = 0;
 
-    function refuse(request: IncomingMessage, response: ServerResponse, refusal: Refusal): void {
+    function refuse(request: IncomingMessage, response: ServerResponse, refusal: Refusal, route?: Route): void {
         const head = codec.decodeRequest(request.rawHeaders);
-        logRefusal(log, metrics, head, refusal, options.getTable()?.version);
+        logRefusal(log, metrics, head, refusal, options.getTable()?.version, route);
         const headers = codec.encodeGatewayAnswer(head);
         if (refusal.retryAfterMs !== undefined) {
             headers.push(...renderRetryAfter(refusal.retryAfterMs));
@@ -130,11 +130,12 @@
             chunks.push(chunk);
             if (bytes > maxBodyBytes) {
                 isRefused = true;
-                refuse(request, response, { status: 413, reason: "body too large" });
+                refuse(request, response, { status: 413, reason: "body too large" }, checked.route);
             }
             else if (bufferedBytes > options.maxBufferedBytes) {
                 isRefused = true;
-                refuse(request, response, { status: 503, reason: "memory full", retryAfterMs: memoryRetryMs });
+                const refusal = { status: 503, reason: "memory full", retryAfterMs: memoryRetryMs };
+                refuse(request, response, refusal, checked.route);
             }
         });
         request.on("end", () => {
@@ -159,7 +160,7 @@
         const serviceName = chooseService(route.shares, head.id!);
         const service = serviceName === undefined ? undefined : table.configuration.services.get(serviceName);
         if (!service) {
-            refuse(request, response, { status: 503, reason: "no service", retryAfterMs: unconfiguredRetryMs });
+            refuse(request, response, { status: 503, reason: "no service", retryAfterMs: unconfiguredRetryMs }, route);
             return;
         }
         const method = request.method ?? "GET";
@@ -179,7 +180,7 @@
                 status: 503,
                 reason: `${quarantine.trait} crashes endpoints`,
                 retryAfterMs: computeQuarantineRetryAfterMs(quarantine.remainingMs),
-            });
+            }, route);
             metrics.count("jujubelane_quarantine_refusals_total", "Requests refused because they crash endpoints.");
             return;
         }
@@ -204,7 +205,7 @@
         };
         const drainRefusal = checkDrain(accepted);
         if (drainRefusal) {
-            refuse(request, response, drainRefusal);
+            refuse(request, response, drainRefusal, route);
             return;
         }
         startRequestTask(accepted, createCustomerAnswer(response, isDraining), services);
@@ -249,11 +250,13 @@
     head: RequestHead,
     refusal: Refusal,
     version: number | undefined,
+    route: Route | undefined,
 ): void {
     log(LogEvent.RequestRefused, {
         request: head.id,
         status: refusal.status,
         reason: refusal.reason,
+        route: route?.name,
         config: version,
         retryAfterMs: refusal.retryAfterMs,
     });
--- a/src/gateway/requestReport.ts
+++ b/src/gateway/requestReport.ts
@@ -2,7 +2,7 @@
 import { LogEvent } from "../base/logEvents.js";
 import { Verdict } from "../base/verdict.js";
 import { HedgeDecision } from "../retries/hedgePolicy.js";
-import { AcceptedRequest } from "./acceptedRequest.js";
+import { AcceptedRequest, computeTimes } from "./acceptedRequest.js";
 import { ClaimReport, Place, PlacementRefusal } from "./place.js";
 import { HedgeResult } from "./requestHedge.js";
 import { RequestServices } from "./requestServices.js";
@@ -151,6 +151,8 @@
                 firstEventMs: firstEventAtMs && Math.round(firstEventAtMs - request.arrivedAtMs),
                 longestPauseMs: Math.round(end.longestPauseMs),
                 readMs: end.readMs && Math.round(end.readMs),
+                promptTokens: request.head.prompt?.promptTokens,
+                deadlineMs: Math.round(computeTimes(request).deadlineAtMs - request.arrivedAtMs),
                 tookMs: Math.round(tookMs),
             });
             const labels = { result: result === EndKind.Answered ? `${result}-${end.status}` : result };
