--- a/bench/replay/replay.ts
+++ b/bench/replay/replay.ts
@@ -67,7 +67,7 @@
     prefillChunkTokens: 2_048,
     meanOutputTokens: 1_600,
 };
-const engineCount = 14;
+export const replayEngineCount = 14;
 const drainMs = 20_000;
 
 /** Share of a request's value that does not depend on prompt length, and the maximum factor by prompt length. */
@@ -81,7 +81,16 @@
     recordDispatch: () => undefined,
 };
 
+/** What became of one simulated request. */
+export interface ReplayOutcome {
+    readonly kind: ReplayKind;
+    readonly arrivedAtMs: number;
+    readonly promptTokens: number;
+    readonly isWithinTargets: boolean;
+}
+
 interface Outcome {
+    arrivedAtMs: number;
     promptTokens: number;
     firstMs?: number;
     longestGapMs: number;
@@ -106,12 +115,13 @@
     placeOnEngines: PlacementPolicy,
     seed: number,
     claimPolicy: ClaimPolicy,
+    report: (outcome: ReplayOutcome) => void = () => undefined,
 ): readonly ReplayResult[] {
     const timers = createManualTimerService();
     const random = createSeededRandomSource(seed);
     const directory = createEndpointDirectory(defaultDirectorySettings);
     const engines = new Map<string, VirtualEngine>();
-    for (let index = 0; index < engineCount; index++) {
+    for (let index = 0; index < replayEngineCount; index++) {
         const id = `engine-${index}`;
         engines.set(id, createVirtualEngine(replayEngine, timers));
         directory.applyRecord({
@@ -214,20 +224,37 @@
                 break;
             }
             const promptTokens = pickTokens(kind, random);
-            const outcome: Outcome = { promptTokens, longestGapMs: 0, isEnded: false, isRefused: false };
+            const outcome: Outcome = {
+                arrivedAtMs: atMs,
+                promptTokens,
+                longestGapMs: 0,
+                isEnded: false,
+                isRefused: false,
+            };
             outcomes.get(kind)!.push(outcome);
             timers.schedule(atMs, () => submit(kind, outcome));
         }
     }
     timers.advance(load.durationMs + drainMs);
     placementQueue.dispose();
+    outcomes.forEach((some, kind) =>
+        some.forEach(({ arrivedAtMs, promptTokens, ...outcome }) =>
+            report({ kind, arrivedAtMs, promptTokens, isWithinTargets: isWithinTargets(kind, outcome) })
+        )
+    );
     return load.kinds.map(kind => summarizeKind(kind, outcomes.get(kind)!));
 }
 
+function isWithinTargets(
+    kind: ReplayKind,
+    { isEnded, firstMs, longestGapMs }: Pick<Outcome, "isEnded" | "firstMs" | "longestGapMs">,
+): boolean {
+    return isEnded && firstMs! <= kind.firstEventTargetMs && longestGapMs <= kind.gapTargetMs;
+}
+
 function summarizeKind(kind: ReplayKind, outcomes: readonly Outcome[]): ReplayResult {
-    const isWithinTargets = (outcome: Outcome) =>
-        outcome.isEnded && outcome.firstMs! <= kind.firstEventTargetMs && outcome.longestGapMs <= kind.gapTargetMs;
-    const withinTargets = outcomes.filter(isWithinTargets).length;
+    const isServed = (outcome: Outcome) => isWithinTargets(kind, outcome);
+    const withinTargets = outcomes.filter(isServed).length;
     const refused = outcomes.filter(outcome => outcome.isRefused).length;
     const sumValue = (some: readonly Outcome[]) =>
         some.reduce((sum, outcome) => sum + computeValue(kind, outcome.promptTokens), 0);
@@ -237,7 +264,7 @@
         withinTargets,
         late: outcomes.length - withinTargets - refused,
         refused,
-        valueShare: sumValue(outcomes.filter(isWithinTargets)) / Math.max(1, sumValue(outcomes)),
+        valueShare: sumValue(outcomes.filter(isServed)) / Math.max(1, sumValue(outcomes)),
     };
 }
 
