--- a/bench/replay/replay.ts
+++ b/bench/replay/replay.ts
@@ -74,7 +74,7 @@
 const baseValueShare = 0.3;
 const maxValueFactor = 4;
 
-const unlimitedQuota: PlacementQuota = {
+export const unlimitedQuota: PlacementQuota = {
     isOpen: () => true,
     isLastChoice: () => false,
     getShare: () => Infinity,
--- a/bench/run.ts
+++ b/bench/run.ts
@@ -1,6 +1,6 @@
 // Runs the experiments and measures the cost that the entry adds; writes the results to bench/results or --out.
 // With --replay it only prints the table of placement policies, from simulated engines; with --crashes those of requests that crash endpoints, with --limits
-// that of divided limits, with --ceiling the upper bound of the requests on time in a log.
+// that of divided limits, with --pass the cost of a placement pass, with --ceiling the upper bound of the requests on time in a log.
 import { execFileSync } from "node:child_process";
 import { mkdir, writeFile } from "node:fs/promises";
 import { loadavg } from "node:os";
@@ -22,6 +22,7 @@
 import { renderCrashTable } from "./replay/crashReplay.js";
 import { renderLimitTable } from "./replay/limitReplay.js";
 import { renderReplayTable } from "./replay/main.js";
+import { renderPassTable } from "./replay/placementPass.js";
 import { renderPlainCrashTable } from "./replay/plainCrashReplay.js";
 
 const quickPhaseScale = 0.1;
@@ -33,6 +34,7 @@
     replay: { type: "boolean", default: false, description: "only the table of placement policies" },
     crashes: { type: "boolean", default: false, description: "only the tables of requests that crash endpoints" },
     limits: { type: "boolean", default: false, description: "only the table of divided limits" },
+    pass: { type: "boolean", default: false, description: "only the cost of a placement pass" },
     ceiling: { type: "string", description: "only the upper bound of the requests on time in this log of gateways" },
     deployment: { type: "string", description: "file with engines and routes for --ceiling (docs/ceiling.md)" },
     only: { type: "string", description: "name of the one experiment or measurement to run" },
@@ -48,6 +50,10 @@
     console.log(await renderCeilingReport(options.ceiling, options.deployment));
     process.exit(0);
 }
+if (options.pass) {
+    console.log(renderPassTable());
+    process.exit(0);
+}
 if (options.crashes) {
     console.log(`${renderCrashTable()}\n\n${renderPlainCrashTable()}`);
     process.exit(0);
