--- a/bench/replay/ceilingInput.ts
+++ b/bench/replay/ceilingInput.ts
@@ -54,6 +54,7 @@
     promptTokens: z.number().optional(),
     deadlineMs: z.number().optional(),
     tookMs: z.number().optional(),
+    droppedLines: z.number().optional(),
 });
 type RequestLine = z.infer<typeof lineSchema>;
 
@@ -128,9 +129,16 @@
         });
     }
 
+    function countUnused(reason: string, count: number): void {
+        unused.set(reason, (unused.get(reason) ?? 0) + count);
+    }
+
     for (const text of lines) {
         if (text.trim().length > 0) {
             const line = parseLine(text);
+            if (line?.droppedLines !== undefined) {
+                countUnused("dropped by a gateway whose output was not read in time", line.droppedLines);
+            }
             const reason = line ? findFlaw(line) : "not a log line of a gateway";
             const route = line?.route !== undefined && Object.hasOwn(file.routes, line.route)
                 ? file.routes[line.route]
@@ -139,8 +147,7 @@
                 add(line, route);
             }
             else {
-                const why = reason ?? `route ${line!.route} is not in the deployment file`;
-                unused.set(why, (unused.get(why) ?? 0) + 1);
+                countUnused(reason ?? `route ${line!.route} is not in the deployment file`, 1);
             }
         }
     }
--- a/test/gateway/ceiling.test.ts
+++ b/test/gateway/ceiling.test.ts
@@ -128,7 +128,7 @@
         line({ event: LogEvent.RequestRefused, status: 503 }),
         line({ event: LogEvent.RequestRefused, status: 401 }),
         line({ route: "other", tookMs: 1, readMs: 1 }),
-        line({ tookMs: 1 }),
+        line({ tookMs: 1, droppedLines: 7 }),
         line({ event: LogEvent.EndpointChosen }),
         "npm start {",
     ], file);
@@ -146,7 +146,7 @@
         ]],
     );
     assert.deepEqual([...input.observedOnTime], [["a", 1]]);
-    assert.deepEqual([...input.unused.values()], [1, 1, 1, 1, 1]);
+    assert.deepEqual([...input.unused.values()], [1, 1, 7, 1, 1, 1]);
 });
 
 test("a replayed policy never serves more on time than the bound, by kind, in all, and by value", () => {
