Make the placement state readable without changing it

Cause: an explanation of a placement must ask what decides about real requests, but limits and cold budgets update themselves when asked, the use of a service cannot be copied, and the terms of a request are computed inside the intake and the task. Ruled out: to make canSend itself free of effects. Its allowance is rounded at each update, so that decisions about real requests would change. Change: peekSend and peekOpen work on a copy; customer use of one service can be copied; the queue can be copied and predicts the start of what waits; notices, limits, cold statements, evacuations and health have a look-up with source and time; computeCustomerTerms and makePlacementTerms hold what intake and task computed. Decisions about requests are unchanged.

--- a/src/gateway/acceptedRequest.ts
+++ b/src/gateway/acceptedRequest.ts
@@ -1,9 +1,11 @@
+import murmurhash from "murmurhash";
 import { RequestHead } from "../ports/exchange.js";
-import { Route, RouteKind, Service } from "../ports/servingConfiguration.js";
+import { Customer, Route, RouteKind, Service, ServingConfiguration } from "../ports/servingConfiguration.js";
+import { isIdempotent } from "../retries/dispatchDecision.js";
 import { computePassMs, computePrefillMs, estimateOutputTokens } from "../routing/engineTiming.js";
-import { AllowedRegions } from "../routing/regionRestriction.js";
+import { AllowedRegions, mergeAllowedRegions } from "../routing/regionRestriction.js";
 import { PredictedDuration } from "../scheduling/drainAdmission.js";
-import { CustomerShare, EngineNeeds } from "./place.js";
+import { CustomerShare, EngineNeeds, PlacementJob } from "./place.js";
 
 /** A completely received customer request that has passed all checks. */
 export interface AcceptedRequest {
@@ -40,6 +42,31 @@
 const firstByteTargetFactor = 4;
 const gapTargetFactor = 8;
 
+/** What a request gets because of its customer. */
+export type CustomerTerms = Pick<AcceptedRequest, "customer" | "share" | "rank" | "allowedRegions">;
+
+/**
+ * Computes what a request of a customer gets on a route.
+ *
+ * @param fingerprint identifies requests that are alike; absent for a request that is not sent
+ *
+ * @example
+ * computeCustomerTerms(table.configuration, route, customer, fingerprint).rank;
+ */
+export function computeCustomerTerms(
+    { customers = [] }: ServingConfiguration,
+    route: Route,
+    customer: Customer | undefined,
+    fingerprint: string | undefined,
+): CustomerTerms {
+    return {
+        customer: customer?.name,
+        share: customers.length > 1 ? { customer: murmurhash.v3(customer?.name ?? ""), fingerprint } : undefined,
+        rank: customer?.rank ?? route.rank,
+        allowedRegions: mergeAllowedRegions(route.allowedRegions, customer?.allowedRegions),
+    };
+}
+
 /** Points in time that matter to a request, on the monotonic clock. */
 export interface RequestTimes {
     /** When the time limit of the customer or of the route ends. */
@@ -87,6 +114,39 @@
     };
 }
 
+/** What placement depends on before a request was sent to any endpoint. */
+export type PlacementTerms = Omit<
+    PlacementJob,
+    "isSuspect" | "isImmediate" | "onPlaced" | "onWaiting" | "onClaimed" | "onExpired"
+>;
+
+/**
+ * Makes the terms on which a request is placed.
+ *
+ * @param avoid ids of endpoints that the request must not be sent to again
+ *
+ * @example
+ * placementQueue.submit({ ...makePlacementTerms(request, new Set()), isSuspect, ...listeners });
+ */
+export function makePlacementTerms(request: AcceptedRequest, avoid: ReadonlySet<string>): PlacementTerms {
+    const { route, service, rank, arrivedAtMs, allowedRegions } = request;
+    const { dueAtMs, customerTimeoutAtMs } = computeTimes(request);
+    const needs = computeEngineNeeds(request);
+    return {
+        service,
+        rank,
+        arrivedAtMs,
+        dueAtMs,
+        customerTimeoutAtMs,
+        needs,
+        isUnsafe: !isIdempotent(route.kind, route.isResumable),
+        avoid,
+        allowedRegions,
+        // Engines are not divided between customers yet: their shares were tested on plain services only.
+        share: needs ? undefined : request.share,
+    };
+}
+
 /** Assumed duration of a request to a plain service, in milliseconds. */
 const plainAnswerMs = 500;
 /** Share of an engine's slots that are assumed to be in use while a request runs. */
--- a/src/gateway/coldWatch.ts
+++ b/src/gateway/coldWatch.ts
@@ -18,6 +18,8 @@
     observeReturn(dataCentre: string): void;
     /** Returns a quota that applies the limits of cold endpoints too. */
     wrapQuota(quota: EndpointQuota): EndpointQuota;
+    /** Returns the statement that limits an endpoint now because it is cold. */
+    findLimiting(endpoint: string): ColdStatement | undefined;
     /** Logs endpoints that have become cold or have ceased to be so; to be called at short intervals. */
     refresh(): void;
 }
@@ -76,11 +78,14 @@
 
     /** Returns the rate that an endpoint sustains if it is cold now, or `undefined` if it has no limit. */
     function findRate(endpoint: string): number | undefined {
+        return findLimiting(endpoint) && findService(endpoint)?.coldPerSecond;
+    }
+
+    function findLimiting(endpoint: string): ColdStatement | undefined {
         const service = findService(endpoint);
-        const perSecond = service?.coldPerSecond ?? 0;
-        const isLimited = perSecond > 0
-            && cold.findCold(endpoint, service?.coldStartMs ?? 0, timers.now()) !== undefined;
-        return isLimited ? perSecond : undefined;
+        return (service?.coldPerSecond ?? 0) > 0
+            ? cold.findCold(endpoint, service?.coldStartMs ?? 0, timers.now())
+            : undefined;
     }
 
     function isRepeated(statement: ColdStatement | undefined): boolean {
@@ -162,6 +167,7 @@
                 }
             });
         },
+        findLimiting,
         wrapQuota: quota => ({
             ...quota,
             recordAnswer(endpoint, answer) {
@@ -185,6 +191,12 @@
                     || budget.canSend(endpoint, perSecond, options.countGateways(endpoint), timers.now());
                 return isWithinLimit && quota.isOpen(endpoint);
             },
+            peekOpen(endpoint) {
+                const perSecond = findRate(endpoint);
+                const isWithinLimit = perSecond === undefined
+                    || budget.peekSend(endpoint, perSecond, options.countGateways(endpoint), timers.now());
+                return isWithinLimit && quota.peekOpen(endpoint);
+            },
             getShare(endpoint) {
                 const perSecond = findRate(endpoint) ?? Infinity;
                 return Math.min(quota.getShare(endpoint), perSecond / options.countGateways(endpoint));
--- a/src/gateway/endpointNoticeBoard.ts
+++ b/src/gateway/endpointNoticeBoard.ts
@@ -8,6 +8,7 @@
     createLeavingEndpoints,
     EndedNotice,
     EndpointIncarnation,
+    FullNotice,
     isSuperseded,
     LeavingNotice,
     NoticeSource,
@@ -33,6 +34,9 @@
     /** Returns whether all of these endpoints may be sent work now. */
     areOpen(endpoints: readonly EndpointRecord[]): boolean;
     isLeaving(endpoint: EndpointRecord): boolean;
+    findLeaving(endpoint: EndpointRecord): LeavingNotice | undefined;
+    /** Returns what the endpoint has told this gateway or, if nothing, what it has told others. */
+    findFull(endpoint: EndpointRecord, nowMs: number): FullNotice | undefined;
     /**
      * Returns whether all endpoints of a service leave, or have left within the last 30 s, so that a request would wait in
      * vain.
@@ -265,6 +269,10 @@
             }
         },
         isLeaving,
+        findLeaving: endpoint => leaving.find(makeIncarnation(endpoint)),
+        findFull: (endpoint, nowMs) =>
+            [full, fullElsewhere].map(kept => kept.find(makeIncarnation(endpoint)))
+                .find(notice => notice !== undefined && notice.untilMs > nowMs),
         isServiceLeaving(service) {
             const registered = directory.listAll().filter(({ record }) => record.service === service);
             const areAllLeaving = registered.every(({ record, availability }) =>
--- a/src/gateway/endpointQuota.ts
+++ b/src/gateway/endpointQuota.ts
@@ -18,6 +18,10 @@
     recordPeerDispatch(endpoint: string): void;
     /** Returns whether this gateway may send a request to an endpoint now. */
     isOpen(endpoint: string): boolean;
+    /** Returns what `isOpen` would return, without changing any state. */
+    peekOpen(endpoint: string): boolean;
+    /** Returns the limit that an endpoint has named and where this gateway learned of it. */
+    findLimit(endpoint: string): KnownLimit | undefined;
     /**
      * Returns whether an endpoint should get work only if no other one can take it. A limited endpoint that nobody has
      * sent a request to for some time is not: only its answers show whether it still has a limit.
@@ -30,6 +34,11 @@
     forget(endpoint: string): void;
 }
 
+/** A limit that is in force. */
+export interface KnownLimit extends EndpointLimit {
+    readonly source?: LimitSource;
+}
+
 export interface EndpointQuotaOptions {
     readonly timers: TimerService;
     readonly log: EventLog;
@@ -40,7 +49,7 @@
 }
 
 /** Where a gateway learned of a limit, as logged. */
-enum LimitSource {
+export enum LimitSource {
     Answer = "answer",
     Gateway = "gateway",
 }
@@ -59,6 +68,8 @@
     const { timers, log, getSharing } = options;
     const limits = createEndpointLimits();
     const budget = createLimitBudget(options.random);
+    /** Sources of the limits in force, by endpoint. */
+    const sources = new Map<string, LimitSource>();
 
     function apply(limit: EndpointLimit, source: LimitSource): boolean {
         const { endpoint, perSecond, observedAtMs } = limit;
@@ -68,6 +79,12 @@
         }
         const nowMs = timers.now();
         budget.setLimit(endpoint, perSecond, nowMs);
+        if (perSecond === undefined) {
+            sources.delete(endpoint);
+        }
+        else {
+            sources.set(endpoint, source);
+        }
         const { gateways, heard } = getSharing(endpoint);
         const ageMs = Math.round(nowMs - observedAtMs);
         log(LogEvent.EndpointLimitChanged, { endpoint, perSecond, previous, source, ageMs, gateways, heard });
@@ -97,12 +114,18 @@
             }
         },
         isOpen: endpoint => !budget.isLimited(endpoint) || budget.canSend(endpoint, getSharing(endpoint), timers.now()),
+        peekOpen: endpoint => budget.peekSend(endpoint, getSharing(endpoint), timers.now()),
+        findLimit(endpoint) {
+            const limit = limits.find(endpoint);
+            return limit && { ...limit, source: sources.get(endpoint) };
+        },
         isLastChoice: endpoint => budget.isLimited(endpoint) && budget.getIdleMs(endpoint, timers.now()) < recheckMs,
         getShare: endpoint => budget.isLimited(endpoint) ? budget.getShare(endpoint, getSharing(endpoint)) : Infinity,
         list: () => limits.list(timers.now()),
         countLimited: () => limits.countActive(),
         forget(endpoint) {
             limits.forget(endpoint);
+            sources.delete(endpoint);
             budget.setLimit(endpoint, undefined, timers.now());
         },
     };
--- a/src/gateway/evacuationWatch.ts
+++ b/src/gateway/evacuationWatch.ts
@@ -17,6 +17,8 @@
     /** Ends evacuations that were not written again after the store was restored; to be called at short intervals. */
     expire(): void;
     readonly gate: EndpointGate;
+    /** Returns since when a data centre is evacuated, on the monotonic clock. */
+    getSinceMs(dataCentre: string): number | undefined;
     /** Selects the endpoints that are not in an evacuated data centre. */
     select(endpoints: readonly EndpointRecord[]): readonly EndpointRecord[];
 }
@@ -91,6 +93,7 @@
             isLastChoice: () => false,
             getOpensInMs: endpoint => isOpen(endpoint) ? 0 : Infinity,
         },
+        getSinceMs: dataCentre => evacuations.getSinceMs(dataCentre),
         select: endpoints => evacuations.count() === 0 ? endpoints : endpoints.filter(isOpen),
     };
 }
--- a/src/gateway/placementQueue.ts
+++ b/src/gateway/placementQueue.ts
@@ -32,6 +32,7 @@
     PlacementFairness,
     QueuedWork,
     ServiceCapacity,
+    StartPrediction,
 } from "./queueFairness.js";
 import { createServiceAvailability } from "./serviceAvailability.js";
 import { createUsableEndpoints } from "./usableEndpoints.js";
@@ -51,6 +52,10 @@
      * a request is sent that had to wait with its place.
      */
     isStillUsable(place: Place): boolean;
+    /** Predicts when a waiting request starts. */
+    predictStart(job: PlacementJob): StartPrediction | undefined;
+    /** Creates a queue with a copy of what waits here, to find out what it would decide. */
+    copy(changeOptions: (options: PlacementQueueOptions) => PlacementQueueOptions): PlacementQueue;
 }
 
 export interface PlacementQueueOptions {
@@ -110,17 +115,20 @@
 type WaitingItem = QueuedWork;
 
 /**
- * Creates an empty queue.
+ * Creates a queue, an empty one unless `initial` requests wait.
  *
  * @example
  * const waiting = queue.submit(job);
  * waiting.dispose(); // the customer has left
  */
-export function createPlacementQueue(options: PlacementQueueOptions): PlacementQueue {
+export function createPlacementQueue(
+    options: PlacementQueueOptions,
+    initial: readonly QueuedWork[] = [],
+): PlacementQueue {
     const { timers, endpointSubset, ledger, quota, gate } = options;
     const { listUsableEndpoints, listHealthyEndpoints, listEngineViews, listPlainViews, startTrials, isLastChoice } =
         createUsableEndpoints(options);
-    let waiting: WaitingItem[] = [];
+    let waiting: WaitingItem[] = initial.map(item => ({ ...item }));
     let nextRun: Disposable | undefined;
     const claims = new Map<WaitingItem, RegisteredClaim>();
     const availability = createServiceAvailability(options);
@@ -456,6 +464,12 @@
             );
             return Math.max(limitWaitMs, (queuedPrefillMs + pendingPrefillMs + needs.prefillMs) / endpoints.length);
         },
+        predictStart(job) {
+            const nowMs = timers.now();
+            const item = waiting.find(other => other.job === job);
+            return item && fairness.predictStart(item, waiting, describeCapacity(item, nowMs), nowMs);
+        },
+        copy: changeOptions => createPlacementQueue(changeOptions(options), waiting),
         dispose() {
             nextRun?.dispose();
             [...claims.keys()].forEach(dropClaim);
--- a/src/gateway/queueFairness.ts
+++ b/src/gateway/queueFairness.ts
@@ -48,6 +48,16 @@
     readonly endpoints: number;
 }
 
+/** Predicted start of a waiting request. */
+export interface StartPrediction {
+    /** Requests of the service that wait here and come before this one. */
+    readonly ahead: number;
+    /** Requests of the service that wait at other gateways and are expected to come before this one. */
+    readonly aheadElsewhere: number;
+    /** Time to the start, in milliseconds. */
+    readonly startMs: number;
+}
+
 /**
  * Part of the time that a request of a plain service has its place, in relation to the average, that is left for it
  * before its deadline. With less, about half of those that start last would end after their deadlines.
@@ -110,6 +120,13 @@
         capacity: ServiceCapacity,
         nowMs: number,
     ): number | undefined;
+    /** Predicts when a request of the queue starts. */
+    predictStart(
+        work: QueuedWork,
+        waiting: readonly QueuedWork[],
+        capacity: ServiceCapacity,
+        nowMs: number,
+    ): StartPrediction;
     recordRefusal(work: QueuedWork, nowMs: number): void;
     listGroups(waiting: readonly QueuedWork[]): readonly WaitingGroup[];
 }
@@ -191,6 +208,25 @@
             .reduce((sum, group) => sum + group.count, 0);
     }
 
+    function predictStart(
+        work: QueuedWork,
+        waiting: readonly QueuedWork[],
+        capacity: ServiceCapacity,
+        nowMs: number,
+    ): StartPrediction {
+        const selected = selectAhead(work, waiting, nowMs);
+        const ahead = selected.length;
+        const aheadElsewhere = work.job.share ? countPeersAhead(work, nowMs) : 0;
+        if (isPlain(work)) {
+            const residenceMs = residence.get(work.job.service.name);
+            const startMs = predictStartMs({ ...capacity, ahead: ahead + aheadElsewhere, residenceMs });
+            return { ahead, aheadElsewhere, startMs };
+        }
+        const aheadMs = selected.reduce((sum, other) => sum + other.prefillMs, 0);
+        const startMs = capacity.pendingPrefillMs + aheadMs / Math.max(1, capacity.endpoints);
+        return { ahead, aheadElsewhere, startMs };
+    }
+
     function predictPlainRefusal(
         work: QueuedWork,
         waiting: readonly QueuedWork[],
@@ -198,8 +234,7 @@
         nowMs: number,
     ): number | undefined {
         const { name } = work.job.service;
-        const ahead = selectAhead(work, waiting, nowMs).length + countPeersAhead(work, nowMs);
-        const startMs = predictStartMs({ ...capacity, ahead, residenceMs: residence.get(name) });
+        const { startMs } = predictStart(work, waiting, capacity, nowMs);
         const isAnyInTime =
             waiting.some(other =>
                 other.job.service.name === name && getWaitingClass(other, nowMs) !== WaitingClass.Late
@@ -222,8 +257,7 @@
         if (!work.isAboveShare) {
             return undefined;
         }
-        const aheadMs = selectAhead(work, waiting, nowMs).reduce((sum, other) => sum + other.prefillMs, 0);
-        const startMs = capacity.pendingPrefillMs + aheadMs / Math.max(1, capacity.endpoints);
+        const { startMs } = predictStart(work, waiting, capacity, nowMs);
         return nowMs + startMs > work.hardStartDeadlineMs ? startMs : undefined;
     }
 
@@ -277,6 +311,7 @@
                 ? predictPlainRefusal(work, waiting, capacity, nowMs)
                 : predictEngineRefusal(work, waiting, capacity, nowMs);
         },
+        predictStart,
         recordRefusal({ job, returnedMs }, nowMs) {
             if (job.share?.fingerprint !== undefined) {
                 returning.recordRefusal(job.share.fingerprint, job.arrivedAtMs - returnedMs, nowMs);
--- a/src/gateway/requestIntake.ts
+++ b/src/gateway/requestIntake.ts
@@ -1,15 +1,13 @@
-import murmurhash from "murmurhash";
 import { IncomingMessage, ServerResponse } from "node:http";
 import { EventLog } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
 import { Metrics } from "../base/metrics.js";
 import { RequestHead } from "../ports/exchange.js";
 import { Customer, Route } from "../ports/servingConfiguration.js";
-import { mergeAllowedRegions } from "../routing/regionRestriction.js";
 import { chooseService, RouteTable } from "../routing/routeTable.js";
 import { decideDrainAdmission, Drain } from "../scheduling/drainAdmission.js";
 import { computeQuarantineRetryAfterMs, computeRetryAfterMs, renderRetryAfter } from "../scheduling/retryAfter.js";
-import { AcceptedRequest, computeTimes, predictDuration } from "./acceptedRequest.js";
+import { AcceptedRequest, computeCustomerTerms, computeTimes, predictDuration } from "./acceptedRequest.js";
 import { createCustomerAnswer } from "./customerAnswer.js";
 import { computeFingerprint, listTraits } from "./quarantineRegistry.js";
 import { RequestServices } from "./requestServices.js";
@@ -192,15 +190,10 @@
             body,
             route,
             service,
-            customer: customer?.name,
-            share: (table.configuration.customers?.length ?? 0) > 1
-                ? { customer: murmurhash.v3(customer?.name ?? ""), fingerprint }
-                : undefined,
-            rank: customer?.rank ?? route.rank,
+            ...computeCustomerTerms(table.configuration, route, customer, fingerprint),
             arrivedAtMs,
             traits,
             configurationVersion: table.version,
-            allowedRegions: mergeAllowedRegions(route.allowedRegions, customer?.allowedRegions),
         };
         const drainRefusal = checkDrain(accepted);
         if (drainRefusal) {
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -4,7 +4,7 @@
 import { Treatment } from "../quarantine/quarantine.js";
 import { isIdempotent, isRedispatchAllowed } from "../retries/dispatchDecision.js";
 import { computeRetryAfterMs, renderRetryAfter } from "../scheduling/retryAfter.js";
-import { AcceptedRequest, computeEngineNeeds, computeTimes } from "./acceptedRequest.js";
+import { AcceptedRequest, computeEngineNeeds, computeTimes, makePlacementTerms } from "./acceptedRequest.js";
 import { createAnswerRelay } from "./answerRelay.js";
 import { Attempt, AttemptFailure, AttemptListener, createAttempt } from "./attempt.js";
 import { CustomerAnswer } from "./customerAnswer.js";
@@ -26,7 +26,7 @@
 export function startRequestTask(request: AcceptedRequest, answer: CustomerAnswer, services: RequestServices): void {
     const { timers, codec, placementQueue } = services;
     const { route, head } = request;
-    const { deadlineAtMs, dueAtMs, customerTimeoutAtMs } = computeTimes(request);
+    const { deadlineAtMs } = computeTimes(request);
     const isRepeatable = isIdempotent(route.kind, route.isResumable);
     const needs = computeEngineNeeds(request);
     const avoid = new Set<string>();
@@ -108,17 +108,8 @@
 
     function makeJob(avoided: ReadonlySet<string>) {
         return {
-            service: request.service,
-            rank: request.rank,
-            arrivedAtMs: request.arrivedAtMs,
-            dueAtMs,
-            customerTimeoutAtMs: answer.isStarted() ? deadlineAtMs : customerTimeoutAtMs,
-            needs,
-            isUnsafe: !isRepeatable,
-            avoid: avoided,
-            allowedRegions: request.allowedRegions,
-            // Engines are not divided between customers yet: their shares were tested on plain services only.
-            share: needs ? undefined : request.share,
+            ...makePlacementTerms(request, avoided),
+            ...(answer.isStarted() ? { customerTimeoutAtMs: deadlineAtMs } : {}),
         };
     }
 
--- a/src/membership/endpointHealth.ts
+++ b/src/membership/endpointHealth.ts
@@ -27,6 +27,8 @@
     getStatus(id: string, nowMs: number): HealthStatus;
     /** Records that a request now tests an endpoint whose status is `Trial`. */
     startTrial(id: string, nowMs: number): void;
+    /** Returns when the last failure or lack of capacity was recorded, on the monotonic clock. */
+    getLastFailureMs(id: string): number | undefined;
     forget(id: string): void;
 }
 
@@ -49,6 +51,7 @@
     failures: number;
     failureShare: number;
     downUntilMs: number;
+    lastFailureMs?: number;
     trialSinceMs?: number;
 }
 
@@ -80,6 +83,9 @@
 
     function record(id: string, result: ExchangeResult, nowMs: number): void {
         const state = getState(id);
+        if (result !== ExchangeResult.Answered) {
+            state.lastFailureMs = nowMs;
+        }
         if (result === ExchangeResult.Full) {
             state.downUntilMs = Math.max(state.downUntilMs, nowMs + fullBackoffMs);
             state.trialSinceMs = undefined;
@@ -125,6 +131,7 @@
         startTrial(id, nowMs) {
             getState(id).trialSinceMs = nowMs;
         },
+        getLastFailureMs: id => states.get(id)?.lastFailureMs,
         forget: id => void states.delete(id),
     };
 }
--- a/src/membership/endpointNotices.ts
+++ b/src/membership/endpointNotices.ts
@@ -61,6 +61,7 @@
 export interface LeavingEndpoints {
     record(notice: LeavingNotice): RecordedNotice<LeavingNotice>;
     has(incarnation: EndpointIncarnation): boolean;
+    find(incarnation: EndpointIncarnation): LeavingNotice | undefined;
     /** Compares the notices with the registrations, and drops those that have ended. */
     refresh(findRegistered: FindRegistered, nowMs: number): readonly EndedNotice<LeavingNotice>[];
     /** Lists the notices of endpoints that are registered, or were within the last 30 s. */
@@ -74,6 +75,7 @@
     record(notice: FullNotice): RecordedNotice<FullNotice>;
     /** Returns when the time of an endpoint ends, or minus infinity, on the monotonic clock. */
     getUntilMs(incarnation: EndpointIncarnation): number;
+    find(incarnation: EndpointIncarnation): FullNotice | undefined;
     expire(nowMs: number): readonly EndedNotice<FullNotice>[];
     list(): readonly FullNotice[];
     count(): number;
@@ -158,6 +160,7 @@
             });
             return { isNew: true, ended };
         },
+        find: incarnation => kept.get(renderKey(incarnation))?.notice,
         has: incarnation => kept.size > 0 && kept.has(renderKey(incarnation)),
         refresh(findRegistered, nowMs) {
             const ended: EndedNotice<LeavingNotice>[] = [];
@@ -214,6 +217,7 @@
             kept.set(key, notice);
             return { isNew: true, ended };
         },
+        find: incarnation => kept.get(renderKey(incarnation)),
         getUntilMs: incarnation =>
             (kept.size > 0 ? kept.get(renderKey(incarnation))?.untilMs : undefined) ?? Number.NEGATIVE_INFINITY,
         expire(nowMs) {
--- a/src/membership/evacuations.ts
+++ b/src/membership/evacuations.ts
@@ -30,6 +30,8 @@
     /** Ends evacuations that were not written again in time. */
     expire(nowMs: number): readonly EvacuationChange[];
     isEvacuated(dataCentre: string): boolean;
+    /** Returns since when a data centre is evacuated, as known here. */
+    getSinceMs(dataCentre: string): number | undefined;
     count(): number;
 }
 
@@ -107,6 +109,7 @@
         expire: nowMs =>
             [...active].filter(([, { heldUntilMs = Infinity }]) => nowMs >= heldUntilMs)
                 .flatMap(([dataCentre]) => applyEnd(dataCentre, nowMs)),
+        getSinceMs: dataCentre => active.get(dataCentre)?.sinceMs,
         isEvacuated: dataCentre => active.has(dataCentre),
         count: () => active.size,
     };
--- a/src/scheduling/coldBudget.ts
+++ b/src/scheduling/coldBudget.ts
@@ -15,6 +15,8 @@
      * @param gateways gateways that use the endpoint, this one included
      */
     canSend(endpoint: string, perSecond: number, gateways: number, nowMs: number): boolean;
+    /** Returns what `canSend` would return, without starting or moving a turn. */
+    peekSend(endpoint: string, perSecond: number, gateways: number, nowMs: number): boolean;
     /** Records a request of this gateway, or of another one that it has heard of. */
     recordDispatch(endpoint: string, isOwn: boolean, nowMs: number): void;
     forget(endpoint: string): void;
@@ -57,26 +59,35 @@
 export function createColdBudget(random: () => number, { overage, slack }: ColdBound): ColdBudget {
     const known = new Map<string, Turns>();
 
-    function getTurns(endpoint: string, periodMs: number, nowMs: number): Turns {
-        const turns = known.get(endpoint) ?? { startsAtMs: nowMs + random() * periodMs, periodMs, recentMs: [] };
-        known.set(endpoint, turns);
-        turns.periodMs = periodMs;
-        turns.startsAtMs = Math.min(turns.startsAtMs, nowMs + periodMs);
-        return turns;
+    function computePeriodMs(perSecond: number, gateways: number): number {
+        return windowMs * gateways / Math.min(perSecond, heardShare * (overage * perSecond + slack));
+    }
+
+    /** Moves the turns to now. Returns whether one is open. */
+    function updateTurns(turns: Turns, perSecond: number, gateways: number, nowMs: number): boolean {
+        const allowed = overage * perSecond + slack;
+        turns.periodMs = computePeriodMs(perSecond, gateways);
+        turns.startsAtMs = Math.min(turns.startsAtMs, nowMs + turns.periodMs);
+        const openMs = turns.periodMs * Math.min(1, simultaneousShare * allowed / gateways);
+        const missedMs = nowMs - turns.startsAtMs - openMs;
+        if (missedMs >= 0) {
+            turns.startsAtMs += turns.periodMs * (Math.floor(missedMs / turns.periodMs) + 1);
+        }
+        turns.recentMs = turns.recentMs.filter(atMs => atMs > nowMs - windowMs);
+        return nowMs >= turns.startsAtMs && turns.recentMs.length < Math.max(1, heardShare * allowed);
     }
 
     return {
         canSend(endpoint, perSecond, gateways, nowMs) {
-            const allowed = overage * perSecond + slack;
-            const usedPerSecond = Math.min(perSecond, heardShare * allowed);
-            const turns = getTurns(endpoint, windowMs * gateways / usedPerSecond, nowMs);
-            const openMs = turns.periodMs * Math.min(1, simultaneousShare * allowed / gateways);
-            const missedMs = nowMs - turns.startsAtMs - openMs;
-            if (missedMs >= 0) {
-                turns.startsAtMs += turns.periodMs * (Math.floor(missedMs / turns.periodMs) + 1);
-            }
-            turns.recentMs = turns.recentMs.filter(atMs => atMs > nowMs - windowMs);
-            return nowMs >= turns.startsAtMs && turns.recentMs.length < Math.max(1, heardShare * allowed);
+            const periodMs = computePeriodMs(perSecond, gateways);
+            const turns = known.get(endpoint) ?? { startsAtMs: nowMs + random() * periodMs, periodMs, recentMs: [] };
+            known.set(endpoint, turns);
+            return updateTurns(turns, perSecond, gateways, nowMs);
+        },
+        peekSend(endpoint, perSecond, gateways, nowMs) {
+            // The first turn of an endpoint begins some time after the first request asks for it.
+            const turns = known.get(endpoint);
+            return turns !== undefined && updateTurns({ ...turns }, perSecond, gateways, nowMs);
         },
         recordDispatch(endpoint, isOwn, nowMs) {
             const turns = known.get(endpoint);
--- a/src/scheduling/customerUsage.ts
+++ b/src/scheduling/customerUsage.ts
@@ -7,6 +7,14 @@
     readonly usedMs: number;
 }
 
+/** Use of a service by a customer in relation to its share, in milliseconds of a slot or of an engine. */
+export interface UsedShare {
+    readonly usedMs: number;
+    /** Equal share of what all customers have used. */
+    readonly equalMs: number;
+    readonly customers: number;
+}
+
 /** Tracks how much of each service its customers have used lately, and which of them use more than their share. */
 export interface CustomerUsage {
     /** Records that a customer has asked for the service at this gateway, and used it for `usedMs`. */
@@ -20,6 +28,10 @@
      * no other customer uses the service.
      */
     isAboveShare(service: string, customer: number, nowMs: number): boolean;
+    /** Describes the share on which `isAboveShare` is based. */
+    describeShare(service: string, customer: number, nowMs: number): UsedShare;
+    /** Copies the use of one service, to compute with a use that is not recorded here. */
+    copyService(service: string): CustomerUsage;
     /** Lists the customers of each service that use more than their share, as `SERVICE HASH`. */
     listAboveShare(nowMs: number): readonly string[];
 }
@@ -44,6 +56,9 @@
     readonly atMs: number;
 }
 
+/** Use by service, gateway and customer. */
+type UseByService = Map<string, Map<string, Map<number, Use>>>;
+
 interface Shares {
     readonly computedAtMs: number;
     readonly aboveShare: ReadonlySet<number>;
@@ -56,9 +71,8 @@
  * usage.record("desk", hashCustomer("planner"), 80, timers.now());
  * usage.isAboveShare("desk", hashCustomer("planner"), timers.now());
  */
-export function createCustomerUsage(): CustomerUsage {
-    /** Use by service, gateway and customer. */
-    const services = new Map<string, Map<string, Map<number, Use>>>();
+export function createCustomerUsage(initial: UseByService = new Map()): CustomerUsage {
+    const services: UseByService = new Map(initial);
     const cache = new Map<string, Shares>();
 
     function getUses(service: string, gateway: string): Map<number, Use> | undefined {
@@ -108,17 +122,22 @@
         }
     }
 
+    function computeUses(service: string, nowMs: number) {
+        const sums = new Map<number, number>();
+        for (const uses of services.get(service)?.values() ?? []) {
+            uses.forEach((use, customer) => sums.set(customer, (sums.get(customer) ?? 0) + computeUsedMs(use, nowMs)));
+        }
+        const equalMs = [...sums.values()].reduce((sum, usedMs) => sum + usedMs, 0) / Math.max(1, sums.size);
+        return { sums, equalMs };
+    }
+
     function computeAboveShare(service: string, nowMs: number): ReadonlySet<number> {
         const cached = cache.get(service);
         if (cached && nowMs - cached.computedAtMs < cacheMs) {
             return cached.aboveShare;
         }
         prune(nowMs);
-        const sums = new Map<number, number>();
-        for (const uses of services.get(service)?.values() ?? []) {
-            uses.forEach((use, customer) => sums.set(customer, (sums.get(customer) ?? 0) + computeUsedMs(use, nowMs)));
-        }
-        const equalMs = [...sums.values()].reduce((sum, usedMs) => sum + usedMs, 0) / Math.max(1, sums.size);
+        const { sums, equalMs } = computeUses(service, nowMs);
         const aboveShare = new Set(
             [...sums].filter(([, usedMs]) => sums.size > 1 && usedMs > excessFactor * equalMs)
                 .map(([customer]) => customer),
@@ -149,6 +168,16 @@
             );
         },
         isAboveShare: (service, customer, nowMs) => computeAboveShare(service, nowMs).has(customer),
+        describeShare(service, customer, nowMs) {
+            const { sums, equalMs } = computeUses(service, nowMs);
+            return { usedMs: sums.get(customer) ?? 0, equalMs, customers: sums.size };
+        },
+        copyService(service) {
+            const gateways = [...services.get(service) ?? []];
+            return createCustomerUsage(
+                new Map([[service, new Map(gateways.map(([gateway, uses]) => [gateway, new Map(uses)]))]]),
+            );
+        },
         listAboveShare: nowMs =>
             [...services.keys()].flatMap(service =>
                 [...computeAboveShare(service, nowMs)].map(customer => `${service} ${customer.toString(16)}`)
--- a/src/scheduling/limitBudget.ts
+++ b/src/scheduling/limitBudget.ts
@@ -13,6 +13,8 @@
     isLimited(endpoint: string): boolean;
     /** Returns whether this gateway may send a request now. Always true for an endpoint without a limit. */
     canSend(endpoint: string, sharing: LimitSharing, nowMs: number): boolean;
+    /** Returns what `canSend` would return, without updating the allowance. */
+    peekSend(endpoint: string, sharing: LimitSharing, nowMs: number): boolean;
     /** Records a request of this gateway, or of another one that it has heard of. */
     recordDispatch(endpoint: string, isOwn: boolean, sharing: LimitSharing, nowMs: number): void;
     /** Returns the requests a second that this gateway can expect to send if all others send as many. */
@@ -85,6 +87,11 @@
         return shared >= 1 + spread * spreadSeconds * sharedPerSecond;
     }
 
+    function updateOpen(bucket: Bucket, sharing: LimitSharing, nowMs: number): boolean {
+        updateBucket(bucket, sharing, nowMs);
+        return isSharedOpen(bucket) || bucket.own >= 1;
+    }
+
     return {
         setLimit(endpoint, perSecond, nowMs) {
             const known = buckets.get(endpoint);
@@ -111,11 +118,11 @@
         isLimited: endpoint => buckets.has(endpoint),
         canSend(endpoint, sharing, nowMs) {
             const bucket = buckets.get(endpoint);
-            if (!bucket) {
-                return true;
-            }
-            updateBucket(bucket, sharing, nowMs);
-            return isSharedOpen(bucket) || bucket.own >= 1;
+            return !bucket || updateOpen(bucket, sharing, nowMs);
+        },
+        peekSend(endpoint, sharing, nowMs) {
+            const bucket = buckets.get(endpoint);
+            return !bucket || updateOpen({ ...bucket }, sharing, nowMs);
         },
         recordDispatch(endpoint, isOwn, sharing, nowMs) {
             const bucket = buckets.get(endpoint);
