Explain at the metrics address where a request would be placed

Operators could only search the log for past decisions. Ruled out: separate rules for the explanation, which would drift from those of requests. Change: GET /jujubelane/explain submits the request to a copy of the placement queue whose effects are dropped, and reports the decision, the customer's share, the quarantine and at most 64 candidates. What excludes a candidate is found by placing on it alone and again without one demand.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -37,9 +37,10 @@
 import { createFeedSharing } from "./feedSharing.js";
 import { createGatewayCells } from "./gatewayCells.js";
 import { drainCustomers } from "./gatewayDrain.js";
-import { countIdleLoss, registerGauges } from "./gatewayGauges.js";
+import { countIdleLoss } from "./gatewayGauges.js";
 import { Gateway, GatewayPorts } from "./gatewayPorts.js";
 import { GatewaySettings } from "./gatewaySettings.js";
+import { serveGatewayStatus } from "./gatewayStatus.js";
 import { createHedging } from "./hedging.js";
 import { createLoadExchange } from "./loadExchange.js";
 import { followOperators } from "./operatorFeed.js";
@@ -52,7 +53,6 @@
 import { RequestServices } from "./requestServices.js";
 import { createReservations } from "./reservations.js";
 import { createStartupGate } from "./startupGate.js";
-import { serveStatus } from "./textServer.js";
 
 /**
  * Time between two reads of registrations, as a share of the time within which a leaving endpoint must be known.
@@ -264,11 +264,8 @@
     function applyConfiguration(records: readonly KeyedRecord[]): void {
         for (const record of records) {
             const configuration = ports.decodeConfiguration(record);
-            if (!configuration) {
-                continue;
-            }
             const previous = routeTable?.version;
-            if (previous !== undefined && configuration.version <= previous) {
+            if (!configuration || (previous !== undefined && configuration.version <= previous)) {
                 continue;
             }
             routeTable = buildRouteTable(configuration);
@@ -410,12 +407,14 @@
         },
     }));
 
-    registerGauges(metrics, { ...services, exchange, customers }, () => routeTable?.version);
-
     const isReady = () => routeTable !== undefined && areEndpointsKnown && peerGreeting.isDone() && !drainState;
     try {
         await customers.listen(ports.customerListener);
-        await serveStatus(settings, isReady, () => metrics.render(), disposables);
+        await serveGatewayStatus(
+            { ...services, exchange, customers, directory, coldWatch, evacuationWatch, settings },
+            { isReady, getTable: () => routeTable, getDrain: () => drainState },
+            disposables,
+        );
     }
     catch (error) {
         // A listen address is in use. Timers and sockets that stay open would keep the caller's process alive.
--- a/src/gateway/textServer.ts
+++ b/src/gateway/textServer.ts
@@ -1,28 +1,32 @@
 import { createServer } from "node:http";
 import { Disposable, DisposableStore } from "../base/disposable.js";
+import { renderExplanation } from "./explainRoute.js";
 import { GatewaySettings, ListenAddress } from "./gatewaySettings.js";
+import { PlacementExplainer } from "./placementExplanation.js";
 
 /** Answer of a text server. */
 export interface TextAnswer {
     readonly status: number;
     readonly text: string;
+    readonly isJson?: boolean;
 }
 
 /**
- * Starts an HTTP server that answers every path with the rendered text. Rejects if it cannot listen on the address.
+ * Starts an HTTP server that answers with the text that is rendered for the path and query. Rejects if it cannot listen on the address.
  *
  * @example
  * await serveText(settings.readyAddress, () => ({ status: isReady() ? 200 : 503, text: "" }), disposables);
  */
 export function serveText(
     address: ListenAddress,
-    render: () => TextAnswer,
+    render: (target: string) => TextAnswer,
     disposables: DisposableStore,
 ): Promise<void> {
     const server = createServer((request, response) => {
         request.resume();
-        const { status, text } = render();
-        response.writeHead(status, { "Content-Type": "text/plain", "Content-Length": Buffer.byteLength(text) });
+        const { status, text, isJson } = render(request.url ?? "");
+        const type = isJson ? "application/json" : "text/plain";
+        response.writeHead(status, { "Content-Type": type, "Content-Length": Buffer.byteLength(text) });
         response.end(text);
     });
     const closing: Disposable = {
@@ -39,18 +43,23 @@
 }
 
 /**
- * Starts the readiness check and the metrics of a gateway. Rejects if an address is in use.
+ * Starts the readiness check, the metrics and the explanations of a gateway. Rejects if an address is in use.
  *
  * @example
- * await serveStatus(settings, isReady, () => metrics.render(), disposables);
+ * await serveStatus(settings, isReady, () => metrics.render(), explain, disposables);
  */
 export async function serveStatus(
     settings: Pick<GatewaySettings, "ip" | "readyAddress" | "metricsPort">,
     isReady: () => boolean,
     renderMetrics: () => string,
+    explain: PlacementExplainer,
     disposables: DisposableStore,
 ): Promise<void> {
     await serveText(settings.readyAddress, () => ({ status: isReady() ? 200 : 503, text: "" }), disposables);
     const metricsAddress = { ip: settings.ip, port: settings.metricsPort };
-    await serveText(metricsAddress, () => ({ status: 200, text: renderMetrics() }), disposables);
+    await serveText(
+        metricsAddress,
+        target => renderExplanation(target, explain) ?? { status: 200, text: renderMetrics() },
+        disposables,
+    );
 }
