Add the command jujubelane explain

Change: the command reads GET /jujubelane/explain of a gateway and prints text or JSON. A refusal ends with 1, an error in the command line prints the usage and ends with 2, as an unknown route or customer does; a gateway that is not reached, without a configuration or without the path ends with 4.

--- a/src/main.ts
+++ b/src/main.ts
@@ -6,6 +6,7 @@
 import { emulateCommand } from "./cli/emulateCommand.js";
 import { entryCommand } from "./cli/entryCommand.js";
 import { dropUnknownVariables, environmentPrefix } from "./cli/environment.js";
+import { explainCommand } from "./cli/explainCommand.js";
 import { loadCommand } from "./cli/loadCommand.js";
 import { SettingsError } from "./cli/settings.js";
 import { sidecarCommand } from "./cli/sidecarCommand.js";
@@ -36,14 +37,18 @@
     .command(configCommand)
     .command(statusCommand)
     .command(drainCommand)
+    .command(explainCommand)
     .demandCommand(1, "expected a command")
     .strict()
     .help()
     .version("0.1.0")
-    .fail((message, error) => {
+    .fail((message, error, parser) => {
         const text = error instanceof SettingsError || message === null ? error.message : message;
         process.stderr.write(`jujubelane: ${text}\n`);
-        if (!(error instanceof SettingsError) && message) {
+        if (args[0] === "explain") {
+            parser.showHelp(help => process.stderr.write(`${help}\n`));
+        }
+        else if (!(error instanceof SettingsError) && message) {
             process.stderr.write("run jujubelane --help for usage\n");
         }
         process.exit(usageExitCode);
