--- a/src/gateway/candidateExplanation.ts
+++ b/src/gateway/candidateExplanation.ts
@@ -106,10 +106,11 @@
         endpoints.listUsableEndpoints(service, nowMs, allowedRegions).map(({ record }) => record.id),
     );
     const known = options.directory.listAll().filter(({ record }) => record.service === service.name);
+    const running = new Map(known.map(({ record }) => [record.id, options.ledger.listAt(record.id, nowMs).length]));
     const preferred = known.map(({ record }) => record).sort((left, right) =>
         Number(chosen.includes(right.id)) - Number(chosen.includes(left.id))
         || Number(usable.has(right.id)) - Number(usable.has(left.id))
-        || options.ledger.listAt(left.id, nowMs).length - options.ledger.listAt(right.id, nowMs).length
+        || running.get(left.id)! - running.get(right.id)!
     );
     const listed = preferred.slice(0, maxCandidates);
     const views = buildViews(inputs, listed, nowMs);
--- a/src/gateway/placementTrial.ts
+++ b/src/gateway/placementTrial.ts
@@ -16,7 +16,7 @@
     readonly claim?: ClaimReport;
     /** Absent unless the request would wait. */
     readonly start?: StartPrediction;
-    /** Predicted wait of a further request, from which `Retry-After` is computed, in milliseconds. */
+    /** Predicted wait from which the `Retry-After` of a refusal is computed, in milliseconds; 0 for other requests. */
     readonly waitMs: number;
     /** Request and stage with which engines were searched; absent if none were, or for a plain service. */
     readonly engineSearch?: { readonly request: PlacementRequest; readonly stage: PlacementStage };
@@ -103,7 +103,7 @@
     };
     copy.submit(job);
     const start = copy.predictStart(job);
-    const waitMs = copy.predictWaitMs(job.service, job.needs);
+    const waitMs = refusal ? copy.predictWaitMs(job.service, job.needs) : 0;
     copy.dispose();
     return { job, place, refusal, claim, start, waitMs, engineSearch, options };
 }
