--- a/src/gateway/placementQueue.ts
+++ b/src/gateway/placementQueue.ts
@@ -36,6 +36,7 @@
 } from "./queueFairness.js";
 import { createServiceAvailability } from "./serviceAvailability.js";
 import { createUsableEndpoints } from "./usableEndpoints.js";
+import { createWaitPrediction } from "./waitPrediction.js";
 
 /** Places requests on endpoints, and queues those that no endpoint has capacity for. */
 export interface PlacementQueue extends Disposable {
@@ -126,14 +127,15 @@
     initial: readonly QueuedWork[] = [],
 ): PlacementQueue {
     const { timers, endpointSubset, ledger, quota, gate } = options;
-    const { listUsableEndpoints, listHealthyEndpoints, listEngineViews, listPlainViews, startTrials, isLastChoice } =
-        createUsableEndpoints(options);
+    const usableEndpoints = createUsableEndpoints(options);
+    const { listUsableEndpoints, listEngineViews, listPlainViews, startTrials, isLastChoice } = usableEndpoints;
     let waiting: WaitingItem[] = initial.map(item => ({ ...item }));
     let nextRun: Disposable | undefined;
     const claims = new Map<WaitingItem, RegisteredClaim>();
     /** Results of `selectPreferred`. */
     const preferredViews = new WeakMap<readonly unknown[], readonly unknown[]>();
     const availability = createServiceAvailability(options);
+    const waitPrediction = createWaitPrediction(usableEndpoints, availability, quota);
     const fairness = createQueueFairness(options.fairness.state, timers);
     const allocator = createPlaceAllocator({
         ...options,
@@ -365,20 +367,9 @@
         return waiting.filter(item => !claims.has(item) && (isAlikePlain(item) || count++ < maxItemsPerRun));
     }
 
-    /**
-     * Predicts the time until the limits of the endpoints allow the requests that wait and one more, in milliseconds.
-     * Zero if an endpoint has no limit.
-     */
-    function predictLimitWaitMs(service: Service, nowMs: number): number {
-        const healthy = listHealthyEndpoints(service, nowMs);
-        const perSecond = healthy.reduce((sum, { record }) => sum + quota.getShare(record.id), 0);
-        const ahead = waiting.filter(item => item.job.service.name === service.name).length;
-        return healthy.length === 0 || perSecond === Infinity ? 0 : (ahead + 1) * 1_000 / perSecond;
-    }
-
     /** Returns whether the limits of all endpoints allow a request only when it can no longer start in time. */
     function isLimitedTooLong({ job, hardStartDeadlineMs }: WaitingItem, nowMs: number): boolean {
-        return nowMs + predictLimitWaitMs(job.service, nowMs) > hardStartDeadlineMs;
+        return nowMs + waitPrediction.predictLimitWaitMs(job.service, waiting, nowMs) > hardStartDeadlineMs;
     }
 
     /** Describes the load on which the decision to queue or refuse a request was based, for the log. */
@@ -454,26 +445,7 @@
                 slotsTaken: usable.reduce((sum, { record }) => sum + ledger.listAt(record.id, nowMs).length, 0),
             };
         },
-        predictWaitMs(service, needs) {
-            const nowMs = timers.now();
-            const queued = waiting.filter(item => item.job.service.name === service.name);
-            const endpoints = listHealthyEndpoints(service, nowMs);
-            const opensInMs = availability.getOpensInMs(service, new Set(), nowMs);
-            if (endpoints.length === 0) {
-                return opensInMs > 0 ? opensInMs : Number.POSITIVE_INFINITY;
-            }
-            const limitWaitMs = Math.max(opensInMs, predictLimitWaitMs(service, nowMs));
-            const engine = service.engine;
-            if (!engine || !needs) {
-                return limitWaitMs;
-            }
-            const queuedPrefillMs = queued.reduce((sum, item) => sum + (item.job.needs?.prefillMs ?? 0), 0);
-            const pendingPrefillMs = listEngineViews(service, engine, nowMs).reduce(
-                (sum, view) => sum + view.pendingPrefillMs,
-                0,
-            );
-            return Math.max(limitWaitMs, (queuedPrefillMs + pendingPrefillMs + needs.prefillMs) / endpoints.length);
-        },
+        predictWaitMs: (service, needs) => waitPrediction.predictWaitMs(service, needs, waiting, timers.now()),
         predictStart(job) {
             const nowMs = timers.now();
             const item = waiting.find(other => other.job === job);
--- a/src/gateway/usableEndpoints.ts
+++ b/src/gateway/usableEndpoints.ts
@@ -15,6 +15,9 @@
     readonly isTrial: boolean;
 }
 
+/** Lists of the endpoints that placement may choose from. */
+export type UsableEndpoints = ReturnType<typeof createUsableEndpoints>;
+
 /** Options of the placement queue that say which endpoints may be used. */
 type UsableEndpointsOptions = Pick<
     PlacementQueueOptions,
