Borrow engines of other cells while the own cell has no place

Cause: customers' connections are uneven, and a cell uses its own engines only. Gateways of the busy cell waited 60 to 200 ms at p90 for a place, those of the other one 4 ms. Ruled out: size of the host (gateways of 0.24 core are among the best and the worst); capacity (engines of the other cell were idle). Change: one gateway of each cell reports spare engines to the other cells; a request without a place in its own cell goes there, and the cell that lends is told of the work.

--- a/src/base/logEvents.ts
+++ b/src/base/logEvents.ts
@@ -17,6 +17,8 @@
     HedgeSent = 1011,
     HedgeWithheld = 1012,
     HedgeServiceUnknown = 1013,
+    EnginesBorrowed = 1014,
+    SpareEngineReporterChanged = 1015,
     TicketIgnored = 1020,
     RequestSplit = 1021,
     MemoryOrderFailed = 1030,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,16 +1,11 @@
 import { createDisposableStore } from "../base/disposable.js";
 import { LogEvent } from "../base/logEvents.js";
 import { createMetrics } from "../base/metrics.js";
-import {
-    createEndpointDirectory,
-    defaultDirectorySettings,
-    EndpointChange,
-    EndpointChangeKind,
-} from "../membership/endpointDirectory.js";
+import { createEndpointDirectory, defaultDirectorySettings } from "../membership/endpointDirectory.js";
 import { createEndpointHealth, ExchangeResult } from "../membership/endpointHealth.js";
 import { createEndpointSubset } from "../membership/endpointSubset.js";
 import { EvacuationChangeKind } from "../membership/evacuations.js";
-import { EndpointRecord, EndpointState } from "../ports/endpointRecord.js";
+import { EndpointState } from "../ports/endpointRecord.js";
 import { KeyedRecord } from "../ports/recordFeed.js";
 import { computeBudgetBurst, computeBudgetRatio } from "../retries/budgetShare.js";
 import { createRetryBudget } from "../retries/retryBudget.js";
@@ -28,12 +23,13 @@
 import { createCrashDetector, LossEvidence } from "./crashDetector.js";
 import { createCustomerServer } from "./customerServer.js";
 import { createEndpointConnections } from "./endpointConnections.js";
+import { followEndpoints } from "./endpointFeed.js";
 import { mergeGates } from "./endpointGate.js";
 import { createEndpointNoticeBoard } from "./endpointNoticeBoard.js";
 import { createEndpointQuota } from "./endpointQuota.js";
+import { EngineLending, startEngineLending } from "./engineLending.js";
 import { createEvacuationWatch } from "./evacuationWatch.js";
 import { startFairnessExchange } from "./fairnessExchange.js";
-import { followFeed } from "./feedFollower.js";
 import { createFeedSharing } from "./feedSharing.js";
 import { createGatewayCells } from "./gatewayCells.js";
 import { drainCustomers } from "./gatewayDrain.js";
@@ -46,7 +42,7 @@
 import { followOperators } from "./operatorFeed.js";
 import { followPeers } from "./peerDiscovery.js";
 import { createPeerGreeting } from "./peerGreeting.js";
-import { createPlacementQueue } from "./placementQueue.js";
+import { createPlacementQueue, PlacementQueue } from "./placementQueue.js";
 import { createQuarantineRegistry, QuarantineSource } from "./quarantineRegistry.js";
 import { createQuarantineStore } from "./quarantineStore.js";
 import { createRequestIntake } from "./requestIntake.js";
@@ -54,13 +50,6 @@
 import { createReservations } from "./reservations.js";
 import { createStartupGate } from "./startupGate.js";
 
-/**
- * Time between two reads of registrations, as a share of the time within which a leaving endpoint must be known.
- * Endpoints renew their registrations about every second and each call to the store has a cost, so one read collects
- * many renewals.
- */
-const endpointReadPauseShare = 0.4;
-const endpointWaitMs = 300;
 /**
  * Time for which a request waits for the first configuration, in milliseconds. A store that is reachable answers the
  * first read within it; when the store is away, customers are told early enough to come back.
@@ -99,7 +88,6 @@
             cells.select(evacuationWatch.select(endpoints.filter(endpoint => !endpointNotices.isLeaving(endpoint)))),
     );
     let routeTable: RouteTable | undefined;
-    let areEndpointsKnown = false;
     let drainState: Drain | undefined;
 
     const exchange = disposables.register(createLoadExchange({
@@ -120,6 +108,7 @@
         onLimit: limit => endpointQuota.applyNotice(limit),
         listLimits: () => endpointQuota.list(),
         onPeerDispatch: endpoint => endpointQuota.recordPeerDispatch(endpoint),
+        isForeign,
     }));
     const cells = createGatewayCells({
         timers,
@@ -216,7 +205,7 @@
         metrics,
         countSharingGroups: service => cells.countSharingCells(directory.listUsable(service).length),
     }));
-    const placementQueue = disposables.register(createPlacementQueue({
+    const placementQueue: PlacementQueue = disposables.register(createPlacementQueue({
         timers,
         directory,
         endpointSubset,
@@ -234,8 +223,23 @@
         gate: mergeGates([evacuationWatch.gate, endpointNotices]),
         isServiceLeaving: service => endpointNotices.isServiceLeaving(service),
         fairness,
+        lending: {
+            listSpare: () => lending.listSpare(),
+            recordBorrowing: (...args) => lending.recordBorrowing(...args),
+        },
         reportChange: (key, item) => exchange.reportChange(key, item),
     }));
+    const lending: EngineLending = disposables.register(startEngineLending({
+        timers,
+        log,
+        metrics,
+        notices: exchange.notices,
+        address: exchangeAddress,
+        countCells: () => cells.countCells(),
+        listHeard: () => exchange.listHeard(maxPeerSilenceMs),
+        listServices: () => [...routeTable?.configuration.services.values() ?? []],
+        placementQueue,
+    }));
     const retryBudget = createRetryBudget({
         ratio: computeBudgetRatio(settings.retryRatio),
         burst: computeBudgetBurst(settings.retrySlack, 0),
@@ -253,6 +257,13 @@
             endpointNotices.recordCallAnswer(address, ports.codec.decodeAnswer(status, headers)),
     });
 
+    /** Returns whether only other cells use an endpoint. */
+    function isForeign(endpoint: string): boolean {
+        const service = directory.find(endpoint)?.record.service;
+        return cells.countCells() > 1 && service !== undefined
+            && !endpointSubset.list(service).some(record => record.id === endpoint);
+    }
+
     /** Counts the gateways that use an endpoint, and those of them whose requests are heard of. */
     function countSharing(endpoint: string, unlisted?: number): LimitSharing {
         const service = directory.find(endpoint)?.record.service;
@@ -281,47 +292,6 @@
         }
     }
 
-    function recordLoss(record: EndpointRecord): void {
-        if (record.state !== EndpointState.Draining && !endpointNotices.isLeaving(record)) {
-            crashDetector.recordEndpointLoss(record.id, LossEvidence.Gone);
-            hedging.recordEndpointLoss(record.service);
-        }
-    }
-
-    function applyChanges(changes: readonly EndpointChange[]): void {
-        for (const { kind, record } of changes) {
-            const { id: endpoint, service, address, dataCentre } = record;
-            log(LogEvent.EndpointChanged, { change: kind, endpoint, service, address, dataCentre });
-            if (kind === EndpointChangeKind.Joined) {
-                crashDetector.recordEndpointJoined(record);
-            }
-            if (kind === EndpointChangeKind.Restarted || kind === EndpointChangeKind.Left) {
-                recordLoss(record);
-                health.forget(record.id);
-                slowdownEstimate.forget(record.id);
-                endpointQuota.forget(record.id);
-                ledger.forgetEndpoint(record.id);
-                connections.replace(record.address);
-            }
-        }
-        if (changes.length > 0) {
-            cells.update();
-            endpointSubset.invalidate();
-            connections.keepOnly(new Set(directory.listAll().map(item => item.record.address)));
-            placementQueue.run();
-        }
-    }
-
-    const decodeEndpoint = (record: KeyedRecord) => coldWatch.observeRegistration(ports.decodeEndpoint(record));
-    const decodeEndpoints = (records: readonly KeyedRecord[]) =>
-        records.map(decodeEndpoint).filter(record => record !== undefined);
-
-    function applyEndpointRecord(record: KeyedRecord): readonly EndpointChange[] {
-        const nowMs = timers.now();
-        const endpoint = decodeEndpoint(record);
-        return endpoint ? directory.applyRecord(endpoint, nowMs) : directory.applyRemoval(record.key, nowMs);
-    }
-
     const services: RequestServices = {
         timers,
         log,
@@ -365,30 +335,37 @@
         evacuationWatch,
         applyConfiguration,
     }));
-    disposables.register(followFeed({
-        name: "endpoints",
+    const endpointFeed = disposables.register(followEndpoints({
         feed: wrapFeed("endpoints", ports.endpointFeed, metrics),
         sharing,
-        timing: { waitMs: endpointWaitMs, pauseMs: settings.leavingNoticeMs * endpointReadPauseShare },
+        settings,
         timers,
         log,
-        listener: {
-            onSnapshot(records) {
-                areEndpointsKnown = true;
-                applyChanges(directory.applyAll(decodeEndpoints(records), timers.now()));
-            },
-            onRestored() {
-                directory.markStoreRestored(timers.now());
-                peers.renewSoon();
-            },
-            onUpdate: records => applyChanges(records.flatMap(applyEndpointRecord)),
-            onUnavailable: () => directory.markStoreUnreachable(),
-            onAvailable: () => directory.markStoreReachable(timers.now()),
+        directory,
+        decode: record => coldWatch.observeRegistration(ports.decodeEndpoint(record)),
+        onLost(record) {
+            if (record.state !== EndpointState.Draining && !endpointNotices.isLeaving(record)) {
+                crashDetector.recordEndpointLoss(record.id, LossEvidence.Gone);
+                hedging.recordEndpointLoss(record.service);
+            }
+            health.forget(record.id);
+            slowdownEstimate.forget(record.id);
+            endpointQuota.forget(record.id);
+            ledger.forgetEndpoint(record.id);
+            connections.replace(record.address);
+        },
+        onJoined: record => crashDetector.recordEndpointJoined(record),
+        onChange() {
+            cells.update();
+            endpointSubset.invalidate();
+            connections.keepOnly(new Set(directory.listAll().map(item => item.record.address)));
+            placementQueue.run();
         },
+        onRestored: () => peers.renewSoon(),
     }));
     disposables.register(
         timers.subscribe(expiryCheckIntervalMs, () => {
-            applyChanges(directory.expireLapses(timers.now()));
+            endpointFeed.expire();
             evacuationWatch.expire();
             coldWatch.refresh();
         }),
@@ -407,7 +384,7 @@
         },
     }));
 
-    const isReady = () => routeTable !== undefined && areEndpointsKnown && peerGreeting.isDone() && !drainState;
+    const isReady = () => routeTable !== undefined && endpointFeed.isRead() && peerGreeting.isDone() && !drainState;
     try {
         await customers.listen(ports.customerListener);
         await serveGatewayStatus(
--- a/src/gateway/gatewayCells.ts
+++ b/src/gateway/gatewayCells.ts
@@ -26,6 +26,8 @@
      * assumed until the list of gateways has been read.
      */
     countSharing(endpoints: number, unlisted?: number): number;
+    /** Counts the cells of the deployment. */
+    countCells(): number;
     /** Counts the cells that use the same endpoints of a service with `endpoints` endpoints. */
     countSharingCells(endpoints: number): number;
 }
@@ -97,6 +99,7 @@
         update,
         listGateways: () => gateways,
         select: endpoints => selectCellEndpoints(cell, endpoints),
+        countCells: () => cell.count,
         countSharingCells: endpoints => countSharingGateways(cell, cell.count, endpoints),
         countSharing: (endpoints, unlisted = assumedGateways) =>
             countSharingGateways(cell, gateways.length || unlisted, endpoints),
--- a/src/gateway/loadExchange.ts
+++ b/src/gateway/loadExchange.ts
@@ -71,6 +71,8 @@
     /** Called for each request that another gateway has sent to an endpoint. */
     readonly onPeerDispatch: (endpoint: string) => void;
     readonly listQuarantines: () => readonly QuarantineTerm[];
+    /** Returns whether an endpoint is used by another cell, whose gateways are then told of work at it too. */
+    readonly isForeign: (endpoint: string) => boolean;
 }
 
 type Notices = Pick<LoadMessage, "crashes" | "quarantines" | "limits">;
@@ -96,7 +98,12 @@
     const ownAddress = `${options.ip}:${options.port}`;
     const socket = createSocket("udp4");
     const peers = new Map<string, Peer>();
+    /** Gateways of other cells that have sent work to endpoints of this one. */
+    const borrowers = new Map<string, Peer>();
     const changes = new Map<string, WorkItem | undefined>();
+    /** Keys of own work at endpoints of other cells. */
+    const foreignKeys = new Set<string>();
+    let hasReportedForeign = false;
     let recentCrashes: { readonly report: CrashReport; readonly reportedAtMs: number }[] = [];
     let recentTerms: { readonly term: QuarantineTerm; readonly reportedAtMs: number }[] = [];
     let recentLimits: { readonly limit: EndpointLimit; readonly reportedAtMs: number }[] = [];
@@ -180,6 +187,18 @@
         }
     }
 
+    /** Sends the work at endpoints of other cells to these, and once more when there is none left. */
+    function sendForeignSnapshot(): void {
+        if (foreignKeys.size > 0 || hasReportedForeign) {
+            const items = ledger.listOwn().filter(item => foreignKeys.has(item.key));
+            send(true, items.slice(0, itemsPerMessage), [], others);
+            for (let start = itemsPerMessage; start < items.length; start += itemsPerMessage) {
+                send(false, items.slice(start, start + itemsPerMessage), [], others);
+            }
+        }
+        hasReportedForeign = foreignKeys.size > 0;
+    }
+
     /** Lists recent crashes, and recent or, now and then, all quarantines and limits. */
     function listSnapshotNotices(): Notices {
         const isFullList = snapshotCount++ % snapshotsPerFullList === 0;
@@ -226,8 +245,17 @@
         const changed = [...changes.values()].filter(item => item !== undefined);
         const removed = [...changes].filter(([, item]) => item === undefined).map(([key]) => key);
         changes.clear();
+        sendItems(changed, removed, listTargets());
+        const foreign = changed.filter(item => foreignKeys.has(item.key));
+        const foreignRemoved = removed.filter(key => foreignKeys.delete(key));
+        if (foreign.length + foreignRemoved.length > 0) {
+            sendItems(foreign, foreignRemoved, others);
+        }
+    }
+
+    function sendItems(changed: readonly WorkItem[], removed: readonly string[], targets: Iterable<string>): void {
         for (let start = 0; start === 0 || start < changed.length; start += itemsPerMessage) {
-            send(false, changed.slice(start, start + itemsPerMessage), start === 0 ? removed : []);
+            send(false, changed.slice(start, start + itemsPerMessage), start === 0 ? removed : [], targets);
         }
     }
 
@@ -255,23 +283,36 @@
             return;
         }
         if (others.has(message.address)) {
+            if (message.isSnapshot || message.items.length + message.removed.length > 0) {
+                receiveWork(message, borrowers);
+            }
             receiveNotices(message);
             return;
         }
-        const known = peers.get(message.address);
-        const isNew = known?.incarnation !== message.incarnation;
-        if (!isNew && message.sequence <= known.sequence) {
+        const isNew = peers.get(message.address)?.incarnation !== message.incarnation;
+        if (!receiveWork(message, peers)) {
             return;
         }
+        receiveNotices(message);
         if (isNew) {
             log(LogEvent.PeerFound, { host: message.host, address: message.address });
+            // It knows nothing of what was observed before. Several that start together share one repeat.
+            introduction ??= timers.schedule(batchDelayMs, sendIntroduction);
+        }
+    }
+
+    /** Applies what a message says of work. Returns whether it was newer than the last one of its sender. */
+    function receiveWork(message: LoadMessage, senders: Map<string, Peer>): boolean {
+        const { incarnation, sequence } = message;
+        const known = senders.get(message.address);
+        const isNew = known?.incarnation !== incarnation;
+        if (!isNew && sequence <= known.sequence) {
+            return false;
+        }
+        if (isNew) {
             ledger.removePeer(message.address);
         }
-        peers.set(message.address, {
-            incarnation: message.incarnation,
-            sequence: message.sequence,
-            lastReceivedAtMs: timers.now(),
-        });
+        senders.set(message.address, { incarnation, sequence, lastReceivedAtMs: timers.now() });
         message.items.filter(item => !ledger.hasPeerItem(message.address, item.key))
             .forEach(item => options.onPeerDispatch(item.endpoint));
         if (message.isSnapshot) {
@@ -280,12 +321,8 @@
         else {
             ledger.updatePeer(message.address, message.items, message.removed);
         }
-        receiveNotices(message);
-        if (isNew) {
-            // It knows nothing of what was observed before. Several that start together share one repeat.
-            introduction ??= timers.schedule(batchDelayMs, sendIntroduction);
-        }
         options.onChange();
+        return true;
     }
 
     function sendIntroduction(): void {
@@ -311,6 +348,11 @@
                 log(LogEvent.PeerLost, { address, silentMs: Math.round(nowMs - peer.lastReceivedAtMs) });
             }
         }
+        for (const [address, borrower] of borrowers) {
+            if (nowMs - borrower.lastReceivedAtMs > peerTimeoutMs) {
+                borrowers.delete(address);
+            }
+        }
     }
 
     socket.on("message", receive);
@@ -318,6 +360,7 @@
     socket.bind(options.port, options.ip);
     const snapshotTimer = timers.subscribe(snapshotIntervalMs, () => {
         sendSnapshot();
+        sendForeignSnapshot();
         sendNoticesToOthers();
         notices.repeat();
         expirePeers();
@@ -327,6 +370,7 @@
         setPeers(newMembers, newOthers) {
             members = newMembers;
             others = new Set(newOthers);
+            [...borrowers.keys()].filter(known => !others.has(known)).forEach(known => borrowers.delete(known));
             for (const address of [...peers.keys()].filter(known => others.has(known))) {
                 peers.delete(address);
                 ledger.removePeer(address);
@@ -334,6 +378,9 @@
         },
         reportChange(key, item) {
             changes.set(key, item);
+            if (item && options.isForeign(item.endpoint)) {
+                foreignKeys.add(key);
+            }
             // New work is sent at once: gateways that do not know of each other's new work choose the same engine.
             if (item?.phase === WorkPhase.Prefill) {
                 scheduleSend();
--- a/src/gateway/placementQueue.ts
+++ b/src/gateway/placementQueue.ts
@@ -17,9 +17,12 @@
 import { decidePlacementStage } from "../routing/placementStage.js";
 import { placeOnPlainService } from "../routing/plainPlacement.js";
 import { SlowdownEstimate } from "../routing/slowdownEstimate.js";
+import { SpareEngine } from "../routing/spareEngines.js";
 import { compareWaiting, getWaitingClass } from "../scheduling/compareWaiting.js";
 import { EndpointGate } from "./endpointGate.js";
 import { EndpointQuota } from "./endpointQuota.js";
+import { createEngineBorrowing } from "./engineBorrowing.js";
+import { EngineLending } from "./engineLending.js";
 import { ServiceLoad } from "./hedging.js";
 import { EngineNeeds, Place, PlacementJob } from "./place.js";
 import { createPlaceAllocator, RegisteredClaim } from "./placeAllocator.js";
@@ -53,6 +56,8 @@
      * a request is sent that had to wait with its place.
      */
     isStillUsable(place: Place): boolean;
+    /** Lists the engines that this cell can spare: none while a request of the service waits here. */
+    listSpareEngines(service: Service): readonly SpareEngine[];
     /** Predicts when a waiting request starts. */
     predictStart(job: PlacementJob): StartPrediction | undefined;
     /** Creates a queue with a copy of what waits here, to find out what it would decide. */
@@ -88,6 +93,8 @@
     readonly isServiceLeaving?: (service: string) => boolean;
     /** Division of places between customers. */
     readonly fairness: PlacementFairness;
+    /** Engines of other cells; absent if gateways form only one. */
+    readonly lending?: Pick<EngineLending, "listSpare" | "recordBorrowing">;
 }
 
 /** Limits of endpoints, as far as placement depends on them. */
@@ -142,6 +149,7 @@
         recordDispatch: endpoint => quota.recordDispatch(endpoint),
         onCapacityFreed: run,
     });
+    const engineBorrowing = createEngineBorrowing(options, usableEndpoints, allocator);
 
     function findPlace(item: WaitingItem, views: ViewCache, nowMs: number): Place | undefined {
         const { job } = item;
@@ -215,6 +223,12 @@
         if (!placement && job.isImmediate) {
             return undefined;
         }
+        const borrowed = placement
+            ? undefined
+            : engineBorrowing.findPlace(job, request, engine, selectPreferred(known), stage, nowMs);
+        if (borrowed) {
+            return borrowed;
+        }
         if (!placement) {
             claimEngines(item, request, engine, selectPreferred(known), stage, nowMs);
             if (claims.has(item)) {
@@ -446,6 +460,7 @@
             };
         },
         predictWaitMs: (service, needs) => waitPrediction.predictWaitMs(service, needs, waiting, timers.now()),
+        listSpareEngines: service => engineBorrowing.listOwnSpare(service, waiting),
         predictStart(job) {
             const nowMs = timers.now();
             const item = waiting.find(other => other.job === job);
--- a/src/gateway/usableEndpoints.ts
+++ b/src/gateway/usableEndpoints.ts
@@ -1,10 +1,11 @@
 import murmurhash from "murmurhash";
 import { HealthStatus } from "../membership/endpointHealth.js";
-import { EndpointRecord } from "../ports/endpointRecord.js";
+import { EndpointRecord, EndpointState } from "../ports/endpointRecord.js";
 import { EngineProfile, Service } from "../ports/servingConfiguration.js";
 import { buildEngineView, EngineView } from "../routing/engineView.js";
 import { PlainView } from "../routing/plainPlacement.js";
 import { AllowedRegions, isRegionAllowed } from "../routing/regionRestriction.js";
+import { buildSpareView } from "../routing/spareEngines.js";
 import { PlacementJob } from "./place.js";
 import { PlacementQueueOptions } from "./placementQueue.js";
 
@@ -31,6 +32,7 @@
     | "gate"
     | "regions"
     | "orderSeed"
+    | "lending"
 >;
 
 /**
@@ -106,6 +108,31 @@
         });
     }
 
+    /** Lists views of the engines of other cells that these can spare. Engines with doubtful capacity are left out. */
+    function listSpareViews(service: Service, engine: EngineProfile, nowMs: number, allowed?: AllowedRegions) {
+        const own = new Set(endpointSubset.list(service.name).map(record => record.id));
+        const views: EngineView[] = [];
+        for (const report of options.lending?.listSpare() ?? []) {
+            const record = options.directory.find(report.endpoint)?.record;
+            const isUsable = record?.service === service.name && record.state === EndpointState.Ready
+                && !own.has(record.id) && isRegionAllowed(allowed, record.dataCentre, options.regions)
+                && health.getStatus(record.id, nowMs) === HealthStatus.Good
+                && gate.isOpen(record, nowMs) && !gate.isLastChoice(record, nowMs)
+                && quota.getShare(record.id) === Infinity && quota.isOpen(record.id);
+            if (isUsable) {
+                const properties = {
+                    id: record.id,
+                    address: record.address,
+                    order: getOrder(record),
+                    isTrial: false,
+                    slowdown: slowdownEstimate.getSlowdown(record.id, nowMs),
+                };
+                views.push(buildSpareView(properties, engine, report, ledger.listAt(record.id, nowMs), nowMs));
+            }
+        }
+        return views;
+    }
+
     function listPlainViews({ service, allowedRegions }: PlacementJob, nowMs: number): PlainView[] {
         return listUsableEndpoints(service, nowMs, allowedRegions).map(({ record, isTrial }) => ({
             id: record.id,
@@ -126,5 +153,13 @@
         return quota.isLastChoice(id) || (endpoint !== undefined && gate.isLastChoice(endpoint, timers.now()));
     }
 
-    return { listUsableEndpoints, listHealthyEndpoints, listEngineViews, listPlainViews, startTrials, isLastChoice };
+    return {
+        listUsableEndpoints,
+        listHealthyEndpoints,
+        listEngineViews,
+        listSpareViews,
+        listPlainViews,
+        startTrials,
+        isLastChoice,
+    };
 }
--- a/test/gateway/loadExchange.test.ts
+++ b/test/gateway/loadExchange.test.ts
@@ -45,6 +45,7 @@
         onLimit: limit => limits.push(limit),
         listLimits: () => [],
         onPeerDispatch: endpoint => dispatches.push(endpoint),
+        isForeign: endpoint => endpoint.startsWith("foreign"),
     });
     context.after(() => exchange.dispose());
     return { timers, ledger, crashes, quarantines, known, limits, dispatches, exchange, address: `${ip}:${port}` };
@@ -102,6 +103,24 @@
         assert.equal(other.exchange.countGateways(), 1);
     });
 
+    /** Guards against cells that place requests on an engine which another cell has borrowed and is still using. */
+    test("tells other cells of work at their engines, also after a lost message, and of its end", async context => {
+        const [sender, other] = await Promise.all(["a", "c"].map(host => startExchange(host, context)));
+        assert.ok(sender && other);
+        sender.exchange.setPeers([], [other.address]);
+        const item = { ...makeItem(sender.timers.now()), endpoint: "foreign-1" };
+        sender.ledger.add(item);
+        // The other gateway knows the sender only afterwards, so that the first message counts for nothing.
+        sender.exchange.reportChange(item.key, item);
+        other.exchange.setPeers([], [sender.address]);
+        const countWork = () => other.ledger.listAt("foreign-1", other.timers.now()).length;
+        await waitUntil("work reported with the next snapshot", () => countWork() === 1);
+        assert.equal(other.exchange.countGateways(), 1);
+        sender.ledger.remove(item.key);
+        sender.exchange.reportChange(item.key, undefined);
+        await waitUntil("end of the work reported", () => countWork() === 0);
+    });
+
     test("removes the work of a gateway that moves to another cell, whose end would not be reported", async context => {
         const [sender, member] = await Promise.all(["a", "b"].map(host => startExchange(host, context)));
         assert.ok(sender && member);
