--- a/src/gateway/engineLending.ts
+++ b/src/gateway/engineLending.ts
@@ -55,7 +55,7 @@
         name: "spare",
         isForAllCells: true,
         isValid: isSpareNotice,
-        onReceived: received => spareEngines.apply(received.map(decode), timers.now()),
+        onReceived: (received, { address }) => spareEngines.apply(address, received.map(decode), timers.now()),
         // Reports are renewed more often than notices are repeated.
         listCurrent: () => [],
     });
--- a/src/routing/spareEngines.ts
+++ b/src/routing/spareEngines.ts
@@ -29,8 +29,8 @@
 
 /** Engines that other cells can spare, as last reported. */
 export interface SpareEngines {
-    /** Records a report. Each replaces the previous one about the same engine. */
-    apply(engines: readonly SpareEngine[], nowMs: number): void;
+    /** Records the report of a gateway, which replaces its previous one. */
+    apply(reporter: string, engines: readonly SpareEngine[], nowMs: number): void;
     /** Lists the engines that were reported within `maxReportAgeMs`. */
     list(nowMs: number): readonly ReportedSpareEngine[];
 }
@@ -41,11 +41,15 @@
 }
 
 /** Reports that are older say too little: short prompts take a free slot within some hundred milliseconds. */
-const maxReportAgeMs = 400;
+const maxReportAgeMs = 250;
 /** Longest time that a report of work takes to the gateway that reports spare engines, in milliseconds. */
 const reportDelayMs = 50;
-/** Largest number of engines that are remembered. Registrations bound it in practice. */
-const maxEngines = 1_024;
+/** Largest number of gateways whose reports are remembered. There is one for each cell, and for a moment its successor. */
+const maxReporters = 64;
+/** Slots of a spare engine that are left to requests of the other cell that its report does not have yet. */
+const unreportedRequests = 2;
+/** Largest number of engines in a report, which has to fit into one message. */
+const maxReportedEngines = 40;
 /** Share of a cell's engines that it reports as spare, so that a burst of its own finds engines as well. */
 const maxSpareShare = 0.5;
 /** Share of an engine's slots up to which it counts as spare. */
@@ -61,23 +65,16 @@
  * spareEngines.apply(reports, timers.now());
  */
 export function createSpareEngines(): SpareEngines {
-    const known = new Map<string, ReportedSpareEngine>();
+    const reports = new Map<string, { readonly engines: readonly SpareEngine[]; readonly observedAtMs: number }>();
     return {
-        apply(engines, nowMs) {
-            for (const engine of engines) {
-                known.delete(engine.endpoint);
-                known.set(engine.endpoint, { ...engine, observedAtMs: nowMs });
-            }
-            const oldest = [...known.keys()].slice(0, Math.max(0, known.size - maxEngines));
-            oldest.forEach(endpoint => known.delete(endpoint));
+        apply(reporter, engines, nowMs) {
+            reports.delete(reporter);
+            reports.set(reporter, { engines, observedAtMs: nowMs });
+            [...reports.keys()].slice(0, Math.max(0, reports.size - maxReporters)).forEach(key => reports.delete(key));
         },
         list(nowMs) {
-            for (const [endpoint, { observedAtMs }] of known) {
-                if (nowMs - observedAtMs > maxReportAgeMs) {
-                    known.delete(endpoint);
-                }
-            }
-            return [...known.values()];
+            const fresh = [...reports.values()].filter(({ observedAtMs }) => nowMs - observedAtMs <= maxReportAgeMs);
+            return fresh.flatMap(({ engines, observedAtMs }) => engines.map(engine => ({ ...engine, observedAtMs })));
         },
     };
 }
@@ -95,7 +92,7 @@
             && view.helperParts === 0 && view.pendingPrefillMs <= maxSparePrefillMs
         )
         .sort((left, right) => left.running - right.running || right.freeTokens - left.freeTokens)
-        .slice(0, Math.floor(views.length * maxSpareShare))
+        .slice(0, Math.min(maxReportedEngines, Math.floor(views.length * maxSpareShare)))
         .map(view => ({
             endpoint: view.id,
             running: view.running,
@@ -171,7 +168,7 @@
         return undefined;
     }
     if (request.prefillMs <= settings.shortPrefillMs) {
-        return placeOnEngines(request, spare, slots, nowMs, stage, settings);
+        return placeOnEngines(request, spare, Math.max(1, slots - unreportedRequests), nowMs, stage, settings);
     }
     const all = [...own, ...spare];
     return placeOnEngines(request, all, slots, nowMs, stage, settings)
--- a/test/gateway/replayCells.test.ts
+++ b/test/gateway/replayCells.test.ts
@@ -90,7 +90,7 @@
     });
     timers.subscribe(reportIntervalMs, () => {
         cells.forEach(({ queue }, index) =>
-            cells[1 - index]!.spareEngines.apply(queue.listSpareEngines(service), timers.now())
+            cells[1 - index]!.spareEngines.apply(`cell-${index}`, queue.listSpareEngines(service), timers.now())
         );
     });
 
--- a/test/routing/spareEngines.test.ts
+++ b/test/routing/spareEngines.test.ts
@@ -61,8 +61,8 @@
     /** Guards against requests that are sent to engines which are busy meanwhile. */
     test("are forgotten when no report renews them", () => {
         const spareEngines = createSpareEngines();
-        spareEngines.apply([report], 1_000);
-        assert.equal(spareEngines.list(1_400).length, 1);
-        assert.equal(spareEngines.list(1_401).length, 0);
+        spareEngines.apply("10.1.0.4:7340", [report], 1_000);
+        assert.equal(spareEngines.list(1_250).length, 1);
+        assert.equal(spareEngines.list(1_251).length, 0);
     });
 });
