Hold back an older configuration at a gateway that starts after the store was restored

Customers: after a store had come back from an older copy, a gateway that started before the operator's next write applied the configuration of the copy, so that it accepted keys that had been revoked and missed routes that had been added, while the other gateways kept the newer version. Cause: gateways did not tell each other which version they have in force, so that a starting one had only the store to go by. Evidence: the new test in storeRestored.test.ts failed before the change: a request with a revoked key and a request with a valid one got 200 and 200 from the starting gateway instead of 503 and 503. For five seconds after its first read a starting gateway refuses requests with 503 and Retry-After, and is not ready, while the store has an older version than one reported from the same or a later era. A newer write ends this at once; after five seconds it applies what the store has. A gateway that hears no report behaves as before. A different configuration with the same version is logged. Why it works: the notices arrive before the greeting that lets the first requests in; a report that comes later withdraws the older version again.

--- a/src/gateway/feedFollower.ts
+++ b/src/gateway/feedFollower.ts
@@ -16,8 +16,12 @@
 
 /** Receives the records and the availability of a feed. */
 export interface FeedListener {
-    /** Receives the newest record of every key. A key that is missing does not exist any more. */
-    onSnapshot(records: readonly KeyedRecord[]): void;
+    /**
+     * Receives the newest record of every key. A key that is missing does not exist any more.
+     *
+     * @param era era of the store, if it names one
+     */
+    onSnapshot(records: readonly KeyedRecord[], era: number | undefined): void;
     /**
      * Called before the snapshot that follows when the store has come back from an older copy. The snapshot can have older
      * values than known ones, and lack what its writers have not written again yet.
@@ -102,7 +106,7 @@
         cursor = result.value.next;
         markAvailable();
         recordEra(cursor);
-        listener.onSnapshot(result.value.records);
+        listener.onSnapshot(result.value.records, cursor.era);
         shared?.recordRead(cursor, startedAtMs);
     }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -18,12 +18,12 @@
 import { placeOnEngines } from "../routing/enginePlacement.js";
 import { createLoadLedger } from "../routing/loadLedger.js";
 import { pickByRendezvous } from "../routing/rendezvous.js";
-import { buildRouteTable, RouteTable } from "../routing/routeTable.js";
 import { createSlowdownEstimate } from "../routing/slowdownEstimate.js";
 import { defaultColdBound } from "../scheduling/coldBudget.js";
 import { Drain } from "../scheduling/drainAdmission.js";
 import { LimitSharing } from "../scheduling/limitBudget.js";
 import { createColdWatch } from "./coldWatch.js";
+import { createConfigurationWatch } from "./configurationWatch.js";
 import { wrapFeed, wrapWritableFeed } from "./countedFeed.js";
 import { createCrashDetector, LossEvidence } from "./crashDetector.js";
 import { createCustomerServer } from "./customerServer.js";
@@ -98,7 +98,6 @@
         endpoints =>
             cells.select(evacuationWatch.select(endpoints.filter(endpoint => !endpointNotices.isLeaving(endpoint)))),
     );
-    let routeTable: RouteTable | undefined;
     let areEndpointsKnown = false;
     let drainState: Drain | undefined;
 
@@ -121,11 +120,23 @@
         listLimits: () => endpointQuota.list(),
         onPeerDispatch: endpoint => endpointQuota.recordPeerDispatch(endpoint),
     }));
+    const configurationWatch = disposables.register(createConfigurationWatch({
+        timers,
+        log,
+        metrics,
+        notices: exchange.notices,
+        decode: record => ports.decodeConfiguration(record),
+        onRead(configuration) {
+            customers.setLimits(configuration.limits);
+            hedging.checkServices(new Set(configuration.services.keys()));
+            peerGreeting.wait(() => startupGate.open());
+        },
+    }));
     const cells = createGatewayCells({
         timers,
         log,
         exchangeAddress,
-        getConfiguration: () => routeTable?.configuration,
+        getConfiguration: () => configurationWatch.getTable()?.configuration,
         countEndpoints: service => directory.listUsable(service).length,
         setPeers: (members, others) => exchange.setPeers(members, others),
         onChange: () => endpointSubset.invalidate(),
@@ -147,7 +158,7 @@
         bound: settings.coldBound ?? defaultColdBound,
         directory,
         notices: exchange.notices,
-        findService: name => routeTable?.configuration.services.get(name),
+        findService: name => configurationWatch.getTable()?.configuration.services.get(name),
         countGateways: endpoint => countSharing(endpoint, unlistedGateways).gateways,
     });
     const endpointQuota = coldWatch.wrapQuota(createEndpointQuota({
@@ -261,26 +272,6 @@
         return { gateways: Math.max(heard, cells.countSharing(endpoints, unlisted)), heard };
     }
 
-    function applyConfiguration(records: readonly KeyedRecord[]): void {
-        for (const record of records) {
-            const configuration = ports.decodeConfiguration(record);
-            const previous = routeTable?.version;
-            if (!configuration || (previous !== undefined && configuration.version <= previous)) {
-                continue;
-            }
-            routeTable = buildRouteTable(configuration);
-            customers.setLimits(configuration.limits);
-            hedging.checkServices(new Set(configuration.services.keys()));
-            peerGreeting.wait(() => startupGate.open());
-            log(LogEvent.ServingConfigurationInForce, {
-                version: configuration.version,
-                previous,
-                routes: configuration.routes.length,
-                customers: configuration.customers?.length,
-            });
-        }
-    }
-
     function recordLoss(record: EndpointRecord): void {
         if (record.state !== EndpointState.Draining && !endpointNotices.isLeaving(record)) {
             crashDetector.recordEndpointLoss(record.id, LossEvidence.Gone);
@@ -349,7 +340,7 @@
         Math.floor(settings.maxDescriptors * customerDescriptorShare),
         createRequestIntake({
             services,
-            getTable: () => routeTable,
+            getTable: () => configurationWatch.getTable(),
             startupGate,
             getDrain: () => drainState,
             maxBufferedBytes: settings.memoryBytes * bodyMemoryShare,
@@ -363,7 +354,7 @@
         timers,
         log,
         evacuationWatch,
-        applyConfiguration,
+        configurationWatch,
     }));
     disposables.register(followFeed({
         name: "endpoints",
@@ -407,12 +398,13 @@
         },
     }));
 
-    const isReady = () => routeTable !== undefined && areEndpointsKnown && peerGreeting.isDone() && !drainState;
+    const isReady = () =>
+        configurationWatch.getTable() !== undefined && areEndpointsKnown && peerGreeting.isDone() && !drainState;
     try {
         await customers.listen(ports.customerListener);
         await serveGatewayStatus(
             { ...services, exchange, customers, directory, coldWatch, evacuationWatch, settings },
-            { isReady, getTable: () => routeTable, getDrain: () => drainState },
+            { isReady, getTable: () => configurationWatch.getTable(), getDrain: () => drainState },
             disposables,
         );
     }
--- a/src/gateway/operatorFeed.ts
+++ b/src/gateway/operatorFeed.ts
@@ -1,7 +1,8 @@
 import { Disposable } from "../base/disposable.js";
 import { EventLog } from "../base/log.js";
 import { TimerService } from "../base/timerService.js";
-import { KeyedRecord, RecordFeed } from "../ports/recordFeed.js";
+import { RecordFeed } from "../ports/recordFeed.js";
+import { ConfigurationWatch } from "./configurationWatch.js";
 import { EvacuationWatch } from "./evacuationWatch.js";
 import { followFeed } from "./feedFollower.js";
 import { FeedSharing } from "./feedSharing.js";
@@ -14,7 +15,7 @@
     readonly timers: TimerService;
     readonly log: EventLog;
     readonly evacuationWatch: EvacuationWatch;
-    readonly applyConfiguration: (records: readonly KeyedRecord[]) => void;
+    readonly configurationWatch: ConfigurationWatch;
 }
 
 /**
@@ -27,10 +28,10 @@
  * Follows the operators' topic, which has the configuration and the evacuations of data centres.
  *
  * @example
- * const following = followOperators({ feed, sharing, settings, timers, log, evacuationWatch, applyConfiguration });
+ * const following = followOperators({ feed, sharing, settings, timers, log, evacuationWatch, configurationWatch });
  */
 export function followOperators(options: OperatorFeedOptions): Disposable {
-    const { feed, sharing, settings, timers, log, evacuationWatch, applyConfiguration } = options;
+    const { feed, sharing, settings, timers, log, evacuationWatch, configurationWatch } = options;
     const noticeMs = Math.min(settings.configurationNoticeMs, settings.evacuationNoticeMs ?? Infinity);
     return followFeed({
         name: "configuration",
@@ -41,15 +42,15 @@
         log,
         listener: {
             // Evacuations come first: the first configuration lets the requests in that arrived before it.
-            onSnapshot(records) {
+            onSnapshot(records, era) {
                 evacuationWatch.applyAll(records);
-                applyConfiguration(records);
+                configurationWatch.applyRecords(records, era);
             },
             // The version in force stays until a newer one is read.
             onRestored: () => evacuationWatch.markStoreRestored(),
             onUpdate(records) {
                 evacuationWatch.applyUpdates(records);
-                applyConfiguration(records);
+                configurationWatch.applyRecords(records);
             },
             onUnavailable() {},
             onAvailable() {},
--- a/test/platform/storeRestored.test.ts
+++ b/test/platform/storeRestored.test.ts
@@ -246,6 +246,36 @@
         }
     });
 
+    test("that starts meanwhile refuses requests until the operator has written again what was lost", async () => {
+        const otherKey = "key-that-goes";
+        const both = { tenants: [{ name: "planner", keys: [customerKey, otherKey] }] };
+        const deployment = await startDeployment({ engines: 0, configuration: makeConfiguration(1, both) });
+        let late: TestGateway | undefined;
+        try {
+            const gateway = deployment.gateways[0]!;
+            const { store } = deployment;
+            const copy = store.makeCopy();
+            deployment.publish(makeConfiguration(2));
+            await waitUntil("the key is refused", async () => (await get(gateway, "/look/1", otherKey)).status === 401);
+            store.restore(copy);
+            deployment.services.forEach(service => deployment.register(service, "desk", { seq: 5 }));
+            // The running gateway renews its registration and learns of the restoration meanwhile.
+            await wait(knownWithinMs);
+            late = await startTestGateway("gateway-late", store.address);
+            const answers = [await get(late, "/look/1", otherKey), await get(late, "/look/2")];
+            assert.deepEqual(answers.map(({ status }) => status), [503, 503]);
+            assert.ok(answers.every(({ headers }) => Number(headers["retry-after"]) >= 0));
+            assert.equal((await get(gateway, "/look/3")).status, 200);
+            deployment.publish(makeConfiguration(2));
+            await waitUntil("served", async () => (await get(late!, "/look/4")).status === 200, 1_000);
+            assert.equal((await get(late, "/look/5", otherKey)).status, 401);
+        }
+        finally {
+            await deployment.close();
+            await late?.drain();
+        }
+    });
+
     test("does not use an endpoint that had left, although the copy still has it", async () => {
         const deployment = await startDeployment({ engines: 0, services: 2 });
         try {
