Count an endpoint as ended also if another one answers at its address before a request's connection breaks

Besides, a 421 in which the intended endpoint names itself was taken for its end. Evidence: the two new tests in crashDetector.test.ts failed before, with no crash reported. Answers that the endpoint has not outlived become suspects. A 421 from the intended endpoint itself is ignored. An endpoint that is reported gone repeatedly counts once as an idle loss. Why it works: the order in which a gateway hears of a loss and of a broken connection does not matter any more.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -179,10 +179,10 @@
         watch.recordEvent(place);
     }
 
-    function handleNotRun({ status, isMisdirected, faultyEndpoint }: AnswerHead): void {
+    function handleNotRun({ status, isMisdirected, answeredBy, faultyEndpoint }: AnswerHead): void {
         const nowMs = timers.now();
         if (isMisdirected) {
-            services.onMisdirected(endpointId);
+            services.onMisdirected(endpointId, answeredBy);
             services.hedging.recordEndpointLoss(request.service.name);
         }
         else if (faultyEndpoint !== undefined) {
--- a/src/gateway/crashDetector.ts
+++ b/src/gateway/crashDetector.ts
@@ -110,8 +110,14 @@
     /** Answers that their endpoints have not outlived yet, oldest first. */
     let settling: SettlingAnswer[] = [];
     let settlingTimer: Disposable | undefined;
+    /**
+     * When endpoints were last known to be gone, by id. Another endpoint can answer at an address before the connections of
+     * the one that had it break.
+     */
+    const goneAtMs = new Map<string, number>();
 
     function expirePossibleCrashes(nowMs: number): void {
+        goneAtMs.forEach((atMs, id) => nowMs - atMs > crashDetectionWindowMs && goneAtMs.delete(id));
         for (const [id, candidate] of possibleCrashes) {
             if (nowMs - candidate.firstAtMs > crashDetectionWindowMs) {
                 possibleCrashes.delete(id);
@@ -250,6 +256,15 @@
         });
     }
 
+    /** Records that the endpoint may have crashed right after the last answer that meets the condition, if there is one. */
+    function recordBreakAfterAnswer(isMet: (endpoint: EndpointRecord) => boolean): void {
+        const nowMs = timers.now();
+        const last = settling.filter(({ endpoint }) => isMet(endpoint)).at(-1);
+        if (last) {
+            recordBreak(getPossibleCrash(last.endpoint, nowMs), nowMs);
+        }
+    }
+
     function addUnanswered(endpoint: EndpointRecord, attempt: EndedAttempt, nowMs: number): void {
         const candidate = getPossibleCrash(endpoint, nowMs);
         const recent: RecentAttempt = { ...attempt, endedAtMs: nowMs };
@@ -258,6 +273,7 @@
         if (attempt.end === AttemptEnd.Broken) {
             recordBreak(candidate, nowMs);
         }
+        candidate.isLost ||= attempt.sentAtMs < (goneAtMs.get(endpoint.id) ?? -Infinity);
         if (candidate.isLost) {
             reportCrash(candidate, [recent]);
         }
@@ -278,23 +294,25 @@
             }
         },
         recordIdleClose(address) {
-            const nowMs = timers.now();
-            const last = settling.filter(answer => answer.endpoint.address === address).at(-1);
-            if (last) {
-                recordBreak(getPossibleCrash(last.endpoint, nowMs), nowMs);
-            }
+            recordBreakAfterAnswer(endpoint => endpoint.address === address);
         },
         recordEndpointJoined({ id, address }) {
             expirePossibleCrashes(timers.now());
+            goneAtMs.delete(id);
             [...possibleCrashes.values()]
                 .filter(({ endpoint }) => endpoint.address === address && endpoint.id !== id)
                 .forEach(markLost);
         },
         recordEndpointLoss(endpointId, evidence) {
             expirePossibleCrashes(timers.now());
+            const isKnownGone = goneAtMs.has(endpointId);
+            if (evidence === LossEvidence.Gone) {
+                goneAtMs.set(endpointId, timers.now());
+                recordBreakAfterAnswer(({ id }) => id === endpointId);
+            }
             const candidate = possibleCrashes.get(endpointId);
             if (!candidate || candidate.isLost) {
-                if (!candidate && evidence === LossEvidence.Gone) {
+                if (!candidate && evidence === LossEvidence.Gone && !isKnownGone) {
                     options.onIdleLoss();
                 }
                 return;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -330,9 +330,12 @@
         random: ports.random,
         endpointQuota,
         endpointNotices,
-        onMisdirected(endpointId) {
+        onMisdirected(endpointId, answeredBy) {
             health.record(endpointId, ExchangeResult.Unreachable, timers.now());
-            crashDetector.recordEndpointLoss(endpointId, LossEvidence.Gone);
+            // An endpoint that answers under the intended id itself has not ended.
+            if (answeredBy !== endpointId) {
+                crashDetector.recordEndpointLoss(endpointId, LossEvidence.Gone);
+            }
         },
     };
     const customers = createCustomerServer(
--- a/src/gateway/requestServices.ts
+++ b/src/gateway/requestServices.ts
@@ -32,6 +32,6 @@
     readonly retryBudget: RetryBudget;
     readonly hedging: Hedging;
     readonly random: () => number;
-    /** Called when the endpoint at an address turns out not to be the registered one. */
-    readonly onMisdirected: (endpointId: string) => void;
+    /** Called when the endpoint at an address turns out not to be the registered one, with the id of the one that answered. */
+    readonly onMisdirected: (endpointId: string, answeredBy: string | undefined) => void;
 }
--- a/test/gateway/crashDetector.test.ts
+++ b/test/gateway/crashDetector.test.ts
@@ -85,6 +85,28 @@
         assert.deepEqual(reports.map(report => [report.suspects, report.runningMs]), [[[["bad"]], [60]]]);
     });
 
+    test("is recognised when another endpoint answers at its address before the connection of a request breaks", async () => {
+        const { detector, reports, advance, end } = setUp(ConnectResult.Accepted);
+        await advance(100);
+        detector.recordEndpointLoss(endpoint.id, LossEvidence.Gone);
+        await advance(400);
+        end(AttemptEnd.Broken, "sent to the next incarnation", 300);
+        await advance(checksEndMs);
+        assert.equal(reports.length, 0);
+        end(AttemptEnd.Broken, "bad", checksEndMs + 450);
+        assert.deepEqual(reports.map(report => report.suspects), [[["bad"]]]);
+    });
+
+    test("is recognised when another endpoint answers at its address right after an answer", async () => {
+        const { detector, reports, answers, advance, end } = setUp(ConnectResult.Accepted);
+        end(AttemptEnd.Answered, "bad", 40);
+        await advance(50);
+        detector.recordEndpointLoss(endpoint.id, LossEvidence.Gone);
+        await advance(detectionWindowMs);
+        assert.deepEqual(reports.map(report => report.suspects), [[["bad"]]]);
+        assert.equal(answers.length, 0, "the endpoint did not outlive the answer");
+    });
+
     test("includes a request whose deadline passed after the endpoint was known to be lost", async () => {
         const { reports, advance, end } = setUp(ConnectResult.Refused);
         end(AttemptEnd.Broken, "first");
