Read the control stream anew when the log has come back from an older copy

Operators: after the log had lost records and been written past the readers' offsets again, entries never learned of quarantines that others wrote at the offsets in between, and an endpoint went on loading weights with a slot that the log had given to another one. Cause: the readers of the stream (quarantine manager, load slots) compared only the end of the stream with their offset, and the port of the log had no means to tell one history from another. Change: a page of the log may name the era of its offsets. The emulated log does, can be restored from a copy (also over HTTP), and answers reads that wait when that happens. Both readers start again at offset 0 when the era or the end shows another history; known quarantines stay in force. A load slot counts only if the lease with its token has this holder, because another endpoint can get the same offset as its token.

--- a/src/adapters/httpLogService.ts
+++ b/src/adapters/httpLogService.ts
@@ -22,6 +22,7 @@
     records: z.array(z.object({ offset: z.number().int().min(0), timeMs: z.number(), value: z.unknown() })),
     firstOffset: z.number().int().min(0),
     endOffset: z.number().int().min(0),
+    era: z.number().optional(),
 });
 const errorSchema = z.object({ error: z.enum(LogServiceErrorKind), message: z.string() });
 
--- a/src/base/logEvents.ts
+++ b/src/base/logEvents.ts
@@ -42,6 +42,7 @@
     ConfigurationHeld = 3015,
     ConfigurationHoldEnded = 3016,
     ConfigurationDiffers = 3017,
+    ControlStreamRestarted = 3018,
     SendDecided = 4001,
     ClaimReleased = 4002,
     ClaimAppendUnknown = 4003,
--- a/src/emulator/log/logModel.ts
+++ b/src/emulator/log/logModel.ts
@@ -1,7 +1,7 @@
 import { TimerService, waitFor } from "../../base/timerService.js";
 import { LogPage } from "../../ports/logService.js";
 import { LogFaults, noLogFaults } from "./logFaults.js";
-import { createLogStreams, LogRetention } from "./logStreams.js";
+import { createLogStreams, LogCopy, LogRetention } from "./logStreams.js";
 
 /** Settings of an emulated log service. */
 export interface LogModelSettings extends LogRetention {
@@ -40,6 +40,13 @@
     updateFaults(faults: Partial<LogFaults>): void;
     /** Drops all records. Offsets continue, or restart at 0 if `resetsOffsets` is set. */
     dropRecords(resetsOffsets: boolean): void;
+    /** Copies all records. */
+    makeCopy(): LogCopy;
+    /**
+     * Comes back from a copy. What was appended since is lost, offsets are given out again, and the era changes. Reads that
+     * wait are answered.
+     */
+    restore(copy: LogCopy): void;
     /** Number of appends that took effect; a duplicated one counts once. */
     countAppends(): number;
 }
@@ -160,6 +167,7 @@
         },
         async read(stream, fromOffset, limit, waitMs) {
             const endMs = timers.now() + waitMs;
+            let era: number | undefined;
             for (;;) {
                 await waitIfUnresponsive();
                 const failure = checkCall(stream);
@@ -168,7 +176,8 @@
                 }
                 const page = streams.read(stream, fromOffset, Math.min(limit, maxReadRecords));
                 const remainingMs = endMs - timers.now();
-                if (page.records.length > 0 || remainingMs <= 0) {
+                era ??= page.era;
+                if (page.records.length > 0 || remainingMs <= 0 || page.era !== era) {
                     return answer(page);
                 }
                 await waitForAppend(remainingMs);
@@ -180,6 +189,11 @@
             wakeReaders();
         },
         dropRecords: resetsOffsets => streams.dropRecords(resetsOffsets),
+        makeCopy: () => streams.makeCopy(),
+        restore(copy) {
+            streams.restore(copy);
+            wakeReaders();
+        },
         countAppends: () => appends,
     };
 }
--- a/src/emulator/log/logServer.ts
+++ b/src/emulator/log/logServer.ts
@@ -4,6 +4,7 @@
 import { readBody, RunningServer, sendJson, startHttpServer } from "../httpServer.js";
 import { noLogFaults } from "./logFaults.js";
 import { createLogModel, LogModel, LogModelSettings, LogReply, LogReplyKind } from "./logModel.js";
+import { LogCopy } from "./logStreams.js";
 
 /** Settings of an emulated log service over HTTP. */
 export interface EmulatedLogSettings extends LogModelSettings {
@@ -15,6 +16,11 @@
     readonly model: LogModel;
 }
 
+/** The copy of the records that the emulated service can come back from; empty before the first one. */
+interface LogCopies {
+    last: LogCopy;
+}
+
 const faultsSchema = z.strictObject({
     unavailable: z.boolean(),
     unresponsive: z.boolean(),
@@ -45,8 +51,9 @@
  * Starts an emulated log service on loopback:
  *
  * - `POST /streams/NAME/records` with an array of values answers `{ offset }`;
- * - `GET /streams/NAME/records?from=&limit=&waitMs=` answers `{ records, firstOffset, endOffset }`;
+ * - `GET /streams/NAME/records?from=&limit=&waitMs=` answers `{ records, firstOffset, endOffset, era }`;
  * - `GET` and `PUT /emulator/faults`, `DELETE /emulator/faults`, `POST /emulator/empty` with `{ resetsOffsets }`,
+ *   `POST /emulator/copy`, which keeps a copy of all records, `POST /emulator/restore`, which comes back from it, and
  *   `GET /emulator/counters`.
  *
  * An error has the body `{ error, message }`, where `error` is a {@link LogReplyKind}.
@@ -56,11 +63,12 @@
  */
 export async function startEmulatedLog(settings: EmulatedLogSettings, timers: TimerService): Promise<EmulatedLog> {
     const model = createLogModel(settings, timers);
+    const copies: LogCopies = { last: new Map() };
     const server = await startHttpServer(settings.port, async (request, response) => {
         const url = new URL(request.url ?? "/", "http://127.0.0.1");
         const stream = recordsPattern.exec(url.pathname)?.[1];
         if (stream === undefined) {
-            await handleControl(`${request.method} ${url.pathname}`, request, response, model);
+            await handleControl(`${request.method} ${url.pathname}`, request, response, model, copies);
         }
         else if (request.method === "POST") {
             sendReply(response, await appendBody(request, stream, model), offset => ({ offset }));
@@ -122,6 +130,7 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
     model: LogModel,
+    copies: LogCopies,
 ): Promise<void> {
     const body = (await readBody(request)).toString("utf8");
     switch (route) {
@@ -136,6 +145,12 @@
         case "POST /emulator/empty":
             model.dropRecords(z.object({ resetsOffsets: z.boolean() }).parse(JSON.parse(body)).resetsOffsets);
             break;
+        case "POST /emulator/copy":
+            copies.last = model.makeCopy();
+            break;
+        case "POST /emulator/restore":
+            model.restore(copies.last);
+            break;
         case "GET /emulator/counters":
             return sendJson(response, 200, { appends: model.countAppends() });
         default:
--- a/src/emulator/log/logStreams.ts
+++ b/src/emulator/log/logStreams.ts
@@ -15,10 +15,16 @@
     read(stream: string, fromOffset: number, limit: number): LogPage;
     /** Drops all records. Offsets continue, or restart at 0 if `resetsOffsets` is set. */
     dropRecords(resetsOffsets: boolean): void;
+    makeCopy(): LogCopy;
+    /** Comes back from a copy. What was appended since is lost, offsets are given out again, and the era changes. */
+    restore(copy: LogCopy): void;
 }
 
+/** The records of all streams at one time. */
+export type LogCopy = ReadonlyMap<string, { readonly records: readonly LogRecord[]; readonly endOffset: number }>;
+
 interface Stream {
-    readonly records: LogRecord[];
+    records: LogRecord[];
     endOffset: number;
 }
 
@@ -31,6 +37,7 @@
  */
 export function createLogStreams(retention: LogRetention, timers: TimerService): LogStreams {
     const streams = new Map<string, Stream>();
+    let era = 1;
 
     function getOrCreateStream(name: string): Stream {
         let stream = streams.get(name);
@@ -63,13 +70,24 @@
             expire(stream);
             const firstOffset = stream.records[0]?.offset ?? stream.endOffset;
             const start = Math.max(0, fromOffset - firstOffset);
-            return { records: stream.records.slice(start, start + limit), firstOffset, endOffset: stream.endOffset };
+            const records = stream.records.slice(start, start + limit);
+            return { records, firstOffset, endOffset: stream.endOffset, era };
         },
         dropRecords(resetsOffsets) {
             for (const stream of streams.values()) {
                 stream.records.length = 0;
                 stream.endOffset = resetsOffsets ? 0 : stream.endOffset;
             }
+            era += resetsOffsets ? 1 : 0;
+        },
+        makeCopy: () =>
+            new Map([...streams].map(([name, { records, endOffset }]) => [name, { records: [...records], endOffset }])),
+        restore(copy) {
+            era += 1;
+            for (const [name, stream] of streams) {
+                stream.records = [...copy.get(name)?.records ?? []];
+                stream.endOffset = copy.get(name)?.endOffset ?? 0;
+            }
         },
     };
 }
--- a/src/entry/quarantineManager.ts
+++ b/src/entry/quarantineManager.ts
@@ -1,4 +1,5 @@
 import { AppendOutcomeKind, createLogAppender } from "../adapters/logAppender.js";
+import { isContinuation, startOfLog } from "../adapters/logPosition.js";
 import { Disposable } from "../base/disposable.js";
 import { EventLog } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
@@ -123,13 +124,19 @@
     }
 
     async function followControlStream(service: LogService): Promise<void> {
-        let nextOffset = 0;
+        let position = startOfLog;
         while (!disposed) {
             try {
-                const page = await service.read(controlStream, nextOffset, pageRecords, readWaitMs);
-                nextOffset = page.endOffset < nextOffset ? 0 : nextOffset;
+                const page = await service.read(controlStream, position.nextOffset, pageRecords, readWaitMs);
+                if (!isContinuation(position, page)) {
+                    // What is known stays in force. The log may have records that were written since at offsets read before.
+                    log(LogEvent.ControlStreamRestarted, { ...position, era: page.era, previousEra: position.era });
+                    position = { nextOffset: 0, era: page.era };
+                    continue;
+                }
+                position = { ...position, era: page.era };
                 for (const { offset, timeMs, value } of page.records) {
-                    nextOffset = offset + 1;
+                    position = { ...position, nextOffset: offset + 1 };
                     const record = parseCrashRecord(value);
                     const term = parseTermRecord(value);
                     if (term && !disposed) {
--- a/src/ports/logService.ts
+++ b/src/ports/logService.ts
@@ -33,6 +33,11 @@
     readonly firstOffset: number;
     /** Offset that the next append will receive. */
     readonly endOffset: number;
+    /**
+     * History that the offsets belong to. Changes when the service has lost acknowledged records, for example because it came
+     * back from an older copy: offsets are then given out again. Absent if the service does not name it.
+     */
+    readonly era?: number;
 }
 
 /**
@@ -47,7 +52,8 @@
     append(stream: string, values: readonly unknown[]): Promise<number>;
     /**
      * Reads up to `limit` records, starting at `fromOffset`. Expired records are skipped; the caller detects this by
-     * comparing `firstOffset` with the requested offset. If there is no record yet, waits up to `waitMs` for one.
+     * comparing `firstOffset` with the requested offset. If there is no record yet, waits up to `waitMs` for one. An
+     * acknowledged record can be lost; the caller detects this by comparing `era` with that of its last read.
      *
      * @throws LogServiceError
      */
--- a/src/sidecar/loadSlots.ts
+++ b/src/sidecar/loadSlots.ts
@@ -1,4 +1,5 @@
 import { AppendOutcomeKind, createLogAppender } from "../adapters/logAppender.js";
+import { isContinuation } from "../adapters/logPosition.js";
 import { Disposable } from "../base/disposable.js";
 import { makeId } from "../base/ids.js";
 import { EventLog } from "../base/log.js";
@@ -69,6 +70,8 @@
 ): LoadSlots {
     const appender = createLogAppender(logService, timers);
     let state: LeaseState = createLeaseState();
+    /** Era of the log that the state was folded from. */
+    let era: number | undefined;
     let activeRequest: SlotRequest | undefined;
     /** When the last record of the requested resource was read. */
     let lastRecordMs = 0;
@@ -81,11 +84,16 @@
     /** Reads and folds the log to its end. Calls `visit` after each record. */
     async function readToEnd(request: SlotRequest, visit: (offset: number) => void): Promise<void> {
         for (;;) {
-            const page = await logService.read(controlStream, state.nextOffset, pageRecords);
-            if (page.endOffset < state.nextOffset) {
-                // The log was emptied, so its leases no longer exist.
+            const { nextOffset } = state;
+            const page = await logService.read(controlStream, nextOffset, pageRecords);
+            if (!isContinuation({ nextOffset, era }, page)) {
+                // The leases that the log has lost no longer exist, and the page may have begun after those that it has now.
+                log(LogEvent.ControlStreamRestarted, { nextOffset, era: page.era, previousEra: era });
                 state = createLeaseState();
+                era = page.era;
+                continue;
             }
+            era = page.era;
             for (const record of page.records) {
                 const before = state.resources.get(request.resource);
                 state = foldLease(state, record);
@@ -101,7 +109,9 @@
     }
 
     function getLease(request: SlotRequest) {
-        return request.token === undefined ? undefined : findLease(state, request.resource, request.token);
+        const lease = request.token === undefined ? undefined : findLease(state, request.resource, request.token);
+        // A log that has lost the record of this lease can give its offset, which is the token, to another endpoint.
+        return lease?.holder === holder ? lease : undefined;
     }
 
     function reportGranted(request: SlotRequest) {
--- a/test/system/quarantine.test.ts
+++ b/test/system/quarantine.test.ts
@@ -9,6 +9,7 @@
 import { createMemoryLogService } from "../../src/emulator/log/memoryLogService.js";
 import { createQuarantineManager } from "../../src/entry/quarantineManager.js";
 import { LinkMessageType, QuarantineMessage } from "../../src/link/messages.js";
+import { buildCrashRecord } from "../../src/quarantine/crashRecord.js";
 import { startSystem, TestSystem } from "./system.js";
 
 const poison = "POISON";
@@ -140,3 +141,31 @@
         manager.dispose();
     }
 });
+
+/** Guards against an entry that never reads what others have written to a log that came back from an older copy. */
+test("an entry reads quarantines again from a log that was restored and written past its offset", async () => {
+    const timers = createManualTimerService();
+    const model = createLogModel(defaultLogModelSettings, timers);
+    const logService = createMemoryLogService(model, timers);
+    const manager = createQuarantineManager({
+        timers,
+        log: () => undefined,
+        metrics: createMetrics(),
+        logService,
+        broadcast: () => undefined,
+    });
+    const copy = model.makeCopy();
+    await logService.append("control", ["lost", "lost"]);
+    await new Promise(resolve => setImmediate(resolve));
+    model.updateFaults({ unavailable: true });
+    model.restore(copy);
+    model.updateFaults({ unavailable: false });
+    const crashes = ["1", "2"].map(crash => buildCrashRecord({ crash, fingerprints: ["a"] }));
+    await logService.append("control", [...crashes, "other", "other"]);
+    for (let round = 0; round < 30; round++) {
+        timers.advance(100);
+        await new Promise(resolve => setImmediate(resolve));
+    }
+    assert.equal(manager.check({ fingerprint: "a", traits: [] })?.code, ErrorCode.Quarantined);
+    manager.dispose();
+});
