--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,24 +1,22 @@
 import { createDisposableStore } from "../base/disposable.js";
-import { LogEvent } from "../base/logEvents.js";
 import { createMetrics } from "../base/metrics.js";
 import { createEndpointDirectory, defaultDirectorySettings } from "../membership/endpointDirectory.js";
 import { createEndpointHealth, ExchangeResult } from "../membership/endpointHealth.js";
 import { createEndpointSubset } from "../membership/endpointSubset.js";
 import { EvacuationChangeKind } from "../membership/evacuations.js";
 import { EndpointState } from "../ports/endpointRecord.js";
-import { KeyedRecord } from "../ports/recordFeed.js";
 import { computeBudgetBurst, computeBudgetRatio } from "../retries/budgetShare.js";
 import { createRetryBudget } from "../retries/retryBudget.js";
 import { chooseClaim } from "../routing/engineClaim.js";
 import { placeOnEngines } from "../routing/enginePlacement.js";
 import { createLoadLedger } from "../routing/loadLedger.js";
 import { pickByRendezvous } from "../routing/rendezvous.js";
-import { buildRouteTable, RouteTable } from "../routing/routeTable.js";
 import { createSlowdownEstimate } from "../routing/slowdownEstimate.js";
 import { defaultColdBound } from "../scheduling/coldBudget.js";
 import { Drain } from "../scheduling/drainAdmission.js";
 import { LimitSharing } from "../scheduling/limitBudget.js";
 import { createColdWatch } from "./coldWatch.js";
+import { createConfigurationWatch } from "./configurationWatch.js";
 import { wrapFeed, wrapWritableFeed } from "./countedFeed.js";
 import { createCrashDetector, LossEvidence } from "./crashDetector.js";
 import { createCustomerServer } from "./customerServer.js";
@@ -87,7 +85,6 @@
         endpoints =>
             cells.select(evacuationWatch.select(endpoints.filter(endpoint => !endpointNotices.isLeaving(endpoint)))),
     );
-    let routeTable: RouteTable | undefined;
     let drainState: Drain | undefined;
 
     const exchange = disposables.register(createLoadExchange({
@@ -110,11 +107,23 @@
         onPeerDispatch: endpoint => endpointQuota.recordPeerDispatch(endpoint),
         isForeign,
     }));
+    const configurationWatch = disposables.register(createConfigurationWatch({
+        timers,
+        log,
+        metrics,
+        notices: exchange.notices,
+        decode: record => ports.decodeConfiguration(record),
+        onRead(configuration) {
+            customers.setLimits(configuration.limits);
+            hedging.checkServices(new Set(configuration.services.keys()));
+            peerGreeting.wait(() => startupGate.open());
+        },
+    }));
     const cells = createGatewayCells({
         timers,
         log,
         exchangeAddress,
-        getConfiguration: () => routeTable?.configuration,
+        getConfiguration: () => configurationWatch.getTable()?.configuration,
         countEndpoints: service => directory.listUsable(service).length,
         setPeers: (members, others) => exchange.setPeers(members, others),
         onChange: () => endpointSubset.invalidate(),
@@ -136,7 +145,7 @@
         bound: settings.coldBound ?? defaultColdBound,
         directory,
         notices: exchange.notices,
-        findService: name => routeTable?.configuration.services.get(name),
+        findService: name => configurationWatch.getTable()?.configuration.services.get(name),
         countGateways: endpoint => countSharing(endpoint, unlistedGateways).gateways,
     });
     const endpointQuota = coldWatch.wrapQuota(createEndpointQuota({
@@ -237,7 +246,7 @@
         address: exchangeAddress,
         countCells: () => cells.countCells(),
         listHeard: () => exchange.listHeard(maxPeerSilenceMs),
-        listServices: () => [...routeTable?.configuration.services.values() ?? []],
+        listServices: () => [...configurationWatch.getTable()?.configuration.services.values() ?? []],
         placementQueue,
     }));
     const retryBudget = createRetryBudget({
@@ -272,26 +281,6 @@
         return { gateways: Math.max(heard, cells.countSharing(endpoints, unlisted)), heard };
     }
 
-    function applyConfiguration(records: readonly KeyedRecord[]): void {
-        for (const record of records) {
-            const configuration = ports.decodeConfiguration(record);
-            const previous = routeTable?.version;
-            if (!configuration || (previous !== undefined && configuration.version <= previous)) {
-                continue;
-            }
-            routeTable = buildRouteTable(configuration);
-            customers.setLimits(configuration.limits);
-            hedging.checkServices(new Set(configuration.services.keys()));
-            peerGreeting.wait(() => startupGate.open());
-            log(LogEvent.ServingConfigurationInForce, {
-                version: configuration.version,
-                previous,
-                routes: configuration.routes.length,
-                customers: configuration.customers?.length,
-            });
-        }
-    }
-
     const services: RequestServices = {
         timers,
         log,
@@ -309,9 +298,12 @@
         random: ports.random,
         endpointQuota,
         endpointNotices,
-        onMisdirected(endpointId) {
+        onMisdirected(endpointId, answeredBy) {
             health.record(endpointId, ExchangeResult.Unreachable, timers.now());
-            crashDetector.recordEndpointLoss(endpointId, LossEvidence.Gone);
+            // An endpoint that answers under the intended id itself has not ended.
+            if (answeredBy !== endpointId) {
+                crashDetector.recordEndpointLoss(endpointId, LossEvidence.Gone);
+            }
         },
     };
     const customers = createCustomerServer(
@@ -319,7 +311,7 @@
         Math.floor(settings.maxDescriptors * customerDescriptorShare),
         createRequestIntake({
             services,
-            getTable: () => routeTable,
+            getTable: () => configurationWatch.getTable(),
             startupGate,
             getDrain: () => drainState,
             maxBufferedBytes: settings.memoryBytes * bodyMemoryShare,
@@ -333,7 +325,7 @@
         timers,
         log,
         evacuationWatch,
-        applyConfiguration,
+        configurationWatch,
     }));
     const endpointFeed = disposables.register(followEndpoints({
         feed: wrapFeed("endpoints", ports.endpointFeed, metrics),
@@ -384,12 +376,13 @@
         },
     }));
 
-    const isReady = () => routeTable !== undefined && endpointFeed.isRead() && peerGreeting.isDone() && !drainState;
+    const isReady = () =>
+        configurationWatch.getTable() !== undefined && endpointFeed.isRead() && peerGreeting.isDone() && !drainState;
     try {
         await customers.listen(ports.customerListener);
         await serveGatewayStatus(
             { ...services, exchange, customers, directory, coldWatch, evacuationWatch, settings },
-            { isReady, getTable: () => routeTable, getDrain: () => drainState },
+            { isReady, getTable: () => configurationWatch.getTable(), getDrain: () => drainState },
             disposables,
         );
     }
