Bound what slow readers make a gateway hold, and go on reading for them

Cause: after 16 KiB that a customer had not read, its stream was paused until it had read them all. After 1 s the endpoint counted as silent and the stream was moved to another one. All answers hold at most a quarter of the memory; beyond it, those of the slowest readers end. A paused stream is no stall of its endpoint. The body of a request is released once its answer is complete.

--- a/src/base/logEvents.ts
+++ b/src/base/logEvents.ts
@@ -17,6 +17,7 @@
     HedgeSent = 1011,
     HedgeWithheld = 1012,
     HedgeServiceUnknown = 1013,
+    AnswerDropped = 1014,
     TicketIgnored = 1020,
     RequestSplit = 1021,
     MemoryOrderFailed = 1030,
--- a/src/gateway/answerRelay.ts
+++ b/src/gateway/answerRelay.ts
@@ -8,8 +8,6 @@
     Pending = "pending",
     /** One or more complete events were written to the customer. */
     Progress = "progress",
-    /** Data was written to the customer, whose connection now exerts back-pressure. */
-    Blocked = "blocked",
     /** The complete answer was written to the customer. */
     Complete = "complete",
     /** The endpoint states that the request did not run. */
@@ -30,8 +28,10 @@
 export interface AnswerRelay {
     /** Discards the state of the previous attempt and prepares for the answer of the next. */
     startAttempt(): void;
+    /** Discards what is held of an answer that is not needed. */
+    discard(): void;
     acceptHead(head: AnswerHead, requestId: string): AnswerOutcome;
-    acceptData(bytes: Buffer, onDrained: () => void): AnswerOutcome;
+    acceptData(bytes: Buffer): AnswerOutcome;
     acceptEnd(): AnswerOutcome;
     /** Sends the endpoint's error answer to the customer unchanged. */
     deliverFailure(): void;
@@ -73,6 +73,23 @@
     let isAnswerFramed = true;
     let buffered: Buffer[] = [];
     let bufferedBytes = 0;
+    /** Bytes of this relay that the account of the answer knows of. */
+    let reportedBytes = 0;
+
+    /** Reports the bytes that wait for the end of an event or of the answer. */
+    function reportHeld(heldBytes: number): void {
+        const change = heldBytes - reportedBytes;
+        reportedBytes = heldBytes;
+        if (change !== 0) {
+            answer.account?.changeAssembled(change);
+        }
+    }
+
+    function clearBuffer(): void {
+        buffered = [];
+        bufferedBytes = 0;
+        reportHeld(0);
+    }
 
     function makeInvalid(reason: string): AnswerOutcome {
         return { kind: AnswerOutcomeKind.Invalid, reason };
@@ -89,9 +106,10 @@
         }
     }
 
-    function acceptEvents(bytes: Buffer, onDrained: () => void): AnswerOutcome {
+    function acceptEvents(bytes: Buffer): AnswerOutcome {
         const countBefore = splitter.countEvents();
         const events = splitter.add(bytes);
+        reportHeld(splitter.countPendingBytes());
         if (!events) {
             return splitter.countPendingBytes() > maxBufferedBytes
                 ? makeInvalid(`no event ends within ${maxBufferedBytes} bytes`)
@@ -104,26 +122,34 @@
         startCustomerAnswer();
         eventCount += splitter.countEvents() - countBefore;
         lastEventId = splitter.getLastId() ?? lastEventId;
-        const isReady = answer.write(events, onDrained);
-        return { kind: isReady ? AnswerOutcomeKind.Progress : AnswerOutcomeKind.Blocked, reason: "" };
+        answer.write(events);
+        return { kind: AnswerOutcomeKind.Progress, reason: "" };
     }
 
-    function acceptUnstreamedData(bytes: Buffer, onDrained: () => void): AnswerOutcome {
+    function acceptUnstreamedData(bytes: Buffer): AnswerOutcome {
         if (answer.isStarted()) {
-            return answer.write(bytes, onDrained) ? pending : { kind: AnswerOutcomeKind.Blocked, reason: "" };
+            answer.write(bytes);
+            return pending;
         }
         buffered.push(bytes);
         bufferedBytes += bytes.length;
-        if (bufferedBytes <= maxBufferedBytes) {
+        reportHeld(bufferedBytes);
+        const isLong = bufferedBytes > maxBufferedBytes;
+        if (!isLong && !(answer.account?.isMemoryShort() && head!.status < 300)) {
             return pending;
         }
         if (head!.status >= 300) {
             return makeInvalid(`answer with status ${head!.status} is longer than ${maxBufferedBytes} bytes`);
         }
         startCustomerAnswer();
-        const isReady = answer.write(Buffer.concat(buffered), onDrained);
-        buffered = [];
-        return isReady ? pending : { kind: AnswerOutcomeKind.Blocked, reason: "" };
+        sendHeld();
+        return pending;
+    }
+
+    function sendHeld(): void {
+        const held = Buffer.concat(buffered);
+        clearBuffer();
+        answer.write(held);
     }
 
     function endStream(): AnswerOutcome {
@@ -136,7 +162,7 @@
         }
         const comments = splitter.takeComments();
         if (comments.length > 0) {
-            answer.write(comments, () => undefined);
+            answer.write(comments);
         }
         answer.end();
         return { kind: AnswerOutcomeKind.Complete, reason: "" };
@@ -148,23 +174,29 @@
      */
     function sendBuffered(received: AnswerHead): void {
         if (!answer.isStarted() && received.isFramed) {
-            answer.sendComplete(received.status, received.forwarded, Buffer.concat(buffered));
+            const body = Buffer.concat(buffered);
+            clearBuffer();
+            answer.sendComplete(received.status, received.forwarded, body);
             return;
         }
         if (!answer.isStarted()) {
             startCustomerAnswer();
-            answer.write(Buffer.concat(buffered), () => undefined);
+            sendHeld();
         }
         answer.end();
     }
 
+    function discard(): void {
+        splitter = createEventStreamSplitter();
+        clearBuffer();
+    }
+
     return {
         startAttempt() {
             head = undefined;
-            splitter = createEventStreamSplitter();
-            buffered = [];
-            bufferedBytes = 0;
+            discard();
         },
+        discard,
         acceptHead(received, requestId) {
             head = received;
             if (received.requestId !== undefined && received.requestId !== requestId) {
@@ -185,9 +217,7 @@
             }
             return pending;
         },
-        acceptData(bytes, onDrained) {
-            return isRelayedAsStream() ? acceptEvents(bytes, onDrained) : acceptUnstreamedData(bytes, onDrained);
-        },
+        acceptData: bytes => isRelayedAsStream() ? acceptEvents(bytes) : acceptUnstreamedData(bytes),
         acceptEnd() {
             if (!head) {
                 return makeInvalid("answer ended without a status line");
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -100,7 +100,7 @@
         connections,
         isRepeatable: options.isRepeatable,
         gapTargetMs: request.route.gapTargetMs ?? 0,
-        onStalled: () => listener.onStalled(attempt),
+        onStalled: handleStall,
         onUnreachable: () => listener.onUnreachable(attempt),
     });
     let quarantine: AttemptQuarantineWatch | undefined;
@@ -108,6 +108,34 @@
     let answerHead: AnswerHead | undefined;
     let sentAtMs = 0;
     let isReleased = false;
+    /** Whether no more is received until the customer has read some of the answer. */
+    let isPaused = false;
+
+    function handleStall(): void {
+        if (isPaused) {
+            watch.delay();
+        }
+        else {
+            listener.onStalled(attempt);
+        }
+    }
+
+    /** Stops receiving while the customer is too far behind. */
+    function waitForRoom(): void {
+        if (!isReleased && options.answer.account?.waitForRoom(resume) === false) {
+            isPaused = true;
+            exchange?.pause();
+        }
+    }
+
+    function resume(): void {
+        isPaused = false;
+        progress.skipPause();
+        if (!isReleased) {
+            watch.recordEvent(place);
+            exchange?.resume();
+        }
+    }
 
     function recordEnd(end: AttemptEnd): void {
         quarantine?.recordEnd(end, relay.countEvents());
@@ -146,10 +174,6 @@
             case AnswerOutcomeKind.Progress:
                 handleEvent();
                 break;
-            case AnswerOutcomeKind.Blocked:
-                exchange?.pause();
-                handleEvent();
-                break;
             case AnswerOutcomeKind.Complete:
                 health.record(endpointId, ExchangeResult.Answered, timers.now());
                 recordCompletion(answerHead!);
@@ -254,7 +278,10 @@
                         services.endpointQuota.recordAnswer(endpointId, decoded);
                         handleOutcome(relay.acceptHead(decoded, request.id));
                     },
-                    onData: bytes => handleOutcome(relay.acceptData(bytes, () => exchange?.resume())),
+                    onData(bytes) {
+                        handleOutcome(relay.acceptData(bytes));
+                        waitForRoom();
+                    },
                     onEnd: () => handleOutcome(relay.acceptEnd()),
                     onFailure: handleSendFailure,
                 },
--- a/src/gateway/customerAnswer.ts
+++ b/src/gateway/customerAnswer.ts
@@ -1,47 +1,161 @@
 import { ServerResponse } from "node:http";
 import { RawHeaders } from "../ports/exchange.js";
+import { AnswerAccount } from "./answerBuffers.js";
+import { createByteQueue } from "./byteQueue.js";
 
 /** HTTP response to one customer request. */
 export interface CustomerAnswer {
     /** Whether the head has been sent, so that the status can no longer change. */
     isStarted(): boolean;
-    isClosed(): boolean;
     sendComplete(status: number, headers: RawHeaders, body: Buffer): void;
     /**
      * Sends the status and headers. Without framing, the end of the connection marks the end of the body, so that the
      * customer cannot tell whether the body is complete.
      */
     start(status: number, headers: RawHeaders, isFramed: boolean): void;
-    /** Returns whether more may be written now. If not, `onDrained` is called as soon as it may. */
-    write(bytes: Buffer, onDrained: () => void): boolean;
+    /** Sends bytes, or holds them until the customer has read those before. */
+    write(bytes: Buffer): void;
     end(): void;
     /** Closes the connection, which tells the customer that the answer is incomplete. */
     abort(): void;
     /** Calls `callback` if the customer closes the connection before the answer is complete. */
     onCustomerLeft(callback: () => void): void;
+    /** Calls `callback` if an incomplete answer must end because of the memory that it needs. */
+    onDropped(callback: (reason: string) => void): void;
+    /** Bytes that are held of this answer. */
+    readonly account?: AnswerAccount;
 }
 
+/** How an answer is sent. */
+export interface CustomerAnswerOptions {
+    /** While it returns true, answers ask the customer to close the connection. */
+    readonly mustClose: () => boolean;
+    /** Opens the count of what the customer has not read; absent for answers without a body. */
+    readonly openAccount?: (onDropped: (reason: string) => void) => AnswerAccount;
+    /** Called once when nothing more can be sent, at the latest when the connection has closed. */
+    readonly onEnded?: () => void;
+}
+
+/** Largest piece that is written at once, which is the step in which a slow customer's reading is seen. */
+const pieceBytes = 64 * 1024;
+
 /**
- * Wraps a response of the HTTP server. While `mustClose` returns true, answers ask the customer to close the
- * connection.
+ * Wraps a response of the HTTP server.
  *
  * @example
- * createCustomerAnswer(response, () => isDraining).sendComplete(503, [], Buffer.alloc(0));
+ * createCustomerAnswer(response, { mustClose: () => isDraining }).sendComplete(503, [], Buffer.alloc(0));
  */
-export function createCustomerAnswer(response: ServerResponse, mustClose: () => boolean): CustomerAnswer {
+export function createCustomerAnswer(
+    response: ServerResponse,
+    { mustClose, openAccount, onEnded }: CustomerAnswerOptions,
+): CustomerAnswer {
+    const account = openAccount?.(handleDropped);
+    const queue = createByteQueue();
     let isUnframed = false;
+    let isEnding = false;
+    let isWriting = false;
+    let onLeft: (() => void) | undefined;
+    let onDropped: ((reason: string) => void) | undefined;
+    let hasSettled = false;
+
+    response.once("close", () => {
+        account?.close();
+        if (!response.writableFinished) {
+            onLeft?.();
+        }
+        settle();
+    });
+
+    /** Ends what depends on the rest of the answer. The customer may still have to read much of it. */
+    function settle(): void {
+        onLeft = undefined;
+        onDropped = undefined;
+        if (!hasSettled) {
+            hasSettled = true;
+            onEnded?.();
+        }
+    }
+
+    function handleDropped(reason: string): void {
+        if (onDropped) {
+            onDropped(reason);
+        }
+        else {
+            abort();
+        }
+    }
 
     function writeHead(status: number, headers: string[]): void {
         const closing = mustClose() ? ["Connection", "close"] : [];
         response.writeHead(status, [...headers, ...closing]);
     }
 
+    /** Writes a piece and goes on when the connection has taken it. */
+    function writePiece(piece: Buffer): void {
+        const isLast = isEnding && queue.countBytes() === 0;
+        if (piece.length === 0 && !isLast) {
+            return;
+        }
+        const onTaken = () => {
+            isWriting = false;
+            account?.recordRead(piece.length);
+            writeQueued();
+        };
+        isWriting = true;
+        if (isLast) {
+            response.end(piece, onTaken);
+        }
+        else {
+            response.write(piece, onTaken);
+        }
+    }
+
+    function isWritable(): boolean {
+        return !isWriting && !response.destroyed && !response.writableEnded;
+    }
+
+    function writeQueued(): void {
+        if (isWritable()) {
+            writePiece(queue.take(pieceBytes));
+        }
+    }
+
+    function write(bytes: Buffer): void {
+        account?.addUnread(bytes.length);
+        if (queue.countBytes() === 0 && bytes.length <= pieceBytes && isWritable()) {
+            writePiece(bytes);
+            return;
+        }
+        queue.add(bytes);
+        writeQueued();
+    }
+
+    function end(): void {
+        if (!isEnding && !response.destroyed) {
+            isEnding = true;
+            account?.complete();
+            writeQueued();
+            settle();
+        }
+    }
+
+    function abort(): void {
+        account?.close();
+        if (isUnframed) {
+            // The regular end of the connection would complete the answer.
+            response.socket?.resetAndDestroy();
+        }
+        response.destroy();
+    }
+
     return {
         isStarted: () => response.headersSent,
-        isClosed: () => response.destroyed || response.writableEnded,
         sendComplete(status, headers, body) {
             writeHead(status, [...headers, "Content-Length", String(body.length)]);
-            response.end(body);
+            isEnding = true;
+            account?.complete();
+            write(body);
+            settle();
         },
         start(status, headers, isFramed) {
             if (!isFramed) {
@@ -51,27 +165,15 @@
             }
             writeHead(status, [...headers]);
         },
-        write(bytes, onDrained) {
-            const isReady = response.write(bytes);
-            if (!isReady) {
-                response.once("drain", onDrained);
-            }
-            return isReady;
-        },
-        end: () => void response.end(),
-        abort() {
-            if (isUnframed) {
-                // The regular end of the connection would complete the answer.
-                response.socket?.resetAndDestroy();
-            }
-            response.destroy();
-        },
+        write,
+        end,
+        abort,
         onCustomerLeft(callback) {
-            response.once("close", () => {
-                if (!response.writableFinished) {
-                    callback();
-                }
-            });
+            onLeft = callback;
+        },
+        onDropped(callback) {
+            onDropped = callback;
         },
+        account,
     };
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -71,7 +71,7 @@
 const maxPeerSilenceMs = 1_200;
 /** Gateways among which the rate of a cold endpoint is divided until the list of gateways has been read. */
 const unlistedGateways = 16;
-/** Share of the memory limit for request bodies. The rest is for the heap and for connection buffers. */
+/** Share of the memory limit for request bodies, and as much for answers. The rest is for the heap and for connections. */
 const bodyMemoryShare = 0.25;
 /** Share of the file descriptors for customer connections. The rest is for endpoints and the store. */
 const customerDescriptorShare = 0.6;
--- a/src/gateway/requestIntake.ts
+++ b/src/gateway/requestIntake.ts
@@ -8,6 +8,7 @@
 import { decideDrainAdmission, Drain } from "../scheduling/drainAdmission.js";
 import { computeQuarantineRetryAfterMs, computeRetryAfterMs, renderRetryAfter } from "../scheduling/retryAfter.js";
 import { AcceptedRequest, computeCustomerTerms, computeTimes, predictDuration } from "./acceptedRequest.js";
+import { createAnswerBuffers } from "./answerBuffers.js";
 import { createCustomerAnswer } from "./customerAnswer.js";
 import { computeFingerprint, listTraits } from "./quarantineRegistry.js";
 import { RequestServices } from "./requestServices.js";
@@ -22,7 +23,7 @@
     readonly startupGate: StartupGate;
     /** Returns the planned stop of this process once it has begun. */
     readonly getDrain: () => Drain | undefined;
-    /** Limit of the bytes of all request bodies in memory. */
+    /** Limit of the bytes of all request bodies in memory, and of those of all answers. */
     readonly maxBufferedBytes: number;
 }
 
@@ -63,6 +64,7 @@
     const { services } = options;
     const { timers, log, metrics, codec } = services;
     const isDraining = () => options.getDrain() !== undefined;
+    const answerBuffers = createAnswerBuffers({ timers, log, metrics, maxBytes: options.maxBufferedBytes });
     let bufferedBytes = 0;
 
     function refuse(request: IncomingMessage, response: ServerResponse, refusal: Refusal, route?: Route): void {
@@ -74,7 +76,11 @@
         }
         // The unread rest of the body would be parsed as the next request.
         const mustClose = isDraining() || !request.complete;
-        createCustomerAnswer(response, () => mustClose).sendComplete(refusal.status, headers, Buffer.alloc(0));
+        createCustomerAnswer(response, { mustClose: () => mustClose }).sendComplete(
+            refusal.status,
+            headers,
+            Buffer.alloc(0),
+        );
     }
 
     function checkHead(request: IncomingMessage): CheckedHead | Refusal {
@@ -116,9 +122,12 @@
         const chunks: Buffer[] = [];
         let bytes = 0;
         let isRefused = false;
-        response.once("close", () => {
+        const releaseBody = () => {
             bufferedBytes -= bytes;
-        });
+            bytes = 0;
+            chunks.splice(0);
+        };
+        response.once("close", releaseBody);
         request.on("data", (chunk: Buffer) => {
             if (isRefused) {
                 return;
@@ -138,7 +147,8 @@
         });
         request.on("end", () => {
             if (!isRefused) {
-                accept(request, response, checked, arrivedAtMs, chunks.length > 0 ? Buffer.concat(chunks) : undefined);
+                const body = chunks.length > 0 ? Buffer.concat(chunks.splice(0)) : undefined;
+                accept(request, response, checked, arrivedAtMs, body, releaseBody);
             }
         });
         request.on("error", error => {
@@ -153,6 +163,7 @@
         checked: CheckedHead,
         arrivedAtMs: number,
         body: Buffer | undefined,
+        releaseBody: () => void,
     ): void {
         const { route, head, customer, table } = checked;
         const serviceName = chooseService(route.shares, head.id!);
@@ -201,7 +212,12 @@
             refuse(request, response, drainRefusal, route);
             return;
         }
-        startRequestTask(accepted, createCustomerAnswer(response, isDraining), services);
+        const answer = createCustomerAnswer(response, {
+            mustClose: isDraining,
+            openAccount: onDropped => answerBuffers.open(head.id!, onDropped),
+            onEnded: releaseBody,
+        });
+        startRequestTask(accepted, answer, services);
     }
 
     function checkDrain(request: AcceptedRequest): Refusal | undefined {
--- a/src/gateway/requestReport.ts
+++ b/src/gateway/requestReport.ts
@@ -18,6 +18,8 @@
     Failed = "failed",
     /** Refused or aborted, because requests like it crash endpoints. */
     Quarantined = "quarantined",
+    /** Ended because the customer read so slowly that the answer needed too much memory. */
+    SlowReader = "slow-reader",
 }
 
 /** Describes a request at its end. */
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -85,6 +85,7 @@
     };
     const deadline = timers.schedule(deadlineAtMs - timers.now(), handleDeadline);
     answer.onCustomerLeft(() => end(EndKind.CustomerLeft));
+    answer.onDropped(handleDropped);
     services.retryBudget.recordRequest();
     submit();
 
@@ -210,6 +211,7 @@
     function removeAttempt(removed: Attempt): void {
         attempts = attempts.filter(attempt => attempt !== removed);
         removed.release();
+        removed.relay.discard();
         ({ relay, progress } = attempts[0]!);
     }
 
@@ -321,6 +323,11 @@
         }
     }
 
+    function handleDropped(reason: string): void {
+        recordUnanswered();
+        finishWithError(EndKind.SlowReader, reason);
+    }
+
     function handleDeadline(): void {
         recordUnanswered();
         finishWithError(EndKind.Deadline);
--- a/src/gateway/streamProgress.ts
+++ b/src/gateway/streamProgress.ts
@@ -7,6 +7,8 @@
     startAttempt(place: Place): void;
     /** Records that one or more events were received. Returns whether they are the first of the attempt. */
     recordEvent(nowMs: number): boolean;
+    /** Disregards the pause before the next event, in which no events were received. */
+    skipPause(): void;
     /** Returns the time of the newest event of the current attempt. */
     getLastEventMs(): number | undefined;
     /** Returns the time of the first event of any attempt. */
@@ -29,6 +31,7 @@
     let lastEventMs: number | undefined;
     let firstEventMs: number | undefined;
     let longestPauseMs = 0;
+    let isPauseSkipped = false;
     let passMs = 0;
     let passPredictedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -49,13 +52,17 @@
         },
         recordEvent(nowMs) {
             const isFirst = lastEventMs === undefined;
-            if (place && lastEventMs !== undefined) {
+            if (place && lastEventMs !== undefined && !isPauseSkipped) {
                 recordPause(place, nowMs - lastEventMs, nowMs);
             }
+            isPauseSkipped = false;
             firstEventMs ??= nowMs;
             lastEventMs = nowMs;
             return isFirst;
         },
+        skipPause() {
+            isPauseSkipped = true;
+        },
         getLastEventMs: () => lastEventMs,
         getFirstEventMs: () => firstEventMs,
         getLongestPauseMs: () => longestPauseMs,
