--- a/src/gateway/answerBuffers.ts
+++ b/src/gateway/answerBuffers.ts
@@ -72,7 +72,7 @@
     let totalBytes = 0;
     let behind = 0;
 
-    function enforceBound(): void {
+    function endExcess(): void {
         if (totalBytes > maxBytes) {
             selectAnswersToEnd([...accounts.values()].map(describe => describe()), maxBytes)
                 .forEach(answer => answer.drop("all answers hold too much"));
@@ -149,7 +149,7 @@
                     readBytes = 0;
                 }
                 setUnread(unreadBytes + bytes);
-                enforceBound();
+                endExcess();
             },
             recordRead(bytes) {
                 if (accounts.has(account)) {
@@ -163,7 +163,7 @@
                 if (accounts.has(account)) {
                     totalBytes += bytes;
                     assembledBytes += bytes;
-                    enforceBound();
+                    endExcess();
                 }
             },
             complete() {
--- a/src/gateway/answerRelay.ts
+++ b/src/gateway/answerRelay.ts
@@ -29,7 +29,7 @@
     /** Discards the state of the previous attempt and prepares for the answer of the next. */
     startAttempt(): void;
     /** Discards what is held of an answer that is not needed. */
-    discard(): void;
+    dropHeld(): void;
     acceptHead(head: AnswerHead, requestId: string): AnswerOutcome;
     acceptData(bytes: Buffer): AnswerOutcome;
     acceptEnd(): AnswerOutcome;
@@ -85,7 +85,7 @@
         }
     }
 
-    function clearBuffer(): void {
+    function dropBuffer(): void {
         buffered = [];
         bufferedBytes = 0;
         reportHeld(0);
@@ -148,7 +148,7 @@
 
     function sendHeld(): void {
         const held = Buffer.concat(buffered);
-        clearBuffer();
+        dropBuffer();
         answer.write(held);
     }
 
@@ -175,7 +175,7 @@
     function sendBuffered(received: AnswerHead): void {
         if (!answer.isStarted() && received.isFramed) {
             const body = Buffer.concat(buffered);
-            clearBuffer();
+            dropBuffer();
             answer.sendComplete(received.status, received.forwarded, body);
             return;
         }
@@ -186,17 +186,17 @@
         answer.end();
     }
 
-    function discard(): void {
+    function dropHeld(): void {
         splitter = createEventStreamSplitter();
-        clearBuffer();
+        dropBuffer();
     }
 
     return {
         startAttempt() {
             head = undefined;
-            discard();
+            dropHeld();
         },
-        discard,
+        dropHeld,
         acceptHead(received, requestId) {
             head = received;
             if (received.requestId !== undefined && received.requestId !== requestId) {
--- a/src/gateway/customerAnswer.ts
+++ b/src/gateway/customerAnswer.ts
@@ -81,7 +81,7 @@
             onDropped(reason);
         }
         else {
-            abort();
+            closeIncomplete();
         }
     }
 
@@ -139,7 +139,7 @@
         }
     }
 
-    function abort(): void {
+    function closeIncomplete(): void {
         account?.close();
         if (isUnframed) {
             // The regular end of the connection would complete the answer.
@@ -167,7 +167,7 @@
         },
         write,
         end,
-        abort,
+        abort: closeIncomplete,
         onCustomerLeft(callback) {
             onLeft = callback;
         },
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -211,7 +211,7 @@
     function removeAttempt(removed: Attempt): void {
         attempts = attempts.filter(attempt => attempt !== removed);
         removed.release();
-        removed.relay.discard();
+        removed.relay.dropHeld();
         ({ relay, progress } = attempts[0]!);
     }
 
