Count work for as long as it runs, and what was sent to an engine after its restart

Cause: work that outlasted its prediction by 3 s was left out of the ledger, although it still had its slot and memory. A gateway that learnt late of a restart, or of a lapsed registration, dropped all work at the endpoint, also what had been sent to the new incarnation. Change: own work counts until it is removed, that of others for as long as they report it. Only work that began before the start of the incarnation is dropped, with 0.5 s for clocks that differ.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -16,7 +16,7 @@
 import { createRetryBudget } from "../retries/retryBudget.js";
 import { chooseClaim } from "../routing/engineClaim.js";
 import { placeOnEngines } from "../routing/enginePlacement.js";
-import { createLoadLedger } from "../routing/loadLedger.js";
+import { computeIncarnationStartMs, createLoadLedger } from "../routing/loadLedger.js";
 import { pickByRendezvous } from "../routing/rendezvous.js";
 import { buildRouteTable, RouteTable } from "../routing/routeTable.js";
 import { createSlowdownEstimate } from "../routing/slowdownEstimate.js";
@@ -300,7 +300,7 @@
                 health.forget(record.id);
                 slowdownEstimate.forget(record.id);
                 endpointQuota.forget(record.id);
-                ledger.forgetEndpoint(record.id);
+                ledger.forgetEndpoint(record.id, computeIncarnationStartMs(record.startedAtMs, timers));
                 connections.replace(record.address);
             }
         }
--- a/src/gateway/loadMessage.ts
+++ b/src/gateway/loadMessage.ts
@@ -88,7 +88,8 @@
         Math.round(item.dueAtMs - nowMs),
         item.phase === WorkPhase.Decode,
         Math.round(nowMs - item.phaseSinceMs),
-        Math.round(item.endsAtMs - nowMs),
+        // Work that outlasts its prediction counts at the receiver for as long as it is reported.
+        Math.max(0, Math.round(item.endsAtMs - nowMs)),
         item.isSuspect,
     ];
 }
--- a/src/routing/loadLedger.ts
+++ b/src/routing/loadLedger.ts
@@ -1,3 +1,5 @@
+import { TimerService } from "../base/timerService.js";
+
 /** Phase of a request on an engine. */
 export enum WorkPhase {
     /** The prompt is being prefilled. No event has arrived yet. */
@@ -43,7 +45,13 @@
     listAt(endpoint: string, nowMs: number): readonly WorkItem[];
     /** Lists the work of this process at all endpoints. */
     listOwn(): readonly WorkItem[];
-    forgetEndpoint(endpoint: string): void;
+    /**
+     * Removes work at an endpoint that began before a time on the monotonic clock, which ended with a restart. Later work
+     * runs at the new incarnation.
+     */
+    forgetEndpoint(endpoint: string, beforeMs?: number): void;
+    /** Number of gateways whose work is known, this one included. */
+    countGateways(): number;
     /** Removes work of other gateways that is long past its predicted end. */
     expire(nowMs: number): void;
 }
@@ -53,6 +61,21 @@
  */
 const overdueMs = 3_000;
 const localOwner = "";
+/** Difference between the clocks of two hosts that is tolerated, in milliseconds. */
+const clockToleranceMs = 500;
+
+/**
+ * Computes the time on the monotonic clock before which work at an endpoint belongs to its previous incarnation. What began
+ * shortly before the start is kept: its gateways report its end.
+ *
+ * @example
+ * ledger.forgetEndpoint(record.id, computeIncarnationStartMs(record.startedAtMs, timers));
+ */
+export function computeIncarnationStartMs(startedAtMs: number | undefined, timers: TimerService): number {
+    return startedAtMs === undefined
+        ? timers.now()
+        : timers.now() - (timers.wallNow() - startedAtMs) - clockToleranceMs;
+}
 
 /**
  * Creates an empty ledger.
@@ -125,16 +148,19 @@
         listAt(endpoint, nowMs) {
             const items: WorkItem[] = [];
             byEndpoint.get(endpoint)?.forEach(item => {
-                if (nowMs < item.endsAtMs + overdueMs) {
+                // Own work ends when it is removed, however long it takes.
+                if (nowMs < item.endsAtMs + overdueMs || owners.get(localOwner)!.has(item.key)) {
                     items.push(item);
                 }
             });
             return items;
         },
         listOwn: () => [...owners.get(localOwner)!.values()],
-        forgetEndpoint(endpoint) {
+        countGateways: () => owners.size,
+        forgetEndpoint(endpoint, beforeMs = Number.POSITIVE_INFINITY) {
             for (const [owner, items] of owners) {
-                [...items.values()].filter(item => item.endpoint === endpoint).forEach(item => drop(owner, item.key));
+                [...items.values()].filter(item => item.endpoint === endpoint && item.phaseSinceMs < beforeMs)
+                    .forEach(item => drop(owner, item.key));
             }
         },
         expire(nowMs) {
