Bound the memory that several gateways assign at an engine

Cause: gateways that wait for memory each gave away what was freed, within the delay of one message; answers longer than expected were not counted. Change: each gateway uses its equal part of free memory at once. What exceeds that is announced to the others, and sent 20 ms later if it still fits. The output that the customer allows is counted. Reports of placements are repeated after 4 ms. One gateway alone places as before. Result: test/gateway/engineMemory (2 and 8 gateways, virtual time; failed before).

--- a/src/gateway/acceptedRequest.ts
+++ b/src/gateway/acceptedRequest.ts
@@ -110,6 +110,7 @@
         prefillMs: computePrefillMs(engine, prompt.promptTokens),
         promptTokens: prompt.promptTokens,
         outputTokens: estimateOutputTokens(engine, prompt.maxOutputTokens, prompt.outputTokensHint),
+        ...(prompt.maxOutputTokens > 0 && { maxOutputTokens: prompt.maxOutputTokens }),
         gapTargetMs: request.route.gapTargetMs ?? minStreamWaitMs,
     };
 }
--- a/src/gateway/place.ts
+++ b/src/gateway/place.ts
@@ -9,6 +9,8 @@
     readonly prefillMs: number;
     readonly promptTokens: number;
     readonly outputTokens: number;
+    /** Largest number of output tokens that the customer allows; absent if it sets no limit. */
+    readonly maxOutputTokens?: number;
     /** Target for the longest gap between two events, in milliseconds. */
     readonly gapTargetMs: number;
 }
@@ -85,6 +87,13 @@
     readonly reason: string;
     /** Records that the first event was received. */
     startDecode(): void;
+    /**
+     * Whether the place must be kept for `settleMs` before the request is sent, since other gateways may have assigned the same
+     * memory meanwhile.
+     */
+    readonly isTentative: boolean;
+    /** Returns whether the memory suffices for the request and all others that are known. */
+    hasMemory(): boolean;
     /**
      * Predicts the duration of a decoding pass of the endpoint at nominal speed and without prefill, in milliseconds.
      */
--- a/src/gateway/placeAllocator.ts
+++ b/src/gateway/placeAllocator.ts
@@ -2,11 +2,13 @@
 import { EndpointDirectory } from "../membership/endpointDirectory.js";
 import { EngineProfile } from "../ports/servingConfiguration.js";
 import { EngineClaim } from "../routing/engineClaim.js";
+import { isAnnouncementNeeded, isFitting, makeTentativeKey, settleMs } from "../routing/engineMemory.js";
 import { Placement, PlacementStage } from "../routing/enginePlacement.js";
-import { buildEngineView } from "../routing/engineView.js";
+import { buildEngineView, EngineView } from "../routing/engineView.js";
 import { LoadLedger, WorkItem, WorkPhase } from "../routing/loadLedger.js";
 import { PlainView } from "../routing/plainPlacement.js";
 import { Place, PlacementJob } from "./place.js";
+import { computeMemoryTokens } from "./placementRequest.js";
 
 /** Assigns endpoint capacity to requests according to placement decisions. */
 export interface PlaceAllocator {
@@ -49,6 +51,9 @@
 /** Shortest time in which a plain service answers, in milliseconds. */
 export const minPlainAnswerMs = 20;
 
+/** Time after which work is announced again, in milliseconds: soon enough to arrive before the place is settled. */
+const announcementRepeatMs = 4;
+
 /**
  * Creates the allocator. Assigned places are recorded in the ledger and reported to the other gateways.
  *
@@ -60,9 +65,15 @@
     const { timers, directory, ledger } = options;
     let nextKey = 0;
 
-    function addWork(item: Omit<WorkItem, "key" | "phase" | "phaseSinceMs">, nowMs: number): string {
-        const key = `${options.keyPrefix}/${nextKey++}`;
-        const workItem: WorkItem = { ...item, key, phase: WorkPhase.Prefill, phaseSinceMs: nowMs };
+    function addWork(
+        item: Omit<WorkItem, "key" | "phase" | "phaseSinceMs">,
+        nowMs: number,
+        isTentative = false,
+        phase = WorkPhase.Prefill,
+    ): string {
+        const plainKey = `${options.keyPrefix}/${nextKey++}`;
+        const key = isTentative ? makeTentativeKey(plainKey) : plainKey;
+        const workItem: WorkItem = { ...item, key, phase, phaseSinceMs: nowMs };
         ledger.add(workItem);
         options.reportChange(key, workItem);
         return key;
@@ -73,6 +84,22 @@
         options.reportChange(key, undefined);
     }
 
+    /** Repeats the announcement of work, since the message may be lost. */
+    function publishAgain(keys: readonly string[]): void {
+        timers.schedule(announcementRepeatMs, () =>
+            ledger.listOwn().filter(item => keys.includes(item.key))
+                .forEach(item => options.reportChange(item.key, item)));
+    }
+
+    /** Returns whether other gateways may be assigning the same memory of an engine now. */
+    function isContested(view: EngineView, tokens: number, nowMs: number): boolean {
+        const recent = ledger.listOwn().filter(item =>
+            item.endpoint === view.id && item.phaseSinceMs > nowMs - settleMs
+        );
+        const recentTokens = recent.reduce((sum, item) => sum + item.tokens, 0);
+        return isAnnouncementNeeded(tokens, view.freeTokens, recentTokens, ledger.countGateways());
+    }
+
     function assignEngines(
         job: PlacementJob,
         engine: EngineProfile,
@@ -86,22 +113,36 @@
         const passes = needs.outputTokens / engine.stepsPerPass + 1;
         const endsAtMs = nowMs + placement.firstEventMs + passes * endpoint.passMs;
         const shared = { prefillMs: partMs, dueAtMs: job.dueAtMs, isSuspect: job.isSuspect };
-        const mainTokens = needs.promptTokens + needs.outputTokens - helpers.length * reservedTokens;
-        const mainKey = addWork({
-            ...shared,
-            endpoint: endpoint.id,
-            tokens: Math.max(0, mainTokens),
-            gapTargetMs: needs.gapTargetMs,
-            endsAtMs,
-        }, nowMs);
+        const memoryTokens = computeMemoryTokens(needs);
+        const mainTokens = Math.max(0, memoryTokens - helpers.length * reservedTokens);
+        const isTentative = isContested(endpoint, mainTokens, nowMs)
+            || helpers.some(helper => reservedTokens > 0 && isContested(helper, reservedTokens, nowMs));
+        // Memory beyond the expected output is a part of its own, because it slows down no pass.
+        const spareTokens = Math.min(mainTokens, memoryTokens - needs.promptTokens - needs.outputTokens);
+        const main = { ...shared, endpoint: endpoint.id, endsAtMs };
+        const mainKey = addWork(
+            { ...main, tokens: mainTokens - spareTokens, gapTargetMs: needs.gapTargetMs },
+            nowMs,
+            isTentative,
+        );
+        const spareKeys = spareTokens > 0
+            ? [addWork({ ...main, prefillMs: 0, tokens: spareTokens }, nowMs, isTentative, WorkPhase.Decode)]
+            : [];
         const helperKeys = helpers.map(helper =>
-            addWork({
-                ...shared,
-                endpoint: helper.id,
-                tokens: reservedTokens,
-                endsAtMs: reservedTokens > 0 ? endsAtMs : nowMs + placement.firstEventMs,
-            }, nowMs)
+            addWork(
+                {
+                    ...shared,
+                    endpoint: helper.id,
+                    tokens: reservedTokens,
+                    endsAtMs: reservedTokens > 0 ? endsAtMs : nowMs + placement.firstEventMs,
+                },
+                nowMs,
+                isTentative,
+            )
         );
+        if (ledger.countGateways() > 1) {
+            publishAgain([mainKey, ...spareKeys, ...helperKeys]);
+        }
         const releaseHelpers = () => helperKeys.splice(0).forEach(removeWork);
         return {
             endpoint: directory.find(endpoint.id)!.record,
@@ -131,14 +172,21 @@
                 const items = ledger.listAt(endpoint.id, timers.now());
                 return buildEngineView(properties, engine, items, timers.now()).passMs;
             },
+            isTentative,
+            hasMemory: () => hasMemoryFor([mainKey, ...spareKeys, ...helperKeys], engine),
             release() {
-                removeWork(mainKey);
+                [mainKey, ...spareKeys.splice(0)].forEach(removeWork);
                 releaseHelpers();
                 options.onCapacityFreed();
             },
         };
     }
 
+    function hasMemoryFor(keys: readonly string[], engine: EngineProfile): boolean {
+        const own = ledger.listOwn().filter(item => keys.includes(item.key));
+        return own.every(item => isFitting(item, ledger.listAt(item.endpoint, timers.now()), engine.memoryTokens));
+    }
+
     function assignPlainEndpoint(job: PlacementJob, view: PlainView, nowMs: number): Place {
         options.recordDispatch(view.id);
         const key = addWork({
@@ -158,6 +206,8 @@
             reason: `running=${view.running}`,
             startDecode: () => undefined,
             predictPassMs: () => 0,
+            isTentative: false,
+            hasMemory: () => true,
             release() {
                 removeWork(key);
                 options.onCapacityFreed();
@@ -176,7 +226,7 @@
             addWork({
                 endpoint: engine.id,
                 prefillMs: (freeInMs + partMs) / engine.slowdown,
-                tokens: (needs.promptTokens + needs.outputTokens) / engines.length,
+                tokens: computeMemoryTokens(needs) / engines.length,
                 dueAtMs: job.dueAtMs,
                 endsAtMs: nowMs + freeInMs + partMs,
                 isSuspect: false,
--- a/src/gateway/placementQueue.ts
+++ b/src/gateway/placementQueue.ts
@@ -5,6 +5,7 @@
 import { EndpointSubset } from "../membership/endpointSubset.js";
 import { EngineProfile, Service } from "../ports/servingConfiguration.js";
 import { ClaimPolicy, defaultClaimSettings } from "../routing/engineClaim.js";
+import { isTakingSlot } from "../routing/engineMemory.js";
 import {
     defaultPlacementSettings,
     PlacementPolicy,
@@ -376,7 +377,10 @@
     function describeLoad(job: PlacementJob, nowMs: number): string {
         const known = endpointSubset.list(job.service.name).length;
         const usable = listUsableEndpoints(job.service, nowMs);
-        const running = usable.reduce((sum, { record }) => sum + ledger.listAt(record.id, nowMs).length, 0);
+        const running = usable.reduce(
+            (sum, { record }) => sum + ledger.listAt(record.id, nowMs).filter(isTakingSlot).length,
+            0,
+        );
         return `endpoints=${known} usable=${usable.length} running=${running} waiting=${waiting.length}`;
     }
 
@@ -442,7 +446,10 @@
             return {
                 waiting: waiting.filter(item => item.job.service.name === service.name).length,
                 slots: usable.reduce((sum, { record }) => sum + (service.engine?.slots ?? record.slots), 0),
-                slotsTaken: usable.reduce((sum, { record }) => sum + ledger.listAt(record.id, nowMs).length, 0),
+                slotsTaken: usable.reduce(
+                    (sum, { record }) => sum + ledger.listAt(record.id, nowMs).filter(isTakingSlot).length,
+                    0,
+                ),
             };
         },
         predictWaitMs: (service, needs) => waitPrediction.predictWaitMs(service, needs, waiting, timers.now()),
--- a/src/gateway/requestHedge.ts
+++ b/src/gateway/requestHedge.ts
@@ -112,7 +112,7 @@
             return undefined;
         }
         // A place that needs reservations at helpers would have to wait for them.
-        if (place.reservedTokens > 0 || !hedging.acquire()) {
+        if (place.reservedTokens > 0 || place.isTentative || !hedging.acquire()) {
             place.release();
             report.recordHedgeWithheld(HedgeDecision.NoPlace, endpoint, delayMs);
             return undefined;
--- a/src/gateway/requestReport.ts
+++ b/src/gateway/requestReport.ts
@@ -58,6 +58,8 @@
     /** Records that a request was behind at an endpoint after `delayMs` and no second attempt is sent. */
     recordHedgeWithheld(reason: HedgeDecision, endpoint: string, delayMs: number): void;
     recordHedgeResult(result: HedgeResult): void;
+    /** Records that other gateways have assigned the memory of an engine at the same time. */
+    recordMemoryTaken(): void;
     recordTaskFailure(task: string, error: unknown): void;
     recordEnd(end: RequestEnd): void;
 }
@@ -137,6 +139,12 @@
         recordHedgeResult(result) {
             metrics.count("jujubelane_hedge_results_total", "Second attempts by result.", { result });
         },
+        recordMemoryTaken() {
+            metrics.count(
+                "jujubelane_memory_conflicts_total",
+                "Times that a place was given up because other gateways had assigned the same memory.",
+            );
+        },
         recordTaskFailure: (task, error) => write(LogEvent.TaskFailed, { task, error: String(error) }),
         recordEnd(end) {
             const tookMs = timers.now() - request.arrivedAtMs;
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -3,6 +3,7 @@
 import { RouteKind } from "../ports/servingConfiguration.js";
 import { Treatment } from "../quarantine/quarantine.js";
 import { isIdempotent, isRedispatchAllowed } from "../retries/dispatchDecision.js";
+import { settleMs } from "../routing/engineMemory.js";
 import { computeRetryAfterMs, renderRetryAfter } from "../scheduling/retryAfter.js";
 import { AcceptedRequest, computeEngineNeeds, computeTimes, makePlacementTerms } from "./acceptedRequest.js";
 import { createAnswerRelay } from "./answerRelay.js";
@@ -134,11 +135,36 @@
             found.release();
             return;
         }
+        reservingPlace = found;
+        if (found.isTentative) {
+            timers.schedule(settleMs, () => handleSettled(found));
+        }
+        else {
+            reserveHelpers(found);
+        }
+    }
+
+    /** Goes on with a place that other gateways have had the time to hear of. */
+    function handleSettled(found: Place): void {
+        if (reservingPlace !== found) {
+            return;
+        }
+        if (found.hasMemory() && placementQueue.isStillUsable(found)) {
+            reserveHelpers(found);
+            return;
+        }
+        reservingPlace = undefined;
+        found.release();
+        report.recordMemoryTaken();
+        waiting = timers.schedule(settleMs * services.random(), submit);
+    }
+
+    function reserveHelpers(found: Place): void {
         if (found.reservedTokens === 0) {
+            reservingPlace = undefined;
             send(found, undefined);
             return;
         }
-        reservingPlace = found;
         const addresses = found.helpers.map(helper => helper.address);
         services.reservations.reserveAll(addresses, found.reservedTokens).then(
             set => handleReserved(found, set),
