--- a/src/base/logEvents.ts
+++ b/src/base/logEvents.ts
@@ -19,6 +19,7 @@
     HedgeServiceUnknown = 1013,
     EnginesBorrowed = 1014,
     SpareEngineReporterChanged = 1015,
+    AnswerDropped = 1016,
     TicketIgnored = 1020,
     RequestSplit = 1021,
     MemoryOrderFailed = 1030,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -9,7 +9,7 @@
 import { createRetryBudget } from "../retries/retryBudget.js";
 import { chooseClaim } from "../routing/engineClaim.js";
 import { placeOnEngines } from "../routing/enginePlacement.js";
-import { createLoadLedger } from "../routing/loadLedger.js";
+import { computeIncarnationStartMs, createLoadLedger } from "../routing/loadLedger.js";
 import { pickByRendezvous } from "../routing/rendezvous.js";
 import { createSlowdownEstimate } from "../routing/slowdownEstimate.js";
 import { defaultColdBound } from "../scheduling/coldBudget.js";
@@ -58,7 +58,7 @@
 const maxPeerSilenceMs = 1_200;
 /** Gateways among which the rate of a cold endpoint is divided until the list of gateways has been read. */
 const unlistedGateways = 16;
-/** Share of the memory limit for request bodies. The rest is for the heap and for connection buffers. */
+/** Share of the memory limit for request bodies, and as much for answers. The rest is for the heap and for connections. */
 const bodyMemoryShare = 0.25;
 /** Share of the file descriptors for customer connections. The rest is for endpoints and the store. */
 const customerDescriptorShare = 0.6;
@@ -343,7 +343,7 @@
             health.forget(record.id);
             slowdownEstimate.forget(record.id);
             endpointQuota.forget(record.id);
-            ledger.forgetEndpoint(record.id);
+            ledger.forgetEndpoint(record.id, computeIncarnationStartMs(record.startedAtMs, timers));
             connections.replace(record.address);
         },
         onJoined: record => crashDetector.recordEndpointJoined(record),
