Report the end of a plain service to entries, so that a request that ends its instances is refused

Customers and operators: through the product's own interface a plain request that ends the instance that runs it went on doing so, as often as it was sent and, if it may be repeated, three times for each sending, until no instance was left for others. Cause: sidecars reported crashes only where an engine monitor saw them, and plain requests had no traits, so that entries had nothing to decide by. Change: after a call that ended without an answer the sidecar of a plain service checks five times within 150 ms whether connections are refused. If so, it reports the traits and the running times of the calls that ran to all entries, before the ends of these calls. Plain requests get the identity that gateways use (service, customer, method, path, body; not the id) as their trait, and entries decide by the same evidence. A call that was held back because of the check ends at most 150 ms and five attempts to connect later than before, and only if it had no answer. Why it works: an entry repeats a call as soon as its end arrives; the report is sent on the same link before that end. The running times let crashes count separately that follow each other because of such repetitions. Not recognised: an instance that accepts connections again between two checks, and one that ends after its answer. The emulated service can end under a call and starts again at its port 0.3 s later.

--- a/src/base/logEvents.ts
+++ b/src/base/logEvents.ts
@@ -90,6 +90,7 @@
     QuarantineNotStored = 7008,
     CrashUnexplained = 7009,
     QuarantineWithheld = 7010,
+    ServiceCrashed = 7011,
     StoreFeedLost = 8001,
     StoreFeedBack = 8002,
     StoreFeedGap = 8003,
--- a/src/cli/devCommand.ts
+++ b/src/cli/devCommand.ts
@@ -6,6 +6,7 @@
 import { createHttpLogService } from "../adapters/httpLogService.js";
 import { createHttpModelEngine } from "../adapters/httpModelEngine.js";
 import { createHttpPlainService } from "../adapters/httpPlainService.js";
+import { createServiceProbe } from "../adapters/serviceProbe.js";
 import { computeDigest } from "../base/ids.js";
 import { createEventLog } from "../base/log.js";
 import { createSystemRandomSource } from "../base/systemRandomSource.js";
@@ -118,7 +119,8 @@
     });
     await claims.refreshMarks();
     const runner = createClaimRunner(createHttpPlainService(service.url), claims, timers);
-    started.push(await startSidecar("booking-1", { timers, runner }));
+    const isServiceRunning = createServiceProbe(service.url);
+    started.push(await startSidecar("booking-1", { timers, runner, isServiceRunning }));
     return started;
 }
 
--- a/src/cli/sidecarCommand.ts
+++ b/src/cli/sidecarCommand.ts
@@ -4,6 +4,7 @@
 import { createHttpModelEngine } from "../adapters/httpModelEngine.js";
 import { createHttpPlainService } from "../adapters/httpPlainService.js";
 import { createHttpWeightStore } from "../adapters/httpWeightStore.js";
+import { createServiceProbe } from "../adapters/serviceProbe.js";
 import { createEventLog } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
 import { createSystemRandomSource } from "../base/systemRandomSource.js";
@@ -151,7 +152,8 @@
     const createScheduler = schedulers[parsed.scheduler];
     if (parsed.service !== undefined) {
         const runner = createClaimRunner(createHttpPlainService(parsed.service), claims, timers);
-        return createSidecar(settings, { timers, log, runner, createScheduler });
+        const isServiceRunning = createServiceProbe(parsed.service);
+        return createSidecar(settings, { timers, log, runner, createScheduler, isServiceRunning });
     }
     const engineSupervisor = createEngineSupervisor({
         endpoint: settings.endpoint,
--- a/src/emulator/serviceServer.ts
+++ b/src/emulator/serviceServer.ts
@@ -1,3 +1,4 @@
+import { IncomingMessage, ServerResponse } from "node:http";
 import { TimerService, waitFor } from "../base/timerService.js";
 import { readBody, RunningServer, sendJson, startHttpServer } from "./httpServer.js";
 
@@ -6,6 +7,8 @@
     readonly port: number;
     /** Time that a call takes, in milliseconds. */
     readonly delayMs: number;
+    /** Text that ends the service when the path or the body of a call contains it; absent for none. */
+    readonly poison?: string;
 }
 
 /** A call that the emulated service ran. */
@@ -19,8 +22,12 @@
 /** A running emulated service. */
 export interface EmulatedService extends RunningServer {
     getRuns(): readonly ServiceRun[];
+    countCrashes(): number;
 }
 
+/** Time that the service needs to start again at the same port after it has ended, in milliseconds. */
+const restartMs = 300;
+
 /**
  * Starts an emulated plain service on loopback. It records each call that it runs, so that a test can count runs from
  * outside with `GET /emulator/runs`.
@@ -33,7 +40,11 @@
     timers: TimerService,
 ): Promise<EmulatedService> {
     const runs: ServiceRun[] = [];
-    const server = await startHttpServer(settings.port, async (request, response) => {
+    const { poison } = settings;
+    let crashes = 0;
+    let isClosed = false;
+
+    async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
         if (request.method === "GET" && request.url === "/emulator/runs") {
             sendJson(response, 200, runs);
             return;
@@ -47,7 +58,31 @@
         };
         runs.push(run);
         await waitFor(timers, settings.delayMs);
+        if (poison !== undefined && (run.path + body).includes(poison)) {
+            await crash();
+            return;
+        }
         sendJson(response, 200, { run: runs.length, path: run.path, body });
-    });
-    return { ...server, getRuns: () => runs };
+    }
+
+    async function crash(): Promise<void> {
+        crashes++;
+        await server.close();
+        await waitFor(timers, restartMs);
+        if (!isClosed) {
+            server = await startHttpServer(first.port, handle);
+        }
+    }
+
+    const first = await startHttpServer(settings.port, handle);
+    let server: RunningServer = first;
+    return {
+        ...first,
+        getRuns: () => runs,
+        countCrashes: () => crashes,
+        async close() {
+            isClosed = true;
+            await server.close();
+        },
+    };
 }
--- a/src/entry/quarantineManager.ts
+++ b/src/entry/quarantineManager.ts
@@ -162,11 +162,18 @@
             const record = { crash: message.crash, fingerprints: message.fingerprints };
             if (!state.crashes.has(record.crash)) {
                 registry.applyCrash(
-                    { crash: record.crash, ageMs: 0, suspects: message.suspects ?? [] },
+                    {
+                        crash: record.crash,
+                        ageMs: 0,
+                        suspects: message.suspects ?? [],
+                        runningMs: message.runningMs,
+                    },
                     true,
                 );
                 applyRecord(record, timers.wallNow());
-                void publish(buildCrashRecord(record), record.crash);
+                if (record.fingerprints.length > 0) {
+                    void publish(buildCrashRecord(record), record.crash);
+                }
             }
         },
         listMessages: () =>
--- a/src/entry/serviceRoute.ts
+++ b/src/entry/serviceRoute.ts
@@ -4,6 +4,7 @@
 import { ResultKind } from "../base/result.js";
 import { Verdict } from "../base/verdict.js";
 import { Configuration, findObject } from "../config/objects.js";
+import { computeFingerprint, listTraits } from "../gateway/quarantineRegistry.js";
 import { AttemptEventKind } from "./attempt.js";
 import { AuthenticatedCustomer } from "./customerIndex.js";
 import { HeaderName, sendError } from "./httpMessages.js";
@@ -76,13 +77,22 @@
     const method = request.method ?? "GET";
     response.setHeader(HeaderName.RequestId, id);
     const idempotencyKey = request.headers[HeaderName.IdempotencyKey];
+    // Unlike the fingerprint it tells the services apart; like it, it does not depend on the id of the request.
+    const identity = computeFingerprint({
+        service: target.service,
+        customer: customer.name,
+        method,
+        host: "",
+        path: target.path,
+        body: body.value,
+    });
     const task = context.start({
         id,
         customer: customer.name,
         ...parameters.value,
         waitedMs: context.tickets.readWaitedMs(request.headers, subject),
         fingerprint: computeDigest(`${customer.name}\n${method} ${target.path}\n${computeDigest(body.value)}`),
-        traits: [],
+        traits: listTraits(target.service, [], identity),
         streamed: false,
         service: {
             service: target.service,
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -282,6 +282,8 @@
     readonly fingerprints: readonly string[];
     /** Traits of those requests whose answers were beginning. */
     readonly suspects?: readonly (readonly string[])[];
+    /** Time for which each suspect had been running, in milliseconds; absent if that is not known. */
+    readonly runningMs?: readonly number[];
 }
 
 /** Messages from an entry to a sidecar. */
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -27,6 +27,7 @@
 import { createBatchingRunner } from "./itemBatcher.js";
 import { createLinkServer, LinkServerSettings } from "./linkServer.js";
 import { buildSchedulerPolicy } from "./schedulerPolicy.js";
+import { CrashedCall, watchServiceCrashes } from "./serviceCrashWatch.js";
 import { Work, WorkRunner, WorkState } from "./work.js";
 import { createWorkTable, DispatchRefusal } from "./workTable.js";
 
@@ -53,6 +54,8 @@
     readonly readReport?: () => Promise<EngineReport>;
     /** Monitors, reconciles and audits the engine. Absent for a plain service. */
     readonly engineSupervisor?: EngineSupervisor;
+    /** Checks whether the plain service accepts connections. Absent for an engine; without it no crashes are reported. */
+    readonly isServiceRunning?: () => Promise<boolean>;
 }
 
 /** A sidecar: the process beside one endpoint. */
@@ -106,6 +109,7 @@
     let engineReport: EngineReport | undefined;
     let announcedVersion: string | undefined;
     let leaving = false;
+    let serviceCrashes = 0;
     let handleDrained: (() => void) | undefined;
     const { engineSupervisor: supervisor } = parts;
     const firstPolicy = buildSchedulerPolicy(settings, undefined, undefined);
@@ -152,7 +156,7 @@
         timers,
         log,
         scheduler,
-        runner: createBatchingRunner(parts.runner, timers, settings.chunkIntervalMs ?? 0),
+        runner: createBatchingRunner(watchRunner(parts.runner), timers, settings.chunkIntervalMs ?? 0),
         retainEndedMs: settings.retainEndedMs,
         send: (session, message) => links.send(session, message),
         makeLoad,
@@ -165,6 +169,28 @@
         handleSettled: checkDrained,
     });
 
+    function watchRunner(runner: WorkRunner): WorkRunner {
+        const { isServiceRunning } = parts;
+        return isServiceRunning
+            ? watchServiceCrashes(runner, { timers, isServiceRunning, handleCrash: handleServiceCrash })
+            : runner;
+    }
+
+    function handleServiceCrash(calls: readonly CrashedCall[]) {
+        serviceCrashes++;
+        const crash = `${settings.endpoint}/${incarnation}/${serviceCrashes}`;
+        const suspects = calls.filter(({ work }) => (work.dispatch.traits ?? []).length > 0);
+        log(LogEvent.ServiceCrashed, { crash, requests: calls.length });
+        links.broadcast({
+            type: LinkMessageType.CrashReport,
+            crash,
+            // The traits of a call identify it and its service. A fingerprint is the same for all services.
+            fingerprints: [],
+            suspects: suspects.map(({ work }) => work.dispatch.traits!),
+            runningMs: suspects.map(({ runningMs }) => runningMs),
+        });
+    }
+
     function checkDispatch(dispatch: DispatchMessage): DispatchRefusal | undefined {
         if (dispatch.incarnation !== incarnation) {
             return { code: ErrorCode.StaleIncarnation, message: "the dispatch names an earlier sidecar process" };
--- a/test/system/system.ts
+++ b/test/system/system.ts
@@ -2,6 +2,7 @@
 import * as net from "node:net";
 import { createHttpModelEngine } from "../../src/adapters/httpModelEngine.js";
 import { createHttpPlainService } from "../../src/adapters/httpPlainService.js";
+import { createServiceProbe } from "../../src/adapters/serviceProbe.js";
 import { createDisposableStore, DisposableStore } from "../../src/base/disposable.js";
 import { computeDigest } from "../../src/base/ids.js";
 import { EventLog, LogFields } from "../../src/base/log.js";
@@ -69,6 +70,8 @@
     readonly services?: number;
     readonly engine?: Partial<EmulatedEngineSettings>;
     readonly serviceDelayMs?: number;
+    /** Text that ends the instance of a plain service that runs a call with it. */
+    readonly servicePoison?: string;
     readonly entry?: Partial<EntrySettings>;
     readonly entries?: number;
     /** Log service shared by the entries. */
@@ -135,7 +138,10 @@
     const engine = isEngine ? await startEmulatedEngine({ ...defaultEngine, ...settings.engine }, timers) : undefined;
     const service = isEngine
         ? undefined
-        : await startEmulatedService({ port: 0, delayMs: settings.serviceDelayMs ?? 5 }, timers);
+        : await startEmulatedService(
+            { port: 0, delayMs: settings.serviceDelayMs ?? 5, poison: settings.servicePoison },
+            timers,
+        );
     function startSidecar() {
         // Each sidecar has its own connections to the engine, which are closed with it.
         const client = engine && createHttpModelEngine(engine.url);
@@ -197,6 +203,7 @@
             ? createModelRunner(engineSupervisor.engine, timers, work => work.priority, defaultModelRunnerSettings)
             : createServiceRunner(createHttpPlainService(service!.url), timers),
         engineSupervisor,
+        isServiceRunning: service && createServiceProbe(service.url),
     });
 }
 
