Shed load according to the gateway's own host

Cause: nothing measured the event loop delay, the memory, the unsent bytes and the descriptors of a gateway; the settings fields cpu_share, cores and link_mbps were ignored. Gateways without hostCapacity have no timer and no topic.

--- a/src/base/logEvents.ts
+++ b/src/base/logEvents.ts
@@ -98,4 +98,5 @@
     TaskFailed = 9004,
     SettingsReloaded = 9005,
     SettingsRefused = 9006,
+    HostPressureChanged = 9007,
 }
--- a/src/gateway/acceptedRequest.ts
+++ b/src/gateway/acceptedRequest.ts
@@ -83,7 +83,7 @@
  * @example
  * computeTimes(request).deadlineAtMs;
  */
-export function computeTimes(request: AcceptedRequest): RequestTimes {
+export function computeTimes(request: Pick<AcceptedRequest, "route" | "head" | "arrivedAtMs">): RequestTimes {
     const { route, head, arrivedAtMs } = request;
     const limitMs = Math.min(head.deadlineMs ?? defaultDeadlineMs, route.timeoutMs ?? Number.POSITIVE_INFINITY);
     const maxWaitMs = route.kind === RouteKind.Stream ? computeStreamWaitMs(route) : limitMs;
--- a/src/gateway/customerServer.ts
+++ b/src/gateway/customerServer.ts
@@ -2,6 +2,7 @@
 import { Server as NetServer, Socket } from "node:net";
 import { CustomerLimits } from "../ports/servingConfiguration.js";
 import { ListenAddress } from "./gatewaySettings.js";
+import { SocketMeter } from "./socketMeter.js";
 
 /** HTTP server for customers, with support for draining. */
 export interface CustomerServer {
@@ -40,13 +41,14 @@
  * Creates the server, which does not listen before `listen` is called.
  *
  * @example
- * const server = createCustomerServer({ ip: "127.0.0.1", port: 8080 }, 4_000, handle);
+ * const server = createCustomerServer({ ip: "127.0.0.1", port: 8080 }, 4_000, handle, socketMeter);
  * await server.listen();
  */
 export function createCustomerServer(
     address: ListenAddress,
     maxConnections: number,
     handle: RequestHandler,
+    socketMeter?: Pick<SocketMeter, "add">,
 ): CustomerServer {
     const connections = new Set<Socket>();
     const activeSockets = new Set<Socket>();
@@ -75,6 +77,7 @@
     server.maxConnections = maxConnections;
     server.on("connection", (socket: Socket) => {
         connections.add(socket);
+        socketMeter?.add(socket);
         socket.once("close", () => connections.delete(socket));
     });
     server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
--- a/src/gateway/endpointConnections.ts
+++ b/src/gateway/endpointConnections.ts
@@ -1,6 +1,7 @@
 import { connect, Socket } from "node:net";
 import { buildConnector, Dispatcher, Pool } from "undici";
 import { RawHeaders } from "../ports/exchange.js";
+import { SocketMeter } from "./socketMeter.js";
 
 /** A request as it is sent to an endpoint. */
 export interface OutgoingRequest {
@@ -106,6 +107,7 @@
  */
 export function createEndpointConnections(
     onClosedByEndpoint: (address: string) => void = () => undefined,
+    socketMeter?: Pick<SocketMeter, "add">,
 ): EndpointConnections {
     const pools = new Map<string, EndpointPools>();
 
@@ -114,7 +116,10 @@
         if (!found) {
             const onClosed = () => onClosedByEndpoint(address);
             // A connection for one request is always closed after its answer, which shows nothing.
-            found = { reusable: createPool(address, 1, onClosed), singleUse: createPool(address, 0, () => undefined) };
+            found = {
+                reusable: createPool(address, 1, onClosed, socketMeter),
+                singleUse: createPool(address, 0, () => undefined, socketMeter),
+            };
             pools.set(address, found);
         }
         return found;
@@ -163,7 +168,12 @@
  * set when undici reports the end of the answer. In the same way, the listener for received bytes runs before they are
  * parsed.
  */
-function createPool(address: string, pipelining: number, onClosedByEndpoint: () => void): ResetTrackingPool {
+function createPool(
+    address: string,
+    pipelining: number,
+    onClosedByEndpoint: () => void,
+    socketMeter: Pick<SocketMeter, "add"> | undefined,
+): ResetTrackingPool {
     let isResetNow = false;
     let resetFramingBytes = () => {};
     const connector = buildConnector({ timeout: connectTimeoutMs });
@@ -193,6 +203,7 @@
             });
             if (socket) {
                 checkFramingBytes(socket);
+                socketMeter?.add(socket);
             }
         },
         pipelining,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -26,7 +26,7 @@
 import { createColdWatch } from "./coldWatch.js";
 import { wrapFeed, wrapWritableFeed } from "./countedFeed.js";
 import { createCrashDetector, LossEvidence } from "./crashDetector.js";
-import { createCustomerServer } from "./customerServer.js";
+import { createCustomerAccess } from "./customerAccess.js";
 import { createEndpointConnections } from "./endpointConnections.js";
 import { mergeGates } from "./endpointGate.js";
 import { createEndpointNoticeBoard } from "./endpointNoticeBoard.js";
@@ -49,9 +49,9 @@
 import { createPlacementQueue } from "./placementQueue.js";
 import { createQuarantineRegistry, QuarantineSource } from "./quarantineRegistry.js";
 import { createQuarantineStore } from "./quarantineStore.js";
-import { createRequestIntake } from "./requestIntake.js";
 import { RequestServices } from "./requestServices.js";
 import { createReservations } from "./reservations.js";
+import { createSocketMeter } from "./socketMeter.js";
 import { createStartupGate } from "./startupGate.js";
 
 /**
@@ -71,10 +71,6 @@
 const maxPeerSilenceMs = 1_200;
 /** Gateways among which the rate of a cold endpoint is divided until the list of gateways has been read. */
 const unlistedGateways = 16;
-/** Share of the memory limit for request bodies. The rest is for the heap and for connection buffers. */
-const bodyMemoryShare = 0.25;
-/** Share of the file descriptors for customer connections. The rest is for endpoints and the store. */
-const customerDescriptorShare = 0.6;
 /**
  * Starts a gateway, the process between customers and endpoints. It persists no state.
  *
@@ -90,7 +86,8 @@
     const health = createEndpointHealth();
     const slowdownEstimate = createSlowdownEstimate();
     const ledger = createLoadLedger();
-    const connections = createEndpointConnections(address => crashDetector.recordIdleClose(address));
+    const socketMeter = createSocketMeter(timers.now());
+    const connections = createEndpointConnections(address => crashDetector.recordIdleClose(address), socketMeter);
     const keyPrefix = ports.incarnation.slice(-8);
     const exchangeAddress = `${settings.ip}:${settings.exchangePort}`;
     const endpointSubset = createEndpointSubset(
@@ -344,17 +341,17 @@
             crashDetector.recordEndpointLoss(endpointId, LossEvidence.Gone);
         },
     };
-    const customers = createCustomerServer(
-        settings.customerAddress,
-        Math.floor(settings.maxDescriptors * customerDescriptorShare),
-        createRequestIntake({
-            services,
-            getTable: () => routeTable,
-            startupGate,
-            getDrain: () => drainState,
-            maxBufferedBytes: settings.memoryBytes * bodyMemoryShare,
-        }),
-    );
+    const { customers, pressureWatch } = createCustomerAccess({
+        settings,
+        services,
+        address: exchangeAddress,
+        exchange,
+        socketMeter,
+        startupGate,
+        getTable: () => routeTable,
+        getDrain: () => drainState,
+        disposables,
+    });
 
     disposables.register(followOperators({
         feed: wrapFeed("configuration", ports.configurationFeed, metrics),
@@ -411,7 +408,7 @@
     try {
         await customers.listen(ports.customerListener);
         await serveGatewayStatus(
-            { ...services, exchange, customers, directory, coldWatch, evacuationWatch, settings },
+            { ...services, exchange, customers, directory, coldWatch, evacuationWatch, pressureWatch, settings },
             { isReady, getTable: () => routeTable, getDrain: () => drainState },
             disposables,
         );
--- a/src/gateway/gatewaySettings.ts
+++ b/src/gateway/gatewaySettings.ts
@@ -1,4 +1,5 @@
 import { ColdBound } from "../scheduling/coldBudget.js";
+import { HostCapacity } from "../scheduling/hostPressure.js";
 import { HedgeShares } from "./hedging.js";
 
 /** An address to listen on. */
@@ -23,6 +24,8 @@
     /** Memory above which the process is killed. */
     readonly memoryBytes: number;
     readonly maxDescriptors: number;
+    /** What the host provides. If it is absent, the gateway sheds no load because of its host. */
+    readonly hostCapacity?: HostCapacity;
     readonly storeAddress: string;
     /** Time between SIGTERM and SIGKILL, in milliseconds. */
     readonly graceMs: number;
--- a/src/gateway/gatewayStatus.ts
+++ b/src/gateway/gatewayStatus.ts
@@ -8,6 +8,7 @@
 import { GaugeSources, registerGauges } from "./gatewayGauges.js";
 import { GatewaySettings } from "./gatewaySettings.js";
 import { createPlacementExplainer } from "./placementExplanation.js";
+import { PressureWatch } from "./pressureWatch.js";
 import { RequestServices } from "./requestServices.js";
 import { serveStatus } from "./textServer.js";
 
@@ -16,6 +17,7 @@
     readonly directory: EndpointDirectory;
     readonly coldWatch: ColdWatch;
     readonly evacuationWatch: EvacuationWatch;
+    readonly pressureWatch: PressureWatch;
     readonly settings: GatewaySettings;
 }
 
@@ -44,5 +46,6 @@
         ...state,
         listFacts: createEndpointFacts({ ...parts, regions: settings.regions }),
     });
-    await serveStatus(settings, () => state.isReady(), () => metrics.render(), explain, disposables);
+    const isReady = () => state.isReady() && parts.pressureWatch.isReady();
+    await serveStatus(settings, isReady, () => metrics.render(), explain, disposables);
 }
--- a/src/gateway/requestIntake.ts
+++ b/src/gateway/requestIntake.ts
@@ -4,11 +4,15 @@
 import { Metrics } from "../base/metrics.js";
 import { RequestHead } from "../ports/exchange.js";
 import { Customer, Route } from "../ports/servingConfiguration.js";
+import { computePrefillMs } from "../routing/engineTiming.js";
 import { chooseService, RouteTable } from "../routing/routeTable.js";
 import { decideDrainAdmission, Drain } from "../scheduling/drainAdmission.js";
+import { minPressureStateMs, PressedRequest, PressureRefusal } from "../scheduling/hostPressure.js";
+import { computeLengthClass, LengthClass } from "../scheduling/lengthClass.js";
 import { computeQuarantineRetryAfterMs, computeRetryAfterMs, renderRetryAfter } from "../scheduling/retryAfter.js";
 import { AcceptedRequest, computeCustomerTerms, computeTimes, predictDuration } from "./acceptedRequest.js";
 import { createCustomerAnswer } from "./customerAnswer.js";
+import { PressureWatch } from "./pressureWatch.js";
 import { computeFingerprint, listTraits } from "./quarantineRegistry.js";
 import { RequestServices } from "./requestServices.js";
 import { startRequestTask } from "./requestTask.js";
@@ -22,6 +26,8 @@
     readonly startupGate: StartupGate;
     /** Returns the planned stop of this process once it has begun. */
     readonly getDrain: () => Drain | undefined;
+    /** Decides what is accepted while this host is under pressure. */
+    readonly pressureWatch: Pick<PressureWatch, "submit">;
     /** Limit of the bytes of all request bodies in memory. */
     readonly maxBufferedBytes: number;
 }
@@ -228,7 +234,26 @@
             refuse(request, response, checked);
             return;
         }
-        receiveBody(request, response, checked, arrivedAtMs);
+        options.pressureWatch.submit({
+            describe: nowMs => describePressedRequest({ ...checked, request, arrivedAtMs }, nowMs),
+            accept() {
+                // The customer may have disconnected while the request waited.
+                if (!response.destroyed) {
+                    receiveBody(request, response, checked, arrivedAtMs);
+                }
+            },
+            refuse(reason) {
+                if (!response.destroyed) {
+                    refuse(request, response, makePressureRefusal(checked, reason, arrivedAtMs), checked.route);
+                }
+            },
+        });
+    }
+
+    function makePressureRefusal(checked: CheckedHead, reason: PressureRefusal, arrivedAtMs: number): Refusal {
+        const remainingMs = computeTimes({ ...checked, arrivedAtMs }).deadlineAtMs - timers.now();
+        const retryAfterMs = computeRetryAfterMs(minPressureStateMs, remainingMs, services.random());
+        return { status: 503, reason: `host under pressure: ${reason}`, retryAfterMs };
     }
 
     return (request, response) => {
@@ -237,6 +262,25 @@
     };
 }
 
+/** Largest number of engines that prefill one prompt. */
+const maxPrefillEngines = 17;
+
+function describePressedRequest(
+    { table, route, head, request, arrivedAtMs }: CheckedHead & { request: IncomingMessage; arrivedAtMs: number },
+    nowMs: number,
+): PressedRequest {
+    const { dueAtMs, deadlineAtMs } = computeTimes({ route, head, arrivedAtMs });
+    const service = table.configuration.services.get(chooseService(route.shares, head.id!) ?? "");
+    const promptTokens = head.prompt?.promptTokens ?? 0;
+    const prefillMs = service?.engine ? computePrefillMs(service.engine, promptTokens) : 0;
+    return {
+        isLong: computeLengthClass(promptTokens) === LengthClass.Long,
+        bodyBytes: Number(request.headers["content-length"] ?? 0),
+        remainingMs: Math.min(dueAtMs, deadlineAtMs) - nowMs,
+        leastServiceMs: prefillMs / maxPrefillEngines,
+    };
+}
+
 function logRefusal(
     log: EventLog,
     metrics: Metrics,
--- a/test/platform/codecs.test.ts
+++ b/test/platform/codecs.test.ts
@@ -35,6 +35,15 @@
         assert.equal(settings.maxHoldMs, 20_000);
     });
 
+    test("a measure whose field the limits lack has no limit", () => {
+        const full = settingsText.replace("max_fds: 4200", "max_fds: 4200, cpu_share: 0.24, link_mbps: 14");
+        const memory = { memoryBytes: 350 * 1024 * 1024, maxDescriptors: 4_200 };
+        const none = { ...memory, isProcessorLimited: false, linkBytesPerMs: undefined };
+        assert.deepEqual(decodeSettings(settingsText).hostCapacity, none);
+        const all = { ...memory, isProcessorLimited: true, linkBytesPerMs: 1_750 };
+        assert.deepEqual(decodeSettings(full).hostCapacity, all);
+    });
+
     const broken: readonly [string, string, RegExp][] = [
         ["a missing field", settingsText.replace('node: "front-1"', ""), /node/],
         ["a field of the wrong type", settingsText.replace("grace_s: 8", "grace_s: soon"), /bounds\.grace_s/],
