Refuse requests under pressure without decoding their heads again

Cause: a refusal decoded the head a second time, which costs processor time where there is none to spare. Change: the decoded head is passed on.

--- a/src/gateway/requestIntake.ts
+++ b/src/gateway/requestIntake.ts
@@ -71,9 +71,14 @@
     const isDraining = () => options.getDrain() !== undefined;
     let bufferedBytes = 0;
 
-    function refuse(request: IncomingMessage, response: ServerResponse, refusal: Refusal, route?: Route): void {
-        const head = codec.decodeRequest(request.rawHeaders);
-        logRefusal(log, metrics, head, refusal, options.getTable()?.version, route);
+    function refuse(
+        request: IncomingMessage,
+        response: ServerResponse,
+        refusal: Refusal,
+        checked?: Pick<CheckedHead, "head" | "route">,
+    ): void {
+        const head = checked?.head ?? codec.decodeRequest(request.rawHeaders);
+        logRefusal(log, metrics, head, refusal, options.getTable()?.version, checked?.route);
         const headers = codec.encodeGatewayAnswer(head);
         if (refusal.retryAfterMs !== undefined) {
             headers.push(...renderRetryAfter(refusal.retryAfterMs));
@@ -134,12 +139,12 @@
             chunks.push(chunk);
             if (bytes > maxBodyBytes) {
                 isRefused = true;
-                refuse(request, response, { status: 413, reason: "body too large" }, checked.route);
+                refuse(request, response, { status: 413, reason: "body too large" }, checked);
             }
             else if (bufferedBytes > options.maxBufferedBytes) {
                 isRefused = true;
                 const refusal = { status: 503, reason: "memory full", retryAfterMs: memoryRetryMs };
-                refuse(request, response, refusal, checked.route);
+                refuse(request, response, refusal, checked);
             }
         });
         request.on("end", () => {
@@ -164,7 +169,12 @@
         const serviceName = chooseService(route.shares, head.id!);
         const service = serviceName === undefined ? undefined : table.configuration.services.get(serviceName);
         if (!service) {
-            refuse(request, response, { status: 503, reason: "no service", retryAfterMs: unconfiguredRetryMs }, route);
+            refuse(
+                request,
+                response,
+                { status: 503, reason: "no service", retryAfterMs: unconfiguredRetryMs },
+                checked,
+            );
             return;
         }
         const method = request.method ?? "GET";
@@ -184,7 +194,7 @@
                 status: 503,
                 reason: `${quarantine.trait} crashes endpoints`,
                 retryAfterMs: computeQuarantineRetryAfterMs(quarantine.remainingMs),
-            }, route);
+            }, checked);
             metrics.count("jujubelane_quarantine_refusals_total", "Requests refused because they crash endpoints.");
             return;
         }
@@ -204,7 +214,7 @@
         };
         const drainRefusal = checkDrain(accepted);
         if (drainRefusal) {
-            refuse(request, response, drainRefusal, route);
+            refuse(request, response, drainRefusal, checked);
             return;
         }
         startRequestTask(accepted, createCustomerAnswer(response, isDraining), services);
@@ -244,7 +254,7 @@
             },
             refuse(reason) {
                 if (!response.destroyed) {
-                    refuse(request, response, makePressureRefusal(checked, reason, arrivedAtMs), checked.route);
+                    refuse(request, response, makePressureRefusal(checked, reason, arrivedAtMs), checked);
                 }
             },
         });
