--- a/src/base/logEvents.ts
+++ b/src/base/logEvents.ts
@@ -106,4 +106,5 @@
     TaskFailed = 9004,
     SettingsReloaded = 9005,
     SettingsRefused = 9006,
+    HostPressureChanged = 9007,
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -19,7 +19,7 @@
 import { createConfigurationWatch } from "./configurationWatch.js";
 import { wrapFeed, wrapWritableFeed } from "./countedFeed.js";
 import { createCrashDetector, LossEvidence } from "./crashDetector.js";
-import { createCustomerServer } from "./customerServer.js";
+import { createCustomerAccess } from "./customerAccess.js";
 import { createEndpointConnections } from "./endpointConnections.js";
 import { followEndpoints } from "./endpointFeed.js";
 import { mergeGates } from "./endpointGate.js";
@@ -43,9 +43,9 @@
 import { createPlacementQueue, PlacementQueue } from "./placementQueue.js";
 import { createQuarantineRegistry, QuarantineSource } from "./quarantineRegistry.js";
 import { createQuarantineStore } from "./quarantineStore.js";
-import { createRequestIntake } from "./requestIntake.js";
 import { RequestServices } from "./requestServices.js";
 import { createReservations } from "./reservations.js";
+import { createSocketMeter } from "./socketMeter.js";
 import { createStartupGate } from "./startupGate.js";
 
 /**
@@ -58,10 +58,6 @@
 const maxPeerSilenceMs = 1_200;
 /** Gateways among which the rate of a cold endpoint is divided until the list of gateways has been read. */
 const unlistedGateways = 16;
-/** Share of the memory limit for request bodies, and as much for answers. The rest is for the heap and for connections. */
-const bodyMemoryShare = 0.25;
-/** Share of the file descriptors for customer connections. The rest is for endpoints and the store. */
-const customerDescriptorShare = 0.6;
 /**
  * Starts a gateway, the process between customers and endpoints. It persists no state.
  *
@@ -77,7 +73,8 @@
     const health = createEndpointHealth();
     const slowdownEstimate = createSlowdownEstimate();
     const ledger = createLoadLedger();
-    const connections = createEndpointConnections(address => crashDetector.recordIdleClose(address));
+    const socketMeter = createSocketMeter(timers.now());
+    const connections = createEndpointConnections(address => crashDetector.recordIdleClose(address), socketMeter);
     const keyPrefix = ports.incarnation.slice(-8);
     const exchangeAddress = `${settings.ip}:${settings.exchangePort}`;
     const endpointSubset = createEndpointSubset(
@@ -306,17 +303,17 @@
             }
         },
     };
-    const customers = createCustomerServer(
-        settings.customerAddress,
-        Math.floor(settings.maxDescriptors * customerDescriptorShare),
-        createRequestIntake({
-            services,
-            getTable: () => configurationWatch.getTable(),
-            startupGate,
-            getDrain: () => drainState,
-            maxBufferedBytes: settings.memoryBytes * bodyMemoryShare,
-        }),
-    );
+    const { customers, pressureWatch } = createCustomerAccess({
+        settings,
+        services,
+        address: exchangeAddress,
+        exchange,
+        socketMeter,
+        startupGate,
+        getTable: () => configurationWatch.getTable(),
+        getDrain: () => drainState,
+        disposables,
+    });
 
     disposables.register(followOperators({
         feed: wrapFeed("configuration", ports.configurationFeed, metrics),
@@ -381,7 +378,7 @@
     try {
         await customers.listen(ports.customerListener);
         await serveGatewayStatus(
-            { ...services, exchange, customers, directory, coldWatch, evacuationWatch, settings },
+            { ...services, exchange, customers, directory, coldWatch, evacuationWatch, pressureWatch, settings },
             { isReady, getTable: () => configurationWatch.getTable(), getDrain: () => drainState },
             disposables,
         );
--- a/src/gateway/placementQueue.ts
+++ b/src/gateway/placementQueue.ts
@@ -224,18 +224,15 @@
         if (!placement && job.isImmediate) {
             return undefined;
         }
-        const borrowed = placement
-            ? undefined
-            : engineBorrowing.findPlace(job, request, engine, selectPreferred(known), stage, nowMs);
-        if (borrowed) {
-            return borrowed;
-        }
         if (!placement) {
-            claimEngines(item, request, engine, selectPreferred(known), stage, nowMs);
-            if (claims.has(item)) {
+            const borrowed = engineBorrowing.findPlace(job, request, engine, selectPreferred(known), stage, nowMs);
+            if (!borrowed) {
+                claimEngines(item, request, engine, selectPreferred(known), stage, nowMs);
+            }
+            if (borrowed || claims.has(item)) {
                 views.delete(job.service.name);
             }
-            return undefined;
+            return borrowed;
         }
         views.delete(job.service.name);
         startTrials([placement.endpoint, ...placement.helpers], nowMs);
--- a/src/gateway/requestIntake.ts
+++ b/src/gateway/requestIntake.ts
@@ -4,12 +4,16 @@
 import { Metrics } from "../base/metrics.js";
 import { RequestHead } from "../ports/exchange.js";
 import { Customer, Route } from "../ports/servingConfiguration.js";
+import { computePrefillMs } from "../routing/engineTiming.js";
 import { chooseService, RouteTable } from "../routing/routeTable.js";
 import { decideDrainAdmission, Drain } from "../scheduling/drainAdmission.js";
+import { minPressureStateMs, PressedRequest, PressureRefusal } from "../scheduling/hostPressure.js";
+import { computeLengthClass, LengthClass } from "../scheduling/lengthClass.js";
 import { computeQuarantineRetryAfterMs, computeRetryAfterMs, renderRetryAfter } from "../scheduling/retryAfter.js";
 import { AcceptedRequest, computeCustomerTerms, computeTimes, predictDuration } from "./acceptedRequest.js";
 import { createAnswerBuffers } from "./answerBuffers.js";
 import { createCustomerAnswer } from "./customerAnswer.js";
+import { PressureWatch } from "./pressureWatch.js";
 import { computeFingerprint, listTraits } from "./quarantineRegistry.js";
 import { RequestServices } from "./requestServices.js";
 import { startRequestTask } from "./requestTask.js";
@@ -23,6 +27,8 @@
     readonly startupGate: StartupGate;
     /** Returns the planned stop of this process once it has begun. */
     readonly getDrain: () => Drain | undefined;
+    /** Decides what is accepted while this host is under pressure. */
+    readonly pressureWatch: Pick<PressureWatch, "submit">;
     /** Limit of the bytes of all request bodies in memory, and of those of all answers. */
     readonly maxBufferedBytes: number;
 }
@@ -67,9 +73,14 @@
     const answerBuffers = createAnswerBuffers({ timers, log, metrics, maxBytes: options.maxBufferedBytes });
     let bufferedBytes = 0;
 
-    function refuse(request: IncomingMessage, response: ServerResponse, refusal: Refusal, route?: Route): void {
-        const head = codec.decodeRequest(request.rawHeaders);
-        logRefusal(log, metrics, head, refusal, options.getTable()?.version, route);
+    function refuse(
+        request: IncomingMessage,
+        response: ServerResponse,
+        refusal: Refusal,
+        checked?: Pick<CheckedHead, "head" | "route">,
+    ): void {
+        const head = checked?.head ?? codec.decodeRequest(request.rawHeaders);
+        logRefusal(log, metrics, head, refusal, options.getTable()?.version, checked?.route);
         const headers = codec.encodeGatewayAnswer(head);
         if (refusal.retryAfterMs !== undefined) {
             headers.push(...renderRetryAfter(refusal.retryAfterMs));
@@ -137,12 +148,12 @@
             chunks.push(chunk);
             if (bytes > maxBodyBytes) {
                 isRefused = true;
-                refuse(request, response, { status: 413, reason: "body too large" }, checked.route);
+                refuse(request, response, { status: 413, reason: "body too large" }, checked);
             }
             else if (bufferedBytes > options.maxBufferedBytes) {
                 isRefused = true;
                 const refusal = { status: 503, reason: "memory full", retryAfterMs: memoryRetryMs };
-                refuse(request, response, refusal, checked.route);
+                refuse(request, response, refusal, checked);
             }
         });
         request.on("end", () => {
@@ -169,7 +180,12 @@
         const serviceName = chooseService(route.shares, head.id!);
         const service = serviceName === undefined ? undefined : table.configuration.services.get(serviceName);
         if (!service) {
-            refuse(request, response, { status: 503, reason: "no service", retryAfterMs: unconfiguredRetryMs }, route);
+            refuse(
+                request,
+                response,
+                { status: 503, reason: "no service", retryAfterMs: unconfiguredRetryMs },
+                checked,
+            );
             return;
         }
         const method = request.method ?? "GET";
@@ -189,7 +205,7 @@
                 status: 503,
                 reason: `${quarantine.trait} crashes endpoints`,
                 retryAfterMs: computeQuarantineRetryAfterMs(quarantine.remainingMs),
-            }, route);
+            }, checked);
             metrics.count("jujubelane_quarantine_refusals_total", "Requests refused because they crash endpoints.");
             return;
         }
@@ -209,7 +225,7 @@
         };
         const drainRefusal = checkDrain(accepted);
         if (drainRefusal) {
-            refuse(request, response, drainRefusal, route);
+            refuse(request, response, drainRefusal, checked);
             return;
         }
         const answer = createCustomerAnswer(response, {
@@ -244,7 +260,26 @@
             refuse(request, response, checked);
             return;
         }
-        receiveBody(request, response, checked, arrivedAtMs);
+        options.pressureWatch.submit({
+            describe: nowMs => describePressedRequest({ ...checked, request, arrivedAtMs }, nowMs),
+            accept() {
+                // The customer may have disconnected while the request waited.
+                if (!response.destroyed) {
+                    receiveBody(request, response, checked, arrivedAtMs);
+                }
+            },
+            refuse(reason) {
+                if (!response.destroyed) {
+                    refuse(request, response, makePressureRefusal(checked, reason, arrivedAtMs), checked);
+                }
+            },
+        });
+    }
+
+    function makePressureRefusal(checked: CheckedHead, reason: PressureRefusal, arrivedAtMs: number): Refusal {
+        const remainingMs = computeTimes({ ...checked, arrivedAtMs }).deadlineAtMs - timers.now();
+        const retryAfterMs = computeRetryAfterMs(minPressureStateMs, remainingMs, services.random());
+        return { status: 503, reason: `host under pressure: ${reason}`, retryAfterMs };
     }
 
     return (request, response) => {
@@ -253,6 +288,25 @@
     };
 }
 
+/** Largest number of engines that prefill one prompt. */
+const maxPrefillEngines = 17;
+
+function describePressedRequest(
+    { table, route, head, request, arrivedAtMs }: CheckedHead & { request: IncomingMessage; arrivedAtMs: number },
+    nowMs: number,
+): PressedRequest {
+    const { dueAtMs, deadlineAtMs } = computeTimes({ route, head, arrivedAtMs });
+    const service = table.configuration.services.get(chooseService(route.shares, head.id!) ?? "");
+    const promptTokens = head.prompt?.promptTokens ?? 0;
+    const prefillMs = service?.engine ? computePrefillMs(service.engine, promptTokens) : 0;
+    return {
+        isLong: computeLengthClass(promptTokens) === LengthClass.Long,
+        bodyBytes: Number(request.headers["content-length"] ?? 0),
+        remainingMs: Math.min(dueAtMs, deadlineAtMs) - nowMs,
+        leastServiceMs: prefillMs / maxPrefillEngines,
+    };
+}
+
 function logRefusal(
     log: EventLog,
     metrics: Metrics,
