--- a/src/gateway/placementQueue.ts
+++ b/src/gateway/placementQueue.ts
@@ -38,7 +38,7 @@
     ServiceCapacity,
     StartPrediction,
 } from "./queueFairness.js";
-import { createServiceAvailability } from "./serviceAvailability.js";
+import { createServiceAvailability, EndpointTerms } from "./serviceAvailability.js";
 import { createUsableEndpoints } from "./usableEndpoints.js";
 import { createWaitPrediction } from "./waitPrediction.js";
 
@@ -59,6 +59,8 @@
     isStillUsable(place: Place): boolean;
     /** Lists the engines that this cell can spare: none while a request of the service waits here. */
     listSpareEngines(service: Service): readonly SpareEngine[];
+    /** Returns whether an endpoint is known that a request could run on and that is not closed for good. */
+    hasEndpointLeft(terms: EndpointTerms): boolean;
     /** Predicts when a waiting request starts. */
     predictStart(job: PlacementJob): StartPrediction | undefined;
     /** Creates a queue with a copy of what waits here, to find out what it would decide. */
@@ -160,6 +162,7 @@
                 avoid: job.avoid,
                 dataCentre: options.dataCentre,
                 isUnsafe: job.isUnsafe,
+                isSuspect: job.isSuspect,
                 aboveShareGroups: getAboveShareGroups(item),
             };
             const view = tryPreferredFirst(
@@ -451,6 +454,7 @@
         countWaiting: () => waiting.length,
         isStillUsable: ({ endpoint, helpers }) =>
             [endpoint, ...helpers].every(record => gate.getOpensInMs(record, timers.now()) < Infinity),
+        hasEndpointLeft: terms => availability.hasEndpointLeft(terms, timers.now()),
         getLoad(service) {
             const nowMs = timers.now();
             const usable = listUsableEndpoints(service, nowMs);
