--- a/src/gateway/customerAnswer.ts
+++ b/src/gateway/customerAnswer.ts
@@ -53,7 +53,9 @@
     const queue = createByteQueue();
     let isUnframed = false;
     let isEnding = false;
-    let isWriting = false;
+    /** Whether the connection has not taken what was written, and how many bytes of it are counted. */
+    let isBlocked = false;
+    let blockedBytes = 0;
     let onLeft: (() => void) | undefined;
     let onDropped: ((reason: string) => void) | undefined;
     let hasSettled = false;
@@ -66,6 +68,13 @@
         settle();
     });
 
+    response.on("drain", () => {
+        isBlocked = false;
+        account?.recordRead(blockedBytes);
+        blockedBytes = 0;
+        writeQueued();
+    });
+
     /** Ends what depends on the rest of the answer. The customer may still have to read much of it. */
     function settle(): void {
         onLeft = undefined;
@@ -90,46 +99,48 @@
         response.writeHead(status, [...headers, ...closing]);
     }
 
-    /** Writes a piece and goes on when the connection has taken it. */
+    function isWritable(): boolean {
+        return !isBlocked && !response.destroyed && !response.writableEnded;
+    }
+
+    /** Writes a piece that the account knows of. */
     function writePiece(piece: Buffer): void {
-        const isLast = isEnding && queue.countBytes() === 0;
-        if (piece.length === 0 && !isLast) {
-            return;
+        if (isEnding && queue.countBytes() === 0) {
+            response.end(piece, () => account?.recordRead(piece.length));
         }
-        const onTaken = () => {
-            isWriting = false;
+        else if (response.write(piece)) {
             account?.recordRead(piece.length);
-            writeQueued();
-        };
-        isWriting = true;
-        if (isLast) {
-            response.end(piece, onTaken);
         }
         else {
-            response.write(piece, onTaken);
+            isBlocked = true;
+            blockedBytes = piece.length;
         }
     }
 
-    function isWritable(): boolean {
-        return !isWriting && !response.destroyed && !response.writableEnded;
-    }
-
     function writeQueued(): void {
-        if (isWritable()) {
+        while (isWritable() && (isEnding || queue.countBytes() > 0)) {
             writePiece(queue.take(pieceBytes));
         }
     }
 
-    function write(bytes: Buffer): void {
+    function hold(bytes: Buffer): void {
         account?.addUnread(bytes.length);
-        if (queue.countBytes() === 0 && bytes.length <= pieceBytes && isWritable()) {
-            writePiece(bytes);
-            return;
-        }
         queue.add(bytes);
         writeQueued();
     }
 
+    /** Writes bytes, and counts them only if the connection does not take them at once, as it does for most customers. */
+    function write(bytes: Buffer): void {
+        if (queue.countBytes() > 0 || bytes.length > pieceBytes || !isWritable()) {
+            hold(bytes);
+        }
+        else if (!response.write(bytes)) {
+            isBlocked = true;
+            blockedBytes = response.writableLength;
+            account?.addUnread(blockedBytes);
+        }
+    }
+
     function end(): void {
         if (!isEnding && !response.destroyed) {
             isEnding = true;
@@ -154,7 +165,7 @@
             writeHead(status, [...headers, "Content-Length", String(body.length)]);
             isEnding = true;
             account?.complete();
-            write(body);
+            hold(body);
             settle();
         },
         start(status, headers, isFramed) {
