Divide engine time between customers while work waits

Cause: requests to engines carried no share, since shares had been tested on plain services only. Change, in force only while work of the service waits and several customers use it: short requests of customers above their share delay no others however late they are, are refused on arrival when they would start late, and leave free slots to better claims for 24 ms at a time, which with the time to the next run is 40 ms. Requests within their share may delay running requests of customers above theirs; the customer of running work is told at the end of its key, because gateways of the previous version refuse messages with more fields. Use below an equal part of half the time of all engines is never above a share, so that a few very long prompts at low load are not. Long prompts are refused only when no time for an answer is left. Load answered: one customer at twenty times the load of the others. Not measured on a deployment.

--- a/src/gateway/acceptedRequest.ts
+++ b/src/gateway/acceptedRequest.ts
@@ -142,8 +142,7 @@
         isUnsafe: !isIdempotent(route.kind, route.isResumable),
         avoid,
         allowedRegions,
-        // Engines are not divided between customers yet: their shares were tested on plain services only.
-        share: needs ? undefined : request.share,
+        share: request.share,
     };
 }
 
--- a/src/gateway/loadMessage.ts
+++ b/src/gateway/loadMessage.ts
@@ -3,6 +3,7 @@
 import { CrashReport } from "../quarantine/crashEvidence.js";
 import { QuarantineTerm } from "../quarantine/quarantineTerm.js";
 import { WorkItem, WorkPhase } from "../routing/loadLedger.js";
+import { findCustomer } from "../routing/workKey.js";
 
 /** Report of a gateway to its peers about the work that it has dispatched. */
 export interface LoadMessage {
@@ -203,6 +204,7 @@
 
 function decodeItem(item: WireItem, nowMs: number): WorkItem {
     const [key, endpoint, prefillMs, tokens, gapTargetMs, dueInMs, isDecoding, phaseAgeMs, endsInMs, isSuspect] = item;
+    const customer = findCustomer(key);
     return {
         key,
         endpoint,
@@ -214,5 +216,6 @@
         phaseSinceMs: nowMs - phaseAgeMs,
         endsAtMs: nowMs + endsInMs,
         isSuspect,
+        ...(customer !== undefined && { customer }),
     };
 }
--- a/src/gateway/placeAllocator.ts
+++ b/src/gateway/placeAllocator.ts
@@ -6,6 +6,7 @@
 import { buildEngineView } from "../routing/engineView.js";
 import { LoadLedger, WorkItem, WorkPhase } from "../routing/loadLedger.js";
 import { PlainView } from "../routing/plainPlacement.js";
+import { makeWorkKey } from "../routing/workKey.js";
 import { Place, PlacementJob } from "./place.js";
 
 /** Assigns endpoint capacity to requests according to placement decisions. */
@@ -61,7 +62,7 @@
     let nextKey = 0;
 
     function addWork(item: Omit<WorkItem, "key" | "phase" | "phaseSinceMs">, nowMs: number): string {
-        const key = `${options.keyPrefix}/${nextKey++}`;
+        const key = makeWorkKey(options.keyPrefix, nextKey++, item.customer);
         const workItem: WorkItem = { ...item, key, phase: WorkPhase.Prefill, phaseSinceMs: nowMs };
         ledger.add(workItem);
         options.reportChange(key, workItem);
@@ -85,7 +86,12 @@
         [endpoint, ...helpers].forEach(view => options.recordDispatch(view.id));
         const passes = needs.outputTokens / engine.stepsPerPass + 1;
         const endsAtMs = nowMs + placement.firstEventMs + passes * endpoint.passMs;
-        const shared = { prefillMs: partMs, dueAtMs: job.dueAtMs, isSuspect: job.isSuspect };
+        const shared = {
+            prefillMs: partMs,
+            dueAtMs: job.dueAtMs,
+            isSuspect: job.isSuspect,
+            ...(job.share && { customer: job.share.customer }),
+        };
         const mainTokens = needs.promptTokens + needs.outputTokens - helpers.length * reservedTokens;
         const mainKey = addWork({
             ...shared,
--- a/src/gateway/placementQueue.ts
+++ b/src/gateway/placementQueue.ts
@@ -12,6 +12,7 @@
     PlacementStage,
     placeOnClaimedEngines,
 } from "../routing/enginePlacement.js";
+import { chooseStage } from "../routing/engineShare.js";
 import { EngineView } from "../routing/engineView.js";
 import { LoadLedger, WorkItem } from "../routing/loadLedger.js";
 import { decidePlacementStage } from "../routing/placementStage.js";
@@ -131,6 +132,7 @@
     const { listUsableEndpoints, listEngineViews, listPlainViews, startTrials, isLastChoice } = usableEndpoints;
     let waiting: WaitingItem[] = initial.map(item => ({ ...item }));
     let nextRun: Disposable | undefined;
+    let isNextRunLong = false;
     const claims = new Map<WaitingItem, RegisteredClaim>();
     /** Results of `selectPreferred`. */
     const preferredViews = new WeakMap<readonly unknown[], readonly unknown[]>();
@@ -162,11 +164,17 @@
             startTrials(view ? [view] : [], nowMs);
             return view && fairness.recordPlainUse(job, allocator.assignPlainEndpoint(job, view, nowMs));
         }
-        const place = findEnginePlace(item, makePlacementRequest(job, job.needs, nowMs), engine, views, nowMs);
-        if (place) {
-            fairness.recordEngineUse(job, nowMs);
-        }
-        return place;
+        const delayable = fairness.getDelayable(item, waiting, nowMs);
+        const request = makePlacementRequest(job, job.needs, nowMs, delayable);
+        const place = findEnginePlace(item, request, engine, views, nowMs);
+        return place && fairness.recordEngineUse(job, place, countOwnEngines(job), nowMs);
+    }
+
+    /** Counts the engines that the customers of this group of gateways divide. */
+    function countOwnEngines({ service, share }: PlacementJob): number {
+        return share === undefined
+            ? 0
+            : endpointSubset.list(service.name).length / Math.max(1, options.fairness.countSharingGroups(service.name));
     }
 
     function getAboveShareGroups({ job, isAboveShare }: WaitingItem): number | undefined {
@@ -207,7 +215,9 @@
             views.delete(job.service.name);
         }
         const known = getEngineViews(views, job, engine, nowMs);
-        const stage = job.isImmediate ? PlacementStage.NonDisruptive : decidePlacementStage(item, nowMs);
+        const stage = job.isImmediate
+            ? PlacementStage.NonDisruptive
+            : chooseStage(decidePlacementStage(item, nowMs), fairness.isHeldBack(item, waiting, nowMs));
         const placement = tryPreferredFirst(
             known,
             some => options.placeOnEngines(request, some, engine.slots, nowMs, stage, defaultPlacementSettings),
@@ -298,6 +308,12 @@
         if (waiting.length > 0) {
             const isLongOnly = waiting.every(item => item.prefillMs > defaultPlacementSettings.shortPrefillMs);
             const jitterMs = isLongOnly ? longPromptRunJitterMs : runJitterMs;
+            // A request that was left waiting for the sake of a long prompt finds a free slot soon.
+            if (isNextRunLong && !isLongOnly && waiting.some(item => item.job.share)) {
+                nextRun?.dispose();
+                nextRun = undefined;
+            }
+            isNextRunLong = isLongOnly;
             nextRun ??= timers.schedule(minRunDelayMs + jitterMs * options.random(), runNow);
         }
     }
@@ -353,7 +369,7 @@
     }
 
     function isYielding(item: WaitingItem, nowMs: number): boolean {
-        const isLeft = fairness.isLeftToPeer(item, nowMs);
+        const isLeft = fairness.isLeftToOthers(item, waiting, nowMs);
         if (isLeft && !item.hasYielded) {
             item.hasYielded = true;
             options.fairness.reportYield(item.job.service.name);
--- a/src/gateway/placementRequest.ts
+++ b/src/gateway/placementRequest.ts
@@ -7,7 +7,12 @@
  * @example
  * makePlacementRequest(job, needs, timers.now()).waitedMs;
  */
-export function makePlacementRequest(job: PlacementJob, needs: EngineNeeds, nowMs: number): PlacementRequest {
+export function makePlacementRequest(
+    job: PlacementJob,
+    needs: EngineNeeds,
+    nowMs: number,
+    delayable?: ReadonlySet<number>,
+): PlacementRequest {
     return {
         prefillMs: needs.prefillMs,
         tokens: needs.promptTokens + needs.outputTokens,
@@ -17,5 +22,6 @@
         gapTargetMs: needs.gapTargetMs,
         avoid: job.avoid,
         isSuspect: job.isSuspect,
+        ...(delayable && { delayable }),
     };
 }
--- a/src/gateway/queueFairness.ts
+++ b/src/gateway/queueFairness.ts
@@ -1,4 +1,6 @@
 import { TimerService } from "../base/timerService.js";
+import { defaultPlacementSettings } from "../routing/enginePlacement.js";
+import { predictEngineStartMs } from "../routing/engineShare.js";
 import { EngineView } from "../routing/engineView.js";
 import { computeEngineUseMs, predictFirstEventMs } from "../routing/placementStage.js";
 import { countPlaces, PlainView } from "../routing/plainPlacement.js";
@@ -24,6 +26,7 @@
     ResidenceEstimate,
 } from "../scheduling/predictStart.js";
 import { createReturningRequests, ReturningRequests } from "../scheduling/returningRequests.js";
+import { createYieldCycle } from "../scheduling/yieldCycle.js";
 import { Place, PlacementJob } from "./place.js";
 import { minPlainAnswerMs } from "./placeAllocator.js";
 
@@ -104,12 +107,17 @@
     addArrival(job: PlacementJob, nowMs: number): QueuedWork;
     /** Records the use of a slot when its place is released. */
     recordPlainUse(job: PlacementJob, place: Place): Place;
-    recordEngineUse(job: PlacementJob, nowMs: number): void;
+    /** Records the use of engines when a request is placed, and the time that it has its slot when it ends. */
+    recordEngineUse(job: PlacementJob, place: Place, engines: number, nowMs: number): Place;
+    /** Returns whether a request must not delay others, because work within its customer's share waits and can be on time. */
+    isHeldBack(work: QueuedWork, waiting: readonly QueuedWork[], nowMs: number): boolean;
     refreshOrder(work: QueuedWork, nowMs: number): void;
     /** Returns whether a request must wait because others that wait here have a better claim to a place. */
     isBehind(work: QueuedWork, waiting: readonly QueuedWork[], nowMs: number): boolean;
-    /** Returns whether a free place is to be left to a request that waits at another gateway. */
-    isLeftToPeer(work: QueuedWork, nowMs: number): boolean;
+    /** Returns whether a free place is to be left to a request that waits here or at another gateway. */
+    isLeftToOthers(work: QueuedWork, waiting: readonly QueuedWork[], nowMs: number): boolean;
+    /** Lists the customers whose running requests a request may delay while work waits. */
+    getDelayable(work: QueuedWork, waiting: readonly QueuedWork[], nowMs: number): ReadonlySet<number> | undefined;
     /**
      * Returns the predicted time to the start of a request that cannot start in time, in milliseconds, and `undefined`
      * if it is to be queued.
@@ -142,6 +150,8 @@
     { usage, peerWaiting, residence, returning }: FairnessState,
     timers: TimerService,
 ): QueueFairness {
+    const yieldCycle = createYieldCycle();
+
     function isPlain({ job }: QueuedWork): boolean {
         return !job.service.engine || !job.needs;
     }
@@ -201,6 +211,15 @@
         );
     }
 
+    /** Returns whether a long prompt waits here that comes before a request of a customer above its share. */
+    function isLeftToLongPrompt(work: QueuedWork, waiting: readonly QueuedWork[], nowMs: number): boolean {
+        return work.isAboveShare && waiting.some(other =>
+            other.job.service.name === work.job.service.name
+            && other.prefillMs > defaultPlacementSettings.shortPrefillMs
+            && getWaitingClass(other, nowMs) === WaitingClass.WithinShare
+        );
+    }
+
     function countPeersAhead(work: QueuedWork, nowMs: number): number {
         const service = work.job.service.name;
         return peerWaiting.list(service, nowMs)
@@ -222,8 +241,12 @@
             const startMs = predictStartMs({ ...capacity, ahead: ahead + aheadElsewhere, residenceMs });
             return { ahead, aheadElsewhere, startMs };
         }
-        const aheadMs = selected.reduce((sum, other) => sum + other.prefillMs, 0);
-        const startMs = capacity.pendingPrefillMs + aheadMs / Math.max(1, capacity.endpoints);
+        const startMs = predictEngineStartMs({
+            ...capacity,
+            ahead: ahead + aheadElsewhere,
+            aheadPrefillMs: selected.reduce((sum, other) => sum + other.prefillMs, 0),
+            residenceMs: residence.get(work.job.service.name),
+        });
         return { ahead, aheadElsewhere, startMs };
     }
 
@@ -245,8 +268,9 @@
     }
 
     /**
-     * Engines refuse only requests of customers above their share, and only if the prefill that comes before leaves no
-     * time for an answer: other requests may end early or become late themselves, and a refusal cannot be undone.
+     * Engines refuse only requests of customers above their share, and only while others wait: short prompts that would
+     * start late, so that the slots go to work that is on time, and long ones if what comes before leaves no time for an
+     * answer. Long prompts are few and worth most, and a refusal cannot be undone.
      */
     function predictEngineRefusal(
         work: QueuedWork,
@@ -254,11 +278,16 @@
         capacity: ServiceCapacity,
         nowMs: number,
     ): number | undefined {
-        if (!work.isAboveShare) {
+        if (!work.isAboveShare || !waiting.some(other => other.job.service.name === work.job.service.name)) {
             return undefined;
         }
         const { startMs } = predictStart(work, waiting, capacity, nowMs);
-        return nowMs + startMs > work.hardStartDeadlineMs ? startMs : undefined;
+        const isShort = work.prefillMs <= defaultPlacementSettings.shortPrefillMs;
+        return (isShort
+                ? isStartExpected(startMs, work.softStartDeadlineMs - nowMs)
+                : nowMs + startMs <= work.hardStartDeadlineMs)
+            ? undefined
+            : startMs;
     }
 
     return {
@@ -276,11 +305,30 @@
                 },
             };
         },
-        recordEngineUse({ service, share, needs }, nowMs) {
-            if (share && service.engine && needs) {
-                const usedMs = computeEngineUseMs(service.engine, needs.prefillMs, needs.outputTokens);
-                usage.record(service.name, share.customer, usedMs, nowMs);
+        recordEngineUse({ service, share, needs }, place, engines, nowMs) {
+            if (!share || !service.engine || !needs) {
+                return place;
             }
+            const usedMs = computeEngineUseMs(service.engine, needs.prefillMs, needs.outputTokens);
+            usage.record(service.name, share.customer, usedMs, nowMs);
+            usage.setEngines(service.name, engines);
+            return {
+                ...place,
+                release() {
+                    residence.record(service.name, timers.now() - nowMs);
+                    place.release();
+                },
+            };
+        },
+        isHeldBack(work, waiting, nowMs) {
+            const { share, service } = work.job;
+            return share !== undefined && work.isAboveShare && (
+                work.prefillMs <= defaultPlacementSettings.shortPrefillMs || waiting.some(other =>
+                    other.job.service.name === service.name && getWaitingClass(other, nowMs) !== WaitingClass.Late
+                ) || peerWaiting.list(service.name, nowMs).some(group =>
+                    group.latestStartMs >= nowMs
+                )
+            );
         },
         refreshOrder,
         isBehind(work, waiting, nowMs) {
@@ -294,14 +342,26 @@
                 ? ahead.some(other => other.job.avoid.size === 0)
                 : ahead.some(other => getWaitingClass(other, nowMs) < getWaitingClass(work, nowMs));
         },
-        isLeftToPeer(work, nowMs) {
+        isLeftToOthers(work, waiting, nowMs) {
             const { share, service } = work.job;
-            return share !== undefined && isLeftToPeer(
+            if (!share) {
+                return false;
+            }
+            const isLeft = isLeftToPeer(
                 getWaitingClass(work, nowMs),
                 peerWaiting.list(service.name, nowMs),
                 other => usage.isAboveShare(service.name, other, nowMs),
                 nowMs,
             );
+            return isPlain(work)
+                ? isLeft
+                : (isLeft || isLeftToLongPrompt(work, waiting, nowMs)) && yieldCycle.isYielding(service.name, nowMs);
+        },
+        getDelayable(work, waiting, nowMs) {
+            const { share, service } = work.job;
+            return share && !work.isAboveShare && waiting.some(other => other.job.service.name === service.name)
+                ? usage.getAboveShare(service.name, nowMs)
+                : undefined;
         },
         predictRefusal(work, waiting, capacity, nowMs) {
             if (!work.job.share) {
--- a/src/routing/enginePlacement.ts
+++ b/src/routing/enginePlacement.ts
@@ -1,4 +1,4 @@
-import { EngineView, passesToFirstEvent, usableMemoryShare } from "./engineView.js";
+import { EngineView, LatencyConstraint, passesToFirstEvent, usableMemoryShare } from "./engineView.js";
 
 /** A request to be placed on an engine. */
 export interface PlacementRequest {
@@ -18,6 +18,8 @@
     readonly avoid: ReadonlySet<string>;
     /** Whether an endpoint crashed while it ran the same request. */
     readonly isSuspect: boolean;
+    /** Customers whose running requests it may delay, since they use more than their shares; absent for none. */
+    readonly delayable?: ReadonlySet<number>;
 }
 
 /** How much a placement may delay other requests. A request moves to the next stage the longer it waits. */
@@ -163,7 +165,7 @@
     const isProtected = stage === PlacementStage.Urgent
         ? (gapTargetMs: number) => gapTargetMs < request.gapTargetMs
         : () => true;
-    return view.constraints.filter(item => isProtected(item.gapTargetMs))
+    return view.constraints.filter(item => isProtected(item.gapTargetMs) && !isDelayable(item, request))
         .reduce((slackMs, item) => Math.min(slackMs, item.slackMs), Number.POSITIVE_INFINITY);
 }
 
@@ -200,7 +202,7 @@
     stage: PlacementStage,
     settings: PlacementSettings,
 ): Placement | undefined {
-    const limitMs = computePartLimitMs(request, settings);
+    const limitMs = computePartLimitMs(request, nowMs, settings);
     const candidates = views.filter(isAvailableForPart).map(view => ({
         view,
         slackMs: Math.min(limitMs, computeSlackMs(view, request, stage)),
@@ -231,10 +233,16 @@
     return view.pendingPrefillMs <= maxPendingPrefillMs && view.unconfirmedPrefills <= maxUnconfirmedPrefills;
 }
 
-function computePartLimitMs(request: PlacementRequest, settings: PlacementSettings): number {
+/**
+ * Computes the limit of one part, in milliseconds. A request that may delay others for the sake of its customer's share
+ * takes as few engines as its target allows: engines on which a flood takes each slot hardly ever have a slot each at
+ * the same time, and longer parts delay the requests of fewer engines.
+ */
+function computePartLimitMs(request: PlacementRequest, nowMs: number, settings: PlacementSettings): number {
+    const shareLimitMs = request.delayable?.size ? (request.dueAtMs - nowMs) * settings.usableTimeShare : 0;
     const growth = partGrowth * Math.min(1, usualLongPrefillMs / request.prefillMs);
     const wantedMs = settings.partMs + request.waitedMs * growth;
-    return Math.min(wantedMs, Math.max(maxPartMs, request.prefillMs * maxPartShare));
+    return Math.max(shareLimitMs, Math.min(wantedMs, Math.max(maxPartMs, request.prefillMs * maxPartShare)));
 }
 
 /**
@@ -292,7 +300,11 @@
 }
 
 function hasStricterTargets(view: EngineView, request: PlacementRequest): boolean {
-    return view.constraints.some(item => item.gapTargetMs < request.gapTargetMs);
+    return view.constraints.some(item => item.gapTargetMs < request.gapTargetMs && !isDelayable(item, request));
+}
+
+function isDelayable({ customer }: LatencyConstraint, { delayable }: PlacementRequest): boolean {
+    return customer !== undefined && delayable !== undefined && delayable.has(customer);
 }
 
 function placeShortLeastDisruptive(request: PlacementRequest, views: readonly EngineView[]): Placement | undefined {
--- a/src/routing/engineView.ts
+++ b/src/routing/engineView.ts
@@ -39,6 +39,8 @@
     readonly gapTargetMs: number;
     /** Prefill time that can be added before the request misses a target, in milliseconds. */
     readonly slackMs: number;
+    /** Hash of the name of the request's customer. */
+    readonly customer?: number;
 }
 
 /** Share of the free memory that a placement may use. Another gateway may use some of it at the same time. */
@@ -105,6 +107,7 @@
             constraints.push({
                 gapTargetMs: item.gapTargetMs,
                 slackMs: computeSlackMs(item, item.gapTargetMs, passMs, pendingPrefillMs, nowMs),
+                customer: item.customer,
             });
         }
     }
--- a/src/routing/loadLedger.ts
+++ b/src/routing/loadLedger.ts
@@ -27,6 +27,8 @@
     readonly endsAtMs: number;
     /** Whether an endpoint crashed while it ran the same request. */
     readonly isSuspect: boolean;
+    /** Hash of the customer's name, if the configuration names several. */
+    readonly customer?: number;
 }
 
 /** Tracks the work at all endpoints: exactly for this process, and as last reported for other gateways. */
--- a/src/scheduling/customerUsage.ts
+++ b/src/scheduling/customerUsage.ts
@@ -10,7 +10,7 @@
 /** Use of a service by a customer in relation to its share, in milliseconds of a slot or of an engine. */
 export interface UsedShare {
     readonly usedMs: number;
-    /** Equal share of what all customers have used. */
+    /** Equal share of what all customers have used or, if it is more, of a part of the time of all engines. */
     readonly equalMs: number;
     readonly customers: number;
 }
@@ -19,6 +19,8 @@
 export interface CustomerUsage {
     /** Records that a customer has asked for the service at this gateway, and used it for `usedMs`. */
     record(service: string, customer: number, usedMs: number, nowMs: number): void;
+    /** Sets the number of engines of a service, which its customers divide. */
+    setEngines(service: string, engines: number): void;
     /** Lists the use at this gateway that other gateways should know of. */
     listOwn(nowMs: number): readonly CustomerUse[];
     /** Applies what another gateway reports. A use that it no longer reports ends after `reportEndMs`. */
@@ -28,6 +30,8 @@
      * no other customer uses the service.
      */
     isAboveShare(service: string, customer: number, nowMs: number): boolean;
+    /** Lists the customers of a service for which `isAboveShare` is true. */
+    getAboveShare(service: string, nowMs: number): ReadonlySet<number>;
     /** Describes the share on which `isAboveShare` is based. */
     describeShare(service: string, customer: number, nowMs: number): UsedShare;
     /** Copies the use of one service, to compute with a use that is not recorded here. */
@@ -44,6 +48,12 @@
 export const reportEndMs = 1_900;
 /** Use in relation to an equal share above which it exceeds the share. Customers of about equal use stay below it. */
 const excessFactor = 1.25;
+/**
+ * Part of the time of all engines that customers may use without exceeding their shares, divided equally. Such use leaves
+ * no other customer without engines. Without it, a customer of a few very long prompts was above its share at low load,
+ * and waited behind a burst of short prompts.
+ */
+const freeEngineShare = 0.5;
 const maxCustomersPerService = 64;
 const maxServices = 64;
 const maxGateways = 64;
@@ -71,9 +81,13 @@
  * usage.record("desk", hashCustomer("planner"), 80, timers.now());
  * usage.isAboveShare("desk", hashCustomer("planner"), timers.now());
  */
-export function createCustomerUsage(initial: UseByService = new Map()): CustomerUsage {
+export function createCustomerUsage(
+    initial: UseByService = new Map(),
+    initialEngines: ReadonlyMap<string, number> = new Map(),
+): CustomerUsage {
     const services: UseByService = new Map(initial);
     const cache = new Map<string, Shares>();
+    const engineCounts = new Map(initialEngines);
 
     function getUses(service: string, gateway: string): Map<number, Use> | undefined {
         let gateways = services.get(service);
@@ -117,6 +131,7 @@
             }
             if (gateways.size === 0) {
                 services.delete(service);
+                engineCounts.delete(service);
                 cache.delete(service);
             }
         }
@@ -127,8 +142,9 @@
         for (const uses of services.get(service)?.values() ?? []) {
             uses.forEach((use, customer) => sums.set(customer, (sums.get(customer) ?? 0) + computeUsedMs(use, nowMs)));
         }
-        const equalMs = [...sums.values()].reduce((sum, usedMs) => sum + usedMs, 0) / Math.max(1, sums.size);
-        return { sums, equalMs };
+        const usedMs = [...sums.values()].reduce((sum, used) => sum + used, 0);
+        const freeMs = freeEngineShare * (engineCounts.get(service) ?? 0) * decayMs;
+        return { sums, equalMs: Math.max(usedMs, freeMs) / Math.max(1, sums.size) };
     }
 
     function computeAboveShare(service: string, nowMs: number): ReadonlySet<number> {
@@ -154,6 +170,11 @@
             const before = previous ? computeUsedMs(previous, nowMs) : 0;
             setUse(service, ownGateway, customer, { usedMs: before + usedMs, atMs: nowMs });
         },
+        setEngines(service, engines) {
+            if (services.has(service)) {
+                engineCounts.set(service, engines);
+            }
+        },
         listOwn(nowMs) {
             prune(nowMs);
             return [...services].flatMap(([service, gateways]) =>
@@ -167,6 +188,7 @@
                 setUse(service, gateway, customer, { usedMs, atMs: nowMs })
             );
         },
+        getAboveShare: computeAboveShare,
         isAboveShare: (service, customer, nowMs) => computeAboveShare(service, nowMs).has(customer),
         describeShare(service, customer, nowMs) {
             const { sums, equalMs } = computeUses(service, nowMs);
@@ -176,6 +198,7 @@
             const gateways = [...services.get(service) ?? []];
             return createCustomerUsage(
                 new Map([[service, new Map(gateways.map(([gateway, uses]) => [gateway, new Map(uses)]))]]),
+                engineCounts,
             );
         },
         listAboveShare: nowMs =>
--- a/test/scheduling/customerShares.test.ts
+++ b/test/scheduling/customerShares.test.ts
@@ -1,6 +1,9 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
+import { PlacementStage } from "../../src/routing/enginePlacement.js";
+import { chooseStage, predictEngineStartMs } from "../../src/routing/engineShare.js";
 import { countPlaces } from "../../src/routing/plainPlacement.js";
+import { findCustomer, makeWorkKey } from "../../src/routing/workKey.js";
 import { compareWaiting, computeOrderDelayMs, WaitingClass, WaitingWork } from "../../src/scheduling/compareWaiting.js";
 import { createCustomerUsage, reportEndMs } from "../../src/scheduling/customerUsage.js";
 import {
@@ -11,8 +14,11 @@
 } from "../../src/scheduling/peerWaiting.js";
 import { isStartExpected, predictStartMs } from "../../src/scheduling/predictStart.js";
 import { createReturningRequests } from "../../src/scheduling/returningRequests.js";
+import { createYieldCycle } from "../../src/scheduling/yieldCycle.js";
 
 const [large, small] = [1, 2];
+/** Longest time between two placement runs while short requests wait. */
+const longestRunDelayMs = 16;
 
 function makeGroup(changes: Partial<WaitingGroup> = {}): WaitingGroup {
     return { service: "desk", customer: small, rank: 0, latestStartMs: 1_000, needMs: 0, count: 1, ...changes };
@@ -69,6 +75,39 @@
     });
 });
 
+describe("shares of engine time", () => {
+    test("a few very long prompts at low load are not above a share, so that they do not wait behind a burst of short ones", () => {
+        const usage = createCustomerUsage();
+        usage.record("models", large, 20_000, 0);
+        usage.record("models", small, 100, 0);
+        usage.setEngines("models", 22);
+        assert.equal(usage.isAboveShare("models", large, 0), false);
+        usage.record("models", large, 60_000, 30);
+        assert.equal(usage.isAboveShare("models", large, 30), true);
+    });
+
+    test("no free slot is left to better claims for longer than 40 ms with the time to the next run", () => {
+        const cycle = createYieldCycle();
+        let closedMs = 0;
+        for (let nowMs = 0; nowMs < 1_000; nowMs++) {
+            closedMs = cycle.isYielding("models", nowMs) ? closedMs + 1 : 0;
+            assert.ok(closedMs + longestRunDelayMs <= 40);
+        }
+    });
+
+    test("work above its share that is late delays no other work while that waits, and is refused when it would start late", () => {
+        assert.equal(chooseStage(PlacementStage.LeastDisruptive, true), PlacementStage.NonDisruptive);
+        assert.equal(chooseStage(PlacementStage.InTime, true), PlacementStage.InTime);
+        const backlog = { aheadPrefillMs: 0, pendingPrefillMs: 0, endpoints: 14, running: 150, residenceMs: 1_500 };
+        assert.equal(predictEngineStartMs({ ...backlog, ahead: 39 }), 400);
+    });
+
+    test("other gateways learn the customer of running work, and older ones get keys that they accept", () => {
+        assert.equal(findCustomer(makeWorkKey("10.0.0.2:7340/1", 7, 12)), 12);
+        assert.equal(findCustomer(makeWorkKey("10.0.0.2:7340/1", 7, undefined)), undefined);
+    });
+});
+
 describe("order of the work of several customers", () => {
     test("work above its share comes after work of others that arrives until its latest start, and before later work", () => {
         const flood = makeWork(0, 500, true);
