Replay load patterns of several customers through the placement queue in virtual time

Cause: the load patterns were tested as decisions, not replayed, so that nothing showed what the requests of each customer get on engines.

--- a/bench/replay/loads.ts
+++ b/bench/replay/loads.ts
@@ -1,6 +1,6 @@
 import { ReplayEngines, ReplayKind, ReplayLoad } from "./replay.js";
 
-const draft: ReplayKind = {
+export const draft: ReplayKind = {
     name: "draft",
     rank: 0,
     perSecond: 20,
@@ -13,7 +13,7 @@
     customerTimeoutMs: 2_000,
     value: 1.8,
 };
-const read: ReplayKind = {
+export const read: ReplayKind = {
     name: "read",
     rank: 1,
     perSecond: 1,
@@ -26,7 +26,7 @@
     customerTimeoutMs: 6_000,
     value: 3,
 };
-const digest: ReplayKind = {
+export const digest: ReplayKind = {
     name: "digest",
     rank: 2,
     perSecond: 0.6,
--- a/bench/replay/replay.ts
+++ b/bench/replay/replay.ts
@@ -1,5 +1,6 @@
 import { createManualTimerService } from "../../src/base/manualTimerService.js";
 import { createSeededRandomSource } from "../../src/base/randomSource.js";
+import { TimerService } from "../../src/base/timerService.js";
 import { mergeGates } from "../../src/gateway/endpointGate.js";
 import { Place } from "../../src/gateway/place.js";
 import { createPlacementQueue, PlacementQuota } from "../../src/gateway/placementQueue.js";
@@ -14,6 +15,7 @@
 import { computePrefillMs } from "../../src/routing/engineTiming.js";
 import { createLoadLedger } from "../../src/routing/loadLedger.js";
 import { createSlowdownEstimate } from "../../src/routing/slowdownEstimate.js";
+import { createColdBudget, defaultColdBound } from "../../src/scheduling/coldBudget.js";
 import { createVirtualEngine, VirtualEngine, VirtualJob } from "./virtualEngine.js";
 
 /** A kind of request in a simulated load. */
@@ -34,6 +36,14 @@
     readonly customerTimeoutMs: number;
     /** Value of serving a request of mean length within its targets. */
     readonly value: number;
+    /** Hash of the customer's name, if the configuration names several. */
+    readonly customer?: number;
+    /** Times between which requests arrive, in milliseconds. Absent: the whole time. */
+    readonly periods?: readonly (readonly [fromMs: number, toMs: number])[];
+    /** Standard deviation of the logarithm of the number of events, whose mean is predicted. Absent: all are the same. */
+    readonly eventSpread?: number;
+    /** How often a request that is refused comes back at once. Absent: not at all. */
+    readonly maxRetries?: number;
 }
 
 export interface ReplayLoad {
@@ -42,6 +52,10 @@
     readonly kinds: readonly ReplayKind[];
     /** Absent: the engines of the first deployments. */
     readonly engines?: ReplayEngines;
+    /** Engines that are lost, evenly over a time. */
+    readonly losses?: { readonly count: number; readonly fromMs: number; readonly toMs: number };
+    /** Engines that come back from a restart and are cold. Until then they are missing. */
+    readonly returns?: { readonly count: number; readonly atMs: number; readonly coldMs: number };
 }
 
 /** Engines that a load is replayed against. */
@@ -58,6 +72,8 @@
     readonly withinTargets: number;
     readonly late: number;
     readonly refused: number;
+    /** Requests refused within a tenth of the time from arrival until the customer disconnects. */
+    readonly refusedEarly: number;
     /** Share of the value of all requests that was served within targets. The value grows with the prompt's length. */
     readonly valueShare: number;
 }
@@ -78,6 +94,13 @@
 export const replayEngineCount = 14;
 const firstEngines: ReplayEngines = { count: replayEngineCount, profile: replayEngine };
 const drainMs = 20_000;
+/** Requests a second that a cold engine sustains. */
+const coldPerSecond = 4;
+/** Time from a refusal to the return of the request: a round trip. */
+const retryMs = 20;
+
+/** Share of the time until the customer disconnects within which a refusal is early. */
+const earlyTimeShare = 0.1;
 
 /** Share of a request's value that does not depend on prompt length, and the maximum factor by prompt length. */
 const baseValueShare = 0.3;
@@ -96,21 +119,38 @@
     readonly arrivedAtMs: number;
     readonly promptTokens: number;
     readonly isWithinTargets: boolean;
+    readonly isEnded: boolean;
+    readonly firstMs?: number;
+    readonly longestGapMs: number;
 }
 
 interface Outcome {
     arrivedAtMs: number;
+    /** Differs from the arrival for a request that was refused and has come back. */
+    firstArrivedAtMs: number;
     promptTokens: number;
+    events: number;
+    retries: number;
     firstMs?: number;
     longestGapMs: number;
     isEnded: boolean;
-    isRefused: boolean;
+    /** Time from arrival to the refusal. */
+    refusedMs?: number;
+}
+
+/** A request that engines have. */
+interface RunningRequest {
+    readonly place: Place;
+    fail(): void;
 }
 
-function pickTokens(kind: ReplayKind, random: () => number): number {
+function pickLogNormal(mean: number, spread: number, random: () => number): number {
     const normal = Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
-    const median = kind.meanTokens / Math.exp(kind.spread ** 2 / 2);
-    return Math.min(kind.maxTokens, median * Math.exp(kind.spread * normal));
+    return mean / Math.exp(spread ** 2 / 2) * Math.exp(spread * normal);
+}
+
+function pickEvents({ events, eventSpread }: ReplayKind, random: () => number): number {
+    return eventSpread === undefined ? events : Math.max(1, Math.round(pickLogNormal(events, eventSpread, random)));
 }
 
 /**
@@ -131,7 +171,9 @@
     const random = createSeededRandomSource(seed);
     const directory = createEndpointDirectory(defaultDirectorySettings);
     const engines = new Map<string, VirtualEngine>();
-    for (let index = 0; index < count; index++) {
+    const running = new Set<RunningRequest>();
+
+    function addEngine(index: number): void {
         const id = `engine-${index}`;
         engines.set(id, createVirtualEngine(profile, timers));
         directory.applyRecord({
@@ -142,8 +184,14 @@
             dataCentre: "a",
             slots: profile.slots,
             state: EndpointState.Ready,
-        }, 0);
+        }, timers.now());
+    }
+
+    const missing = load.returns?.count ?? 0;
+    for (let index = missing; index < count; index++) {
+        addEngine(index);
     }
+    const endpointSubset = createEndpointSubset(directory, endpoints => endpoints);
     const slowdownEstimate = createSlowdownEstimate();
     const service: Service = { name: "models", engine: profile };
     const placementQueue = createPlacementQueue({
@@ -152,7 +200,7 @@
         health: createEndpointHealth(),
         slowdownEstimate,
         ledger: createLoadLedger(),
-        endpointSubset: createEndpointSubset(directory, endpoints => endpoints),
+        endpointSubset,
         dataCentre: "a",
         orderSeed: "",
         keyPrefix: "replay",
@@ -160,7 +208,7 @@
         placeOnEngines,
         chooseClaim: claimPolicy,
         reportChange: () => undefined,
-        quota: unlimitedQuota,
+        quota: load.returns ? createColdQuota(load.returns, timers, seed) : unlimitedQuota,
         gate: mergeGates([]),
         fairness: {
             state: createFairnessState(),
@@ -170,17 +218,31 @@
         },
     });
 
-    function start(place: Place, kind: ReplayKind, promptTokens: number, arrivedAtMs: number, outcome: Outcome): void {
+    function start(place: Place, kind: ReplayKind, outcome: Outcome, avoid: ReadonlySet<string>): void {
+        const { promptTokens, arrivedAtMs } = outcome;
         let lastMs: number | undefined;
+        const request: RunningRequest = {
+            place,
+            fail() {
+                running.delete(request);
+                place.release();
+                // What was delivered before is resumed elsewhere.
+                submit(kind, outcome, new Set([...avoid, place.endpoint.id]));
+            },
+        };
+        running.add(request);
         const job: VirtualJob = {
-            events: kind.events,
+            events: outcome.events,
             promptTokens,
             pendingParts: 1 + place.helpers.length,
-            onPrefilled: () => engines.get(place.endpoint.id)!.wake(),
+            onPrefilled: () => engines.get(place.endpoint.id)?.wake(),
             onEvent() {
                 const nowMs = timers.now();
+                if (!running.has(request)) {
+                    return;
+                }
                 if (lastMs === undefined) {
-                    outcome.firstMs = nowMs - arrivedAtMs;
+                    outcome.firstMs ??= nowMs - arrivedAtMs;
                     place.startDecode();
                 }
                 else {
@@ -190,8 +252,10 @@
                 lastMs = nowMs;
             },
             onEnd() {
-                outcome.isEnded = true;
-                place.release();
+                if (running.delete(request)) {
+                    outcome.isEnded = true;
+                    place.release();
+                }
             },
         };
         engines.get(place.endpoint.id)!.answer(job);
@@ -199,9 +263,8 @@
         place.helpers.forEach(helper => engines.get(helper.id)!.prefill(job, place.partMs, true));
     }
 
-    function submit(kind: ReplayKind, outcome: Outcome): void {
-        const arrivedAtMs = timers.now();
-        const { promptTokens } = outcome;
+    function submit(kind: ReplayKind, outcome: Outcome, avoid: ReadonlySet<string> = new Set()): void {
+        const { promptTokens, arrivedAtMs } = outcome;
         placementQueue.submit({
             service,
             rank: kind.rank,
@@ -215,17 +278,36 @@
                 gapTargetMs: kind.gapTargetMs,
             },
             isUnsafe: false,
-            avoid: new Set(),
+            avoid,
             isSuspect: false,
-            onPlaced: place => start(place, kind, promptTokens, arrivedAtMs, outcome),
+            share: kind.customer === undefined ? undefined : {
+                customer: kind.customer,
+                fingerprint: `${kind.name} ${outcome.firstArrivedAtMs}`,
+            },
+            onPlaced: place => start(place, kind, outcome, avoid),
             onWaiting: () => undefined,
             onClaimed: () => undefined,
             onExpired() {
-                outcome.isRefused = true;
+                outcome.refusedMs = timers.now() - arrivedAtMs;
+                if (outcome.retries < (kind.maxRetries ?? 0)) {
+                    const again = { ...outcome, arrivedAtMs: timers.now() + retryMs, retries: outcome.retries + 1 };
+                    delete again.refusedMs;
+                    outcomes.get(kind)!.push(again);
+                    timers.schedule(retryMs, () => submit(kind, again));
+                }
             },
         });
     }
 
+    function loseEngine(id: string): void {
+        engines.delete(id);
+        directory.applyRemoval(id, timers.now());
+        endpointSubset.invalidate();
+        [...running].filter(({ place }) => [place.endpoint, ...place.helpers].some(endpoint => endpoint.id === id))
+            .forEach(request => request.fail());
+        placementQueue.run();
+    }
+
     const outcomes = new Map<ReplayKind, Outcome[]>(load.kinds.map(kind => [kind, []]));
     for (const kind of load.kinds) {
         for (let atMs = 0;;) {
@@ -233,28 +315,66 @@
             if (atMs > load.durationMs) {
                 break;
             }
-            const promptTokens = pickTokens(kind, random);
-            const outcome: Outcome = {
-                arrivedAtMs: atMs,
-                promptTokens,
-                longestGapMs: 0,
-                isEnded: false,
-                isRefused: false,
-            };
+            const promptTokens = Math.min(kind.maxTokens, pickLogNormal(kind.meanTokens, kind.spread, random));
+            const outcome = makeOutcome(atMs, promptTokens, pickEvents(kind, random));
+            if (kind.periods?.every(([fromMs, toMs]) => atMs < fromMs || atMs >= toMs)) {
+                continue;
+            }
             outcomes.get(kind)!.push(outcome);
             timers.schedule(atMs, () => submit(kind, outcome));
         }
     }
+    for (let lost = 0; lost < (load.losses?.count ?? 0); lost++) {
+        const { count: losses, fromMs, toMs } = load.losses!;
+        timers.schedule(fromMs + (toMs - fromMs) * lost / losses, () => loseEngine(`engine-${lost}`));
+    }
+    for (let index = 0; index < missing; index++) {
+        timers.schedule(load.returns!.atMs, () => {
+            addEngine(index);
+            endpointSubset.invalidate();
+            placementQueue.run();
+        });
+    }
     timers.advance(load.durationMs + drainMs);
     placementQueue.dispose();
     outcomes.forEach((some, kind) =>
-        some.forEach(({ arrivedAtMs, promptTokens, ...outcome }) =>
-            report({ kind, arrivedAtMs, promptTokens, isWithinTargets: isWithinTargets(kind, outcome) })
+        some.forEach(({ arrivedAtMs, promptTokens, isEnded, firstMs, longestGapMs }) =>
+            report({
+                kind,
+                arrivedAtMs,
+                promptTokens,
+                isEnded,
+                firstMs,
+                longestGapMs,
+                isWithinTargets: isWithinTargets(kind, { isEnded, firstMs, longestGapMs }),
+            })
         )
     );
     return load.kinds.map(kind => summarizeKind(kind, outcomes.get(kind)!));
 }
 
+function makeOutcome(arrivedAtMs: number, promptTokens: number, events: number): Outcome {
+    const firstArrivedAtMs = arrivedAtMs;
+    return { arrivedAtMs, firstArrivedAtMs, promptTokens, events, retries: 0, longestGapMs: 0, isEnded: false };
+}
+
+/** Creates the limit of engines that have come back cold, with the rules that keep work off cold endpoints. */
+function createColdQuota(
+    { count, atMs, coldMs }: NonNullable<ReplayLoad["returns"]>,
+    timers: TimerService,
+    seed: number,
+): PlacementQuota {
+    const cold = new Set(Array.from({ length: count }, (unused, index) => `engine-${index}`));
+    const budget = createColdBudget(createSeededRandomSource(seed), defaultColdBound);
+    const isCold = (id: string) => cold.has(id) && timers.now() < atMs + coldMs;
+    return {
+        ...unlimitedQuota,
+        isOpen: id => !isCold(id) || budget.canSend(id, coldPerSecond, 1, timers.now()),
+        getShare: id => isCold(id) ? coldPerSecond : Infinity,
+        recordDispatch: id => budget.recordDispatch(id, true, timers.now()),
+    };
+}
+
 function isWithinTargets(
     kind: ReplayKind,
     { isEnded, firstMs, longestGapMs }: Pick<Outcome, "isEnded" | "firstMs" | "longestGapMs">,
@@ -265,15 +385,17 @@
 function summarizeKind(kind: ReplayKind, outcomes: readonly Outcome[]): ReplayResult {
     const isServed = (outcome: Outcome) => isWithinTargets(kind, outcome);
     const withinTargets = outcomes.filter(isServed).length;
-    const refused = outcomes.filter(outcome => outcome.isRefused).length;
+    const refused = outcomes.filter(outcome => outcome.refusedMs !== undefined);
+    const earlyMs = kind.customerTimeoutMs * earlyTimeShare;
     const sumValue = (some: readonly Outcome[]) =>
         some.reduce((sum, outcome) => sum + computeValue(kind, outcome.promptTokens), 0);
     return {
         name: kind.name,
         submitted: outcomes.length,
         withinTargets,
-        late: outcomes.length - withinTargets - refused,
-        refused,
+        late: outcomes.length - withinTargets - refused.length,
+        refused: refused.length,
+        refusedEarly: refused.filter(outcome => outcome.refusedMs! <= earlyMs).length,
         valueShare: sumValue(outcomes.filter(isServed)) / Math.max(1, sumValue(outcomes)),
     };
 }
--- a/src/gateway/queueFairness.ts
+++ b/src/gateway/queueFairness.ts
@@ -212,11 +212,10 @@
     }
 
     /** Returns whether a long prompt waits here that comes before a request of a customer above its share. */
-    function isLeftToLongPrompt(work: QueuedWork, waiting: readonly QueuedWork[], nowMs: number): boolean {
+    function isLeftToLongPrompt(work: QueuedWork, waiting: readonly QueuedWork[]): boolean {
         return work.isAboveShare && waiting.some(other =>
             other.job.service.name === work.job.service.name
-            && other.prefillMs > defaultPlacementSettings.shortPrefillMs
-            && getWaitingClass(other, nowMs) === WaitingClass.WithinShare
+            && other.prefillMs > defaultPlacementSettings.shortPrefillMs && !other.isAboveShare
         );
     }
 
@@ -355,7 +354,7 @@
             );
             return isPlain(work)
                 ? isLeft
-                : (isLeft || isLeftToLongPrompt(work, waiting, nowMs)) && yieldCycle.isYielding(service.name, nowMs);
+                : (isLeft || isLeftToLongPrompt(work, waiting)) && yieldCycle.isYielding(service.name, nowMs);
         },
         getDelayable(work, waiting, nowMs) {
             const { share, service } = work.job;
--- a/src/routing/enginePlacement.ts
+++ b/src/routing/enginePlacement.ts
@@ -189,7 +189,7 @@
     const firstEventMs = (view: EngineView) => predictFirstEventMs(view, request.prefillMs);
     const inOrder = [...fitting].sort((left, right) => left.order - right.order);
     const chosen = inOrder.find(view =>
-        view.running < slots * settings.fillShare
+        view.running < slots * (request.delayable?.size ? 1 : settings.fillShare)
         && firstEventMs(view) <= (request.dueAtMs - nowMs) * settings.usableTimeShare
     ) ?? inOrder.sort((left, right) => firstEventMs(left) - firstEventMs(right))[0];
     return chosen && makeUnsplitPlacement(chosen, request);
