--- a/src/gateway/placeAllocator.ts
+++ b/src/gateway/placeAllocator.ts
@@ -7,6 +7,7 @@
 import { buildEngineView, EngineView } from "../routing/engineView.js";
 import { LoadLedger, WorkItem, WorkPhase } from "../routing/loadLedger.js";
 import { PlainView } from "../routing/plainPlacement.js";
+import { makeWorkKey } from "../routing/workKey.js";
 import { Place, PlacementJob } from "./place.js";
 import { computeMemoryTokens } from "./placementRequest.js";
 
@@ -71,7 +72,7 @@
         isTentative = false,
         phase = WorkPhase.Prefill,
     ): string {
-        const plainKey = `${options.keyPrefix}/${nextKey++}`;
+        const plainKey = makeWorkKey(options.keyPrefix, nextKey++, item.customer);
         const key = isTentative ? makeTentativeKey(plainKey) : plainKey;
         const workItem: WorkItem = { ...item, key, phase, phaseSinceMs: nowMs };
         ledger.add(workItem);
@@ -112,7 +113,12 @@
         [endpoint, ...helpers].forEach(view => options.recordDispatch(view.id));
         const passes = needs.outputTokens / engine.stepsPerPass + 1;
         const endsAtMs = nowMs + placement.firstEventMs + passes * endpoint.passMs;
-        const shared = { prefillMs: partMs, dueAtMs: job.dueAtMs, isSuspect: job.isSuspect };
+        const shared = {
+            prefillMs: partMs,
+            dueAtMs: job.dueAtMs,
+            isSuspect: job.isSuspect,
+            ...(job.share && { customer: job.share.customer }),
+        };
         const memoryTokens = computeMemoryTokens(needs);
         const mainTokens = Math.max(0, memoryTokens - helpers.length * reservedTokens);
         const isTentative = isContested(endpoint, mainTokens, nowMs)
@@ -140,7 +146,7 @@
                 isTentative,
             )
         );
-        if (ledger.countGateways() > 1) {
+        if (isTentative) {
             publishAgain([mainKey, ...spareKeys, ...helperKeys]);
         }
         const releaseHelpers = () => helperKeys.splice(0).forEach(removeWork);
--- a/src/gateway/placementQueue.ts
+++ b/src/gateway/placementQueue.ts
@@ -4,15 +4,15 @@
 import { EndpointHealth } from "../membership/endpointHealth.js";
 import { EndpointSubset } from "../membership/endpointSubset.js";
 import { EngineProfile, Service } from "../ports/servingConfiguration.js";
-import { ClaimPolicy, defaultClaimSettings } from "../routing/engineClaim.js";
+import { ClaimPolicy } from "../routing/engineClaim.js";
 import { isTakingSlot } from "../routing/engineMemory.js";
 import {
     defaultPlacementSettings,
     PlacementPolicy,
     PlacementRequest,
     PlacementStage,
-    placeOnClaimedEngines,
 } from "../routing/enginePlacement.js";
+import { chooseStage } from "../routing/engineShare.js";
 import { EngineView } from "../routing/engineView.js";
 import { LoadLedger, WorkItem } from "../routing/loadLedger.js";
 import { decidePlacementStage } from "../routing/placementStage.js";
@@ -23,10 +23,11 @@
 import { EndpointGate } from "./endpointGate.js";
 import { EndpointQuota } from "./endpointQuota.js";
 import { createEngineBorrowing } from "./engineBorrowing.js";
+import { createEngineClaims } from "./engineClaims.js";
 import { EngineLending } from "./engineLending.js";
 import { ServiceLoad } from "./hedging.js";
 import { EngineNeeds, Place, PlacementJob } from "./place.js";
-import { createPlaceAllocator, RegisteredClaim } from "./placeAllocator.js";
+import { createPlaceAllocator } from "./placeAllocator.js";
 import { makePlacementRequest } from "./placementRequest.js";
 import {
     createQueueFairness,
@@ -114,12 +115,6 @@
 const longPromptRunJitterMs = 40;
 /** Number of unclaimed queued requests per run, which bounds the time that a long queue takes on the event loop. */
 const maxItemsPerRun = 40;
-/**
- * Time for which a claim waits for its engines beyond the predicted one. Answers that take even longer are longer than
- * expected, so the claim is dropped and the prompt is placed like any other.
- */
-const claimOverdueToleranceMs = 500;
-
 /** Engine views by service name. An entry is deleted when work is assigned to the service. */
 type ViewCache = Map<string, readonly EngineView[]>;
 
@@ -141,7 +136,7 @@
     const { listUsableEndpoints, listEngineViews, listPlainViews, startTrials, isLastChoice } = usableEndpoints;
     let waiting: WaitingItem[] = initial.map(item => ({ ...item }));
     let nextRun: Disposable | undefined;
-    const claims = new Map<WaitingItem, RegisteredClaim>();
+    let isNextRunLong = false;
     /** Results of `selectPreferred`. */
     const preferredViews = new WeakMap<readonly unknown[], readonly unknown[]>();
     const availability = createServiceAvailability(options);
@@ -152,6 +147,7 @@
         recordDispatch: endpoint => quota.recordDispatch(endpoint),
         onCapacityFreed: run,
     });
+    const claims = createEngineClaims(options.chooseClaim, allocator, usableEndpoints);
     const engineBorrowing = createEngineBorrowing(options, usableEndpoints, allocator);
 
     function findPlace(item: WaitingItem, views: ViewCache, nowMs: number): Place | undefined {
@@ -174,11 +170,17 @@
             startTrials(view ? [view] : [], nowMs);
             return view && fairness.recordPlainUse(job, allocator.assignPlainEndpoint(job, view, nowMs));
         }
-        const place = findEnginePlace(item, makePlacementRequest(job, job.needs, nowMs), engine, views, nowMs);
-        if (place) {
-            fairness.recordEngineUse(job, nowMs);
-        }
-        return place;
+        const delayable = fairness.getDelayable(item, waiting, nowMs);
+        const request = makePlacementRequest(job, job.needs, nowMs, delayable);
+        const place = findEnginePlace(item, request, engine, views, nowMs);
+        return place && fairness.recordEngineUse(job, place, countOwnEngines(job), nowMs);
+    }
+
+    /** Counts the engines that the customers of this group of gateways divide. */
+    function countOwnEngines({ service, share }: PlacementJob): number {
+        return share === undefined
+            ? 0
+            : endpointSubset.list(service.name).length / Math.max(1, options.fairness.countSharingGroups(service.name));
     }
 
     function getAboveShareGroups({ job, isAboveShare }: WaitingItem): number | undefined {
@@ -212,14 +214,16 @@
     ): Place | undefined {
         const { job } = item;
         if (claims.has(item)) {
-            const place = findClaimedPlace(item, request, engine, nowMs);
+            const place = claims.findPlace(item, request, engine, nowMs);
             if (place || claims.has(item)) {
                 return place;
             }
             views.delete(job.service.name);
         }
         const known = getEngineViews(views, job, engine, nowMs);
-        const stage = job.isImmediate ? PlacementStage.NonDisruptive : decidePlacementStage(item, nowMs);
+        const stage = job.isImmediate
+            ? PlacementStage.NonDisruptive
+            : chooseStage(decidePlacementStage(item, nowMs), fairness.isHeldBack(item, waiting, nowMs));
         const placement = tryPreferredFirst(
             known,
             some => options.placeOnEngines(request, some, engine.slots, nowMs, stage, defaultPlacementSettings),
@@ -230,7 +234,7 @@
         if (!placement) {
             const borrowed = engineBorrowing.findPlace(job, request, engine, selectPreferred(known), stage, nowMs);
             if (!borrowed) {
-                claimEngines(item, request, engine, selectPreferred(known), stage, nowMs);
+                claims.claim(item, request, engine, selectPreferred(known), stage, nowMs);
             }
             if (borrowed || claims.has(item)) {
                 views.delete(job.service.name);
@@ -242,58 +246,6 @@
         return allocator.assignEngines(job, engine, placement, stage, nowMs);
     }
 
-    function claimEngines(
-        item: WaitingItem,
-        request: PlacementRequest,
-        engine: EngineProfile,
-        views: readonly EngineView[],
-        stage: PlacementStage,
-        nowMs: number,
-    ): void {
-        // A request that can still be on time claims only engines that keep it so; a late one needs an answer before
-        // its customer disconnects.
-        const latestMs = stage === PlacementStage.InTime ? request.dueAtMs : request.customerTimeoutAtMs;
-        const claim = options.chooseClaim(
-            { ...request, deadlineAtMs: latestMs },
-            views,
-            engine.slots,
-            nowMs,
-            defaultClaimSettings,
-        );
-        if (claim) {
-            claims.set(item, allocator.registerClaim(item.job, claim, nowMs));
-            item.job.onClaimed({
-                engineIds: claim.engines.map(view => view.id),
-                freeInMs: Math.round(claim.freeInMs),
-                partMs: Math.round(claim.partMs),
-                stage,
-            });
-        }
-    }
-
-    /** Assigns the claimed engines once they are free. Drops a claim that is overdue or has lost an engine. */
-    function findClaimedPlace(
-        item: WaitingItem,
-        request: PlacementRequest,
-        engine: EngineProfile,
-        nowMs: number,
-    ): Place | undefined {
-        const claim = claims.get(item)!;
-        const { service, allowedRegions } = item.job;
-        const views = listEngineViews(service, engine, nowMs, claim.keys, allowedRegions, claim.engineIds);
-        const areAllUsable = views.length === claim.engineIds.size;
-        const placement = areAllUsable ? placeOnClaimedEngines(request, views) : undefined;
-        if (placement || !areAllUsable || nowMs > claim.freeAtMs + claimOverdueToleranceMs) {
-            dropClaim(item);
-        }
-        return placement && allocator.assignEngines(item.job, engine, placement, PlacementStage.Claimed, nowMs);
-    }
-
-    function dropClaim(item: WaitingItem): void {
-        claims.get(item)?.release();
-        claims.delete(item);
-    }
-
     function getEngineViews(
         views: ViewCache,
         { service, allowedRegions }: PlacementJob,
@@ -313,6 +265,12 @@
         if (waiting.length > 0) {
             const isLongOnly = waiting.every(item => item.prefillMs > defaultPlacementSettings.shortPrefillMs);
             const jitterMs = isLongOnly ? longPromptRunJitterMs : runJitterMs;
+            // A request that was left waiting for the sake of a long prompt finds a free slot soon.
+            if (isNextRunLong && !isLongOnly && waiting.some(item => item.job.share)) {
+                nextRun?.dispose();
+                nextRun = undefined;
+            }
+            isNextRunLong = isLongOnly;
             nextRun ??= timers.schedule(minRunDelayMs + jitterMs * options.random(), runNow);
         }
     }
@@ -331,7 +289,7 @@
         const views: ViewCache = new Map();
         waiting.forEach(item => fairness.refreshOrder(item, nowMs));
         waiting.sort((left, right) => compareWaiting(left, right, nowMs));
-        const candidates = [...claims.keys(), ...selectCandidates()];
+        const candidates = [...claims.list(), ...selectCandidates()];
         const fullClasses = new Set<string>();
         for (const item of candidates) {
             const key = `${getWaitingClass(item, nowMs)} ${item.job.service.name}`;
@@ -351,7 +309,7 @@
             ((nowMs > item.hardStartDeadlineMs || availability.isClosedTooLong(item, nowMs)) && !claims.has(item))
             || availability.hasNoneLeft(item.job, nowMs)
         );
-        expired.forEach(dropClaim);
+        expired.forEach(item => claims.drop(item));
         removeWaiting(expired);
         expired.forEach(item => item.job.onExpired({ inputs: describeLoad(item.job, nowMs) }));
     }
@@ -368,7 +326,7 @@
     }
 
     function isYielding(item: WaitingItem, nowMs: number): boolean {
-        const isLeft = fairness.isLeftToPeer(item, nowMs);
+        const isLeft = fairness.isLeftToOthers(item, waiting, nowMs);
         if (isLeft && !item.hasYielded) {
             item.hasYielded = true;
             options.fairness.reportYield(item.job.service.name);
@@ -447,7 +405,7 @@
             return {
                 dispose() {
                     removeWaiting([item]);
-                    dropClaim(item);
+                    claims.drop(item);
                 },
             };
         },
@@ -477,7 +435,7 @@
         copy: changeOptions => createPlacementQueue(changeOptions(options), waiting),
         dispose() {
             nextRun?.dispose();
-            [...claims.keys()].forEach(dropClaim);
+            claims.list().forEach(item => claims.drop(item));
             waiting = [];
         },
     };
--- a/src/gateway/placementRequest.ts
+++ b/src/gateway/placementRequest.ts
@@ -18,7 +18,12 @@
  * @example
  * makePlacementRequest(job, needs, timers.now()).waitedMs;
  */
-export function makePlacementRequest(job: PlacementJob, needs: EngineNeeds, nowMs: number): PlacementRequest {
+export function makePlacementRequest(
+    job: PlacementJob,
+    needs: EngineNeeds,
+    nowMs: number,
+    delayable?: ReadonlySet<number>,
+): PlacementRequest {
     return {
         prefillMs: needs.prefillMs,
         tokens: computeMemoryTokens(needs),
@@ -28,5 +33,6 @@
         gapTargetMs: needs.gapTargetMs,
         avoid: job.avoid,
         isSuspect: job.isSuspect,
+        ...(delayable && { delayable }),
     };
 }
--- a/src/routing/spareEngines.ts
+++ b/src/routing/spareEngines.ts
@@ -89,7 +89,7 @@
     return views
         .filter(view =>
             !view.isTrial && !view.hasSuspect && view.slowdown <= 1 && view.running < slots * spareSlotShare
-            && view.helperParts === 0 && view.pendingPrefillMs <= maxSparePrefillMs
+            && view.pendingPrefillMs <= maxSparePrefillMs
         )
         .sort((left, right) => left.running - right.running || right.freeTokens - left.freeTokens)
         .slice(0, Math.min(maxReportedEngines, Math.floor(views.length * maxSpareShare)))
