--- a/src/gateway/placeAllocator.ts
+++ b/src/gateway/placeAllocator.ts
@@ -54,6 +54,11 @@
 
 /** Time after which work is announced again, in milliseconds: soon enough to arrive before the place is settled. */
 const announcementRepeatMs = 4;
+/**
+ * Share of an engine's memory below which the free memory is scarce. Work at an engine with more is not announced again: a
+ * message costs small hosts more than the memory that a lost one hides until the next snapshot.
+ */
+const scarceMemoryShare = 0.5;
 
 /**
  * Creates the allocator. Assigned places are recorded in the ledger and reported to the other gateways.
@@ -146,7 +151,8 @@
                 isTentative,
             )
         );
-        if (isTentative) {
+        const isMemoryScarce = endpoint.freeTokens < endpoint.memoryTokens * scarceMemoryShare;
+        if (ledger.countGateways() > 1 && (isTentative || isMemoryScarce)) {
             publishAgain([mainKey, ...spareKeys, ...helperKeys]);
         }
         const releaseHelpers = () => helperKeys.splice(0).forEach(removeWork);
