Let gateways take turns at an endpoint with a limit

Seen: in endpointLimit.test.ts one of three gateways served nothing ("served by gateway: 11, 0, 10"), also on a quiet machine.

Cause: gateways that hear of each other each compute the common allowance from a random start and subtract the same requests, so that the differences between them stay. Under demand the gateway with the highest allowance takes every request and the lowest one is left with its own fifth, about one request in the six seconds that the test counts. A trace of one run shows allowances of 1.05, 0.27 and -0.52 that keep these distances for 9 s.

Ruled out: a wrong count of the gateways that are heard (3 of 3 in all runs) and lost messages (each request was recorded by all three within 2 ms). Raising a low allowance to that of the sender would remove the differences too, but lost messages would then raise the sum.

Change: a gateway that has sent a request puts off its next one by up to 0.8 s until the others have had their turns, unless the allowance is so large that nobody can have waited for it. The turn delays requests and permits none in addition.

Runs: the new unit test sent 34, 2, 2 of 38 requests before and passes now.

--- a/src/scheduling/limitBudget.ts
+++ b/src/scheduling/limitBudget.ts
@@ -34,6 +34,12 @@
 const maxIdleSeconds = 1;
 /** Time over which gateways that hear of each other spread their next request, in seconds; longer than a message takes. */
 const spreadSeconds = 0.1;
+/**
+ * Time by which a gateway that has sent a request puts off its next one until the others have had their turns, in
+ * seconds. The allowances that gateways compute differ by up to about a request, a difference that stays: without turns,
+ * the gateway with the lowest one never sends. Shorter than `maxIdleSeconds`, after which the request would be dropped.
+ */
+const turnSeconds = 0.8;
 /** Most requests beyond the limit that are made up for later. Others may know nothing of the limit for some time. */
 const maxDebtSeconds = 2;
 const minDebt = 3;
@@ -54,6 +60,8 @@
     sharedPerSecond: number;
     /** Random number from 0 to 1, another one after each request. */
     spread: number;
+    /** Requests of others after which it is this gateway's turn again. */
+    turnsOfOthers: number;
     updatedAtMs: number;
     lastDispatchAtMs: number;
 }
@@ -83,8 +91,14 @@
     }
 
     /** Returns whether the common allowance permits a request, each gateway at a slightly different time. */
-    function isSharedOpen({ shared, sharedPerSecond, spread }: Bucket): boolean {
-        return shared >= 1 + spread * spreadSeconds * sharedPerSecond;
+    function isSharedOpen({ shared, sharedPerSecond, spread, turnsOfOthers }: Bucket): boolean {
+        const turnDelaySeconds = turnsOfOthers > 0 ? turnSeconds : 0;
+        return shared >= 1 + (turnDelaySeconds + spread * spreadSeconds) * sharedPerSecond;
+    }
+
+    /** Returns whether the common allowance is so large that no other gateway can have waited for it. */
+    function isUnused({ shared, sharedPerSecond }: Bucket): boolean {
+        return shared >= 1 + turnSeconds * sharedPerSecond;
     }
 
     function updateOpen(bucket: Bucket, sharing: LimitSharing, nowMs: number): boolean {
@@ -111,6 +125,7 @@
                 own: random(),
                 sharedPerSecond: 0,
                 spread: random(),
+                turnsOfOthers: 0,
                 updatedAtMs: nowMs,
                 lastDispatchAtMs: nowMs,
             });
@@ -130,7 +145,14 @@
                 return;
             }
             updateBucket(bucket, sharing, nowMs);
-            if (isOwn && !isSharedOpen(bucket)) {
+            const { heard } = sharing;
+            if (!isOwn) {
+                bucket.turnsOfOthers = Math.max(0, bucket.turnsOfOthers - 1);
+            }
+            else if (isSharedOpen(bucket)) {
+                bucket.turnsOfOthers = isUnused(bucket) ? 0 : heard - 1;
+            }
+            else {
                 bucket.own -= 1;
             }
             bucket.shared = Math.max(-Math.max(minDebt, maxDebtSeconds * bucket.perSecond), bucket.shared - 1);
--- a/test/scheduling/limitBudget.test.ts
+++ b/test/scheduling/limitBudget.test.ts
@@ -72,6 +72,26 @@
         assert.ok(budget.canSend("e", alone, 1_500));
     });
 
+    test("no gateway goes without while all have requests, wherever their allowances began", () => {
+        const sharing = { gateways: 3, heard: 3 };
+        // Numbers from 0 to 1 for the allowance and the own part at the start, and for the first spread.
+        const starts = [0.95, 0.5, 0.05];
+        const budgets = starts.map(start => {
+            const first = [start, 0, 0.5];
+            return createLimitBudget(() => first.shift() ?? 0.5);
+        });
+        budgets.forEach(budget => budget.setLimit("e", 2, 0));
+        const sent = budgets.map(() => 0);
+        for (let nowMs = 0; nowMs < 20_000; nowMs += 10) {
+            const index = budgets.findIndex(budget => budget.canSend("e", sharing, nowMs));
+            budgets.forEach((budget, other) =>
+                index >= 0 && budget.recordDispatch("e", other === index, sharing, nowMs)
+            );
+            sent[index]! += 1;
+        }
+        assert.ok(sent.every(count => count >= 10), `of 38 requests the gateways sent ${sent.join(", ")}`);
+    });
+
     const ordinary: LimitLoad = {
         gateways: 4,
         cellSize: 4,
