Require three crashes of a request that another gateway has had answered

Cause: a request that has never been answered is quarantined after two crashes, one that has been answered after three, but each gateway knows only its own answers. The other gateways had answered it and withheld the quarantine for that reason (QuarantineWithheld, hasAnswer true), but took over the decision, because their answers lay before the first crash. All gateways then refused the request for 60 s, so that no answer could end it.

Ruled out: no endpoint (the requests were refused as crashing endpoints), and two statements of the same time (one gateway decided, the others followed).

Change: a gateway ends a quarantine that rests on fewer than three crashes if it knows any answer to such a request. A gateway that hears of such an end takes the request for answered, so that it does not decide on two crashes again.

Runs: the new unit test failed before and passes now.

--- a/src/gateway/quarantineRegistry.ts
+++ b/src/gateway/quarantineRegistry.ts
@@ -68,6 +68,7 @@
 /** Time within which the gateways whose requests ran on a crashed endpoint report their suspects, in milliseconds. */
 const reportsCompleteMs = 1_000;
 const maxLoggedOpenSuspects = 3;
+const requestPrefix = "request/";
 
 /**
  * Creates a registry without quarantines.
@@ -114,10 +115,18 @@
         }
         else {
             evidence.forgetCulprit(trait);
+            recordAnswerElsewhere(trait);
         }
         return true;
     }
 
+    /** Records that another gateway knows an answer to a request, without which it would not have ended the quarantine. */
+    function recordAnswerElsewhere(trait: string): void {
+        if (trait.startsWith(requestPrefix) && evidence.getLastAnswerMs(trait) === undefined) {
+            evidence.recordAnswer([trait], -Infinity);
+        }
+    }
+
     function decide(term: QuarantineTerm, source: QuarantineSource): void {
         if (apply(term, source)) {
             options.reportTerm(term);
@@ -175,11 +184,16 @@
         }
     }
 
-    /** Returns whether a request with the trait was answered here since the first of the crashes that a decision rests on. */
-    function isContradicted({ trait, isActive, firstCrashAtMs }: QuarantineTerm): boolean {
+    /**
+     * Returns whether an answer that is known here contradicts a decision: one since the first of the crashes that the
+     * decision rests on, or any if the crashes are fewer than a request needs that has been answered. The gateway that
+     * decided may not have had such a request answered itself.
+     */
+    function isContradicted({ trait, isActive, crashes, firstCrashAtMs }: QuarantineTerm): boolean {
         const answeredAtMs = evidence.getLastAnswerMs(trait);
         const firstCrashAgeMs = timers.wallNow() - firstCrashAtMs;
-        return isActive && answeredAtMs !== undefined && timers.now() - answeredAtMs < firstCrashAgeMs;
+        return isActive && answeredAtMs !== undefined
+            && (crashes < defaultEvidenceSettings.minCrashes || timers.now() - answeredAtMs < firstCrashAgeMs);
     }
 
     return {
@@ -276,7 +290,7 @@
 export function listTraits(service: string, sharedParts: readonly string[], fingerprint: string): string[] {
     const names = sharedParts.map(part => `part/${service}/${part}`);
     const traits = names.map(name => name.length > maxTraitLength ? `part/${computeDigest(name)}` : name);
-    return [...traits, `request/${fingerprint}`];
+    return [...traits, requestPrefix + fingerprint];
 }
 
 /** What makes a request the same request when it is sent again under another id. */
--- a/test/gateway/quarantine.test.ts
+++ b/test/gateway/quarantine.test.ts
@@ -138,6 +138,29 @@
         assert.deepEqual(other.decisions.map(term => term.isActive), [false]);
     });
 
+    test("of a sound request is ended by a gateway that had it answered before two crashes, and begins with a third one", () => {
+        const traits = listTraits("desk", [], "popular");
+        const answering = setUp();
+        const deciding = setUp();
+        const crashAll = (crash: string) =>
+            [answering, deciding].forEach(({ registry, timers }) => {
+                registry.applyCrash({ crash, ageMs: 0, suspects: [traits] }, true);
+                timers.advance(1_000);
+            });
+        answering.registry.recordAnswer(traits);
+        [answering, deciding].forEach(({ timers }) => timers.advance(1_000));
+        crashAll("desk-1/1");
+        crashAll("desk-2/1");
+        assert.deepEqual([answering, deciding].map(({ decisions }) => decisions.length), [0, 1]);
+        answering.registry.applyTerm(deciding.decisions[0]!, QuarantineSource.Gateway);
+        assert.equal(answering.decisions.at(-1)?.isActive, false);
+        deciding.registry.applyTerm(answering.decisions.at(-1)!, QuarantineSource.Gateway);
+        assert.notEqual(deciding.registry.decideTreatment(traits), Treatment.Quarantined);
+        crashAll("desk-3/1");
+        assert.equal(answering.registry.decideTreatment(traits), Treatment.Quarantined);
+        assert.equal(deciding.decisions.length, 1, "two crashes do not suffice again");
+    });
+
     test("that begins in the same millisecond as it ends elsewhere is ended, whichever is heard of first", () => {
         const { decisions } = quarantine();
         const ended = { ...decisions[0]!, isActive: false };
