Keep requests apart on which an instance of a plain service has crashed

Seen: in crashingPlainRequest.test.ts, "a GET that ends all instances within moments, until they have restarted": "8 reached instances, 4 ended" (3 late arrivals are allowed).

Cause: the three instances end within 250 ms, which counts as three crashes only if the later requests were sent after the first crash. On a busy machine a gateway sees a broken connection 10 to 50 ms late, so that the second request was sent before that, and a fourth crash is needed. The requests that waited at all gateways meanwhile were sent to the first instance that was back, 8 within 30 ms, before its end showed the cause. They were marked as suspects in the load ledger, which keeps such requests apart on engines; placement on plain services did not read the mark.

Ruled out: late messages between gateways (each knew all three crashes within 0.4 s, with three seconds left) and a lost quarantine (none was decided: QuarantineWithheld, crashes 3, separateCrashes 1).

Change: such a request is not placed on an endpoint that runs another one. While it waits it holds up no other request of its service.

--- a/src/gateway/candidateExplanation.ts
+++ b/src/gateway/candidateExplanation.ts
@@ -217,7 +217,7 @@
     if (placeOnPlainService({ ...request, aboveShareGroups: undefined }, [view])) {
         return ExclusionReason.Share;
     }
-    return placeOnPlainService(request, [{ ...view, isTrial: false }])
+    return placeOnPlainService(request, [{ ...view, isTrial: false, hasSuspect: false }])
         ? ExclusionReason.Isolation
         : ExclusionReason.Slots;
 }
--- a/src/gateway/placementExplanation.ts
+++ b/src/gateway/placementExplanation.ts
@@ -293,6 +293,7 @@
             avoid: job.avoid,
             dataCentre: options.dataCentre,
             isUnsafe: job.isUnsafe,
+            isSuspect: job.isSuspect,
             aboveShareGroups: isAboveShare ? options.fairness.countSharingGroups(job.service.name) : undefined,
         },
         engineRequest: engineSearch?.request
--- a/src/gateway/placementQueue.ts
+++ b/src/gateway/placementQueue.ts
@@ -151,6 +151,7 @@
                 avoid: job.avoid,
                 dataCentre: options.dataCentre,
                 isUnsafe: job.isUnsafe,
+                isSuspect: job.isSuspect,
                 aboveShareGroups: getAboveShareGroups(item),
             };
             const view = tryPreferredFirst(
--- a/src/gateway/queueFairness.ts
+++ b/src/gateway/queueFairness.ts
@@ -289,9 +289,10 @@
             }
             const ahead = selectAhead(work, waiting, nowMs);
             // An engine takes requests in parallel as long as they make no other one late, so that only requests of a
-            // better class keep one from trying. A request that avoids endpoints may wait for one while others are free.
+            // better class keep one from trying. A request that avoids endpoints, or may run on none beside another
+            // suspect, may wait for one while others are free.
             return isPlain(work)
-                ? ahead.some(other => other.job.avoid.size === 0)
+                ? ahead.some(({ job }) => job.avoid.size === 0 && !job.isSuspect)
                 : ahead.some(other => getWaitingClass(other, nowMs) < getWaitingClass(work, nowMs));
         },
         isLeftToPeer(work, nowMs) {
@@ -378,5 +379,5 @@
  * isAlikePlain(work);
  */
 export function isAlikePlain({ job }: QueuedWork): boolean {
-    return job.share !== undefined && !job.service.engine && job.avoid.size === 0;
+    return job.share !== undefined && !job.service.engine && job.avoid.size === 0 && !job.isSuspect;
 }
--- a/src/gateway/usableEndpoints.ts
+++ b/src/gateway/usableEndpoints.ts
@@ -107,14 +107,18 @@
     }
 
     function listPlainViews({ service, allowedRegions }: PlacementJob, nowMs: number): PlainView[] {
-        return listUsableEndpoints(service, nowMs, allowedRegions).map(({ record, isTrial }) => ({
-            id: record.id,
-            address: record.address,
-            dataCentre: record.dataCentre,
-            isTrial,
-            running: ledger.listAt(record.id, nowMs).length,
-            slots: record.slots,
-        }));
+        return listUsableEndpoints(service, nowMs, allowedRegions).map(({ record, isTrial }) => {
+            const items = ledger.listAt(record.id, nowMs);
+            return {
+                id: record.id,
+                address: record.address,
+                dataCentre: record.dataCentre,
+                isTrial,
+                hasSuspect: items.some(item => item.isSuspect),
+                running: items.length,
+                slots: record.slots,
+            };
+        });
     }
 
     function startTrials(views: readonly { readonly id: string; readonly isTrial: boolean }[], nowMs: number): void {
--- a/src/routing/plainPlacement.ts
+++ b/src/routing/plainPlacement.ts
@@ -5,6 +5,8 @@
     readonly dataCentre: string;
     /** Whether the endpoint may get only one request, which tests whether it works again. */
     readonly isTrial: boolean;
+    /** Whether it runs a request on which an endpoint has crashed. */
+    readonly hasSuspect: boolean;
     /** Requests of all gateways in progress at the endpoint. */
     readonly running: number;
     readonly slots: number;
@@ -21,6 +23,11 @@
      * endpoint.
      */
     readonly isUnsafe: boolean;
+    /**
+     * Whether an endpoint crashed while it ran the same request. Such requests do not run beside each other: all that
+     * wait while no endpoint is left would otherwise reach the first one that is back, before its end shows the cause.
+     */
+    readonly isSuspect: boolean;
     /**
      * Number of groups of gateways that use the same endpoints and do not hear of each other's work. Set for a request
      * of a customer that uses more than its share: it leaves some places to others.
@@ -56,13 +63,14 @@
  * Returns `undefined` if all endpoints are full.
  *
  * @example
- * placeOnPlainService({ avoid: new Set(), dataCentre: "larissa", isUnsafe: true }, views);
+ * placeOnPlainService({ avoid: new Set(), dataCentre: "larissa", isUnsafe: true, isSuspect: false }, views);
  */
 export function placeOnPlainService(request: PlainRequest, views: readonly PlainView[]): PlainView | undefined {
     const usable = views.filter(view =>
         !request.avoid.has(view.id)
         && view.running < countPlaces(view.slots, request.aboveShareGroups)
         && !(view.isTrial && view.running > 0)
+        && !(request.isSuspect && view.hasSuspect)
     );
     const compare = (left: PlainView, right: PlainView) =>
         (request.isUnsafe ? Number(left.isTrial) - Number(right.isTrial) : 0)
--- a/test/routing/gatewayRouting.test.ts
+++ b/test/routing/gatewayRouting.test.ts
@@ -73,11 +73,12 @@
         address: id,
         dataCentre: "a",
         isTrial: false,
+        hasSuspect: false,
         running: 0,
         slots: 6,
         ...changes,
     });
-    const request = { avoid: new Set<string>(), dataCentre: "a", isUnsafe: true };
+    const request = { avoid: new Set<string>(), dataCentre: "a", isUnsafe: true, isSuspect: false };
 
     test("chooses the endpoint with the lowest utilization, and on a tie one in the gateway's own data centre", () => {
         const views = [makeView("x", { running: 2 }), makeView("y", { dataCentre: "b" }), makeView("z")];
@@ -93,6 +94,14 @@
     test("places no request on an endpoint whose slots and queue are full", () => {
         assert.equal(placeOnPlainService(request, [makeView("x", { running: 9 })]), undefined);
     });
+
+    test("does not place requests that may crash endpoints beside each other, where all would count as later arrivals", () => {
+        const suspect = { ...request, isSuspect: true };
+        const views = [makeView("x", { hasSuspect: true, running: 1 }), makeView("y", { running: 5 })];
+        assert.equal(placeOnPlainService(suspect, views)!.id, "y");
+        assert.equal(placeOnPlainService(suspect, views.slice(0, 1)), undefined);
+        assert.equal(placeOnPlainService(request, views)!.id, "x");
+    });
 });
 
 describe("load ledger", () => {
