Await a slow answer where no other endpoint can run the request

Seen: in endpointNotices.test.ts, "requests that wait when the last one announces it are refused then": 1 to 7 of 60 requests got 502.

Cause: a plain request counts as stalled 550 ms after it was sent. The stand-in answers after 500 ms, and 60 requests at once delay that. The gateway then closed the connection ("silent for 633 ms"), which cancels the request, to retry it on another endpoint; but the service has no other one, and the last one is leaving, so that the request that ran there to completion was answered 502.

Ruled out: a connection that the endpoint closed, and the notice itself (in three of the runs the request was dropped before the notice was known).

Change: a stalled attempt is kept while the service has no other endpoint that the request could run on, as it is kept while the retry budget is used up. It is dropped as soon as another one is known, or when the endpoint accepts no connections.

--- a/src/gateway/placementQueue.ts
+++ b/src/gateway/placementQueue.ts
@@ -34,7 +34,7 @@
     ServiceCapacity,
     StartPrediction,
 } from "./queueFairness.js";
-import { createServiceAvailability } from "./serviceAvailability.js";
+import { createServiceAvailability, EndpointTerms } from "./serviceAvailability.js";
 import { createUsableEndpoints } from "./usableEndpoints.js";
 import { createWaitPrediction } from "./waitPrediction.js";
 
@@ -53,6 +53,8 @@
      * a request is sent that had to wait with its place.
      */
     isStillUsable(place: Place): boolean;
+    /** Returns whether an endpoint is known that a request could run on and that is not closed for good. */
+    hasEndpointLeft(terms: EndpointTerms): boolean;
     /** Predicts when a waiting request starts. */
     predictStart(job: PlacementJob): StartPrediction | undefined;
     /** Creates a queue with a copy of what waits here, to find out what it would decide. */
@@ -437,6 +439,7 @@
         countWaiting: () => waiting.length,
         isStillUsable: ({ endpoint, helpers }) =>
             [endpoint, ...helpers].every(record => gate.getOpensInMs(record, timers.now()) < Infinity),
+        hasEndpointLeft: terms => availability.hasEndpointLeft(terms, timers.now()),
         getLoad(service) {
             const nowMs = timers.now();
             const usable = listUsableEndpoints(service, nowMs);
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -222,9 +222,9 @@
     }
 
     /**
-     * Handles a stall. While the retry budget is used up, an endpoint that still accepts connections may only be slow, so
-     * its answer is awaited. Otherwise the customer is told, and may resume the stream with another request. With another
-     * attempt in flight, nothing is spent.
+     * Handles a stall. While the retry budget is used up, or if no other endpoint is left to run the request, an endpoint
+     * that still accepts connections may only be slow, so its answer is awaited. Otherwise the customer is told, and may
+     * resume the stream with another request. With another attempt in flight, nothing is spent.
      */
     function handleStall(attempt: Attempt): void {
         if (attempts.length > 1) {
@@ -234,7 +234,8 @@
         if (!isFurtherRunAllowed()) {
             return;
         }
-        if (services.retryBudget.getBalance() < 1) {
+        const avoided = new Set([...avoid, attempt.place.endpoint.id]);
+        if (services.retryBudget.getBalance() < 1 || !placementQueue.hasEndpointLeft(makeJob(avoided))) {
             void attempt.dropIfUnreachable();
             return;
         }
--- a/src/gateway/serviceAvailability.ts
+++ b/src/gateway/serviceAvailability.ts
@@ -6,10 +6,15 @@
 import { EndpointGate } from "./endpointGate.js";
 import { PlacementJob } from "./place.js";
 
+/** What decides on which endpoints a request may run. */
+export type EndpointTerms = Pick<PlacementJob, "service" | "avoid" | "allowedRegions">;
+
 /** Tells whether requests can still get an endpoint of their service. */
 export interface ServiceAvailability {
+    /** Returns whether an endpoint is known that a request could run on and that is not closed for good. */
+    hasEndpointLeft(terms: EndpointTerms, nowMs: number): boolean;
     /** Returns whether endpoints are known that a request could run on and all of them are closed for good. */
-    hasNoneLeft(job: PlacementJob, nowMs: number): boolean;
+    hasNoneLeft(job: EndpointTerms, nowMs: number): boolean;
     /** Returns the time until the first endpoint that a request may use opens, in milliseconds; infinite if all leave. */
     getOpensInMs(service: Service, avoid: ReadonlySet<string>, nowMs: number): number;
     /** Returns whether all endpoints are closed until the request can no longer start in time. */
@@ -33,20 +38,21 @@
 export function createServiceAvailability(options: ServiceAvailabilityOptions): ServiceAvailability {
     const { directory, endpointSubset, gate, regions } = options;
 
-    /**
-     * Returns whether endpoints are known that a request could run on and all of them are closed for good. No known
-     * endpoint at all may only be a short loss, which the request waits for.
-     */
-    function hasNoneLeft({ service, avoid, allowedRegions }: PlacementJob, nowMs: number): boolean {
+    function hasEndpointLeft({ service, avoid, allowedRegions }: EndpointTerms, nowMs: number): boolean {
         const isLeft = (record: EndpointRecord) =>
             !avoid.has(record.id) && gate.getOpensInMs(record, nowMs) < Infinity
             && isRegionAllowed(allowedRegions, record.dataCentre, regions);
         // Some endpoint of the own subset is left nearly always.
-        if (endpointSubset.list(service.name).some(isLeft)) {
-            return false;
-        }
-        const known = directory.listUsable(service.name).filter(record => !avoid.has(record.id));
-        return known.length > 0 && !known.some(isLeft);
+        return endpointSubset.list(service.name).some(isLeft) || directory.listUsable(service.name).some(isLeft);
+    }
+
+    /**
+     * Returns whether endpoints are known that a request could run on and all of them are closed for good. No known
+     * endpoint at all may only be a short loss, which the request waits for.
+     */
+    function hasNoneLeft(terms: EndpointTerms, nowMs: number): boolean {
+        return !hasEndpointLeft(terms, nowMs)
+            && directory.listUsable(terms.service.name).some(record => !terms.avoid.has(record.id));
     }
 
     /**
@@ -73,5 +79,5 @@
         return nowMs + getOpensInMs(job.service, job.avoid, nowMs) > Math.max(nowMs, hardStartDeadlineMs);
     }
 
-    return { hasNoneLeft, getOpensInMs, isClosedTooLong };
+    return { hasEndpointLeft, hasNoneLeft, getOpensInMs, isClosedTooLong };
 }
