Count waiting, refused and late requests by customer

Cause: no metric told whose requests wait, are refused or are late when one customer overloads a service. Change: jujubelane_customer_requests_total by event, route kind, customer and data centre. Late is a first byte after the route's target, or none before the deadline.

--- a/src/base/metrics.ts
+++ b/src/base/metrics.ts
@@ -7,6 +7,8 @@
 export interface Metrics {
     /** Adds to a counter. The `help` of the first call for a name is rendered. */
     count(name: string, help: string, labels?: MetricLabels, amount?: number): void;
+    /** Removes the series of a counter that have these labels, so that labels whose values change stay bounded. */
+    remove(name: string, labels: MetricLabels): void;
     /** Records a duration in milliseconds. The series is rendered as a summary in seconds. */
     recordDuration(name: string, help: string, durationMs: number, labels?: MetricLabels): void;
     /** Registers a gauge; `read` is called each time the metrics are rendered. */
@@ -58,6 +60,12 @@
             const key = formatLabels(labels);
             counters.set(key, (counters.get(key) ?? 0) + amount);
         },
+        remove(name, labels) {
+            const { counters } = families.get(name) ?? {};
+            const wanted = Object.entries(labels).map(([label, value]) => formatLabels({ [label]: value }));
+            [...counters?.keys() ?? []].filter(key => wanted.every(label => `,${key},`.includes(`,${label},`)))
+                .forEach(key => counters!.delete(key));
+        },
         recordDuration(name, help, durationMs, labels = {}) {
             const { histograms } = getFamily(name, MetricKind.Summary, help);
             const key = formatLabels(labels);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -91,7 +91,6 @@
     const slowdownEstimate = createSlowdownEstimate();
     const ledger = createLoadLedger();
     const connections = createEndpointConnections(address => crashDetector.recordIdleClose(address));
-    const keyPrefix = ports.incarnation.slice(-8);
     const exchangeAddress = `${settings.ip}:${settings.exchangePort}`;
     const endpointSubset = createEndpointSubset(
         directory,
@@ -226,7 +225,7 @@
         dataCentre: settings.dataCentre,
         regions: settings.regions,
         orderSeed: settings.host,
-        keyPrefix,
+        keyPrefix: ports.incarnation.slice(-8),
         random: ports.random,
         placeOnEngines,
         chooseClaim,
@@ -248,7 +247,7 @@
         timers,
         log,
         maxLeaseMs: settings.maxHoldMs,
-        idPrefix: keyPrefix,
+        idPrefix: ports.incarnation.slice(-8),
         onAnswer: (address, status, headers) =>
             endpointNotices.recordCallAnswer(address, ports.codec.decodeAnswer(status, headers)),
     });
@@ -322,10 +321,11 @@
         return endpoint ? directory.applyRecord(endpoint, nowMs) : directory.applyRemoval(record.key, nowMs);
     }
 
-    const services: RequestServices = {
+    const services: Omit<RequestServices, "customerMetrics"> = {
         timers,
         log,
         metrics,
+        dataCentre: settings.dataCentre,
         codec: ports.codec,
         connections,
         placementQueue,
--- a/src/gateway/gatewayStatus.ts
+++ b/src/gateway/gatewayStatus.ts
@@ -12,7 +12,7 @@
 import { serveStatus } from "./textServer.js";
 
 /** Parts of a gateway whose state can be read. */
-export interface GatewayStatusParts extends RequestServices, GaugeSources {
+export interface GatewayStatusParts extends Omit<RequestServices, "customerMetrics">, GaugeSources {
     readonly directory: EndpointDirectory;
     readonly coldWatch: ColdWatch;
     readonly evacuationWatch: EvacuationWatch;
--- a/src/gateway/requestIntake.ts
+++ b/src/gateway/requestIntake.ts
@@ -9,13 +9,14 @@
 import { computeQuarantineRetryAfterMs, computeRetryAfterMs, renderRetryAfter } from "../scheduling/retryAfter.js";
 import { AcceptedRequest, computeCustomerTerms, computeTimes, predictDuration } from "./acceptedRequest.js";
 import { createCustomerAnswer } from "./customerAnswer.js";
+import { createCustomerMetrics } from "./customerMetrics.js";
 import { computeFingerprint, listTraits } from "./quarantineRegistry.js";
 import { RequestServices } from "./requestServices.js";
 import { startRequestTask } from "./requestTask.js";
 import { StartupGate } from "./startupGate.js";
 
 export interface RequestIntakeOptions {
-    readonly services: RequestServices;
+    readonly services: Omit<RequestServices, "customerMetrics">;
     /** Returns the routes of the newest configuration, or `undefined` until one is known. */
     readonly getTable: () => RouteTable | undefined;
     /** Opens when the first configuration is known. */
@@ -60,7 +61,8 @@
 export function createRequestIntake(
     options: RequestIntakeOptions,
 ): (request: IncomingMessage, response: ServerResponse) => void {
-    const { services } = options;
+    const customerMetrics = createCustomerMetrics(options.services.metrics, options.services.dataCentre);
+    const services: RequestServices = { ...options.services, customerMetrics };
     const { timers, log, metrics, codec } = services;
     const isDraining = () => options.getDrain() !== undefined;
     let bufferedBytes = 0;
--- a/src/gateway/requestReport.ts
+++ b/src/gateway/requestReport.ts
@@ -3,6 +3,7 @@
 import { Verdict } from "../base/verdict.js";
 import { HedgeDecision } from "../retries/hedgePolicy.js";
 import { AcceptedRequest, computeTimes } from "./acceptedRequest.js";
+import { CustomerEvent } from "./customerMetrics.js";
 import { ClaimReport, Place, PlacementRefusal } from "./place.js";
 import { HedgeResult } from "./requestHedge.js";
 import { RequestServices } from "./requestServices.js";
@@ -79,19 +80,46 @@
  * report.recordEnd({ kind: EndKind.Answered, status: 200, attempts: 1, events: 0, longestPauseMs: 0 });
  */
 export function createRequestReport(request: AcceptedRequest, services: RequestServices): RequestReport {
-    const { log, metrics, timers } = services;
+    const { log, metrics, customerMetrics, timers } = services;
+    const { route, customer = "" } = request;
+    const { dueAtMs, deadlineAtMs } = computeTimes(request);
+    let hasWaited = false;
+    let dataCentre: string | undefined;
+    customerMetrics.recordArrival(customer);
+
+    function countEvent(event: CustomerEvent): void {
+        customerMetrics.count(event, route.kind, customer, dataCentre);
+    }
+
+    /** Counts a request that was refused for lack of capacity or was late. */
+    function countOverload({ kind, firstEventAtMs }: RequestEnd): void {
+        const answeredAtMs = firstEventAtMs ?? timers.now();
+        if (kind === EndKind.NoCapacity) {
+            countEvent(CustomerEvent.Refused);
+        }
+        else if (kind === EndKind.Deadline || (kind === EndKind.Answered && answeredAtMs > dueAtMs)) {
+            countEvent(CustomerEvent.Late);
+        }
+    }
 
     function write(event: LogEvent, fields: LogFields): void {
         log(event, { request: request.id, route: request.route.name, config: request.configurationVersion, ...fields });
     }
 
     return {
-        recordWaiting: (inputs, attempt) => write(LogEvent.RequestWaiting, { inputs, attempt }),
+        recordWaiting(inputs, attempt) {
+            write(LogEvent.RequestWaiting, { inputs, attempt });
+            if (!hasWaited) {
+                hasWaited = true;
+                countEvent(CustomerEvent.Waiting);
+            }
+        },
         recordClaim({ engineIds, ...inputs }) {
             write(LogEvent.EnginesClaimed, { endpoints: engineIds.join(","), ...inputs });
             metrics.count("jujubelane_claims_total", "Times that engines were freed for a long prompt.");
         },
         recordDispatch(place, attempt) {
+            ({ dataCentre } = place.endpoint);
             write(LogEvent.EndpointChosen, {
                 endpoint: place.endpoint.id,
                 address: place.endpoint.address,
@@ -137,6 +165,7 @@
         },
         recordTaskFailure: (task, error) => write(LogEvent.TaskFailed, { task, error: String(error) }),
         recordEnd(end) {
+            countOverload(end);
             const tookMs = timers.now() - request.arrivedAtMs;
             const { kind: result, firstEventAtMs, refusal, ...fields } = end;
             const { inputs, startMs } = refusal ?? {};
@@ -152,7 +181,7 @@
                 longestPauseMs: Math.round(end.longestPauseMs),
                 readMs: end.readMs && Math.round(end.readMs),
                 promptTokens: request.head.prompt?.promptTokens,
-                deadlineMs: Math.round(computeTimes(request).deadlineAtMs - request.arrivedAtMs),
+                deadlineMs: Math.round(deadlineAtMs - request.arrivedAtMs),
                 tookMs: Math.round(tookMs),
             });
             const labels = { result: result === EndKind.Answered ? `${result}-${end.status}` : result };
--- a/src/gateway/requestServices.ts
+++ b/src/gateway/requestServices.ts
@@ -6,6 +6,7 @@
 import { RetryBudget } from "../retries/retryBudget.js";
 import { SlowdownEstimate } from "../routing/slowdownEstimate.js";
 import { CrashDetector } from "./crashDetector.js";
+import { CustomerMetrics } from "./customerMetrics.js";
 import { EndpointConnections } from "./endpointConnections.js";
 import { EndpointNoticeBoard } from "./endpointNoticeBoard.js";
 import { EndpointQuota } from "./endpointQuota.js";
@@ -19,6 +20,9 @@
     readonly timers: TimerService;
     readonly log: EventLog;
     readonly metrics: Metrics;
+    readonly customerMetrics: CustomerMetrics;
+    /** Data centre of this gateway. */
+    readonly dataCentre: string;
     readonly codec: ExchangeCodec;
     readonly connections: EndpointConnections;
     readonly placementQueue: PlacementQueue;
--- a/test/scheduling/customerShares.test.ts
+++ b/test/scheduling/customerShares.test.ts
@@ -1,5 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
+import { createMetrics } from "../../src/base/metrics.js";
+import { createCustomerMetrics, CustomerEvent } from "../../src/gateway/customerMetrics.js";
 import { PlacementStage } from "../../src/routing/enginePlacement.js";
 import { chooseStage, predictEngineStartMs } from "../../src/routing/engineShare.js";
 import { countPlaces } from "../../src/routing/plainPlacement.js";
@@ -108,6 +110,28 @@
     });
 });
 
+describe("counters by customer", () => {
+    test("name 64 customers at most, the busiest among them, so that many customers do not grow the metrics without bound", () => {
+        const metrics = createMetrics();
+        const customers = createCustomerMetrics(metrics, "a");
+        for (let index = 0; index < 1_000; index++) {
+            for (const customer of ["busy", `rare-${index}`]) {
+                customers.recordArrival(customer);
+                customers.count(CustomerEvent.Late, "plain", customer, "b");
+            }
+        }
+        const lines = metrics.render().split("\n").filter(line =>
+            line.startsWith("jujubelane_customer_requests_total")
+        );
+        assert.ok(lines.length <= 65, `${lines.length} series`);
+        assert.ok(
+            lines.includes(
+                'jujubelane_customer_requests_total{event="late",kind="plain",customer="busy",data_centre="b"} 1000',
+            ),
+        );
+    });
+});
+
 describe("order of the work of several customers", () => {
     test("work above its share comes after work of others that arrives until its latest start, and before later work", () => {
         const flood = makeWork(0, 500, true);
