--- a/src/gateway/customerAccess.ts
+++ b/src/gateway/customerAccess.ts
@@ -3,7 +3,6 @@
 import { GatewaySettings } from "./gatewaySettings.js";
 import { createPressureWatch, PressureWatch, PressureWatchOptions } from "./pressureWatch.js";
 import { createRequestIntake, RequestIntakeOptions } from "./requestIntake.js";
-import { RequestServices } from "./requestServices.js";
 import { SocketMeter } from "./socketMeter.js";
 
 export interface CustomerAccessOptions
@@ -12,7 +11,7 @@
         Pick<PressureWatchOptions, "address" | "exchange">
 {
     readonly settings: GatewaySettings;
-    readonly services: RequestServices;
+    readonly services: RequestIntakeOptions["services"];
     readonly socketMeter: SocketMeter;
     readonly disposables: DisposableStore;
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -278,10 +278,11 @@
         return { gateways: Math.max(heard, cells.countSharing(endpoints, unlisted)), heard };
     }
 
-    const services: RequestServices = {
+    const services: Omit<RequestServices, "customerMetrics"> = {
         timers,
         log,
         metrics,
+        dataCentre: settings.dataCentre,
         codec: ports.codec,
         connections,
         placementQueue,
--- a/src/gateway/requestIntake.ts
+++ b/src/gateway/requestIntake.ts
@@ -13,6 +13,7 @@
 import { AcceptedRequest, computeCustomerTerms, computeTimes, predictDuration } from "./acceptedRequest.js";
 import { createAnswerBuffers } from "./answerBuffers.js";
 import { createCustomerAnswer } from "./customerAnswer.js";
+import { createCustomerMetrics } from "./customerMetrics.js";
 import { PressureWatch } from "./pressureWatch.js";
 import { computeFingerprint, listTraits } from "./quarantineRegistry.js";
 import { RequestServices } from "./requestServices.js";
@@ -20,7 +21,7 @@
 import { StartupGate } from "./startupGate.js";
 
 export interface RequestIntakeOptions {
-    readonly services: RequestServices;
+    readonly services: Omit<RequestServices, "customerMetrics">;
     /** Returns the routes of the newest configuration, or `undefined` until one is known. */
     readonly getTable: () => RouteTable | undefined;
     /** Opens when the first configuration is known. */
@@ -67,7 +68,8 @@
 export function createRequestIntake(
     options: RequestIntakeOptions,
 ): (request: IncomingMessage, response: ServerResponse) => void {
-    const { services } = options;
+    const customerMetrics = createCustomerMetrics(options.services.metrics, options.services.dataCentre);
+    const services: RequestServices = { ...options.services, customerMetrics };
     const { timers, log, metrics, codec } = services;
     const isDraining = () => options.getDrain() !== undefined;
     const answerBuffers = createAnswerBuffers({ timers, log, metrics, maxBytes: options.maxBufferedBytes });
