Report spare engines to other cells only, and use of customers once a second

Reports of spare engines went to the own cell as well, and each gateway repeated the use of each of its customers twice a second. Change: topics may leave out the own cell; use is reported every second and ends after 2.9 s without a repeat.

--- a/src/gateway/engineLending.ts
+++ b/src/gateway/engineLending.ts
@@ -54,6 +54,7 @@
     const publisher = options.notices.register<SpareNotice>({
         name: "spare",
         isForAllCells: true,
+        isForOwnCell: false,
         isValid: isSpareNotice,
         onReceived: (received, { address }) => spareEngines.apply(address, received.map(decode), timers.now()),
         // Reports are renewed more often than notices are repeated.
--- a/src/gateway/fairnessExchange.ts
+++ b/src/gateway/fairnessExchange.ts
@@ -59,6 +59,12 @@
         && Number.isInteger(value[3]) && isNumber(value[4], 0) && Number.isInteger(value[5]) && isNumber(value[5], 0);
 }
 
+/**
+ * Repeats of notices for each report of use, which is thereby a second old at most. Reports of all customers of all gateways
+ * were the largest part of the bytes between data centres.
+ */
+const repeatsPerUsageReport = 2;
+
 /**
  * Starts the exchange.
  *
@@ -69,12 +75,22 @@
 export function startFairnessExchange(options: FairnessExchangeOptions): FairnessExchange {
     const { notices, timers, log, metrics } = options;
     const state = createFairnessState();
+    let usageRepeats = 0;
     let waiting: readonly WaitingGroup[] = [];
     let reported = new Map<string, WaitingGroup>();
     let nextReport: Disposable | undefined;
     let lastReportMs = Number.NEGATIVE_INFINITY;
     let aboveShare: readonly string[] = [];
 
+    function listUsage(): readonly UsageNotice[] {
+        return state.usage.listOwn(timers.now()).map(({ service, customer, usedMs }) => [
+            service,
+            customer,
+            Math.round(usedMs),
+            Math.round(state.residence.get(service) ?? 0),
+        ]);
+    }
+
     notices.register<UsageNotice>({
         name: "usage",
         isForAllCells: false,
@@ -85,10 +101,10 @@
             received.filter(([, , , residenceMs]) => residenceMs > 0)
                 .forEach(([service, , , residenceMs]) => state.residence.recordReported(service, residenceMs));
         },
-        listCurrent: () =>
-            state.usage.listOwn(timers.now()).map((
-                { service, customer, usedMs },
-            ) => [service, customer, Math.round(usedMs), Math.round(state.residence.get(service) ?? 0)]),
+        listCurrent() {
+            usageRepeats += 1;
+            return usageRepeats % repeatsPerUsageReport === 0 ? listUsage() : [];
+        },
     });
     const waitingPublisher: NoticePublisher<WaitingNotice> = notices.register<WaitingNotice>({
         name: "waiting",
--- a/src/gateway/loadExchange.ts
+++ b/src/gateway/loadExchange.ts
@@ -121,8 +121,8 @@
         address: ownAddress,
         incarnation: options.incarnation,
         log,
-        send(bytes, isForAllCells, address) {
-            const targets = isForAllCells ? [...listTargets(), ...others] : listTargets();
+        send(bytes, { isForAllCells, isForOwnCell = true }, address) {
+            const targets = [...isForOwnCell ? listTargets() : [], ...isForAllCells ? others : []];
             sendBytes(bytes, address === undefined ? targets : [address]);
         },
     });
--- a/src/gateway/peerNotices.ts
+++ b/src/gateway/peerNotices.ts
@@ -17,6 +17,8 @@
     readonly name: string;
     /** Whether gateways of other cells are told too. */
     readonly isForAllCells: boolean;
+    /** Whether the own cell is told. Absent: it is. */
+    readonly isForOwnCell?: boolean;
     /** Checks a received value, which can come from anywhere. */
     readonly isValid: (value: unknown) => value is Notice;
     onReceived(notices: readonly Notice[], sender: NoticeSender): void;
@@ -39,9 +41,12 @@
     receive(bytes: Buffer, senderAddress: string): boolean;
 }
 
+/** Cells whose gateways are told. */
+export type NoticeReceivers = Pick<NoticeTopic<unknown>, "isForAllCells" | "isForOwnCell">;
+
 export interface PeerNoticesOptions extends NoticeSender {
     readonly log: EventLog;
-    readonly send: (bytes: Buffer, isForAllCells: boolean, address?: string) => void;
+    readonly send: (bytes: Buffer, receivers: NoticeReceivers, address?: string) => void;
 }
 
 /** Keeps a message within one datagram of a usual network. */
@@ -58,8 +63,7 @@
 
 type WireMessage = [string, number, string, string, string, string, unknown[]];
 
-interface RegisteredTopic {
-    readonly isForAllCells: boolean;
+interface RegisteredTopic extends NoticeReceivers {
     /** Applies received values. Returns how many were malformed. */
     apply(values: readonly unknown[], sender: NoticeSender): number;
     listCurrent(): readonly unknown[];
@@ -80,14 +84,14 @@
 
     function sendNotices(
         name: string,
-        isForAllCells: boolean,
+        receivers: NoticeReceivers,
         values: readonly unknown[],
         target?: string,
     ): void {
         for (let start = 0; start < values.length; start += noticesPerMessage) {
             const part = values.slice(start, start + noticesPerMessage);
             const wire: WireMessage = [messageKind, messageVersion, host, address, incarnation, name, part];
-            send(encoder.encode(wire), isForAllCells, target);
+            send(encoder.encode(wire), receivers, target);
         }
     }
 
@@ -112,6 +116,7 @@
         register(topic) {
             topics.set(topic.name, {
                 isForAllCells: topic.isForAllCells,
+                isForOwnCell: topic.isForOwnCell,
                 apply(values, sender) {
                     const valid = values.filter(topic.isValid);
                     if (valid.length > 0) {
@@ -122,10 +127,10 @@
                 listCurrent: () => topic.listCurrent(),
                 repeats: 0,
             });
-            return { publish: (notices, target) => sendNotices(topic.name, topic.isForAllCells, notices, target) };
+            return { publish: (notices, target) => sendNotices(topic.name, topic, notices, target) };
         },
         repeat(target) {
-            topics.forEach((topic, name) => sendNotices(name, topic.isForAllCells, selectRepeated(topic), target));
+            topics.forEach((topic, name) => sendNotices(name, topic, selectRepeated(topic), target));
         },
         receive(bytes, senderAddress) {
             const wire = bytes[0] === firstByte ? decodeWire(bytes) : undefined;
--- a/src/routing/spareEngines.ts
+++ b/src/routing/spareEngines.ts
@@ -52,6 +52,8 @@
 const maxReportedEngines = 40;
 /** Share of a cell's engines that it reports as spare, so that a burst of its own finds engines as well. */
 const maxSpareShare = 0.5;
+/** Slack that is reported of an engine whose requests set no limit, in milliseconds: more than any prefill takes. */
+const unlimitedSlackMs = 600_000;
 /** Share of an engine's slots up to which it counts as spare. */
 const spareSlotShare = 0.65;
 /** An engine with a longer pending prefill than this, in milliseconds, is not spare. */
@@ -98,7 +100,7 @@
             running: view.running,
             usedTokens: view.memoryTokens - view.freeTokens,
             pendingPrefillMs: view.pendingPrefillMs,
-            slackMs: Math.min(...view.constraints.map(item => item.slackMs), Number.MAX_SAFE_INTEGER),
+            slackMs: Math.min(...view.constraints.map(item => item.slackMs), unlimitedSlackMs),
             gapTargetMs: view.constraints.reduce(
                 (strictest, { gapTargetMs }) => strictest === 0 ? gapTargetMs : Math.min(strictest, gapTargetMs),
                 0,
--- a/src/scheduling/customerUsage.ts
+++ b/src/scheduling/customerUsage.ts
@@ -44,8 +44,8 @@
 const decayMs = 4_000;
 /** Time for which a customer that sends nothing more still counts among those that divide the service. */
 const activeMs = 3_000;
-/** Time after which a use without a repeat ends. Reports are repeated every 0.5 s, so three may be lost. */
-export const reportEndMs = 1_900;
+/** Time after which a use without a repeat ends. Reports are repeated every second, so that one may be lost. */
+export const reportEndMs = 2_900;
 /** Use in relation to an equal share above which it exceeds the share. Customers of about equal use stay below it. */
 const excessFactor = 1.25;
 /**
