Move the reports that load messages repeat out of the load exchange

No message changes. Verified: formatter, linter, types, and the tests of the exchange, quarantines, notices, crashes, endpoint limits and documents.

--- a/src/gateway/loadExchange.ts
+++ b/src/gateway/loadExchange.ts
@@ -9,6 +9,7 @@
 import { LoadLedger, WorkItem, WorkPhase } from "../routing/loadLedger.js";
 import { decodeLoadMessage, encodeLoadMessage, LoadMessage } from "./loadMessage.js";
 import { createPeerNotices, PeerNotices } from "./peerNotices.js";
+import { createRecentReports, noReports, Reports } from "./recentReports.js";
 
 /** Changes other than new work are collected for this time and sent in one message, in milliseconds. */
 const batchDelayMs = 5;
@@ -18,14 +19,6 @@
  * Time after which a gateway that has sent nothing is no longer sent changes. Its work is removed at its predicted end.
  */
 const peerTimeoutMs = 3_000;
-/** Time for which snapshots repeat news of crashes and quarantines, because messages can be lost, in milliseconds. */
-const noticeRepeatMs = 2_000;
-/** Number of snapshots after which all quarantines and limits are sent again, to gateways that were cut off in the meantime. */
-const snapshotsPerFullList = 4;
-const quarantinesPerMessage = 20;
-const limitsPerMessage = 40;
-/** Largest number of crashes in one message; the rest of many crashes at once is sent with the next snapshots. */
-const crashesPerMessage = 4;
 /** Keeps a message within one datagram of a usual network. */
 const itemsPerMessage = 20;
 
@@ -75,10 +68,6 @@
     readonly isForeign: (endpoint: string) => boolean;
 }
 
-type Notices = Pick<LoadMessage, "crashes" | "quarantines" | "limits">;
-
-const noNotices: Notices = { crashes: [], quarantines: [], limits: [] };
-
 interface Peer {
     incarnation: string;
     sequence: number;
@@ -104,10 +93,7 @@
     /** Keys of own work at endpoints of other cells. */
     const foreignKeys = new Set<string>();
     let hasReportedForeign = false;
-    let recentCrashes: { readonly report: CrashReport; readonly reportedAtMs: number }[] = [];
-    let recentTerms: { readonly term: QuarantineTerm; readonly reportedAtMs: number }[] = [];
-    let recentLimits: { readonly limit: EndpointLimit; readonly reportedAtMs: number }[] = [];
-    let snapshotCount = 0;
+    const recentReports = createRecentReports(() => options.listQuarantines(), () => options.listLimits());
     let members: readonly string[] = [];
     let others: ReadonlySet<string> = new Set();
     let sequence = 0;
@@ -143,7 +129,7 @@
         items: readonly WorkItem[],
         removed: readonly string[],
         targets: Iterable<string> = listTargets(),
-        notices: Notices = noNotices,
+        reports: Reports = noReports,
     ): void {
         sequence += 1;
         const message: LoadMessage = {
@@ -154,7 +140,7 @@
             isSnapshot,
             items,
             removed,
-            ...notices,
+            ...reports,
         };
         sendBytes(encodeLoadMessage(message, timers.now()), targets);
     }
@@ -181,7 +167,7 @@
     function sendSnapshot(): void {
         const items = ledger.listOwn();
         changes.clear();
-        send(true, items.slice(0, itemsPerMessage), [], listTargets(), listSnapshotNotices());
+        send(true, items.slice(0, itemsPerMessage), [], listTargets(), recentReports.listForSnapshot(timers.now()));
         for (let start = itemsPerMessage; start < items.length; start += itemsPerMessage) {
             send(false, items.slice(start, start + itemsPerMessage), []);
         }
@@ -199,44 +185,16 @@
         hasReportedForeign = foreignKeys.size > 0;
     }
 
-    /** Lists recent crashes, and recent or, now and then, all quarantines and limits. */
-    function listSnapshotNotices(): Notices {
-        const isFullList = snapshotCount++ % snapshotsPerFullList === 0;
-        const quarantines = isFullList ? options.listQuarantines() : recentTerms.map(item => item.term);
-        const limits = isFullList ? selectLimits(options.listLimits()) : recentLimits.map(item => item.limit);
-        return {
-            crashes: listRecentCrashes(),
-            quarantines: quarantines.slice(-quarantinesPerMessage),
-            limits: limits.slice(-limitsPerMessage),
-        };
-    }
-
-    /** Selects the limits of one message. If there are more, each message has the next ones. */
-    function selectLimits(limits: readonly EndpointLimit[]): readonly EndpointLimit[] {
-        if (limits.length <= limitsPerMessage) {
-            return limits;
-        }
-        const start = (snapshotCount * limitsPerMessage) % limits.length;
-        return [...limits, ...limits].slice(start, start + limitsPerMessage);
-    }
-
-    function listRecentCrashes(): CrashReport[] {
-        const nowMs = timers.now();
-        return recentCrashes.slice(-crashesPerMessage)
-            .map(({ report, reportedAtMs }) => ({ ...report, ageMs: report.ageMs + nowMs - reportedAtMs }));
-    }
-
-    /** Repeats recent news to the other cells. */
-    function sendNoticesToOthers(): void {
-        if (recentCrashes.length + recentTerms.length + recentLimits.length > 0) {
-            const quarantines = recentTerms.map(item => item.term).slice(-quarantinesPerMessage);
-            const limits = recentLimits.map(item => item.limit).slice(-limitsPerMessage);
-            send(false, [], [], others, { crashes: listRecentCrashes(), quarantines, limits });
+    /** Repeats recent reports to the other cells. */
+    function repeatReportsToOthers(): void {
+        const reports = recentReports.listRecent(timers.now());
+        if (reports) {
+            send(false, [], [], others, reports);
         }
     }
 
-    function sendToAll(notices: Notices): void {
-        send(false, [], [], [...listTargets(), ...others], notices);
+    function sendToAll(reports: Reports): void {
+        send(false, [], [], [...listTargets(), ...others], reports);
     }
 
     function sendChanges(): void {
@@ -286,14 +244,14 @@
             if (message.isSnapshot || message.items.length + message.removed.length > 0) {
                 receiveWork(message, borrowers);
             }
-            receiveNotices(message);
+            receiveReports(message);
             return;
         }
         const isNew = peers.get(message.address)?.incarnation !== message.incarnation;
         if (!receiveWork(message, peers)) {
             return;
         }
-        receiveNotices(message);
+        receiveReports(message);
         if (isNew) {
             log(LogEvent.PeerFound, { host: message.host, address: message.address });
             // It knows nothing of what was observed before. Several that start together share one repeat.
@@ -330,7 +288,7 @@
         notices.repeat();
     }
 
-    function receiveNotices({ crashes, quarantines, limits }: Notices): void {
+    function receiveReports({ crashes, quarantines, limits }: Reports): void {
         limits.forEach(options.onLimit);
         crashes.forEach(options.onCrash);
         quarantines.forEach(options.onQuarantine);
@@ -339,9 +297,7 @@
     function expirePeers(): void {
         const nowMs = timers.now();
         ledger.expire(nowMs);
-        recentCrashes = recentCrashes.filter(item => nowMs - item.reportedAtMs < noticeRepeatMs);
-        recentLimits = recentLimits.filter(item => nowMs - item.reportedAtMs < noticeRepeatMs);
-        recentTerms = recentTerms.filter(item => nowMs - item.reportedAtMs < noticeRepeatMs);
+        recentReports.expire(nowMs);
         for (const [address, peer] of peers) {
             if (nowMs - peer.lastReceivedAtMs > peerTimeoutMs) {
                 peers.delete(address);
@@ -361,7 +317,7 @@
     const snapshotTimer = timers.subscribe(snapshotIntervalMs, () => {
         sendSnapshot();
         sendForeignSnapshot();
-        sendNoticesToOthers();
+        repeatReportsToOthers();
         notices.repeat();
         expirePeers();
     });
@@ -390,17 +346,16 @@
             }
         },
         reportCrash(report) {
-            recentCrashes.push({ report, reportedAtMs: timers.now() });
-            sendToAll({ ...noNotices, crashes: [report] });
+            recentReports.addCrash(report, timers.now());
+            sendToAll({ ...noReports, crashes: [report] });
         },
         reportLimit(limit) {
-            recentLimits = recentLimits.filter(item => item.limit.endpoint !== limit.endpoint);
-            recentLimits.push({ limit, reportedAtMs: timers.now() });
-            sendToAll({ ...noNotices, limits: [limit] });
+            recentReports.addLimit(limit, timers.now());
+            sendToAll({ ...noReports, limits: [limit] });
         },
         reportQuarantine(term) {
-            recentTerms.push({ term, reportedAtMs: timers.now() });
-            sendToAll({ ...noNotices, quarantines: [term] });
+            recentReports.addTerm(term, timers.now());
+            sendToAll({ ...noReports, quarantines: [term] });
         },
         countHeard: maxSilenceMs => 1 + listHeard(maxSilenceMs).length,
         listHeard,
