--- a/src/gateway/loadExchange.ts
+++ b/src/gateway/loadExchange.ts
@@ -186,7 +186,7 @@
     }
 
     /** Repeats recent reports to the other cells. */
-    function repeatReportsToOthers(): void {
+    function sendRecentReports(): void {
         const reports = recentReports.listRecent(timers.now());
         if (reports) {
             send(false, [], [], others, reports);
@@ -317,7 +317,7 @@
     const snapshotTimer = timers.subscribe(snapshotIntervalMs, () => {
         sendSnapshot();
         sendForeignSnapshot();
-        repeatReportsToOthers();
+        sendRecentReports();
         notices.repeat();
         expirePeers();
     });
