--- a/src/gateway/placementQueue.ts
+++ b/src/gateway/placementQueue.ts
@@ -28,17 +28,9 @@
 import { EngineNeeds, Place, PlacementJob } from "./place.js";
 import { createPlaceAllocator } from "./placeAllocator.js";
 import { makePlacementRequest } from "./placementRequest.js";
-import {
-    createQueueFairness,
-    describeEngineCapacity,
-    describePlainCapacity,
-    isAlikePlain,
-    PlacementFairness,
-    QueuedWork,
-    ServiceCapacity,
-    StartPrediction,
-} from "./queueFairness.js";
+import { createQueueFairness, isAlikePlain, PlacementFairness, QueuedWork, StartPrediction } from "./queueFairness.js";
 import { createServiceAvailability, EndpointTerms } from "./serviceAvailability.js";
+import { describeEngineCapacity, describePlainCapacity, ServiceCapacity } from "./serviceCapacity.js";
 import { createServiceLoads } from "./serviceLoad.js";
 import { createUsableEndpoints } from "./usableEndpoints.js";
 import { createWaitPrediction } from "./waitPrediction.js";
--- a/src/gateway/queueFairness.ts
+++ b/src/gateway/queueFairness.ts
@@ -1,9 +1,7 @@
 import { TimerService } from "../base/timerService.js";
 import { defaultPlacementSettings } from "../routing/enginePlacement.js";
 import { predictEngineStartMs } from "../routing/engineShare.js";
-import { EngineView } from "../routing/engineView.js";
 import { computeEngineUseMs, predictFirstEventMs } from "../routing/placementStage.js";
-import { countPlaces, PlainView } from "../routing/plainPlacement.js";
 import {
     compareWaiting,
     computeOrderDelayMs,
@@ -29,6 +27,7 @@
 import { createYieldCycle } from "../scheduling/yieldCycle.js";
 import { Place, PlacementJob } from "./place.js";
 import { minPlainAnswerMs } from "./placeAllocator.js";
+import { ServiceCapacity } from "./serviceCapacity.js";
 
 /** Work in the placement queue. Its place in the order is computed anew for each placement run. */
 export interface QueuedWork extends WaitingWork {
@@ -41,16 +40,6 @@
     hasYielded: boolean;
 }
 
-/** Capacity of a service, from which the start of a further request is predicted. */
-export interface ServiceCapacity {
-    readonly running: number;
-    /** Places that the request may use and no request has. Plain services only. */
-    readonly freePlaces: number;
-    /** Prefill that engines have not done yet, in milliseconds, on average. */
-    readonly pendingPrefillMs: number;
-    readonly endpoints: number;
-}
-
 /** Predicted start of a waiting request. */
 export interface StartPrediction {
     /** Requests of the service that wait here and come before this one. */
@@ -393,44 +382,6 @@
     };
 }
 
-/**
- * Describes the capacity of a service on engines.
- *
- * @example
- * describeEngineCapacity(views).pendingPrefillMs;
- */
-export function describeEngineCapacity(views: readonly EngineView[]): ServiceCapacity {
-    const pendingMs = views.reduce((sum, view) => sum + view.pendingPrefillMs, 0);
-    return {
-        running: views.reduce((sum, view) => sum + view.running, 0),
-        freePlaces: 0,
-        pendingPrefillMs: pendingMs / Math.max(1, views.length),
-        endpoints: views.length,
-    };
-}
-
-/**
- * Describes the capacity of a plain service for one request.
- *
- * @param aboveShareGroups see `countPlaces`
- *
- * @example
- * describePlainCapacity(views, new Set(), undefined).freePlaces;
- */
-export function describePlainCapacity(
-    views: readonly PlainView[],
-    avoid: ReadonlySet<string>,
-    aboveShareGroups: number | undefined,
-): ServiceCapacity {
-    return {
-        running: views.reduce((sum, view) => sum + view.running, 0),
-        freePlaces: views.filter(view => !avoid.has(view.id) && !view.isTrial)
-            .reduce((sum, view) => sum + Math.max(0, countPlaces(view.slots, aboveShareGroups) - view.running), 0),
-        pendingPrefillMs: 0,
-        endpoints: views.length,
-    };
-}
-
 /**
  * Returns whether a request finds no place in a placement run in which one of its class and service has found none.
  *
