Choose ports of the review's scripts below the ephemeral range

A port that had been found free was taken by an outgoing connection once, so that a gateway could not start. Also raises the time limits of the shared configuration, so that no answer of a case ends at them.

--- a/review/support/configuration.ts
+++ b/review/support/configuration.ts
@@ -9,8 +9,8 @@
     return {
         version,
         routes: [
-            { ...plain, name: "look", prefix: "/look/", kind: "safe", attempts: 2, timeout_ms: 4_000, target_latency_ms: 200 },
-            { ...plain, name: "book", prefix: "/book/", kind: "unsafe", attempts: 1, timeout_ms: 4_000, target_latency_ms: 200 },
+            { ...plain, name: "look", prefix: "/look/", kind: "safe", attempts: 2, timeout_ms: 10_000, target_latency_ms: 200 },
+            { ...plain, name: "book", prefix: "/book/", kind: "unsafe", attempts: 1, timeout_ms: 10_000, target_latency_ms: 200 },
             {
                 ...stream,
                 name: "draft",
--- a/review/support/gateway.ts
+++ b/review/support/gateway.ts
@@ -1,3 +1,4 @@
+/* eslint-disable no-restricted-syntax -- random ports */
 import { ChildProcess, spawn } from "node:child_process";
 import { readFileSync } from "node:fs";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
@@ -29,12 +30,25 @@
 
 const root = join(import.meta.dirname, "../../..");
 
+/** Ports below those that the kernel gives to outgoing connections. */
+const lowestPort = 20_000;
+const portCount = 10_000;
+
+function canListen(port: number): Promise<boolean> {
+    return new Promise(resolve => {
+        const server = createServer();
+        server.once("error", () => resolve(false));
+        server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
+    });
+}
+
 async function findPort(): Promise<number> {
-    const server = createServer();
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const address = server.address();
-    await new Promise<void>(resolve => server.close(() => resolve()));
-    return typeof address === "object" && address !== null ? address.port : 0;
+    for (;;) {
+        const port = lowestPort + Math.floor(Math.random() * portCount);
+        if (await canListen(port)) {
+            return port;
+        }
+    }
 }
 
 /** Renders settings like those of a small deployment on the page DEPLOY, with loopback addresses. */
@@ -104,7 +118,7 @@
                 }
                 await sleep(50);
             }
-            throw new Error("the gateway has not become ready");
+            throw new Error(`the gateway has not become ready: ${getEnd() ?? "runs"}, ${output.slice(-500)}`);
         },
         signal: signal => void child.kill(signal),
         getEnd,
