Send answers of unknown length in chunks, so that a killed gateway leaves them incomplete

Customers got half of a stream or of a long plain answer and the regular end of their connection, and took it for whole: the gateway's process had been killed, and the kernel closes the connections of a killed process in order.

Cause: an answer whose endpoint gives no length was relayed without a length and without chunks, so that the end of the connection was the only end of the body. closeIncomplete and CustomerConnection.destroy reset such connections, but only while the process runs. The fault is not one of streams: plain answers over 1 MiB, safe and unsafe, ended in the same way.

Ruled out: the endpoint's end (it still sent), an answer held by the gateway (held ones have no head yet), the drain (living code resets).

Now the gateway sends chunks, or the length if it has held the whole answer. Only the last chunk makes the answer look whole, and it is written when the endpoint's answer has ended. The connection may be used again afterwards. Customers of HTTP/1.0 have no chunks; for them the reset stays the only sign.

--- a/src/gateway/answerRelay.ts
+++ b/src/gateway/answerRelay.ts
@@ -70,7 +70,6 @@
     let splitter: EventStreamSplitter = createEventStreamSplitter();
     let lastEventId = options.resumeAfterEventId;
     let eventCount = 0;
-    let isAnswerFramed = true;
     let buffered: Buffer[] = [];
     let bufferedBytes = 0;
     /** Bytes of this relay that the account of the answer knows of. */
@@ -101,8 +100,7 @@
 
     function startCustomerAnswer(): void {
         if (!answer.isStarted()) {
-            answer.start(head!.status, head!.forwarded, head!.isFramed);
-            isAnswerFramed = head!.isFramed;
+            answer.start(head!.status, head!.forwarded);
         }
     }
 
@@ -157,9 +155,6 @@
             return makeInvalid("stream ends in the middle of an event");
         }
         startCustomerAnswer();
-        if (isAnswerFramed && !head!.isFramed) {
-            return makeInvalid("stream may be truncated: the answer has no framing");
-        }
         const comments = splitter.takeComments();
         if (comments.length > 0) {
             answer.write(comments);
@@ -168,22 +163,15 @@
         return { kind: AnswerOutcomeKind.Complete, reason: "" };
     }
 
-    /**
-     * Sends a buffered answer with the framing that the endpoint used. An answer without a length is not given one,
-     * because it may be truncated and must not look complete.
-     */
+    /** Sends a plain answer whose end was received. */
     function sendBuffered(received: AnswerHead): void {
-        if (!answer.isStarted() && received.isFramed) {
-            const body = Buffer.concat(buffered);
-            dropBuffer();
-            answer.sendComplete(received.status, received.forwarded, body);
+        if (answer.isStarted()) {
+            answer.end();
             return;
         }
-        if (!answer.isStarted()) {
-            startCustomerAnswer();
-            sendHeld();
-        }
-        answer.end();
+        const body = Buffer.concat(buffered);
+        dropBuffer();
+        answer.sendComplete(received.status, received.forwarded, body);
     }
 
     function dropHeld(): void {
--- a/src/gateway/customerAnswer.ts
+++ b/src/gateway/customerAnswer.ts
@@ -9,10 +9,11 @@
     isStarted(): boolean;
     sendComplete(status: number, headers: RawHeaders, body: Buffer): void;
     /**
-     * Sends the status and headers. Without framing, the end of the connection marks the end of the body, so that the
-     * customer cannot tell whether the body is complete.
+     * Sends the status and headers of an answer whose length is not known. It is sent in chunks, so that only `end` makes
+     * it look whole, whatever happens to this process. Customers of HTTP/1.0 know no chunks: the end of their connection
+     * ends the body, and only a reset tells them that it is incomplete.
      */
-    start(status: number, headers: RawHeaders, isFramed: boolean): void;
+    start(status: number, headers: RawHeaders): void;
     /** Sends bytes, or holds them until the customer has read those before. */
     write(bytes: Buffer): void;
     end(): void;
@@ -51,7 +52,7 @@
 ): CustomerAnswer {
     const account = openAccount?.(handleDropped);
     const queue = createByteQueue();
-    let isUnframed = false;
+    let isEndedByClose = false;
     let isEnding = false;
     /** Whether the connection has not taken what was written, and how many bytes of it are counted. */
     let isBlocked = false;
@@ -154,7 +155,7 @@
 
     function closeIncomplete(): void {
         account?.close();
-        if (isUnframed) {
+        if (isEndedByClose) {
             // The regular end of the connection would complete the answer.
             response.socket?.resetAndDestroy();
         }
@@ -170,13 +171,11 @@
             hold(body);
             settle();
         },
-        start(status, headers, isFramed) {
-            if (!isFramed) {
-                response.useChunkedEncodingByDefault = false;
+        start(status, headers) {
+            isEndedByClose = !response.useChunkedEncodingByDefault;
+            if (isEndedByClose) {
                 response.shouldKeepAlive = false;
             }
-            // Node.js sends no chunks to customers that use HTTP/1.0 either.
-            isUnframed = !response.useChunkedEncodingByDefault;
             writeHead(status, headers);
         },
         write,
--- a/src/gateway/customerConnection.ts
+++ b/src/gateway/customerConnection.ts
@@ -208,7 +208,7 @@
         destroy() {
             const response = exchanges[0]?.response;
             if (response?.headersSent && !response.useChunkedEncodingByDefault && !response.writableFinished) {
-                // The regular end of the connection would complete an answer that has neither a length nor chunks.
+                // The regular end of the connection would complete an answer of HTTP/1.0, which has no chunks.
                 socket.resetAndDestroy();
             }
             else {
