Do not take the end of a crashed endpoint for the end of its answer

An endpoint that crashes between two events of a stream without a length, or within a plain body without one, leaves a connection that its system closes in order. The gateway passed such an answer on as whole. So far the customer got an ambiguous end; since answers of unknown length have chunks, the gateway would assert by the last chunk what it does not know.

Now the gateway tries to connect once before it writes the last chunk. A refused connection of an endpoint that is registered and has not announced that it leaves means that its process has ended; the attempt counts as broken, and is repeated or resumed where that is allowed. Leaving endpoints may stop listening before their last answer, and addresses that do not reply tell nothing of the process; their answers count as whole.

--- a/src/base/logEvents.ts
+++ b/src/base/logEvents.ts
@@ -21,6 +21,7 @@
     SpareEngineReporterChanged = 1015,
     AnswerDropped = 1016,
     DrainStepDecided = 1017,
+    AnswerEndingChecked = 1018,
     TicketIgnored = 1020,
     RequestSplit = 1021,
     MemoryOrderFailed = 1030,
--- a/src/gateway/answerRelay.ts
+++ b/src/gateway/answerRelay.ts
@@ -32,6 +32,8 @@
     dropHeld(): void;
     acceptHead(head: AnswerHead, requestId: string): AnswerOutcome;
     acceptData(bytes: Buffer): AnswerOutcome;
+    /** Whether an end after what was received would look like the regular one: it is not within an event. */
+    isEndPlausible(): boolean;
     acceptEnd(): AnswerOutcome;
     /** Sends the endpoint's error answer to the customer unchanged. */
     deliverFailure(): void;
@@ -206,6 +208,7 @@
             return pending;
         },
         acceptData: bytes => isRelayedAsStream() ? acceptEvents(bytes) : acceptUnstreamedData(bytes),
+        isEndPlausible: () => head !== undefined && !(isRelayedAsStream() && splitter.hasRemainder()),
         acceptEnd() {
             if (!head) {
                 return makeInvalid("answer ended without a status line");
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -3,6 +3,7 @@
 import { AnswerHead } from "../ports/exchange.js";
 import { AttemptPace } from "../scheduling/answerPace.js";
 import { AcceptedRequest } from "./acceptedRequest.js";
+import { AnswerEnding } from "./answerEnding.js";
 import { AnswerOutcome, AnswerOutcomeKind, AnswerRelay } from "./answerRelay.js";
 import { AttemptEnd, LossEvidence } from "./crashDetector.js";
 import { CustomerAnswer } from "./customerAnswer.js";
@@ -168,6 +169,22 @@
         }
     }
 
+    /** Ends the answer, unless it has no length and its endpoint may have ended within it. */
+    async function endAnswer(): Promise<void> {
+        if (answerHead && !answerHead.isFramed && answerHead.status < 500 && relay.isEndPlausible()) {
+            watch.dispose();
+            const ending = await services.answerEndings.check(request.id, place.endpoint);
+            if (isReleased) {
+                return;
+            }
+            if (ending === AnswerEnding.ProcessGone) {
+                handleSendFailure(SendFailureKind.Broken, "the endpoint's process has ended with its answer");
+                return;
+            }
+        }
+        handleOutcome(relay.acceptEnd());
+    }
+
     function handleOutcome(outcome: AnswerOutcome): void {
         if (isReleased) {
             return;
@@ -302,7 +319,7 @@
                         handleOutcome(relay.acceptData(bytes));
                         waitForRoom();
                     },
-                    onEnd: () => handleOutcome(relay.acceptEnd()),
+                    onEnd: () => void endAnswer(),
                     onFailure: handleSendFailure,
                 },
             );
--- a/src/gateway/endpointNoticeBoard.ts
+++ b/src/gateway/endpointNoticeBoard.ts
@@ -34,6 +34,8 @@
     /** Returns whether all of these endpoints may be sent work now. */
     areOpen(endpoints: readonly EndpointRecord[]): boolean;
     isLeaving(endpoint: EndpointRecord): boolean;
+    /** Returns whether the endpoint is registered under its start time and has announced in no way that it leaves. */
+    isStaying(endpoint: EndpointRecord): boolean;
     findLeaving(endpoint: EndpointRecord): LeavingNotice | undefined;
     /** Returns what the endpoint has told this gateway or, if nothing, what it has told others. */
     findFull(endpoint: EndpointRecord, nowMs: number): FullNotice | undefined;
@@ -249,6 +251,12 @@
         return leaving.has(makeIncarnation(endpoint));
     }
 
+    function isStaying(endpoint: EndpointRecord): boolean {
+        const known = directory.find(endpoint.id);
+        return known?.availability === EndpointAvailability.Ready
+            && known.record.startedAtMs === endpoint.startedAtMs && !isLeaving(endpoint);
+    }
+
     function isOpen(endpoint: EndpointRecord, nowMs: number): boolean {
         return !isLeaving(endpoint) && full.getUntilMs(makeIncarnation(endpoint)) <= nowMs;
     }
@@ -269,6 +277,7 @@
             }
         },
         isLeaving,
+        isStaying,
         findLeaving: endpoint => leaving.find(makeIncarnation(endpoint)),
         findFull: (endpoint, nowMs) =>
             [full, fullElsewhere].map(kept => kept.find(makeIncarnation(endpoint)))
--- a/src/gateway/eventStreamSplitter.ts
+++ b/src/gateway/eventStreamSplitter.ts
@@ -15,6 +15,8 @@
     countPendingBytes(): number;
     /** Removes and returns the comments after the last event. */
     takeComments(): Buffer;
+    /** Returns whether the last event is incomplete. */
+    hasRemainder(): boolean;
     /** Removes and returns the bytes of the last, incomplete event. */
     takeRemainder(): Buffer;
 }
@@ -108,6 +110,7 @@
         countEvents: () => eventCount,
         countPendingBytes: () => commentBytes + pendingBytes,
         takeComments,
+        hasRemainder: () => pendingBytes > 0,
         takeRemainder() {
             const taken = Buffer.concat(pending);
             pending = [];
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -15,6 +15,7 @@
 import { createAnswerPace } from "../scheduling/answerPace.js";
 import { defaultColdBound } from "../scheduling/coldBudget.js";
 import { LimitSharing } from "../scheduling/limitBudget.js";
+import { createAnswerEndings } from "./answerEnding.js";
 import { createColdWatch } from "./coldWatch.js";
 import { createConfigurationWatch } from "./configurationWatch.js";
 import { wrapFeed, wrapWritableFeed } from "./countedFeed.js";
@@ -304,6 +305,7 @@
         health,
         slowdownEstimate,
         answerPace,
+        answerEndings: createAnswerEndings({ timers, log, metrics, connections, endpointNotices }),
         drainControl,
         reservations,
         crashDetector,
--- a/src/gateway/requestServices.ts
+++ b/src/gateway/requestServices.ts
@@ -6,6 +6,7 @@
 import { RetryBudget } from "../retries/retryBudget.js";
 import { SlowdownEstimate } from "../routing/slowdownEstimate.js";
 import { AnswerPace } from "../scheduling/answerPace.js";
+import { AnswerEndings } from "./answerEnding.js";
 import { CrashDetector } from "./crashDetector.js";
 import { CustomerMetrics } from "./customerMetrics.js";
 import { DrainControl } from "./drainControl.js";
@@ -36,6 +37,7 @@
     readonly endpointQuota: EndpointQuota;
     readonly endpointNotices: EndpointNoticeBoard;
     readonly answerPace: AnswerPace;
+    readonly answerEndings: AnswerEndings;
     readonly drainControl: DrainControl;
     readonly retryBudget: RetryBudget;
     readonly hedging: Hedging;
--- a/test/platform/support/deployment.ts
+++ b/test/platform/support/deployment.ts
@@ -64,7 +64,7 @@
     readonly engineSlots?: number;
     /** Requests under which an instance of the plain service ends. It restarts under another id. */
     readonly serviceCrashPlan?: CrashPlan;
-    /** Time from the end of an instance of the plain service to the loss of its registration, in milliseconds. */
+    /** Time from the end of an endpoint to the loss of its registration, in milliseconds. */
     readonly lapseDelayMs?: number;
     /** Slots of each instance of the plain service, which it keeps to; absent: 8, which it does not keep to. */
     readonly serviceSlots?: number;
@@ -258,7 +258,8 @@
                     streamSlots: options.engineSlots,
                     crashingPart: options.crashingPart,
                     isCrashUnframed: options.isCrashUnframed,
-                    onCrashed: previousId => store.remove("keyed.servers", previousId),
+                    onCrashed: previousId =>
+                        void setTimeout(() => store.remove("keyed.servers", previousId), options.lapseDelayMs ?? 0),
                     onRestarted: engine => register(engine, "models"),
                 }),
         ),
--- a/test/platform/support/endpointStandIn.ts
+++ b/test/platform/support/endpointStandIn.ts
@@ -1,42 +1,11 @@
 import { IncomingHttpHeaders, IncomingMessage, ServerResponse } from "node:http";
 import { Socket } from "node:net";
 import { readBody, RunningServer, startHttpServer } from "../../../src/emulator/httpServer.js";
+import { EndpointFault } from "./endpointFault.js";
 import { createSlotPool } from "./slotPool.js";
+import { crashDelayMs, isUnframed, sendUnframed } from "./unframedAnswer.js";
 
-/** A fault that an endpoint simulates for one request. */
-export enum EndpointFault {
-    None = "none",
-    /** Refuses the request without running it. */
-    Full = "full",
-    /** Runs the request and answers 500. */
-    Error = "error",
-    /** Answers 503 and does not say whether the request has run. */
-    Unavailable = "unavailable",
-    /** Closes the connection before the first byte of the answer. */
-    CloseBeforeAnswer = "break-before",
-    /** Closes the connection within an event of a stream, or within the body of a plain answer. */
-    CloseWithinAnswer = "break-within",
-    /** Never answers and keeps the connection open. */
-    Silent = "silent",
-    /** Like `Silent`, and accepts no more connections, as after a power failure. */
-    PowerLoss = "dark",
-    /** Answers with the id of another request. */
-    WrongRequestId = "foreign-id",
-    /** Omits the response seal, which proves that the endpoint sent the answer. */
-    Unsealed = "unsealed",
-    /** Declares a content encoding. */
-    Encoded = "encoded",
-    /** Sends an unsolicited second answer after the first one. */
-    DuplicateAnswer = "doubled",
-    /** Sends an answer without a length that ends with the connection. */
-    Unframed = "unframed",
-    /** Like `Unframed`, but resets the connection before the body is complete. */
-    UnframedReset = "unframed-reset",
-    /** Like `Unframed`, but ends the connection in order within an event of a stream. */
-    UnframedWithinAnswer = "unframed-within",
-    /** Makes long pauses between the events of a stream, or before a plain answer. */
-    Slow = "slow",
-}
+export { EndpointFault };
 
 /** How an endpoint ends under a request. */
 export enum CrashKind {
@@ -147,8 +116,6 @@
     readonly onRestarted?: (endpoint: EndpointStandIn) => void;
 }
 
-/** Time from the first event of an answer to the crash that it causes, in milliseconds. */
-const crashDelayMs = 20;
 const restartDelayMs = 400;
 const defaultEventIntervalMs = 5;
 
@@ -157,13 +124,6 @@
     return `id: ${id}\ndata: piece ${id}\n\n`;
 }
 
-/** Renders the head of a stream that has neither a length nor chunks and ends with its connection. */
-function renderUnframedHead(headers: Readonly<Record<string, string>>): string {
-    const lines = Object.entries({ ...headers, "content-type": "text/event-stream", connection: "close" })
-        .map(([name, value]) => `${name}: ${value}\r\n`).join("");
-    return `HTTP/1.1 200 OK\r\n${lines}\r\n`;
-}
-
 /** Starts an endpoint on a free loopback port. */
 export async function startEndpointStandIn(options: EndpointStandInOptions): Promise<EndpointStandIn> {
     const requests: ReceivedRequest[] = [];
@@ -349,18 +309,12 @@
         headers: Record<string, string>,
     ): Promise<void> {
         const first = Number(request.headers["last-event-id"] ?? -1) + 1;
-        if (fault === EndpointFault.Unframed || fault === EndpointFault.UnframedWithinAnswer) {
-            const isCut = fault === EndpointFault.UnframedWithinAnswer;
+        const isCrashing = hasCrashingPart(request) && options.isCrashUnframed;
+        const unframedFault = isCrashing ? EndpointFault.UnframedCrash : fault;
+        if (isUnframed(unframedFault)) {
             const ids = Array.from({ length: options.events - first }, (unused, index) => first + index);
-            const events = ids.slice(0, isCut ? 2 : undefined).map(renderEvent).join("");
-            const cutEvent = isCut ? renderEvent(first + 2).slice(0, 5) : "";
-            request.socket.end(renderUnframedHead(headers) + events + cutEvent);
-            return;
-        }
-        if (hasCrashingPart(request) && options.isCrashUnframed) {
-            request.socket.write(renderUnframedHead(headers) + renderEvent(first));
-            await wait(crashDelayMs);
-            await crash();
+            const pieces = ids.map(renderEvent);
+            await sendUnframed(request.socket, { headers, type: "text/event-stream", pieces }, unframedFault, process);
             return;
         }
         const schedule = await scheduleStream(request, response);
@@ -403,16 +357,9 @@
         if (options.slotMs !== undefined) {
             await runInSlot(response);
         }
-        if (fault === EndpointFault.Unframed) {
-            const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
-            request.socket.end(`HTTP/1.1 200 OK\r\n${lines}Connection: close\r\n\r\n${body}`);
-            return;
-        }
-        if (fault === EndpointFault.UnframedReset) {
-            const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
-            request.socket.write(`HTTP/1.1 200 OK\r\n${lines}Connection: close\r\n\r\n${body.slice(0, 3)}`);
-            await wait(20);
-            request.socket.resetAndDestroy();
+        if (isUnframed(fault)) {
+            const pieces = [body.slice(0, 3), body.slice(3)];
+            await sendUnframed(request.socket, { headers, type: "text/plain", pieces }, fault, process);
             return;
         }
         response.writeHead(200, { ...headers, "content-length": String(body.length) });
@@ -437,6 +384,7 @@
         });
     }
 
+    const process = { stopAccepting: () => server.stopAccepting(), crash: () => crash() };
     let isListening = true;
     let isHung = false;
     let server = await startServer(0);
