See the reset of a connection to an endpoint that is not being read

An answer without a length whose connection was reset while its exchange was paused, since the customer read nothing, counted as whole.

Cause, by a trace of the socket's events: Node.js emits no error for such a reset. libuv polls the hang-up together with the last bytes and reports the end of the stream; the flag that the pool keeps for one microtask is never set. Ruled out: undici (it relays what the socket reports).

Now the state is kept for each connection, and its end is checked: a connection that was reset has no peer any more (getpeername fails), one that was closed in order still has one. Also the count of bytes that belong to no answer is kept for the connection of the exchange and not for the one that was read last.

--- a/src/gateway/endpointConnections.ts
+++ b/src/gateway/endpointConnections.ts
@@ -80,13 +80,19 @@
  */
 const maxFramingBytes = 256 * 1024;
 
+/** One connection to an endpoint. */
+interface EndpointConnection {
+    /** Whether it has ended with an error, such as a reset. */
+    hasFailed(): boolean;
+    /** Records that it has received a part of an answer. */
+    recordProgress(): void;
+}
+
 /** Connection pool of one endpoint that tells resets from regular ends of a connection. */
 interface ResetTrackingPool {
     readonly pool: Pool;
-    /** Returns whether the pool callback that is running now was caused by a connection reset. */
-    isReset(): boolean;
-    /** Records that the connection whose bytes are being parsed now has received a part of an answer. */
-    recordProgress(): void;
+    /** Returns the connection whose bytes arrived last, to which the head belongs that is being parsed now. */
+    getReceiving(): EndpointConnection | undefined;
 }
 
 interface EndpointPools {
@@ -164,9 +170,9 @@
 
 /**
  * Creates a pool that detects connection resets. When a connection is reset, undici reports an answer without a length
- * as complete. The error listener added here runs before undici's own listener for the same event, so that the flag is
- * set when undici reports the end of the answer. In the same way, the listener for received bytes runs before they are
- * parsed.
+ * as complete, and long afterwards if the exchange was paused. The error listener added here runs before undici's own
+ * listener for the same event, so that the connection is known to have failed when undici reports the end of the answer.
+ * In the same way, the listener for received bytes runs before they are parsed.
  */
 function createPool(
     address: string,
@@ -174,16 +180,30 @@
     onClosedByEndpoint: () => void,
     socketMeter: Pick<SocketMeter, "add"> | undefined,
 ): ResetTrackingPool {
-    let isResetNow = false;
-    let resetFramingBytes = () => {};
+    let receiving: EndpointConnection | undefined;
     const connector = buildConnector({ timeout: connectTimeoutMs });
 
-    function checkFramingBytes(socket: Socket): void {
+    function followConnection(socket: Socket): void {
         let progressAtBytes = 0;
-        socket.on("readable", () => {
-            resetFramingBytes = () => {
+        let hasFailed = false;
+        const connection: EndpointConnection = {
+            hasFailed: () => hasFailed,
+            recordProgress() {
                 progressAtBytes = socket.bytesRead;
-            };
+            },
+        };
+        socket.once("end", () => {
+            // Node.js reports the reset of a connection that was not being read like a regular end. Only after a reset, the
+            // system knows no peer of the connection any more.
+            hasFailed ||= socket.remoteAddress === undefined;
+            onClosedByEndpoint();
+        });
+        socket.on("error", () => {
+            hasFailed = true;
+            onClosedByEndpoint();
+        });
+        socket.on("readable", () => {
+            receiving = connection;
             if (socket.bytesRead - progressAtBytes > maxFramingBytes) {
                 socket.destroy(new Error(`${maxFramingBytes} bytes received that are no part of an answer`));
             }
@@ -193,16 +213,8 @@
     const pool = new Pool(`http://${address}`, {
         connect(options, callback) {
             const socket = connector(options, callback) as Socket | undefined;
-            socket?.once("end", onClosedByEndpoint);
-            socket?.on("error", () => {
-                onClosedByEndpoint();
-                isResetNow = true;
-                queueMicrotask(() => {
-                    isResetNow = false;
-                });
-            });
             if (socket) {
-                checkFramingBytes(socket);
+                followConnection(socket);
                 socketMeter?.add(socket);
             }
         },
@@ -211,7 +223,7 @@
         headersTimeout: 0,
         bodyTimeout: 0,
     });
-    return { pool, isReset: () => isResetNow, recordProgress: () => resetFramingBytes() };
+    return { pool, getReceiving: () => receiving };
 }
 
 function tryConnect(address: string): Promise<ConnectResult> {
@@ -239,6 +251,7 @@
     listener: AnswerListener,
 ): Exchange {
     let controller: Dispatcher.DispatchController | undefined;
+    let connection: EndpointConnection | undefined;
     let isAborted = false;
     trackingPool.pool.dispatch({
         method: request.method,
@@ -256,13 +269,14 @@
             if (status < 200) {
                 return;
             }
-            trackingPool.recordProgress();
+            connection = trackingPool.getReceiving();
+            connection?.recordProgress();
             if (!isAborted) {
                 listener.onHead(status, decodeRawHeaders(started));
             }
         },
         onResponseData(unused, bytes) {
-            trackingPool.recordProgress();
+            connection?.recordProgress();
             if (!isAborted) {
                 listener.onData(bytes);
             }
@@ -271,7 +285,7 @@
             if (isAborted) {
                 return;
             }
-            if (trackingPool.isReset()) {
+            if (connection?.hasFailed()) {
                 listener.onFailure(SendFailureKind.Broken, "connection reset before the answer was complete");
             }
             else {
--- a/test/gateway/brokenAnswers.test.ts
+++ b/test/gateway/brokenAnswers.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { createServer, Socket } from "node:net";
-import { after, before, describe, test } from "node:test";
+import { after, before, describe, test, TestContext } from "node:test";
 import { createEndpointConnections, EndpointConnections } from "../../src/gateway/endpointConnections.js";
 
 /** Guards against an answer that breaks off and is taken for complete. */
@@ -83,3 +83,54 @@
         }
     }
 });
+
+/** Guards against a reset that is not seen because nothing was read from the connection when it arrived. */
+describe("an answer without a length whose exchange is paused", () => {
+    const pieceBytes = 64 * 1024;
+    const pieces = 32;
+    const totalBytes = pieces * pieceBytes;
+
+    async function receivePaused(cut: Cut, context: TestContext): Promise<{ isComplete: boolean; bytes: number }> {
+        const server = createServer(socket => {
+            socket.on("error", () => undefined);
+            socket.once("data", () => {
+                socket.write("HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\n\r\n");
+                Array.from({ length: pieces }, () => socket.write(Buffer.alloc(pieceBytes)));
+                setTimeout(() => cut === Cut.Reset ? socket.resetAndDestroy() : socket.end(), resetDelayMs);
+            });
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const address = `127.0.0.1:${(server.address() as { port: number }).port}`;
+        const connections = createEndpointConnections();
+        context.after(async () => {
+            await connections.close();
+            server.close();
+        });
+        return new Promise(resolve => {
+            let bytes = 0;
+            let isPaused = false;
+            const request = { method: "GET", path: "/", headers: [], body: undefined, isSingleUse: true };
+            const exchange = connections.send(address, request, {
+                onHead: () => undefined,
+                onData(received) {
+                    bytes += received.length;
+                    if (!isPaused) {
+                        isPaused = true;
+                        exchange.pause();
+                        setTimeout(() => exchange.resume(), 10 * resetDelayMs);
+                    }
+                },
+                onEnd: () => resolve({ isComplete: true, bytes }),
+                onFailure: () => resolve({ isComplete: false, bytes }),
+            });
+        });
+    }
+
+    test("has failed if its connection is reset meanwhile", { timeout: 10_000 }, async context => {
+        assert.equal((await receivePaused(Cut.Reset, context)).isComplete, false);
+    });
+
+    test("is whole if its connection is closed in order meanwhile", { timeout: 10_000 }, async context => {
+        assert.deepEqual(await receivePaused(Cut.Close, context), { isComplete: true, bytes: totalBytes });
+    });
+});
