Derive the framing of an answer from method, status and transfer coding

A body with a transfer coding other than chunked ends with its connection, but counted as one whose end is marked, so that its endpoint was not checked. And customers got "Content-Length: 0" for HEAD and 304, which is not the length of what they name, and for 204, which must have none.

Cause: isFramed asked whether a header is there, and not what RFC 9112, section 6.3, derives from method, status and last coding; sendComplete named the length of the bytes that it sends.

--- a/src/gateway/answerRelay.ts
+++ b/src/gateway/answerRelay.ts
@@ -1,4 +1,5 @@
 import { AnswerHead } from "../ports/exchange.js";
+import { hasAnswerBody } from "./answerBody.js";
 import { CustomerAnswer } from "./customerAnswer.js";
 import { createEventStreamSplitter, EventStreamSplitter } from "./eventStreamSplitter.js";
 
@@ -32,6 +33,8 @@
     dropHeld(): void;
     acceptHead(head: AnswerHead, requestId: string): AnswerOutcome;
     acceptData(bytes: Buffer): AnswerOutcome;
+    /** Whether the answer marks its end: it has a length, chunks or no body. Otherwise it ends with its connection. */
+    isEndMarked(): boolean;
     /** Whether an end after what was received would look like the regular one: it is not within an event. */
     isEndPlausible(): boolean;
     acceptEnd(): AnswerOutcome;
@@ -47,7 +50,8 @@
 export interface AnswerRelayOptions {
     readonly isStream: boolean;
     readonly answer: CustomerAnswer;
-    readonly hasBody: boolean;
+    /** Method of the request. */
+    readonly method: string;
     /** Id of the last event that the customer received in an earlier request. */
     readonly resumeAfterEventId: number | undefined;
 }
@@ -208,6 +212,7 @@
             return pending;
         },
         acceptData: bytes => isRelayedAsStream() ? acceptEvents(bytes) : acceptUnstreamedData(bytes),
+        isEndMarked: () => head !== undefined && (head.isFramed || !hasAnswerBody(options.method, head.status)),
         isEndPlausible: () => head !== undefined && !(isRelayedAsStream() && splitter.hasRemainder()),
         acceptEnd() {
             if (!head) {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -159,8 +159,8 @@
     }
 
     /** Records whether requests like this one are answered, as far as the end of the answer shows it. */
-    function recordCompletion({ status, isFramed }: AnswerHead): void {
-        if (!isFramed) {
+    function recordCompletion({ status }: AnswerHead): void {
+        if (!relay.isEndMarked()) {
             // The endpoint may have crashed: that ends an answer without a length like a whole one.
             recordEnd(AttemptEnd.Broken);
         }
@@ -171,7 +171,7 @@
 
     /** Ends the answer, unless it has no length and its endpoint may have ended within it. */
     async function endAnswer(): Promise<void> {
-        if (answerHead && !answerHead.isFramed && answerHead.status < 500 && relay.isEndPlausible()) {
+        if (answerHead && answerHead.status < 500 && !relay.isEndMarked() && relay.isEndPlausible()) {
             watch.dispose();
             const ending = await services.answerEndings.check(request.id, place.endpoint);
             if (isReleased) {
--- a/src/gateway/customerAnswer.ts
+++ b/src/gateway/customerAnswer.ts
@@ -1,5 +1,6 @@
 import { ServerResponse } from "node:http";
 import { RawHeaders } from "../ports/exchange.js";
+import { hasAnswerBody } from "./answerBody.js";
 import { AnswerAccount } from "./answerBuffers.js";
 import { createByteQueue } from "./byteQueue.js";
 
@@ -165,7 +166,9 @@
     return {
         isStarted: () => response.headersSent,
         sendComplete(status, headers, body) {
-            writeHead(status, [...headers, "Content-Length", String(body.length)]);
+            // A length where there is no body would be that of another answer.
+            const length = hasAnswerBody(response.req?.method, status) ? ["Content-Length", String(body.length)] : [];
+            writeHead(status, [...headers, ...length]);
             isEnding = true;
             account?.complete();
             hold(body);
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -38,7 +38,7 @@
     const relayOptions = {
         isStream: route.kind === RouteKind.Stream,
         answer,
-        hasBody: request.method !== "HEAD",
+        method: request.method,
         resumeAfterEventId: head.lastEventId,
     };
     let relay = createAnswerRelay(relayOptions);
--- a/src/ports/exchange.ts
+++ b/src/ports/exchange.ts
@@ -64,8 +64,8 @@
     /** Whether the address belongs to a different endpoint than the intended one (HTTP status 421). */
     readonly isMisdirected: boolean;
     /**
-     * Whether the headers delimit the body (`content-length` or `transfer-encoding`). Otherwise the body ends when the
-     * connection closes, and a body truncated by a crash cannot be distinguished from a complete one.
+     * Whether the headers delimit the body (`content-length`, or `transfer-encoding` with `chunked` as the last coding).
+     * Otherwise a body ends when the connection closes, and one that is truncated by a crash looks complete.
      */
     readonly isFramed: boolean;
     /** Whether the body has a content encoding. Requests never ask for one. */
--- a/test/platform/codecs.test.ts
+++ b/test/platform/codecs.test.ts
@@ -248,3 +248,22 @@
         });
     }
 });
+
+/** Guards against a body that ends with its connection and counts as one whose end is marked. */
+test("only a length or chunks as the last transfer coding mark the end of a body", () => {
+    const cases: readonly (readonly [boolean, readonly string[]])[] = [
+        [true, ["Content-Length", "3"]],
+        [true, ["Transfer-Encoding", "chunked"]],
+        [true, ["transfer-encoding", "gzip, Chunked"]],
+        [true, ["Transfer-Encoding", "gzip", "Transfer-Encoding", "chunked"]],
+        [false, ["Transfer-Encoding", "gzip"]],
+        [false, ["Transfer-Encoding", "identity"]],
+        [false, ["Transfer-Encoding", "chunked", "Transfer-Encoding", "identity"]],
+        [false, ["Connection", "close, transfer-encoding, content-length"]],
+        [false, ["Trailer", "Transfer-Encoding"]],
+        [false, []],
+    ];
+    for (const [isFramed, headers] of cases) {
+        assert.equal(exchangeCodec.decodeAnswer(200, headers).isFramed, isFramed, headers.join(": "));
+    }
+});
--- a/test/platform/support/rawEndpoint.ts
+++ b/test/platform/support/rawEndpoint.ts
@@ -18,7 +18,9 @@
     /** Bytes that begin the answer. */
     readonly start: string;
     /** Bytes that are repeated until the caller closes the connection, or what makes them for each repetition. */
-    readonly repeated: string | ((index: number) => string);
+    readonly repeated?: string | ((index: number) => string);
+    /** Whether the connection is closed in order after the bytes that begin the answer. */
+    readonly isEnded?: boolean;
     /** Pause between two repetitions, in milliseconds. Without it, the caller is sent as much as it takes. */
     readonly pauseMs?: number;
 }
@@ -37,7 +39,11 @@
     let writing = 0;
     let writtenBytes = 0;
 
-    function run(socket: Socket, { start, repeated, pauseMs }: RawScript): void {
+    function run(socket: Socket, { start, repeated = "", isEnded, pauseMs }: RawScript): void {
+        if (isEnded) {
+            socket.end(start);
+            return;
+        }
         writing += 1;
         socket.once("close", () => {
             writing -= 1;
