--- a/src/gateway/answerEnding.ts
+++ b/src/gateway/answerEnding.ts
@@ -1,9 +1,10 @@
+import { ConnectResult } from "../adapters/connections.js";
 import { EventLog } from "../base/log.js";
 import { LogEvent } from "../base/logEvents.js";
 import { Metrics } from "../base/metrics.js";
 import { TimerService } from "../base/timerService.js";
 import { EndpointRecord } from "../ports/endpointRecord.js";
-import { ConnectResult, EndpointConnections } from "./endpointConnections.js";
+import { EndpointConnections } from "./endpointConnections.js";
 import { EndpointNoticeBoard } from "./endpointNoticeBoard.js";
 
 /** What is known of an answer without a length whose connection the endpoint has closed in order. */
--- a/src/gateway/answerRelay.ts
+++ b/src/gateway/answerRelay.ts
@@ -1,5 +1,5 @@
+import { hasAnswerBody } from "../base/answerBody.js";
 import { AnswerHead } from "../ports/exchange.js";
-import { hasAnswerBody } from "./answerBody.js";
 import { CustomerAnswer } from "./customerAnswer.js";
 import { createEventStreamSplitter, EventStreamSplitter } from "./eventStreamSplitter.js";
 
--- a/src/gateway/crashDetector.ts
+++ b/src/gateway/crashDetector.ts
@@ -1,8 +1,8 @@
+import { ConnectResult } from "../adapters/connections.js";
 import { Disposable } from "../base/disposable.js";
 import { TimerService, waitFor } from "../base/timerService.js";
 import { EndpointRecord } from "../ports/endpointRecord.js";
 import { CrashReport } from "../quarantine/crashEvidence.js";
-import { ConnectResult } from "./endpointConnections.js";
 
 /** How a request ended on an endpoint. */
 export enum AttemptEnd {
--- a/src/gateway/customerAnswer.ts
+++ b/src/gateway/customerAnswer.ts
@@ -1,6 +1,6 @@
 import { ServerResponse } from "node:http";
+import { hasAnswerBody } from "../base/answerBody.js";
 import { RawHeaders } from "../ports/exchange.js";
-import { hasAnswerBody } from "./answerBody.js";
 import { AnswerAccount } from "./answerBuffers.js";
 import { createByteQueue } from "./byteQueue.js";
 
--- a/src/gateway/endpointConnections.ts
+++ b/src/gateway/endpointConnections.ts
@@ -1,5 +1,6 @@
-import { connect, Socket } from "node:net";
+import { Socket } from "node:net";
 import { buildConnector, Dispatcher, Pool } from "undici";
+import { ConnectResult, tryConnect, watchFailure } from "../adapters/connections.js";
 import { RawHeaders } from "../ports/exchange.js";
 import { SocketMeter } from "./socketMeter.js";
 
@@ -43,15 +44,6 @@
     resume(): void;
 }
 
-/** How an address answers an attempt to connect. */
-export enum ConnectResult {
-    Accepted = "accepted",
-    /** The host answers, and nothing listens there. */
-    Refused = "refused",
-    /** The host does not answer: it has no power, or the network does not reach it. */
-    NoAnswer = "no-answer",
-}
-
 /** Pools of connections to endpoints. */
 export interface EndpointConnections {
     send(address: string, request: OutgoingRequest, listener: AnswerListener): Exchange;
@@ -150,8 +142,8 @@
             const { reusable, singleUse } = getPools(address);
             return dispatchRequest(request.isSingleUse ? singleUse : reusable, request, listener);
         },
-        checkConnection: async address => await tryConnect(address) === ConnectResult.Accepted,
-        tryConnect,
+        checkConnection: async address => await tryConnectTo(address) === ConnectResult.Accepted,
+        tryConnect: tryConnectTo,
         replace,
         keepOnly(addresses) {
             [...pools.keys()].filter(address => !addresses.has(address)).forEach(replace);
@@ -185,23 +177,14 @@
 
     function followConnection(socket: Socket): void {
         let progressAtBytes = 0;
-        let hasFailed = false;
         const connection: EndpointConnection = {
-            hasFailed: () => hasFailed,
+            hasFailed: watchFailure(socket),
             recordProgress() {
                 progressAtBytes = socket.bytesRead;
             },
         };
-        socket.once("end", () => {
-            // Node.js reports the reset of a connection that was not being read like a regular end. Only after a reset, the
-            // system knows no peer of the connection any more.
-            hasFailed ||= socket.remoteAddress === undefined;
-            onClosedByEndpoint();
-        });
-        socket.on("error", () => {
-            hasFailed = true;
-            onClosedByEndpoint();
-        });
+        socket.once("end", onClosedByEndpoint);
+        socket.on("error", onClosedByEndpoint);
         socket.on("readable", () => {
             receiving = connection;
             if (socket.bytesRead - progressAtBytes > maxFramingBytes) {
@@ -226,23 +209,9 @@
     return { pool, getReceiving: () => receiving };
 }
 
-function tryConnect(address: string): Promise<ConnectResult> {
-    const [host, port] = address.split(":");
-    return new Promise(resolve => {
-        const socket = connect({ host, port: Number(port), timeout: connectTimeoutMs });
-        const end = (result: ConnectResult) => {
-            socket.destroy();
-            resolve(result);
-        };
-        socket.once("connect", () => end(ConnectResult.Accepted));
-        socket.once("timeout", () => end(ConnectResult.NoAnswer));
-        // Every error means that the address cannot be reached now.
-        socket.once(
-            "error",
-            (error: NodeJS.ErrnoException) =>
-                end(error.code === "ECONNREFUSED" ? ConnectResult.Refused : ConnectResult.NoAnswer),
-        );
-    });
+function tryConnectTo(address: string): Promise<ConnectResult> {
+    const [host = "", port] = address.split(":");
+    return tryConnect(host, Number(port), connectTimeoutMs);
 }
 
 function dispatchRequest(
--- a/test/gateway/crashDetector.test.ts
+++ b/test/gateway/crashDetector.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
+import { ConnectResult } from "../../src/adapters/connections.js";
 import { createManualTimerService } from "../../src/base/manualTimerService.js";
 import { AttemptEnd, createCrashDetector, LossEvidence } from "../../src/gateway/crashDetector.js";
-import { ConnectResult } from "../../src/gateway/endpointConnections.js";
 import { EndpointRecord, EndpointState } from "../../src/ports/endpointRecord.js";
 import { CrashReport } from "../../src/quarantine/crashEvidence.js";
 
--- a/test/gateway/parts.test.ts
+++ b/test/gateway/parts.test.ts
@@ -1,11 +1,11 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
+import { ConnectResult } from "../../src/adapters/connections.js";
 import { LogEvent } from "../../src/base/logEvents.js";
 import { createManualTimerService } from "../../src/base/manualTimerService.js";
 import { createMetrics } from "../../src/base/metrics.js";
 import { makeFailure, makeSuccess } from "../../src/base/result.js";
 import { AttemptEnd, createCrashDetector, LossEvidence } from "../../src/gateway/crashDetector.js";
-import { ConnectResult } from "../../src/gateway/endpointConnections.js";
 import { createEventStreamSplitter } from "../../src/gateway/eventStreamSplitter.js";
 import { followFeed } from "../../src/gateway/feedFollower.js";
 import { createIdleTimer } from "../../src/gateway/idleTimer.js";
--- a/test/platform/answerEnding.test.ts
+++ b/test/platform/answerEnding.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
+import { ConnectResult } from "../../src/adapters/connections.js";
 import { AnswerEnding, decideAnswerEnding } from "../../src/gateway/answerEnding.js";
-import { ConnectResult } from "../../src/gateway/endpointConnections.js";
 import { sendStrictly } from "../support/strictCustomer.js";
 import { makeHeaders, makeModelHeaders, startDeployment, TestDeployment, waitUntil } from "./support/deployment.js";
 import { EndpointFault, EndpointStandIn, renderEvent } from "./support/endpointStandIn.js";
