Kill gateways in the soak, and judge their answers by framing as customers do

The soaks could not see that answers of a killed gateway look whole. The customer of the stop soak never took an answer without a length for complete, which no HTTP/1.1 client does; the other soak's streams of 180 ms were rarely running at a kill; and endpoints without a length were one fault of eight.

Each answer that is whole by its framing must be the whole body; none may be broken off where nothing was disturbed; unsafe requests run once, refused ones never. The customer of the stop soak now takes an answer without a length that ends in order for complete. Tests' customers fail on an answer whose end only its connection marks.

--- a/test/platform/support/deployment.ts
+++ b/test/platform/support/deployment.ts
@@ -357,7 +357,13 @@
     readonly signal?: AbortSignal;
 }
 
-/** Sends a request on a new connection and reads the complete answer. Rejects if the answer breaks off. */
+/** Statuses of answers that never have a body. */
+const bodylessStatuses: readonly number[] = [204, 304];
+
+/**
+ * Sends a request on a new connection and reads the complete answer. Rejects if the answer breaks off, and if nothing but
+ * the end of its connection would tell that.
+ */
 export async function send(gateway: TestGateway, customerRequest: CustomerRequest): Promise<ReceivedAnswer> {
     const dispatcher = new Agent({ pipelining: 0 });
     try {
@@ -368,7 +374,11 @@
             signal: customerRequest.signal,
             dispatcher,
         });
-        return { status: answer.statusCode, headers: answer.headers, body: await answer.body.text() };
+        const { statusCode: status, headers } = answer;
+        const hasBody = customerRequest.method !== "HEAD" && !bodylessStatuses.includes(status);
+        const isEndMarked = !hasBody || "content-length" in headers || headers["transfer-encoding"] === "chunked";
+        assert.ok(isEndMarked, "the answer ends with its connection");
+        return { status, headers, body: await answer.body.text() };
     }
     finally {
         await dispatcher.destroy();
--- a/test/soak/customerConnection.ts
+++ b/test/soak/customerConnection.ts
@@ -29,8 +29,12 @@
 const headEnd = "\r\n\r\n";
 const lineEnd = "\r\n";
 
-/** Parses the first answer in `text`. Returns `undefined` while it is incomplete. */
-export function parseAnswer(text: string): { answer: SoakAnswer; length: number } | undefined {
+/**
+ * Parses the first answer in `text`. Returns `undefined` while it is incomplete.
+ *
+ * @param hasEnded whether the connection was closed in order, which completes an answer without a length
+ */
+export function parseAnswer(text: string, hasEnded = false): { answer: SoakAnswer; length: number } | undefined {
     const bodyStart = text.indexOf(headEnd) + headEnd.length;
     if (bodyStart < headEnd.length) {
         return undefined;
@@ -42,8 +46,8 @@
     }));
     const status = Number(statusLine!.split(" ")[1]);
     if (headers.get("transfer-encoding") !== "chunked") {
-        // An answer without a length never counts as complete: its end is the same as a connection that breaks.
-        const length = bodyStart + Number(headers.get("content-length") ?? Number.POSITIVE_INFINITY);
+        const rest = hasEnded ? text.length - bodyStart : Number.POSITIVE_INFINITY;
+        const length = bodyStart + Number(headers.get("content-length") ?? rest);
         return length <= text.length
             ? { answer: { status, headers, body: text.slice(bodyStart, length) }, length }
             : undefined;
@@ -81,17 +85,23 @@
 
     socket.setNoDelay(true);
     socket.setEncoding("latin1");
-    socket.on("data", (text: string) => {
-        received += text;
-        for (let parsed = parseAnswer(received); parsed && pending.length > 0; parsed = parseAnswer(received)) {
+    function settleReceived(hasEnded: boolean): void {
+        const parse = () => parseAnswer(received, hasEnded);
+        for (let parsed = parse(); parsed && pending.length > 0; parsed = parse()) {
             received = received.slice(parsed.length);
             isUsable &&= parsed.answer.headers.get("connection")?.toLowerCase() !== "close";
             settle(parsed.answer, true);
         }
+    }
+
+    socket.on("data", (text: string) => {
+        received += text;
+        settleReceived(false);
     });
     socket.on("error", () => undefined);
     socket.on("end", () => {
         isUsable = false;
+        settleReceived(true);
     });
     socket.on("close", () => {
         isUsable = false;
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -1,7 +1,9 @@
 // Runs the soak test with many seeds: npm run soak -- --seeds 50 --first 1 --jobs 3 [--crashing SHARE] [--crashingPlain SHARE] [--restored]
+// With --kills: gateways are killed while they relay answers with and without a length; customers judge these by their framing.
 // With --stops: only planned stops, in series and overlapping, under customers that keep using their connections.
 import { mkdir, writeFile } from "node:fs/promises";
 import { parseCommandOptions } from "../../bench/lib/commandOptions.js";
+import { runKillSoak } from "./killSoak.js";
 import { runSoak, SoakResult } from "./soak.js";
 import { runStopSoak } from "./stopSoak.js";
 
@@ -15,6 +17,8 @@
     crashingPlain: { type: "number", default: 0, description: "share of plain requests that crash their endpoint" },
     restored: { type: "boolean", default: false, description: "restores the store from an older copy" },
     stops: { type: "boolean", default: false, description: "planned stops instead of faults" },
+    kills: { type: "boolean", default: false, description: "gateways that are killed while they relay answers" },
+    gateway: { type: "string", description: "program of the gateway for --kills; absent: that of this build" },
     series: { type: "number", default: 2, description: "series of planned stops in a run" },
     out: { type: "string", default: "out/soak", description: "directory for the logs of failed runs" },
 });
@@ -48,8 +52,26 @@
     }
 }
 
+async function runKills(seed: number): Promise<void> {
+    const result = await runKillSoak({ seed, kills: 8, command: values.gateway ? [values.gateway] : undefined });
+    results.push(result);
+    console.log(
+        `seed ${seed} (${result.gateways} gateways): ${result.requests} requests, ${result.answered} answered, `
+            + `${result.cut} cut, ${result.refused} refused, ${result.failed} failed, `
+            + `${result.violations.length} invariant violations`,
+    );
+    result.violations.slice(0, maxPrintedLines).forEach(line => console.log(`  ${line}`));
+    if (result.violations.length > 0) {
+        await writeLog(seed, [...result.violations, ...result.logs]);
+    }
+}
+
 async function runJob(): Promise<void> {
     for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
+        if (values.kills) {
+            await runKills(seed);
+            continue;
+        }
         if (values.stops) {
             await runStops(seed);
             continue;
--- a/test/soak/stopSoak.test.ts
+++ b/test/soak/stopSoak.test.ts
@@ -72,4 +72,7 @@
         assert.equal(parseAnswer(whole.slice(0, -1)), undefined);
     }
     assert.equal(parseAnswer(`${head}\r\nabc`), undefined);
+    assert.equal(parseAnswer(`${head}\r\nabc`, true)?.answer.body, "abc");
+    assert.equal(parseAnswer(`${head}Content-Length: 3\r\n\r\nab`, true), undefined);
+    assert.equal(parseAnswer(`${head}Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n`, true), undefined);
 });
