--- a/bench/run.ts
+++ b/bench/run.ts
@@ -1,4 +1,5 @@
 // Runs the experiments and measures the cost that the entry adds; writes the results to bench/results or --out.
+// With --answers it only prints what relayed streams cost by their framing, with --before PROGRAM beside another gateway.
 // With --replay it only prints the table of placement policies, from simulated engines; with --crashes those of requests that crash endpoints, with --limits
 // that of divided limits, with --pass the cost of a placement pass, with --ceiling the upper bound of the requests on time in a log.
 import { execFileSync } from "node:child_process";
@@ -9,6 +10,7 @@
 import { formatLoadSummary, formatMs } from "../src/load/loadReport.js";
 import { LoadRun, runLoad } from "../src/load/loadRunner.js";
 import { computeLoadSummary } from "../src/load/summary.js";
+import { renderAnswerCost } from "./lib/answerCost.js";
 import { parseCommandOptions } from "./lib/commandOptions.js";
 import { startEngineSampler } from "./lib/engineSampler.js";
 import { measureEntryCost } from "./lib/entryCost.js";
@@ -34,6 +36,8 @@
     replay: { type: "boolean", default: false, description: "only the table of placement policies" },
     crashes: { type: "boolean", default: false, description: "only the tables of requests that crash endpoints" },
     limits: { type: "boolean", default: false, description: "only the table of divided limits" },
+    answers: { type: "boolean", default: false, description: "only the cost of relayed streams by their framing" },
+    before: { type: "string", description: "program of another gateway to measure beside this one with --answers" },
     pass: { type: "boolean", default: false, description: "only the cost of a placement pass" },
     ceiling: { type: "string", description: "only the upper bound of the requests on time in this log of gateways" },
     deployment: { type: "string", description: "file with engines and routes for --ceiling (docs/ceiling.md)" },
@@ -50,6 +54,10 @@
     console.log(await renderCeilingReport(options.ceiling, options.deployment));
     process.exit(0);
 }
+if (options.answers) {
+    console.log(await renderAnswerCost(options.before === undefined ? {} : { before: options.before }));
+    process.exit(0);
+}
 if (options.pass) {
     console.log(renderPassTable());
     process.exit(0);
--- a/test/soak/gatewayProcess.ts
+++ b/test/soak/gatewayProcess.ts
@@ -24,6 +24,8 @@
     /** Waits until the process has exited; returns its exit code, or the signal that ended it. */
     waitForExit(): Promise<number | string>;
     isRunning(): boolean;
+    /** Returns the id of the process, or `undefined` before the first start. */
+    getProcessId(): number | undefined;
     /** Whether the process has written output: the runtime has loaded the program. */
     hasStarted(): boolean;
     isReady(): Promise<boolean>;
@@ -101,6 +103,7 @@
         signal: signal => void child?.kill(signal),
         waitForExit,
         isRunning,
+        getProcessId: () => child?.pid,
         hasStarted: () => isRunning() && hasOutput,
         async isReady() {
             try {
