--- a/test/platform/hedging.test.ts
+++ b/test/platform/hedging.test.ts
@@ -104,6 +104,17 @@
 }
 
 describe("hedged requests", { concurrency: 3 }, () => {
+    /** Guards against a cut answer of the hedge that counts as whole and ends the first attempt. */
+    test("a hedge whose endpoint ends within its answer without a length leaves the request to the first attempt", () =>
+        runWithHedging(full, async ({ gateway, first, others }) => {
+            first.setFaults(EndpointFault.Slow);
+            others.forEach(other => other.setFaults(EndpointFault.UnframedCrash));
+            const answer = await sendLook(gateway);
+            assert.equal(answer.body, `done by ${first.id}`);
+            assert.equal(findEnd(gateway).hedge, "failed");
+            assert.equal(gateway.lines.filter(line => line.event === LogEvent.AnswerEndingChecked).length, 1);
+        }));
+
     test("an endpoint that is slow now and then: p99 is a third lower with hedges than without", async context => {
         let without = 0;
         await runWithHedging(new Map(), async setup => {
