--- a/test/platform/answerEnding.test.ts
+++ b/test/platform/answerEnding.test.ts
@@ -73,6 +73,22 @@
             assert.equal(countRuns(deployment.services), 1);
         }));
 
+    /** Guards against a whole stream that is broken off because its second part has another framing than its first. */
+    for (const [fault, isComplete] of [[EndpointFault.Unframed, true], [EndpointFault.UnframedCrash, false]] as const) {
+        test(`ends a resumed stream whose first part had chunks ${isComplete ? "as whole" : "as cut"} (${fault})`, () =>
+            runWithDeployment(async deployment => {
+                const first = await findFirst(deployment, "/draft/1", makeModelHeaders());
+                deployment.engines.forEach(engine =>
+                    engine.setFaults(engine === first ? EndpointFault.CloseWithinAnswer : fault)
+                );
+                const answer = await send(deployment, "POST", "/draft/1", makeModelHeaders()).answer;
+                assert.equal(answer.isComplete, isComplete);
+                assert.equal(answer.body === completeStream, isComplete);
+                assert.ok(completeStream.startsWith(answer.body));
+                assert.equal(countRuns(deployment.engines), 3);
+            }));
+    }
+
     /** Guards against the opposite error: a whole answer that is broken off because its endpoint leaves. */
     test("counts as whole if the endpoint has announced that it leaves", () =>
         runWithDeployment(async deployment => {
--- a/test/platform/support/endpointStandIn.ts
+++ b/test/platform/support/endpointStandIn.ts
@@ -314,7 +314,12 @@
         if (isUnframed(unframedFault)) {
             const ids = Array.from({ length: options.events - first }, (unused, index) => first + index);
             const pieces = ids.map(renderEvent);
-            await sendUnframed(request.socket, { headers, type: "text/event-stream", pieces }, unframedFault, process);
+            await sendUnframed(
+                request.socket,
+                { headers, type: "text/event-stream", pieces },
+                unframedFault,
+                ownProcess,
+            );
             return;
         }
         const schedule = await scheduleStream(request, response);
@@ -359,7 +364,7 @@
         }
         if (isUnframed(fault)) {
             const pieces = [body.slice(0, 3), body.slice(3)];
-            await sendUnframed(request.socket, { headers, type: "text/plain", pieces }, fault, process);
+            await sendUnframed(request.socket, { headers, type: "text/plain", pieces }, fault, ownProcess);
             return;
         }
         response.writeHead(200, { ...headers, "content-length": String(body.length) });
@@ -384,7 +389,7 @@
         });
     }
 
-    const process = { stopAccepting: () => server.stopAccepting(), crash: () => crash() };
+    const ownProcess = { stopAccepting: () => server.stopAccepting(), crash: () => crash() };
     let isListening = true;
     let isHung = false;
     let server = await startServer(0);
--- a/test/soak/killSoak.ts
+++ b/test/soak/killSoak.ts
@@ -111,8 +111,10 @@
         store.put("keyed.servers", endpoint.id, entry);
     }
 
-    /** The first run of a request ends as drawn, further ones are whole. */
+    /** Ids of the requests that an endpoint has begun to run. */
     const ran = new Set<string>();
+
+    /** The first run of a request ends as drawn, further ones are whole. */
     function planAnswer(requestId: string): AnswerPlan {
         const plan = plans.get(requestId)!;
         const isRepeated = ran.has(requestId);
