Start and await the gateways of all soaks in one place

The kill soak had repeated how the stop soak starts its gateways; now gatewayProcess.ts starts them for all three soaks and for killedGateway.

--- a/test/gateway/customerAnswer.test.ts
+++ b/test/gateway/customerAnswer.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
-import { ServerResponse } from "node:http";
+import { createServer, ServerResponse } from "node:http";
+import { connect } from "node:net";
 import { Writable } from "node:stream";
 import { test } from "node:test";
 import { createManualTimerService } from "../../src/base/manualTimerService.js";
@@ -39,3 +40,19 @@
     }
     assert.equal(receivedBytes, 900_000);
 });
+
+/** Guards against a short answer that looks whole at any byte to a customer whose protocol version has no chunks. */
+test("a whole answer of HTTP/1.0 has its length", { timeout: 10_000 }, async context => {
+    const server = createServer((request, response) => {
+        createCustomerAnswer(response, {}).sendComplete(200, [], Buffer.from("whole"));
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    context.after(() => server.close());
+    const customer = connect((server.address() as { port: number }).port, "127.0.0.1");
+    customer.write("GET / HTTP/1.0\r\n\r\n");
+    let text = "";
+    for await (const bytes of customer) {
+        text += String(bytes);
+    }
+    assert.match(text, /^Content-Length: 5\r\n(.+\r\n)*\r\nwhole$/mu);
+});
--- a/test/gateway/customerServer.test.ts
+++ b/test/gateway/customerServer.test.ts
@@ -361,16 +361,6 @@
         assert.equal(server.countConnections(), 1);
     });
 
-    /** Guards against a short answer that looks complete at any byte to a customer whose protocol version has no chunks. */
-    test("a whole answer of HTTP/1.0 has its length", async context => {
-        const { port, handed } = await startServer(context);
-        const customer = openCustomer(context, port);
-        customer.socket.write("GET / HTTP/1.0\r\nHost: models.example\r\n\r\n");
-        await waitUntil("the request", () => handed.length === 1);
-        createCustomerAnswer(handed[0]!.response, {}).sendComplete(200, [], Buffer.from("whole"));
-        assert.match(await customer.ended, /^Content-Length: 5\r\n(.+\r\n)*\r\nwhole$/mu);
-    });
-
     /** Guards against a cut answer that looks complete to a customer whose protocol version has no chunks. */
     test("within an answer of HTTP/1.0 without a length resets it", async context => {
         const { port, handed } = await startServer(context);
--- a/test/platform/killedGateway.test.ts
+++ b/test/platform/killedGateway.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
-import { createGatewayProcess, GatewayProcess } from "../soak/gatewayProcess.js";
+import { GatewayProcess, startGatewayProcesses, waitUntilReady } from "../soak/gatewayProcess.js";
 import { findFreePorts } from "../soak/soak.js";
 import { sendStrictly } from "../support/strictCustomer.js";
 import { makeConfiguration, makeHeaders, makeModelHeaders, waitUntil } from "./support/deployment.js";
@@ -49,16 +49,16 @@
         store.put("keyed.servers", id, entry);
     }
     store.put("keyed.op", "config", makeConfiguration());
-    const [customers, ready, exchange, metrics] = await findFreePorts(seed, 4) as [number, number, number, number];
-    const ports = { customers, ready, exchange, metrics };
-    const gateway = await createGatewayProcess("gateway-0", ports, store.address);
+    const [gateway] = await startGatewayProcesses({
+        ports: await findFreePorts(seed, 4),
+        storeAddress: store.address,
+    });
     try {
-        gateway.start();
-        await waitUntil("the gateway is ready", () => gateway.isReady(), 20_000);
-        await run(gateway);
+        assert.ok(await waitUntilReady([gateway!], 20_000));
+        await run(gateway!);
     }
     finally {
-        await gateway.dispose();
+        await gateway!.dispose();
         await Promise.all([engine.close(), desk.close(), store.close()]);
     }
 }
--- a/test/soak/gatewayProcess.ts
+++ b/test/soak/gatewayProcess.ts
@@ -35,6 +35,7 @@
 const mainPath = fileURLToPath(new URL("../../platform/main.js", import.meta.url));
 const maxOutputLines = 4_000;
 const defaultGraceSeconds = 3;
+const readyCheckMs = 50;
 
 function renderSettings(name: string, ports: GatewayPorts, storeAddress: string, graceSeconds: number): string {
     return `
@@ -123,3 +124,44 @@
         },
     };
 }
+
+/** Options of several gateways that use one store. */
+export interface GatewayProcessOptions {
+    /** Four ports for each gateway. */
+    readonly ports: readonly number[];
+    readonly storeAddress: string;
+    /** Arguments for Node.js; absent: the gateway of this build. */
+    readonly command?: readonly string[];
+    readonly graceSeconds?: number;
+}
+
+const portsPerGateway = 4;
+
+/** Starts as many gateways as there are ports for. They are not ready yet. */
+export function startGatewayProcesses(options: GatewayProcessOptions): Promise<GatewayProcess[]> {
+    const { ports, storeAddress, command, graceSeconds } = options;
+    return Promise.all(Array.from({ length: ports.length / portsPerGateway }, async (unused, index) => {
+        const [customers, ready, exchange, metrics] = ports.slice(portsPerGateway * index) as [
+            number,
+            number,
+            number,
+            number,
+        ];
+        const own = { customers, ready, exchange, metrics };
+        const gateway = await createGatewayProcess(`gateway-${index}`, own, storeAddress, command, graceSeconds);
+        gateway.start();
+        return gateway;
+    }));
+}
+
+/** Waits until all gateways are ready. Returns false if some are not after `timeoutMs`. */
+export async function waitUntilReady(gateways: readonly GatewayProcess[], timeoutMs: number): Promise<boolean> {
+    const endsAtMs = performance.now() + timeoutMs;
+    while (!(await Promise.all(gateways.map(gateway => gateway.isReady()))).every(Boolean)) {
+        if (performance.now() > endsAtMs) {
+            return false;
+        }
+        await new Promise(resolve => setTimeout(resolve, readyCheckMs));
+    }
+    return true;
+}
--- a/test/soak/killSoak.ts
+++ b/test/soak/killSoak.ts
@@ -4,7 +4,7 @@
 import { startStoreStandIn } from "../platform/support/storeStandIn.js";
 import { CustomerConnection, openCustomerConnection } from "./customerConnection.js";
 import { AnswerPlan, CutEndpoint, Ending, Framing, startCutEndpoint } from "./cutEndpoint.js";
-import { createGatewayProcess, GatewayProcess } from "./gatewayProcess.js";
+import { GatewayProcess, startGatewayProcesses, waitUntilReady } from "./gatewayProcess.js";
 import { Disturbance, KillOutcome, KillSummary, summarizeKills } from "./killOutcome.js";
 import { findFreePorts } from "./soak.js";
 import { createMixedRandomSource } from "./stopPlan.js";
@@ -203,27 +203,17 @@
         gateway.start();
     }
 
-    async function waitUntilReady(gateways: readonly GatewayProcess[]): Promise<void> {
-        const endsAtMs = performance.now() + maxStartMs;
-        while (!(await Promise.all(gateways.map(gateway => gateway.isReady()))).every(Boolean)) {
-            if (performance.now() > endsAtMs) {
-                violations.push("every gateway is ready again after its start");
-                return;
-            }
-            await wait(50);
+    async function checkReady(gateways: readonly GatewayProcess[]): Promise<void> {
+        if (!await waitUntilReady(gateways, maxStartMs)) {
+            violations.push("every gateway is ready again after its start");
         }
     }
 
     const count = 1 + Math.floor(random() * maxGateways);
     const ports = await findFreePorts(options.seed, 4 * count);
-    const gateways = await Promise.all(Array.from({ length: count }, async (unused, index) => {
-        const [customers, ready, exchange, metrics] = ports.slice(4 * index) as [number, number, number, number];
-        const gatewayPorts = { customers, ready, exchange, metrics };
-        const gateway = await createGatewayProcess(`gateway-${index}`, gatewayPorts, store.address, options.command);
-        gateway.start();
-        return gateway;
-    }));
-    await waitUntilReady(gateways);
+    const { command } = options;
+    const gateways = await startGatewayProcesses({ ports, storeAddress: store.address, command });
+    await checkReady(gateways);
     const customers = Promise.all(
         Array.from({ length: customersPerGateway * count }, (unused, index) => runCustomer(gateways, index)),
     );
@@ -234,13 +224,13 @@
         const gateway = gateways[kill % count]!;
         if (kill >= count) {
             await ending[kill - count];
-            await waitUntilReady([gateway]);
+            await checkReady([gateway]);
         }
         ending.push(endGateway(gateway));
         await wait(200 + 800 * random());
     }
     await Promise.all(ending);
-    await waitUntilReady(gateways);
+    await checkReady(gateways);
     await wait(warmUpMs);
     isSending = false;
     await customers;
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -10,7 +10,7 @@
 } from "../platform/support/endpointStandIn.js";
 import { startStoreStandIn, StoreFault } from "../platform/support/storeStandIn.js";
 import { FaultyProxy, ProxyFault, startFaultyProxy } from "./faultyProxy.js";
-import { createGatewayProcess, GatewayProcess } from "./gatewayProcess.js";
+import { GatewayProcess, startGatewayProcesses } from "./gatewayProcess.js";
 import { checkOutcome, eventsPerStream, SoakKind, SoakOutcome } from "./soakOutcome.js";
 
 /** Size and duration of one run. */
@@ -192,20 +192,6 @@
         store.put("keyed.op", "config", configuration);
     }
 
-    function startGateways(ports: readonly number[]): Promise<GatewayProcess[]> {
-        return Promise.all(Array.from({ length: options.gateways }, async (unused, index) => {
-            const [customers, ready, exchange, metrics] = ports.slice(4 * index, 4 * index + 4);
-            const gateway = await createGatewayProcess(`gateway-${index}`, {
-                customers: customers!,
-                ready: ready!,
-                exchange: exchange!,
-                metrics: metrics!,
-            }, storeProxy.address);
-            gateway.start();
-            return gateway;
-        }));
-    }
-
     async function sendRequest(gateway: GatewayProcess, kind: SoakKind, customer: Agent): Promise<void> {
         const id = `soak-${options.seed}-${nextId++}`;
         const key = random() < 0.15 ? revokedKey : customerKey;
@@ -382,7 +368,10 @@
         await addEndpoint("desk", options.engines + index);
     }
     publish([customerKey, revokedKey]);
-    const gateways = await startGateways(await findFreePorts(options.seed, 4 * options.gateways));
+    const gateways = await startGatewayProcesses({
+        ports: await findFreePorts(options.seed, 4 * options.gateways),
+        storeAddress: storeProxy.address,
+    });
     const areReady = async () => (await Promise.all(gateways.map(gateway => gateway.isReady()))).every(Boolean);
     for (let attempt = 0; attempt < 100 && !await areReady(); attempt++) {
         await wait(100);
--- a/test/soak/stopSoak.ts
+++ b/test/soak/stopSoak.ts
@@ -3,7 +3,7 @@
 import { startStoreStandIn } from "../platform/support/storeStandIn.js";
 import { CustomerConnection, openCustomerConnection } from "./customerConnection.js";
 import { FaultyProxy, startFaultyProxy } from "./faultyProxy.js";
-import { createGatewayProcess, GatewayProcess } from "./gatewayProcess.js";
+import { GatewayProcess, startGatewayProcesses, waitUntilReady } from "./gatewayProcess.js";
 import { findFreePorts } from "./soak.js";
 import { createSoakEngine, engineProfile, SoakEngine } from "./soakEngine.js";
 import {
@@ -118,35 +118,9 @@
         store.put("keyed.servers", endpoint.id, entry);
     }
 
-    async function startGateways(ports: readonly number[]): Promise<GatewayProcess[]> {
-        return Promise.all(Array.from({ length: plan.gateways }, async (unused, index) => {
-            const [customers, ready, exchange, metrics] = ports.slice(4 * index, 4 * index + 4) as [
-                number,
-                number,
-                number,
-                number,
-            ];
-            const gatewayPorts = { customers, ready, exchange, metrics };
-            const gateway = await createGatewayProcess(
-                `gateway-${index}`,
-                gatewayPorts,
-                store.address,
-                undefined,
-                plan.graceSeconds,
-            );
-            gateway.start();
-            return gateway;
-        }));
-    }
-
-    async function waitUntilReady(gateways: readonly GatewayProcess[]): Promise<void> {
-        const endsAtMs = performance.now() + maxStartMs;
-        while (!(await Promise.all(gateways.map(gateway => gateway.isReady()))).every(Boolean)) {
-            if (performance.now() > endsAtMs) {
-                violations.push("every gateway is ready again after its start");
-                return;
-            }
-            await wait(50);
+    async function checkReady(gateways: readonly GatewayProcess[]): Promise<void> {
+        if (!await waitUntilReady(gateways, maxStartMs)) {
+            violations.push("every gateway is ready again after its start");
         }
     }
 
@@ -263,8 +237,12 @@
         await addEndpoint("desk", index);
     }
     publish();
-    const gateways = await startGateways(await findFreePorts(options.seed, 4 * plan.gateways));
-    await waitUntilReady(gateways);
+    const gateways = await startGatewayProcesses({
+        ports: await findFreePorts(options.seed, 4 * plan.gateways),
+        storeAddress: store.address,
+        graceSeconds: plan.graceSeconds,
+    });
+    await checkReady(gateways);
     const customers = Promise.all(
         Array.from({ length: customersPerGateway * plan.gateways }, (unused, index) => runCustomer(gateways, index)),
     );
@@ -274,7 +252,7 @@
         engines.forEach(engine => engine.setPace(isSlow ? plan.slowFactor : 1));
         await wait(warmUpMs);
         await runSeries(gateways, series);
-        await waitUntilReady(gateways);
+        await checkReady(gateways);
     }
     isSending = false;
     await customers;
