--- a/review/support-2/configuration.ts
+++ b/review/support-2/configuration.ts
@@ -28,6 +28,9 @@
     readonly timeoutMs: number;
     readonly attempts: number;
     readonly isResumable?: boolean;
+    /** Latency target and longest pause between events for an answer on time; absent for usual ones. */
+    readonly targetMs?: number;
+    readonly gapMs?: number;
 }
 
 /** Engine of the sheet of Kalamokopi Rota. */
@@ -57,12 +60,16 @@
             prefix: route.prefix,
             kind: route.kind,
             timeout_ms: route.timeoutMs,
-            target_latency_ms: 193,
+            target_latency_ms: route.targetMs ?? 193,
             priority: 0,
             service: route.service,
             attempts: route.attempts,
             public: false,
-            ...(route.kind === "stream" && { sticky: true, resumable: route.isResumable ?? false, gap_aim_ms: 1000 }),
+            ...(route.kind === "stream" && {
+                sticky: true,
+                resumable: route.isResumable ?? false,
+                gap_aim_ms: route.gapMs ?? 1000,
+            }),
         })),
         services: services.map(name => ({
             name,
