--- a/review/support-2/runnerMain.ts
+++ b/review/support-2/runnerMain.ts
@@ -1,5 +1,6 @@
 /* eslint-disable no-restricted-syntax -- runs on the real clock */
 import { createServer, Socket } from "node:net";
+import { fileURLToPath } from "node:url";
 
 /**
  * A runner as a process of its own. Arguments: id, port (0 for a free one), whether answers have a length (1) or end with
@@ -118,6 +119,7 @@
     process.once("disconnect", () => process.exit(0));
 }
 
-if (process.send) {
+// Cases import the rendering of answers from here.
+if (process.argv[1] === fileURLToPath(import.meta.url)) {
     serve();
 }
