--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -1,9 +1,7 @@
-import { Disposable } from "../base/disposable.js";
 import { mergeVerdicts, Verdict } from "../base/verdict.js";
 import { RouteKind } from "../ports/servingConfiguration.js";
 import { Treatment } from "../quarantine/quarantine.js";
 import { isIdempotent, isRedispatchAllowed } from "../retries/dispatchDecision.js";
-import { settleMs } from "../routing/engineMemory.js";
 import { DrainStep } from "../scheduling/drainAdmission.js";
 import { computeRetryAfterMs, renderRetryAfter } from "../scheduling/retryAfter.js";
 import { AcceptedRequest, computeEngineNeeds, computeTimes, makePlacementTerms } from "./acceptedRequest.js";
@@ -15,9 +13,10 @@
 import { createQuarantineWatch } from "./quarantineWatch.js";
 import { createRequestDrain } from "./requestDrain.js";
 import { createRequestHedge, findPlaceNow } from "./requestHedge.js";
+import { createRequestPlacement } from "./requestPlacement.js";
 import { createRequestReport, EndKind } from "./requestReport.js";
 import { RequestServices } from "./requestServices.js";
-import { reservationRetryMs, ReservationSet } from "./reservations.js";
+import { ReservationSet } from "./reservations.js";
 import { createStreamProgress } from "./streamProgress.js";
 
 /**
@@ -58,6 +57,15 @@
         refuse: reason => finishWithError(EndKind.Stopped, reason),
         end: endByDrain,
     });
+    const placement = createRequestPlacement({
+        services,
+        drain,
+        report,
+        makeJob: () => makeJob(avoid),
+        onReady: (place, reservationSet) => send(place, reservationSet),
+        onExpired: refusal => finishWithError(EndKind.NoCapacity, undefined, refusal),
+        onLost: submit,
+    });
     const hedging = services.hedging.startRequest({
         route: route.name,
         service: request.service,
@@ -84,10 +92,7 @@
     let endpointsRun = 0;
     let hasEnded = false;
     let hasDelivered = false;
-    let waiting: Disposable | undefined;
     let attempts: readonly Attempt[] = [];
-    /** Place whose memory reservations are being made. */
-    let reservingPlace: Place | undefined;
 
     const listener: AttemptListener = {
         onDelivered: handleDelivered,
@@ -111,22 +116,7 @@
             finishWithError(EndKind.Quarantined, quarantineWatch.describe());
             return;
         }
-        // If an endpoint has capacity, `onPlaced` is called before `submit` returns.
-        const submitted = placementQueue.submit({
-            ...makeJob(avoid),
-            isSuspect: treatment === Treatment.Isolated,
-            onPlaced: handlePlaced,
-            onWaiting(inputs) {
-                report.recordWaiting(inputs, dispatches + 1);
-                drain.startWait();
-            },
-            onClaimed: claim => report.recordClaim(claim),
-            onExpired: refusal => finishWithError(EndKind.NoCapacity, undefined, refusal),
-        });
-        if (hasEnded) {
-            submitted.dispose();
-        }
-        waiting = reservingPlace || attempts.length > 0 || hasEnded ? undefined : submitted;
+        placement.submit(treatment === Treatment.Isolated, dispatches + 1);
     }
 
     function makeJob(avoided: ReadonlySet<string>) {
@@ -153,73 +143,6 @@
         finishUnanswered(EndKind.Quarantined, quarantineWatch.describe());
     }
 
-    function handlePlaced(found: Place): void {
-        waiting = undefined;
-        drain.endWait();
-        if (hasEnded) {
-            found.release();
-            return;
-        }
-        const place = drain.choosePlace(found);
-        reservingPlace = place;
-        if (place?.isTentative) {
-            timers.schedule(settleMs, () => handleSettled(place));
-        }
-        else if (place) {
-            reserveHelpers(place);
-        }
-    }
-
-    /** Goes on with a place that other gateways have had the time to hear of. */
-    function handleSettled(found: Place): void {
-        if (reservingPlace !== found) {
-            return;
-        }
-        if (found.hasMemory() && placementQueue.isStillUsable(found)) {
-            reserveHelpers(found);
-            return;
-        }
-        reservingPlace = undefined;
-        found.release();
-        report.recordMemoryTaken();
-        waiting = timers.schedule(settleMs * services.random(), submit);
-    }
-
-    function reserveHelpers(found: Place): void {
-        if (found.reservedTokens === 0) {
-            reservingPlace = undefined;
-            send(found, undefined);
-            return;
-        }
-        const addresses = found.helpers.map(helper => helper.address);
-        services.reservations.reserveAll(addresses, found.reservedTokens).then(
-            set => handleReserved(found, set),
-            (error: unknown) => {
-                report.recordTaskFailure("reservations", error);
-                handleReserved(found, undefined);
-            },
-        );
-    }
-
-    function handleReserved(found: Place, set: ReservationSet | undefined): void {
-        if (hasEnded) {
-            set?.dispose();
-            return;
-        }
-        reservingPlace = undefined;
-        const isUsable = set !== undefined && placementQueue.isStillUsable(found);
-        if (isUsable && drain.admitStep(DrainStep.Dispatch, found)) {
-            send(found, set);
-            return;
-        }
-        set?.dispose();
-        found.release();
-        if (hasEnded) {
-            return;
-        }
-        waiting = timers.schedule(set ? 0 : reservationRetryMs, submit);
-    }
-
     function send(
         place: Place,
         reservationSet: ReservationSet | undefined,
@@ -378,8 +301,6 @@
         const released = attempts;
         attempts = [];
         released.forEach(attempt => attempt.release());
-        reservingPlace?.release();
-        reservingPlace = undefined;
     }
 
     /** Records that the request may have run, if an attempt has reached an endpoint. */
@@ -437,13 +358,13 @@
         hasEnded = true;
         deadline.dispose();
         quarantineWatch.dispose();
-        waiting?.dispose();
         drain.dispose();
         if (kind !== EndKind.Answered) {
             attempts.forEach(attempt => attempt.abandon());
         }
         hedge?.dispose();
-        const endpoint = (attempts[0]?.place ?? reservingPlace)?.endpoint.id;
+        const endpoint = (attempts[0]?.place ?? placement.getReservingPlace())?.endpoint.id;
+        placement.dispose();
         releaseAttempts();
         report.recordEnd({
             kind,
