Do not pass on a promise that an endpoint has not made

Cause: the gateway decided by the statement of the endpoint whether it may send the request elsewhere, but not what it may tell the customer. A 5xx was relayed by handleFailure and 408 and 429 by acceptEnd, each unchanged. The codec was ruled out: decodeAnswer tells the two kinds of 503 apart.

Change: decideFinalStatus decides the status of every final answer, from the verdict over all attempts; createFinalAnswerSender is the only place that sends one. A false promise becomes 502 of the gateway, without seal, with the id of the request and without Retry-After. Requests that may run again and statuses that promise nothing are unchanged. RequestEnded has the result 'replaced' and the endpoint's status, jujubelane_replaced_answers_total counts by it.

--- a/src/gateway/answerRelay.ts
+++ b/src/gateway/answerRelay.ts
@@ -38,7 +38,7 @@
     /** Whether an end after what was received would look like the regular one: it is not within an event. */
     isEndPlausible(): boolean;
     acceptEnd(): AnswerOutcome;
-    /** Sends the endpoint's error answer to the customer unchanged. */
+    /** Delivers the endpoint's error answer. */
     deliverFailure(): void;
     /** Whether a further attempt can continue the answer: nothing was sent yet, or what was sent are whole events. */
     canContinue(): boolean;
@@ -50,6 +50,8 @@
 export interface AnswerRelayOptions {
     readonly isStream: boolean;
     readonly answer: CustomerAnswer;
+    /** Sends a plain answer of the endpoint to the customer, all of whose body was received. */
+    readonly deliver: (head: AnswerHead, body: Buffer) => void;
     /** Method of the request. */
     readonly method: string;
     /** Id of the last event that the customer received in an earlier request. */
@@ -177,7 +179,7 @@
         }
         const body = Buffer.concat(buffered);
         dropBuffer();
-        answer.sendComplete(received.status, received.forwarded, body);
+        options.deliver(received, body);
     }
 
     function dropHeld(): void {
--- a/src/gateway/requestReport.ts
+++ b/src/gateway/requestReport.ts
@@ -11,6 +11,11 @@
 /** How a request ended, as the log and the request counter report it. */
 export enum EndKind {
     Answered = "answered",
+    /**
+     * Answered by its endpoint with a status that would promise that it has not run, although it may have. The customer got
+     * an error of the gateway instead.
+     */
+    Replaced = "replaced",
     CustomerLeft = "customer-left",
     Deadline = "deadline",
     /** Refused, because no endpoint had the capacity to serve the request in time. */
@@ -30,7 +35,10 @@
     readonly kind: EndKind;
     /** Cause of the end, where the kind does not tell it. */
     readonly reason?: string;
+    /** Status that the customer got. */
     readonly status?: number;
+    /** Status of the answer of the endpoint that the request was assigned to, if it is another one. */
+    readonly endpointStatus?: number;
     /** Id of the endpoint that the request was assigned to when it ended. */
     readonly endpoint?: string;
     readonly verdict?: Verdict;
@@ -196,6 +204,11 @@
                 deadlineMs: Math.round(deadlineAtMs - request.arrivedAtMs),
                 tookMs: Math.round(tookMs),
             });
+            if (result === EndKind.Replaced) {
+                const help =
+                    "Answers of endpoints that were replaced, since their status would have been a false promise.";
+                metrics.count("jujubelane_replaced_answers_total", help, { status: String(end.endpointStatus) });
+            }
             const labels = { result: result === EndKind.Answered ? `${result}-${end.status}` : result };
             metrics.count("jujubelane_requests_total", "Requests by result.", labels);
             metrics.recordDuration(
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -1,14 +1,16 @@
-import { mergeVerdicts, Verdict } from "../base/verdict.js";
+import { Verdict } from "../base/verdict.js";
+import { AnswerHead } from "../ports/exchange.js";
 import { RouteKind } from "../ports/servingConfiguration.js";
 import { Treatment } from "../quarantine/quarantine.js";
 import { isIdempotent, isRedispatchAllowed } from "../retries/dispatchDecision.js";
 import { DrainStep } from "../scheduling/drainAdmission.js";
-import { computeRetryAfterMs, renderRetryAfter } from "../scheduling/retryAfter.js";
+import { computeRetryAfterMs } from "../scheduling/retryAfter.js";
 import { AcceptedRequest, computeEngineNeeds, computeTimes, makePlacementTerms } from "./acceptedRequest.js";
 import { createAnswerRelay } from "./answerRelay.js";
 import { Attempt, AttemptFailure, AttemptListener, createAttempt } from "./attempt.js";
 import { CustomerAnswer } from "./customerAnswer.js";
 import { DrainEnding } from "./drainControl.js";
+import { createFinalAnswerSender } from "./finalAnswer.js";
 import { Place, PlacementRefusal } from "./place.js";
 import { createQuarantineWatch } from "./quarantineWatch.js";
 import { createRequestDrain } from "./requestDrain.js";
@@ -33,10 +35,11 @@
     const isRepeatable = isIdempotent(route.kind, route.isResumable);
     const needs = computeEngineNeeds(request);
     const avoid = new Set<string>();
-    const verdicts: Verdict[] = [];
+    const finalAnswer = createFinalAnswerSender({ answer, head, codec, isRepeatable });
     const relayOptions = {
         isStream: route.kind === RouteKind.Stream,
         answer,
+        deliver: (received: AnswerHead, body: Buffer) => finalAnswer.deliver(received, body),
         method: request.method,
         resumeAfterEventId: head.lastEventId,
     };
@@ -97,7 +100,7 @@
     const listener: AttemptListener = {
         onDelivered: handleDelivered,
         onFirstEvent: () => report.recordFirstEvent(),
-        onComplete: (unused, status) => end(EndKind.Answered, status),
+        onComplete: (unused, status) => endAnswered(status),
         onFailure: handleFailure,
         onStalled: handleStall,
         onUnreachable: handleUnreachable,
@@ -257,7 +260,7 @@
         }
         hedge?.recordFailure(attempt);
         if (attempts.length > 1) {
-            verdicts.push(verdict);
+            finalAnswer.recordVerdict(verdict);
             removeAttempt(attempt);
             return;
         }
@@ -266,13 +269,19 @@
         }
         if (failure.hasErrorAnswer) {
             attempt.relay.deliverFailure();
-            end(EndKind.Answered, attempt.getStatus());
+            endAnswered(attempt.getStatus()!);
             return;
         }
-        verdicts.push(verdict);
+        finalAnswer.recordVerdict(verdict);
         finishWithError(EndKind.Failed, reason);
     }
 
+    /** Ends the request after the answer of an endpoint was delivered or replaced. */
+    function endAnswered(endpointStatus: number): void {
+        const replacement = finalAnswer.getReplacement();
+        end(replacement === undefined ? EndKind.Answered : EndKind.Replaced, replacement ?? endpointStatus);
+    }
+
     /**
      * Submits the request again if the retry rules, the retry budget and a planned stop allow it. Returns whether it did.
      */
@@ -283,7 +292,7 @@
         ) {
             return false;
         }
-        verdicts.push(verdict);
+        finalAnswer.recordVerdict(verdict);
         report.recordRetry({
             endpoint: attempt.place.endpoint.id,
             reason,
@@ -306,7 +315,7 @@
     /** Records that the request may have run, if an attempt has reached an endpoint. */
     function recordUnanswered(): void {
         if (attempts.some(attempt => attempt.hasStarted())) {
-            verdicts.push(Verdict.MayHaveRun);
+            finalAnswer.recordVerdict(Verdict.MayHaveRun);
         }
     }
 
@@ -318,7 +327,7 @@
     function endByDrain(): DrainEnding {
         const isStarted = answer.isStarted();
         recordUnanswered();
-        const isRefused = mergeVerdicts(verdicts) === Verdict.NotRun;
+        const isRefused = (finalAnswer.getVerdict() ?? Verdict.NotRun) === Verdict.NotRun;
         finishWithError(EndKind.Stopped, "the process ends");
         return isStarted ? DrainEnding.BrokenOff : isRefused ? DrainEnding.Refused : DrainEnding.Failed;
     }
@@ -330,18 +339,15 @@
         if (hasEnded) {
             return;
         }
-        const verdict = mergeVerdicts(verdicts);
         if (answer.isStarted()) {
             answer.abort();
             end(kind, undefined, reason);
             return;
         }
-        const isNotRun = verdict === Verdict.NotRun;
-        const status = isNotRun ? 503 : kind === EndKind.Deadline ? 504 : 502;
-        const retryAfter = isNotRun
-            ? renderRetryAfter(quarantineWatch.computeRetryAfterMs() ?? predictRetryAfterMs(refusal))
-            : [];
-        answer.sendComplete(status, [...codec.encodeGatewayAnswer(head), ...retryAfter], Buffer.alloc(0));
+        const status = finalAnswer.sendError(
+            kind === EndKind.Deadline,
+            () => quarantineWatch.computeRetryAfterMs() ?? predictRetryAfterMs(refusal),
+        );
         end(kind, status, reason, refusal);
     }
 
@@ -359,10 +365,11 @@
         deadline.dispose();
         quarantineWatch.dispose();
         drain.dispose();
-        if (kind !== EndKind.Answered) {
+        if (kind !== EndKind.Answered && kind !== EndKind.Replaced) {
             attempts.forEach(attempt => attempt.abandon());
         }
         hedge?.dispose();
+        const endpointStatus = attempts[0]?.getStatus();
         const endpoint = (attempts[0]?.place ?? placement.getReservingPlace())?.endpoint.id;
         placement.dispose();
         releaseAttempts();
@@ -370,8 +377,9 @@
             kind,
             reason,
             status,
+            ...(endpointStatus !== status && { endpointStatus }),
             endpoint,
-            verdict: verdicts.length > 0 ? mergeVerdicts(verdicts) : undefined,
+            verdict: finalAnswer.getVerdict(),
             attempts: dispatches,
             refusal,
             events: relay.countEvents(),
