Answer late requests of a stopping gateway whole or not at all

Cause: decideDrainStep lets a request begin if its answer is predicted to end before the process does, and a prediction bounds nothing: the endpoint gets other work afterwards, and each event takes longer. Ruled out: the pace was measured and right when the request was taken (paceSource endpoint, factor 1); a larger factor only moves the edge. The log of DrainStepDecided was enough to tell that.

The prediction still decides who is worth a place, within the time for which the customer waits for a first byte as well. An answer that only its gateway has counts as not begun in every step of the stop. SIGTERM counts from the earliest moment at which it can have arrived (createSignalDelay), and the time of an early signal is taken off the time in which connections stay open, not off the threshold.

--- a/src/gateway/answerForecast.ts
+++ b/src/gateway/answerForecast.ts
@@ -11,6 +11,9 @@
     readonly pace: PaceReading;
 }
 
+/** Prediction of how long an answer takes, whatever limits it. */
+type DurationForecast = Pick<AnswerForecast, "usualMs" | "longestMs" | "isMeasured" | "pace">;
+
 /** Where a request stands when its answer is predicted. */
 export interface ForecastState {
     /** Place that was chosen; absent before. */
@@ -19,8 +22,10 @@
     readonly waitMs?: number;
     /** Load of the service if the request waits behind all others. */
     readonly load?: ServiceLoad;
-    /** Events of the answer that the customer has received by this request. */
+    /** Events of the answer that were received for this request. */
     readonly events?: number;
+    /** Whether the customer has received a part of the answer. */
+    readonly hasBegun?: boolean;
     /** Whether the request must not run twice. */
     readonly isUnsafe: boolean;
 }
@@ -49,19 +54,27 @@
 ): AnswerForecast {
     const { engine } = request.service;
     const needs = computeEngineNeeds(request);
-    const boundMs = Math.max(0, computeTimes(request).deadlineAtMs - nowMs);
-    return engine && needs
+    const { deadlineAtMs, customerTimeoutAtMs } = computeTimes(request);
+    const boundMs = Math.max(0, deadlineAtMs - nowMs);
+    const predicted = engine && needs
         ? predictStream(request, engine, needs, pace, state, boundMs, nowMs)
         : predictPlainAnswer(request, pace, state, boundMs, nowMs);
+    return {
+        ...predicted,
+        boundMs,
+        patienceMs: Math.max(0, customerTimeoutAtMs - nowMs),
+        hasBegun: state.hasBegun ?? false,
+        arrivedAtMs: request.arrivedAtMs,
+    };
 }
 
 function predictPlainAnswer(
-    { service, arrivedAtMs }: AcceptedRequest,
+    { service }: AcceptedRequest,
     pace: AnswerPace,
     { waitMs = 0, isUnsafe }: ForecastState,
     boundMs: number,
     nowMs: number,
-): AnswerForecast {
+): DurationForecast {
     const reading = pace.readPlainAnswers(service.name, nowMs);
     const durationMs = reading?.durationMs ?? plainAnswerMs;
     const longestMs = isUnsafe
@@ -70,10 +83,7 @@
     return {
         usualMs: waitMs + durationMs,
         longestMs: reading === undefined && isUnsafe ? boundMs : waitMs + longestMs,
-        boundMs,
         isMeasured: reading !== undefined,
-        hasBegun: false,
-        arrivedAtMs,
         pace: {
             factor: 1,
             source: reading?.source ?? PaceSource.Profile,
@@ -90,14 +100,14 @@
 }
 
 function predictStream(
-    { service, head, arrivedAtMs }: AcceptedRequest,
+    { service, head }: AcceptedRequest,
     engine: EngineProfile,
     needs: EngineNeeds,
     pace: AnswerPace,
     { place, waitMs = 0, load, events = 0 }: ForecastState,
     boundMs: number,
     nowMs: number,
-): AnswerForecast {
+): DurationForecast {
     const gaps = pace.readGaps(service.name, place?.endpoint.id, nowMs);
     const firstEvents = pace.readFirstEvents(service.name, place?.endpoint.id, nowMs);
     // Before there is a place, only requests that could not end even on an idle engine are known to be too long.
@@ -112,10 +122,7 @@
     return {
         usualMs: startMs + answerMs,
         longestMs: maxOutputTokens > 0 ? startMs + computeAnswerMs(maxOutputTokens) : boundMs,
-        boundMs,
         isMeasured: gaps.samples > 0,
-        hasBegun: events > 0,
-        arrivedAtMs,
         pace: gaps,
     };
 }
--- a/src/gateway/drainControl.ts
+++ b/src/gateway/drainControl.ts
@@ -10,8 +10,9 @@
     Drain,
     DrainDecision,
     DrainStep,
+    mustHoldAnswer,
 } from "../scheduling/drainAdmission.js";
-import { AcceptedRequest } from "./acceptedRequest.js";
+import { AcceptedRequest, computeTimes } from "./acceptedRequest.js";
 import { AnswerForecast, ForecastState, predictAnswer } from "./answerForecast.js";
 
 /** What became of a request that was unfinished when its process ended. */
@@ -50,6 +51,8 @@
     begin(drain: Drain): void;
     /** Adds a request until the result is disposed of. */
     add(request: DrainableRequest): Disposable;
+    /** Returns whether the answer to a request must be held until it is whole. */
+    mustHold(request: AcceptedRequest): boolean;
     /** Returns why a request may not take a step, or `undefined` if it may. Logged and counted during a stop. */
     checkStep(question: DrainQuestion): string | undefined;
     /** Returns whether a request may take a step, without a line in the log. */
@@ -81,7 +84,7 @@
  *
  * @example
  * const control = createDrainControl(options);
- * control.begin({ startedAtMs: nowMs, closesIdleAtMs: nowMs + 3_000, endsAtMs: nowMs + 7_600 });
+ * control.begin({ startedAtMs: nowMs, lateFromMs: nowMs + 2_800, closesIdleAtMs: nowMs + 3_000, endsAtMs: nowMs + 7_600 });
  * control.checkStep({ request, step: DrainStep.Arrival, isUnsafe: false }); // a reason if it may not go on
  */
 export function createDrainControl(options: DrainControlOptions): DrainControl {
@@ -108,7 +111,7 @@
 
     function record(
         { request, step }: DrainQuestion,
-        { isAllowed, neededMs, remainingMs }: DrainDecision,
+        { isAllowed, neededMs, remainingMs, isHeld }: DrainDecision,
         { usualMs, longestMs, boundMs, pace }: AnswerForecast,
     ): void {
         log(LogEvent.DrainStepDecided, {
@@ -121,6 +124,7 @@
             usualMs: Math.round(usualMs),
             longestMs: Math.round(longestMs),
             boundMs: Math.round(boundMs),
+            isHeld,
             pace: Number(pace.factor.toFixed(2)),
             paceSource: pace.source,
             paceSamples: pace.samples,
@@ -143,6 +147,8 @@
             requests.add(request);
             return createDisposable(() => requests.delete(request));
         },
+        mustHold: request =>
+            drain !== undefined && mustHoldAnswer(drain, request.arrivedAtMs, computeTimes(request).deadlineAtMs),
         checkStep(question) {
             if (!drain) {
                 return undefined;
@@ -155,7 +161,8 @@
                 return undefined;
             }
             const [remainingMs, neededMs] = [decision.remainingMs, decision.neededMs].map(Math.round);
-            return `would outlast this process, which ends in ${remainingMs} ms: needs ${neededMs} ms`;
+            const limit = decision.isHeld ? "this process or the patience of its customer" : "this process";
+            return `would outlast ${limit}, which ends in ${remainingMs} ms: needs ${neededMs} ms`;
         },
         isStepAllowed: question => drain === undefined || decide(drain, question, timers.now())[1].isAllowed,
         getReturnMs: () =>
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -15,6 +15,7 @@
 import { createAnswerPace } from "../scheduling/answerPace.js";
 import { defaultColdBound } from "../scheduling/coldBudget.js";
 import { LimitSharing } from "../scheduling/limitBudget.js";
+import { createSignalDelay } from "../scheduling/signalDelay.js";
 import { createAnswerEndings } from "./answerEnding.js";
 import { createColdWatch } from "./coldWatch.js";
 import { createConfigurationWatch } from "./configurationWatch.js";
@@ -72,6 +73,7 @@
 export async function startGateway(settings: GatewaySettings, ports: GatewayPorts): Promise<Gateway> {
     const { timers, log } = ports;
     const disposables = createDisposableStore();
+    const signalDelay = createSignalDelay(expiryCheckIntervalMs, timers.now());
     const metrics = createMetrics();
     const directory = createEndpointDirectory(defaultDirectorySettings);
     const health = createEndpointHealth();
@@ -374,6 +376,7 @@
     }));
     disposables.register(
         timers.subscribe(expiryCheckIntervalMs, () => {
+            signalDelay.observe(timers.now());
             endpointFeed.expire();
             evacuationWatch.expire();
             coldWatch.refresh();
@@ -413,8 +416,8 @@
     }
 
     async function drain(elapsedMs = 0): Promise<void> {
-        const graceMs = Math.max(0, settings.graceMs - elapsedMs);
-        await drainCustomers({ timers, log, customers, graceMs, control: drainControl });
+        const signalDelayMs = elapsedMs + signalDelay.getMaxMs(timers.now());
+        await drainCustomers({ ...settings, timers, log, customers, signalDelayMs, control: drainControl });
         disposables.dispose();
         await connections.close();
     }
--- a/src/gateway/gatewayDrain.ts
+++ b/src/gateway/gatewayDrain.ts
@@ -10,6 +10,8 @@
     readonly customers: CustomerServer;
     /** Time between SIGTERM and SIGKILL, in milliseconds. */
     readonly graceMs: number;
+    /** Longest time for which SIGTERM may have waited in a process that was delayed, in milliseconds. */
+    readonly signalDelayMs: number;
     /** Decides about requests from the beginning on, and ends what is left. */
     readonly control: Pick<DrainControl, "begin" | "endRequests">;
 }
@@ -21,6 +23,8 @@
 const minAcceptMs = 3_000;
 /** Largest share of the time until SIGKILL that `minAcceptMs` may take. */
 const maxAcceptShare = 0.4;
+/** Time for which SIGTERM may wait in a process that is not delayed, in milliseconds. */
+const usualSignalDelayMs = 200;
 /** Time before SIGKILL at which the remaining requests are aborted, in milliseconds, and its largest share of the grace. */
 const closeBeforeKillMs = 400;
 const maxCloseShare = 0.15;
@@ -31,21 +35,32 @@
 const closingMs = 100;
 const closingCheckIntervalMs = 10;
 
+/** Computes for how long idle connections are kept, in milliseconds, with `graceMs` left until SIGKILL. */
+function computeAcceptMs(graceMs: number): number {
+    return Math.min(minAcceptMs, graceMs * maxAcceptShare);
+}
+
 /**
  * Finishes the requests of a gateway that stops and closes its customers' connections. Resolves when no request is left or
  * the time is over.
  *
  * @example
- * await drainCustomers({ timers, log, customers, graceMs: 10_000, control });
+ * await drainCustomers({ timers, log, customers, graceMs: 10_000, signalDelayMs: 0, control });
  */
 export async function drainCustomers(options: GatewayDrainOptions): Promise<void> {
     const { timers, log, customers, graceMs, control } = options;
-    const startedAtMs = timers.now();
+    const nowMs = timers.now();
+    const startedAtMs = nowMs - options.signalDelayMs;
     const endsAtMs = startedAtMs + graceMs - Math.min(closeBeforeKillMs, graceMs * maxCloseShare);
     log(LogEvent.ProcessDraining, { requests: customers.countRequests() });
     customers.startClosing();
-    const acceptMs = Math.min(minAcceptMs, graceMs * maxAcceptShare);
-    control.begin({ startedAtMs, closesIdleAtMs: startedAtMs + acceptMs, endsAtMs });
+    const acceptMs = computeAcceptMs(Math.max(0, graceMs - options.signalDelayMs));
+    control.begin({
+        startedAtMs,
+        lateFromMs: startedAtMs + computeAcceptMs(graceMs) - usualSignalDelayMs,
+        closesIdleAtMs: nowMs + acceptMs,
+        endsAtMs,
+    });
     await waitFor(timers, acceptMs);
     customers.closeIdleConnections();
     // Connections are accepted to the end: if other gateways stop too, customers have nowhere else to go.
--- a/src/gateway/requestDrain.ts
+++ b/src/gateway/requestDrain.ts
@@ -30,8 +30,10 @@
 export interface RequestDrainOptions {
     readonly request: AcceptedRequest;
     readonly services: Pick<RequestServices, "timers" | "drainControl" | "placementQueue">;
-    /** Returns the number of events that the customer has received. */
+    /** Returns the number of events that were received for the request. */
     readonly countEvents: () => number;
+    /** Returns whether the customer has received a part of the answer. */
+    readonly hasBegun: () => boolean;
     /** Returns the place at which the request is running. */
     readonly getPlace: () => Place | undefined;
     /** Finds a place that is free now at another endpoint. */
@@ -75,7 +77,7 @@
     });
 
     function makeQuestion(step: DrainStep, place: Place | undefined): DrainQuestion {
-        return { request, step, place, events: options.countEvents(), isUnsafe };
+        return { request, step, place, events: options.countEvents(), hasBegun: options.hasBegun(), isUnsafe };
     }
 
     /** Makes the question of a request that waits behind all others of its service. */
@@ -96,7 +98,7 @@
 
     function checkStep(step: DrainStep, place?: Place): string | undefined {
         // An answer that has begun breaks off if it does not go on, however late it may be.
-        const mustGoOn = options.countEvents() > 0 && step !== DrainStep.Retry && step !== DrainStep.Hedge;
+        const mustGoOn = options.hasBegun() && step !== DrainStep.Retry && step !== DrainStep.Hedge;
         if (!control.getDrain() || mustGoOn) {
             return undefined;
         }
@@ -160,7 +162,7 @@
             return other !== undefined && checkStep(DrainStep.Retry, other) === undefined;
         },
         startWait() {
-            isWaiting = options.countEvents() === 0;
+            isWaiting = !options.hasBegun();
             if (isWaiting && control.getDrain()) {
                 admitWait(makeLastQuestion());
             }
--- a/src/gateway/requestReport.ts
+++ b/src/gateway/requestReport.ts
@@ -46,9 +46,11 @@
     /** Decision to refuse the request a place. */
     readonly refusal?: PlacementRefusal;
     readonly events: number;
-    /** Time of the first event on the monotonic clock. */
+    /** Time of the first event on the monotonic clock, unless it was held. */
     readonly firstEventAtMs?: number;
     readonly longestPauseMs: number;
+    /** Whether the answer was held back until it was whole, because the process stops. */
+    readonly wasHeld?: boolean;
     /** Predicted time to prefill the prompt on one engine, in milliseconds. */
     readonly readMs?: number;
     /** What became of the second attempt, if one was sent. */
@@ -204,6 +206,10 @@
                 deadlineMs: Math.round(deadlineAtMs - request.arrivedAtMs),
                 tookMs: Math.round(tookMs),
             });
+            if (end.wasHeld) {
+                const help = "Answers that were held back until they were whole, by result of the request.";
+                metrics.count("jujubelane_held_answers_total", help, { result });
+            }
             if (result === EndKind.Replaced) {
                 const help =
                     "Answers of endpoints that were replaced, since their status would have been a false promise.";
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -11,6 +11,7 @@
 import { CustomerAnswer } from "./customerAnswer.js";
 import { DrainEnding } from "./drainControl.js";
 import { createFinalAnswerSender } from "./finalAnswer.js";
+import { createHeldAnswer, maxHeldBytes } from "./heldAnswer.js";
 import { Place, PlacementRefusal } from "./place.js";
 import { createQuarantineWatch } from "./quarantineWatch.js";
 import { createRequestDrain } from "./requestDrain.js";
@@ -35,10 +36,14 @@
     const isRepeatable = isIdempotent(route.kind, route.isResumable);
     const needs = computeEngineNeeds(request);
     const avoid = new Set<string>();
-    const finalAnswer = createFinalAnswerSender({ answer, head, codec, isRepeatable });
+    const heldAnswer = createHeldAnswer(answer, {
+        mustHold: () => services.drainControl.mustHold(request),
+        onTooLong: () => finishUnanswered(EndKind.Stopped, `the answer is longer than ${maxHeldBytes} bytes`),
+    });
+    const finalAnswer = createFinalAnswerSender({ answer: heldAnswer, head, codec, isRepeatable });
     const relayOptions = {
         isStream: route.kind === RouteKind.Stream,
-        answer,
+        answer: heldAnswer,
         deliver: (received: AnswerHead, body: Buffer) => finalAnswer.deliver(received, body),
         method: request.method,
         resumeAfterEventId: head.lastEventId,
@@ -55,6 +60,7 @@
         request,
         services,
         countEvents: () => relay.countEvents(),
+        hasBegun: () => answer.isStarted(),
         getPlace: () => attempts[0]?.place,
         findOtherPlace,
         refuse: reason => finishWithError(EndKind.Stopped, reason),
@@ -99,7 +105,7 @@
 
     const listener: AttemptListener = {
         onDelivered: handleDelivered,
-        onFirstEvent: () => report.recordFirstEvent(),
+        onFirstEvent: () => heldAnswer.wasHeld() ? undefined : report.recordFirstEvent(),
         onComplete: (unused, status) => endAnswered(status),
         onFailure: handleFailure,
         onStalled: handleStall,
@@ -157,7 +163,7 @@
         const attempt = createAttempt({
             request,
             services,
-            answer,
+            answer: heldAnswer,
             place,
             number: dispatches,
             reservationSet,
@@ -169,7 +175,7 @@
             listener,
         });
         attempts = [...attempts, attempt];
-        if (!answer.isStarted()) {
+        if (!heldAnswer.isStarted()) {
             hedge?.startAttempt(attempt);
         }
         attempt.send();
@@ -383,9 +389,10 @@
             attempts: dispatches,
             refusal,
             events: relay.countEvents(),
-            firstEventAtMs: progress.getFirstEventMs(),
+            firstEventAtMs: heldAnswer.wasHeld() ? undefined : progress.getFirstEventMs(),
             longestPauseMs: progress.getLongestPauseMs(),
             readMs: needs?.prefillMs,
+            ...(heldAnswer.wasHeld() && { wasHeld: true }),
             ...(hedge?.getResult() && { hedge: hedge.getResult() }),
         });
     }
--- a/src/scheduling/drainAdmission.ts
+++ b/src/scheduling/drainAdmission.ts
@@ -1,6 +1,12 @@
 /** A planned stop of this process. Times are on the monotonic clock, in milliseconds. */
 export interface Drain {
+    /** When the signal has arrived, or the earliest time at which it may have. */
     readonly startedAtMs: number;
+    /**
+     * From when on a request is late: its customer could know of the stop, and is owed a whole answer or none. The answer
+     * to an earlier request may be cut off at the end.
+     */
+    readonly lateFromMs: number;
     /**
      * When idle connections are closed. Until then customers come on connections that were open before the stop, and on
      * new ones from a load balancer that has not noticed it.
@@ -32,6 +38,8 @@
     readonly longestMs: number;
     /** Time after which the request ends in any case: its deadline or the time-out of its route. */
     readonly boundMs: number;
+    /** Time for which the customer is expected to wait for the first byte. */
+    readonly patienceMs: number;
     /** Whether the prediction rests on answers that were seen lately, and not on the profile of the endpoints alone. */
     readonly isMeasured: boolean;
     /** Whether the customer has received a part of the answer, which breaks off if the request does not go on. */
@@ -45,8 +53,10 @@
     readonly isAllowed: boolean;
     /** Time that the request needs to its end. */
     readonly neededMs: number;
-    /** Time until requests are cut off. */
+    /** Time within which the request has to end: until requests are cut off, or until its customer has lost patience. */
     readonly remainingMs: number;
+    /** Whether the answer is held until it is whole. */
+    readonly isHeld: boolean;
 }
 
 /**
@@ -62,14 +72,27 @@
 const measuredDurationFactor = 1.25;
 /** Factor on the duration of the longest answer, since work that the endpoint gets later makes it slower. */
 const longestDurationFactor = 1.15;
-/** Time by which the stop may have begun before this process noticed it, in milliseconds. */
-const noticeDelayMs = 200;
 /** Part of a request's duration that does not grow with it, in milliseconds: transfers and the wait for a pass. */
 const durationMarginMs = 300;
 
+/**
+ * Returns whether the answer to a request must be held until it is whole: the request is late, and nothing but a
+ * prediction says that its answer ends before the process does.
+ *
+ * @param deadlineAtMs when the request ends in any case, on the monotonic clock
+ *
+ * @example
+ * const drain = { startedAtMs: 0, lateFromMs: 2_800, closesIdleAtMs: 3_000, endsAtMs: 7_600 };
+ * mustHoldAnswer(drain, 3_100, 15_000); // true
+ */
+export function mustHoldAnswer(drain: Drain, arrivedAtMs: number, deadlineAtMs: number): boolean {
+    return arrivedAtMs >= drain.lateFromMs && deadlineAtMs > drain.endsAtMs;
+}
+
 /**
  * Decides whether a request of a process that is stopping may take its next step. It may if it is predicted to end
- * before the process does, or if its own time limit ends before. An answer that has begun needs no reserve.
+ * before the process does, or if its own time limit ends before. An answer that has begun needs no reserve. One that is
+ * held must also end before its customer, who gets nothing until then, loses patience.
  *
  * Load pattern: all processes of a data centre stop at about the same time, so that the load balancer has no other
  * process to choose. Requests that can end before the process does are served; the others are refused before they run,
@@ -77,21 +100,23 @@
  * its longest answer.
  *
  * @example
- * const drain = { startedAtMs: 0, closesIdleAtMs: 3_000, endsAtMs: 7_600 };
- * const predicted = { usualMs: 9_000, longestMs: 12_000, boundMs: 15_000, isMeasured: false, hasBegun: false, arrivedAtMs };
+ * const drain = { startedAtMs: 0, lateFromMs: 2_800, closesIdleAtMs: 3_000, endsAtMs: 7_600 };
+ * const predicted = { usualMs: 9_000, longestMs: 12_000, boundMs: 15_000, patienceMs: 8_000, isMeasured: false, ...state };
  * decideDrainStep(drain, predicted, 1_000).isAllowed; // false
  */
 export function decideDrainStep(drain: Drain, predicted: PredictedDuration, nowMs: number): DrainDecision {
     const usualMs = predicted.usualMs * (predicted.isMeasured ? measuredDurationFactor : durationFactor);
     const longestMs = predicted.longestMs * longestDurationFactor;
-    const countedMs = predicted.arrivedAtMs < drain.closesIdleAtMs - noticeDelayMs
+    const countedMs = predicted.arrivedAtMs < drain.lateFromMs
         ? Math.min(usualMs, predicted.longestMs)
         : Math.max(predicted.isMeasured ? 0 : usualMs, longestMs);
     const neededMs = predicted.hasBegun
         ? Math.min(predicted.usualMs, predicted.boundMs)
         : Math.min(countedMs + durationMarginMs, predicted.boundMs);
-    const remainingMs = drain.endsAtMs - nowMs;
-    return { isAllowed: neededMs <= remainingMs, neededMs, remainingMs };
+    const untilEndMs = drain.endsAtMs - nowMs;
+    const isHeld = !predicted.hasBegun && mustHoldAnswer(drain, predicted.arrivedAtMs, nowMs + predicted.boundMs);
+    const remainingMs = isHeld ? Math.min(untilEndMs, predicted.patienceMs) : untilEndMs;
+    return { isAllowed: neededMs <= remainingMs, neededMs, remainingMs, isHeld };
 }
 
 /**
@@ -101,7 +126,7 @@
  * @param processReturnMs time until a process that does not stop is expected to take requests, in milliseconds
  *
  * @example
- * computeDrainReturnMs({ startedAtMs: 0, closesIdleAtMs: 3_000, endsAtMs: 7_600 }, 0, 1_000); // 1_200
+ * computeDrainReturnMs({ startedAtMs: 0, lateFromMs: 2_800, closesIdleAtMs: 3_000, endsAtMs: 7_600 }, 0, 1_000); // 1_200
  */
 export function computeDrainReturnMs(drain: Drain, processReturnMs: number, nowMs: number): number {
     return Math.max(0, drain.startedAtMs + loadBalancerNoticeMs - nowMs, processReturnMs);
--- a/test/gateway/drainControl.test.ts
+++ b/test/gateway/drainControl.test.ts
@@ -11,7 +11,7 @@
 import { DrainStep } from "../../src/scheduling/drainAdmission.js";
 
 const graceMs = 8_000;
-const drain = { startedAtMs: 0, closesIdleAtMs: 3_000, endsAtMs: 7_600 };
+const drain = { startedAtMs: 0, lateFromMs: 2_800, closesIdleAtMs: 3_000, endsAtMs: 7_600 };
 
 /** Makes a request whose deadline is later than the end of the drain. */
 function makeRequest(id: string, arrivedAtMs = 0): AcceptedRequest {
--- a/test/platform/support/deployment.ts
+++ b/test/platform/support/deployment.ts
@@ -216,8 +216,8 @@
         url: `http://127.0.0.1:${settings.customerAddress.port}`,
         settings,
         lines,
-        async drain() {
-            await gateway.drain();
+        async drain(elapsedMs) {
+            await gateway.drain(elapsedMs);
             await store.close();
         },
     };
--- a/test/scheduling/drainAdmission.test.ts
+++ b/test/scheduling/drainAdmission.test.ts
@@ -1,12 +1,13 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { computeDrainReturnMs, decideDrainStep } from "../../src/scheduling/drainAdmission.js";
+import { computeDrainReturnMs, decideDrainStep, mustHoldAnswer } from "../../src/scheduling/drainAdmission.js";
 
-const drain = { startedAtMs: 1_000, closesIdleAtMs: 4_000, endsAtMs: 8_600 };
+const drain = { startedAtMs: 1_000, lateFromMs: 3_800, closesIdleAtMs: 4_000, endsAtMs: 8_600 };
 const early = {
     usualMs: 2_000,
     longestMs: 9_000,
     boundMs: 20_000,
+    patienceMs: 20_000,
     isMeasured: false,
     hasBegun: false,
     arrivedAtMs: 2_000,
@@ -33,7 +34,7 @@
 
 test("the longest answer that would just end at the profile's pace is refused, since other work slows it down", () => {
     const decision = decideDrainStep(drain, { ...predicted, longestMs: 4_200 }, 4_000);
-    assert.deepEqual(decision, { isAllowed: false, neededMs: 4_200 * 1.15 + 300, remainingMs: 4_600 });
+    assert.deepEqual(decision, { isAllowed: false, neededMs: 4_200 * 1.15 + 300, remainingMs: 4_600, isHeld: true });
 });
 
 test("what is known of the pace counts: a measured prediction needs less reserve than that of a profile", () => {
@@ -62,3 +63,17 @@
     assert.equal(computeDrainReturnMs(drain, 6_100, 4_000), 6_100);
     assert.equal(computeDrainReturnMs(drain, 500, 2_000), 1_200);
 });
+
+test("the answer to a late request is held, unless its own time limit ends before the process does", () => {
+    assert.equal(mustHoldAnswer(drain, 3_800, 8_601), true);
+    assert.equal(mustHoldAnswer(drain, 3_800, 8_600), false);
+    assert.equal(mustHoldAnswer(drain, 3_799, 20_000), false);
+});
+
+test("an answer that is held must end before its customer loses patience", () => {
+    const impatient = { ...predicted, usualMs: 500, longestMs: 1_000, patienceMs: 1_000 };
+    assert.equal(decideDrainStep(drain, impatient, 4_000).isAllowed, false);
+    assert.equal(decideDrainStep(drain, { ...impatient, patienceMs: 1_500 }, 4_000).isAllowed, true);
+    assert.equal(decideDrainStep(drain, { ...impatient, boundMs: 4_000 }, 4_000).isAllowed, true, "it is not held");
+    assert.equal(decideDrainStep(drain, { ...impatient, arrivedAtMs: 2_000 }, 4_000).isAllowed, true, "it is not late");
+});
