Do not end a short grace early for a SIGTERM that may have waited

The end now counts from when SIGTERM was noticed, less what is needed so that the close still fits before SIGKILL.

--- a/src/gateway/gatewayDrain.ts
+++ b/src/gateway/gatewayDrain.ts
@@ -51,7 +51,12 @@
     const { timers, log, customers, graceMs, control } = options;
     const nowMs = timers.now();
     const startedAtMs = nowMs - options.signalDelayMs;
-    const endsAtMs = startedAtMs + graceMs - Math.min(closeBeforeKillMs, graceMs * maxCloseShare);
+    const closeMs = Math.min(closeBeforeKillMs, graceMs * maxCloseShare);
+    // An end that is too early breaks off more answers. The time for closing is needed even if SIGTERM has waited.
+    const endsAtMs = Math.min(
+        nowMs + graceMs - closeMs,
+        startedAtMs + graceMs - Math.min(closeMs, flushMs + closingMs),
+    );
     log(LogEvent.ProcessDraining, { requests: customers.countRequests() });
     customers.startClosing();
     const acceptMs = computeAcceptMs(Math.max(0, graceMs - options.signalDelayMs));
