Judge refusals by their verdict and by all four statuses

A refusal with the seal of an endpoint is allowed for requests that may run again, any other one still only if nothing has run.

--- a/src/load/loadClient.ts
+++ b/src/load/loadClient.ts
@@ -33,7 +33,6 @@
 const hangGraceMs = 2_000;
 const connectTimeoutMs = 5_000;
 const maxMessageLength = 200;
-const tooManyRequestsStatus = 429;
 const notRunVerdict = "not-run";
 const doneMarker = "[DONE]";
 
@@ -311,7 +310,7 @@
     const verdict = error?.verdict ?? readHeader(headers[HeaderName.Verdict]);
     const retryAfter = readHeader(headers["retry-after"]);
     return makeResult(
-        status === tooManyRequestsStatus || verdict === notRunVerdict ? OutcomeKind.Refused : OutcomeKind.Failed,
+        verdict === notRunVerdict ? OutcomeKind.Refused : OutcomeKind.Failed,
         status,
         {
             code: error?.code,
--- a/src/load/outcome.ts
+++ b/src/load/outcome.ts
@@ -4,7 +4,7 @@
 export enum OutcomeKind {
     /** The complete answer arrived and every byte was verified. */
     Completed = "completed",
-    /** Refused before it ran, with status 429 or with the verdict "not run". */
+    /** Refused before it ran, with the verdict "not run". No status is such a statement by itself. */
     Refused = "refused",
     /** An error answer, a connection that broke before the answer began, or a stream that ended with an error event. */
     Failed = "failed",
--- a/test/platform/support/endpointStandIn.ts
+++ b/test/platform/support/endpointStandIn.ts
@@ -111,6 +111,8 @@
     readonly slots?: number;
     /** Time that a slot is taken by a request of a plain service, in milliseconds. */
     readonly slotMs?: number;
+    /** Called for each request that has run. Returns the status with which it fails without a statement that it did not run. */
+    readonly makeFailure?: () => number | undefined;
     /** Called when the endpoint has crashed and when it is back, with the ids that it had before and has now. */
     readonly onCrashed?: (previousId: string) => void;
     readonly onRestarted?: (endpoint: EndpointStandIn) => void;
@@ -267,6 +269,11 @@
         if (requestLimit !== undefined) {
             headers["server-limit"] = String(requestLimit);
         }
+        const failureStatus = fault === EndpointFault.None ? options.makeFailure?.() : undefined;
+        if (failureStatus !== undefined) {
+            response.writeHead(failureStatus, headers).end("failed after it ran");
+            return;
+        }
         switch (fault) {
             case EndpointFault.Full:
                 response.writeHead(503, { ...noticeHeaders, "x-request-id": requestId, "x-not-executed": "1" }).end();
--- a/test/soak/killOutcome.ts
+++ b/test/soak/killOutcome.ts
@@ -1,3 +1,4 @@
+import { isRefusalStatus } from "../../src/retries/finalStatus.js";
 import { RequestEnd } from "./customerConnection.js";
 import { CutEndpoint, Ending } from "./cutEndpoint.js";
 
@@ -71,7 +72,7 @@
             counts.answered += 1;
             check(answer.body === body, "an answer that looks whole is whole");
         }
-        else if (answer.status === 503) {
+        else if (isRefusalStatus(answer.status)) {
             counts.refused += 1;
             check(runs.length === 0, "a request that was refused as not run did not run");
         }
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -56,6 +56,20 @@
     assert.deepEqual(result.violations, [], result.logs.slice(-200).join("\n"));
 });
 
+test("invariants hold while endpoints fail requests after they ran them, seed 411: their status was passed on as a promise", async () => {
+    const result = await runSoak({
+        seed: 411,
+        faultMs: 4_000,
+        gateways: 2,
+        engines: 3,
+        services: 2,
+        requestsPerSecond: 40,
+        failingShare: 0.4,
+    });
+    assert.ok(result.requests > 50, `${result.requests} requests`);
+    assert.deepEqual(result.violations, [], result.logs.slice(-200).join("\n"));
+});
+
 for (const [seed, cause] of seeds) {
     test(`invariants hold while faults overlap, seed ${seed}: ${cause}`, async () => {
         const result = await runSoak({
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -25,6 +25,11 @@
     readonly crashingShare?: number;
     /** Share of the plain requests that crash the instances of the plain service, half of them without a body. */
     readonly crashingPlainShare?: number;
+    /**
+     * Share of their requests that one engine and one instance fail with the status of a refusal after they ran them, until
+     * the faults end.
+     */
+    readonly failingShare?: number;
     /** Whether the store may come back from an older copy. */
     readonly isStoreRestored?: boolean;
     /** Length of the period without faults at the end of the run. */
@@ -63,6 +68,8 @@
 const minServedShare = 0.95;
 /** Time within which the operator and the endpoints write again what the store has lost, in milliseconds. */
 const writtenAgainMs = 1_000;
+/** Statuses that an endpoint may give after it ran a request. */
+const failureStatuses = [408, 429, 503];
 const revokedKey = "key-that-goes";
 /**
  * Time after which a revoked key must be refused: 1.5 s until the configuration is in force, and a second for a process
@@ -120,6 +127,11 @@
     // A source of its own leaves the faults of a seed as they are without crashing parts.
     const crashRandom = createSeededRandomSource(options.seed + 1_000);
     const plainCrashRandom = createSeededRandomSource(options.seed + 2_000);
+    const failureRandom = createSeededRandomSource(options.seed + 3_000);
+    const makeFailureOfOne = () =>
+        revokedAtMs === Number.POSITIVE_INFINITY && failureRandom() < (options.failingShare ?? 0)
+            ? failureStatuses[Math.floor(failureRandom() * failureStatuses.length)]
+            : undefined;
     const faultFreeMs = options.faultFreeMs ?? defaultFaultFreeMs;
     const pick = <Item>(items: readonly Item[]): Item => items[Math.floor(random() * items.length)]!;
     const store = await startStoreStandIn();
@@ -150,6 +162,7 @@
                 delayMs: 30,
                 restartDelayMs: 400,
             },
+            ...(index === 0 || index === options.engines ? { makeFailure: makeFailureOfOne } : {}),
             onCrashed: removeRegistration,
             onRestarted: restarted => register(restarted, proxy, "ready"),
         });
@@ -213,6 +226,7 @@
         };
         const model = kind === SoakKind.Stream ? prompt : {};
         let status: number | undefined;
+        let isSealed = false;
         let body: string | undefined;
         let isComplete = false;
         try {
@@ -223,6 +237,7 @@
                 dispatcher: customer,
             });
             status = answer.statusCode;
+            isSealed = "x-response-seal" in answer.headers;
             body = await answer.body.text();
             isComplete = true;
         }
@@ -236,6 +251,7 @@
             deadlineMs,
             endedAtMs: performance.now(),
             status,
+            isSealed,
             body,
             isComplete,
             isRevoked,
--- a/test/soak/soakOutcome.ts
+++ b/test/soak/soakOutcome.ts
@@ -1,3 +1,4 @@
+import { isRefusalStatus } from "../../src/retries/finalStatus.js";
 import { EndpointStandIn, ReceivedRequest, renderEvent } from "../platform/support/endpointStandIn.js";
 
 /** Kinds of requests that the soak test's customers send. */
@@ -16,6 +17,8 @@
     readonly endedAtMs: number;
     /** Absent if the connection broke before the response headers. */
     readonly status?: number;
+    /** Whether the answer bears the seal of an endpoint. */
+    readonly isSealed?: boolean;
     readonly body?: string;
     /** Whether the body was received completely. */
     readonly isComplete: boolean;
@@ -42,8 +45,10 @@
             violations.push(`${invariant}: request ${outcome.id} (${outcome.kind}), status ${outcome.status}`);
         }
     };
-    const isNotRunStatus = outcome.status === 503 || outcome.status === 429;
-    check(!isNotRunStatus || runs.length === 0, "a request that was refused as not run did not run");
+    const isRefusal = outcome.status !== undefined && isRefusalStatus(outcome.status);
+    // An endpoint may give such a status to a request that may run again, after it ran.
+    const isPassedOn = outcome.isSealed === true && outcome.kind !== SoakKind.Unsafe;
+    check(!isRefusal || isPassedOn || runs.length === 0, "a request that was refused as not run did not run");
     check(outcome.kind !== SoakKind.Unsafe || runs.length <= 1, "an unsafe request runs once at most");
     check(runs.length <= 2, "a request runs on no more endpoints than its route allows");
     check(!outcome.isRevoked || runs.length === 0, "a request with a revoked key does not run");
--- a/test/soak/stopOutcome.ts
+++ b/test/soak/stopOutcome.ts
@@ -1,3 +1,4 @@
+import { isRefusalStatus } from "../../src/retries/finalStatus.js";
 import { EndpointStandIn, ReceivedRequest, renderEvent } from "../platform/support/endpointStandIn.js";
 import { RequestEnd } from "./customerConnection.js";
 
@@ -103,8 +104,6 @@
     readonly violations: readonly string[];
 }
 
-const refusalStatuses = [429, 503];
-
 /** Checks every outcome against the promise and against what the endpoints received. */
 export function summarizeStops(
     outcomes: readonly StopOutcome[],
@@ -138,7 +137,7 @@
             brokenOff.push(`${cause}: ${describeOutcome(outcome, runs, stop)}`);
             check(cause !== BreakCause.Violation, "a request that was read is answered completely or refused");
         }
-        else if (refusalStatuses.includes(answer.status)) {
+        else if (isRefusalStatus(answer.status)) {
             refusals.push(outcome);
             check(runs.length === 0, "a request that was refused as not run did not run");
         }
