Begin the name of the decision on held answers with a verb

Names of functions begin with a verb of docs/verbs.md; the check of the documents failed on mustHoldAnswer.

--- a/src/gateway/drainControl.ts
+++ b/src/gateway/drainControl.ts
@@ -10,7 +10,7 @@
     Drain,
     DrainDecision,
     DrainStep,
-    mustHoldAnswer,
+    isAnswerHeld,
 } from "../scheduling/drainAdmission.js";
 import { AcceptedRequest, computeTimes } from "./acceptedRequest.js";
 import { AnswerForecast, ForecastState, predictAnswer } from "./answerForecast.js";
@@ -148,7 +148,7 @@
             return createDisposable(() => requests.delete(request));
         },
         mustHold: request =>
-            drain !== undefined && mustHoldAnswer(drain, request.arrivedAtMs, computeTimes(request).deadlineAtMs),
+            drain !== undefined && isAnswerHeld(drain, request.arrivedAtMs, computeTimes(request).deadlineAtMs),
         checkStep(question) {
             if (!drain) {
                 return undefined;
--- a/src/scheduling/drainAdmission.ts
+++ b/src/scheduling/drainAdmission.ts
@@ -83,9 +83,9 @@
  *
  * @example
  * const drain = { startedAtMs: 0, lateFromMs: 2_800, closesIdleAtMs: 3_000, endsAtMs: 7_600 };
- * mustHoldAnswer(drain, 3_100, 15_000); // true
+ * isAnswerHeld(drain, 3_100, 15_000); // true
  */
-export function mustHoldAnswer(drain: Drain, arrivedAtMs: number, deadlineAtMs: number): boolean {
+export function isAnswerHeld(drain: Drain, arrivedAtMs: number, deadlineAtMs: number): boolean {
     return arrivedAtMs >= drain.lateFromMs && deadlineAtMs > drain.endsAtMs;
 }
 
@@ -114,7 +114,7 @@
         ? Math.min(predicted.usualMs, predicted.boundMs)
         : Math.min(countedMs + durationMarginMs, predicted.boundMs);
     const untilEndMs = drain.endsAtMs - nowMs;
-    const isHeld = !predicted.hasBegun && mustHoldAnswer(drain, predicted.arrivedAtMs, nowMs + predicted.boundMs);
+    const isHeld = !predicted.hasBegun && isAnswerHeld(drain, predicted.arrivedAtMs, nowMs + predicted.boundMs);
     const remainingMs = isHeld ? Math.min(untilEndMs, predicted.patienceMs) : untilEndMs;
     return { isAllowed: neededMs <= remainingMs, neededMs, remainingMs, isHeld };
 }
--- a/test/scheduling/drainAdmission.test.ts
+++ b/test/scheduling/drainAdmission.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { computeDrainReturnMs, decideDrainStep, mustHoldAnswer } from "../../src/scheduling/drainAdmission.js";
+import { computeDrainReturnMs, decideDrainStep, isAnswerHeld } from "../../src/scheduling/drainAdmission.js";
 
 const drain = { startedAtMs: 1_000, lateFromMs: 3_800, closesIdleAtMs: 4_000, endsAtMs: 8_600 };
 const early = {
@@ -65,9 +65,9 @@
 });
 
 test("the answer to a late request is held, unless its own time limit ends before the process does", () => {
-    assert.equal(mustHoldAnswer(drain, 3_800, 8_601), true);
-    assert.equal(mustHoldAnswer(drain, 3_800, 8_600), false);
-    assert.equal(mustHoldAnswer(drain, 3_799, 20_000), false);
+    assert.equal(isAnswerHeld(drain, 3_800, 8_601), true);
+    assert.equal(isAnswerHeld(drain, 3_800, 8_600), false);
+    assert.equal(isAnswerHeld(drain, 3_799, 20_000), false);
 });
 
 test("an answer that is held must end before its customer loses patience", () => {
