Name the time-out of a customer by its usual term

patienceMs becomes customerTimeoutMs, as in computeTimes, and the comment on the statuses of refusals no longer claims more of HTTP than it says.

--- a/src/gateway/answerForecast.ts
+++ b/src/gateway/answerForecast.ts
@@ -62,7 +62,7 @@
     return {
         ...predicted,
         boundMs,
-        patienceMs: Math.max(0, customerTimeoutAtMs - nowMs),
+        customerTimeoutMs: Math.max(0, customerTimeoutAtMs - nowMs),
         hasBegun: state.hasBegun ?? false,
         arrivedAtMs: request.arrivedAtMs,
     };
--- a/src/gateway/drainControl.ts
+++ b/src/gateway/drainControl.ts
@@ -161,7 +161,7 @@
                 return undefined;
             }
             const [remainingMs, neededMs] = [decision.remainingMs, decision.neededMs].map(Math.round);
-            const limit = decision.isHeld ? "this process or the patience of its customer" : "this process";
+            const limit = decision.isHeld ? "this process or its customer" : "this process";
             return `would outlast ${limit}, which ends in ${remainingMs} ms: needs ${neededMs} ms`;
         },
         isStepAllowed: question => drain === undefined || decide(drain, question, timers.now())[1].isAllowed,
--- a/src/retries/finalStatus.ts
+++ b/src/retries/finalStatus.ts
@@ -1,8 +1,8 @@
 import { Verdict } from "../base/verdict.js";
 
 /**
- * Statuses that promise that the request has not run and never will, so that its customer may send it again. Source: the
- * platform's protocol, "Answers". HTTP itself promises this of 408 and 421 only.
+ * Statuses that promise that the request has not run and never will, so that its customer may send it again. HTTP leaves
+ * this open for 429 and 503; the interface towards customers promises it of all four.
  */
 const refusalStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
--- a/src/scheduling/drainAdmission.ts
+++ b/src/scheduling/drainAdmission.ts
@@ -38,8 +38,8 @@
     readonly longestMs: number;
     /** Time after which the request ends in any case: its deadline or the time-out of its route. */
     readonly boundMs: number;
-    /** Time for which the customer is expected to wait for the first byte. */
-    readonly patienceMs: number;
+    /** Time for which the customer is expected to wait for the first byte, in milliseconds. */
+    readonly customerTimeoutMs: number;
     /** Whether the prediction rests on answers that were seen lately, and not on the profile of the endpoints alone. */
     readonly isMeasured: boolean;
     /** Whether the customer has received a part of the answer, which breaks off if the request does not go on. */
@@ -53,7 +53,7 @@
     readonly isAllowed: boolean;
     /** Time that the request needs to its end. */
     readonly neededMs: number;
-    /** Time within which the request has to end: until requests are cut off, or until its customer has lost patience. */
+    /** Time within which the request has to end: until requests are cut off, or until its customer is expected to leave. */
     readonly remainingMs: number;
     /** Whether the answer is held until it is whole. */
     readonly isHeld: boolean;
@@ -92,7 +92,7 @@
 /**
  * Decides whether a request of a process that is stopping may take its next step. It may if it is predicted to end
  * before the process does, or if its own time limit ends before. An answer that has begun needs no reserve. One that is
- * held must also end before its customer, who gets nothing until then, loses patience.
+ * held must also end before its customer, who gets nothing until then, is expected to leave.
  *
  * Load pattern: all processes of a data centre stop at about the same time, so that the load balancer has no other
  * process to choose. Requests that can end before the process does are served; the others are refused before they run,
@@ -101,7 +101,7 @@
  *
  * @example
  * const drain = { startedAtMs: 0, lateFromMs: 2_800, closesIdleAtMs: 3_000, endsAtMs: 7_600 };
- * const predicted = { usualMs: 9_000, longestMs: 12_000, boundMs: 15_000, patienceMs: 8_000, isMeasured: false, ...state };
+ * const predicted = { usualMs: 9_000, longestMs: 12_000, boundMs: 15_000, customerTimeoutMs: 8_000, isMeasured: false, ...state };
  * decideDrainStep(drain, predicted, 1_000).isAllowed; // false
  */
 export function decideDrainStep(drain: Drain, predicted: PredictedDuration, nowMs: number): DrainDecision {
@@ -115,7 +115,7 @@
         : Math.min(countedMs + durationMarginMs, predicted.boundMs);
     const untilEndMs = drain.endsAtMs - nowMs;
     const isHeld = !predicted.hasBegun && isAnswerHeld(drain, predicted.arrivedAtMs, nowMs + predicted.boundMs);
-    const remainingMs = isHeld ? Math.min(untilEndMs, predicted.patienceMs) : untilEndMs;
+    const remainingMs = isHeld ? Math.min(untilEndMs, predicted.customerTimeoutMs) : untilEndMs;
     return { isAllowed: neededMs <= remainingMs, neededMs, remainingMs, isHeld };
 }
 
--- a/test/scheduling/drainAdmission.test.ts
+++ b/test/scheduling/drainAdmission.test.ts
@@ -7,7 +7,7 @@
     usualMs: 2_000,
     longestMs: 9_000,
     boundMs: 20_000,
-    patienceMs: 20_000,
+    customerTimeoutMs: 20_000,
     isMeasured: false,
     hasBegun: false,
     arrivedAtMs: 2_000,
@@ -70,10 +70,10 @@
     assert.equal(isAnswerHeld(drain, 3_799, 20_000), false);
 });
 
-test("an answer that is held must end before its customer loses patience", () => {
-    const impatient = { ...predicted, usualMs: 500, longestMs: 1_000, patienceMs: 1_000 };
-    assert.equal(decideDrainStep(drain, impatient, 4_000).isAllowed, false);
-    assert.equal(decideDrainStep(drain, { ...impatient, patienceMs: 1_500 }, 4_000).isAllowed, true);
-    assert.equal(decideDrainStep(drain, { ...impatient, boundMs: 4_000 }, 4_000).isAllowed, true, "it is not held");
-    assert.equal(decideDrainStep(drain, { ...impatient, arrivedAtMs: 2_000 }, 4_000).isAllowed, true, "it is not late");
+test("an answer that is held must end before its customer is expected to leave", () => {
+    const short = { ...predicted, usualMs: 500, longestMs: 1_000, customerTimeoutMs: 1_000 };
+    assert.equal(decideDrainStep(drain, short, 4_000).isAllowed, false);
+    assert.equal(decideDrainStep(drain, { ...short, customerTimeoutMs: 1_500 }, 4_000).isAllowed, true);
+    assert.equal(decideDrainStep(drain, { ...short, boundMs: 4_000 }, 4_000).isAllowed, true, "it is not held");
+    assert.equal(decideDrainStep(drain, { ...short, arrivedAtMs: 2_000 }, 4_000).isAllowed, true, "it is not late");
 });
